Lay out folders, build, checks and the public headers

Cause: five parts are to be written side by side; they need fixed joins. Ruled out: one header of everything (slow to compile, one owner); cereal and Asio in public headers (15 s and more per file that includes them). Conclusion: the parts can start.

--- /dev/null
+++ b/include/dragonfly/base/Event.h
@@ -0,0 +1,64 @@
+/// The numbered events that the programs log; docs/EVENTS.md is their page.
+#ifndef DRAGONFLY_BASE_EVENT_H
+#define DRAGONFLY_BASE_EVENT_H
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace dragonfly {
+
+/// How loudly an event is logged.
+enum class Severity : std::uint8_t { Debug, Info, Warning, Failure };
+
+/// One value per event. Thousands by program: 1 base, 2 entry, 3 control,
+/// 4 consensus, 5 agent, 6 net, 7 decide.
+enum class Event : std::uint16_t {
+  // base
+  ProcessStarted = 1001,
+  ProcessStopping = 1002,
+  ProcessStopped = 1003,
+  StopBoundReached = 1004,
+  SettingsRejected = 1005,
+  // entry
+  EntryReady = 2001,
+  EntryNotReady = 2002,
+  ConfigurationApplied = 2003,
+  // control
+  ListAccepted = 3001,
+  ListRejected = 3002,
+  UpstreamJoined = 3003,
+  UpstreamLeft = 3004,
+  UpstreamLost = 3005,
+  // consensus
+  LeaderElected = 4001,
+  LeaderLost = 4002,
+  TornTailCut = 4003,
+  StorageFailed = 4004,
+  // agent
+  AgentReady = 5001,
+  AgentDraining = 5002,
+  LeaseExpired = 5003,
+  // net
+  ConnectionOpened = 6001,
+  ConnectionClosed = 6002,
+  FrameRejected = 6003,
+};
+
+/// One row of the catalogue.
+struct EventRow {
+  Event Event_;
+  Severity Severity_;
+  std::string_view Name_;
+  std::string_view Meaning_;
+};
+
+/// Returns the catalogue in ascending order of number.
+std::span<const EventRow> eventCatalogue();
+
+/// Returns the row of \p Value; every event has one.
+const EventRow &eventRow(Event Value);
+
+} // namespace dragonfly
+
+#endif // DRAGONFLY_BASE_EVENT_H
--- /dev/null
+++ b/include/dragonfly/consensus/ReplicatedLog.h
@@ -0,0 +1,129 @@
+/// A replicated log with snapshots and membership changes. It has no sockets
+/// and no threads: its owner passes in messages and the time, and takes
+/// messages out through a hook.
+#ifndef DRAGONFLY_CONSENSUS_REPLICATEDLOG_H
+#define DRAGONFLY_CONSENSUS_REPLICATEDLOG_H
+
+#include "dragonfly/base/Clock.h"
+#include "dragonfly/base/Ids.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dragonfly::consensus {
+
+class Storage;
+
+/// One member of the log's group.
+struct Member {
+  ReplicaId Id_;
+  /// The data folder that this member votes with.
+  StoreId Store_;
+  /// Learners receive the log and do not vote.
+  bool Voter_ = true;
+  std::string Address_;
+
+  bool operator==(const Member &) const = default;
+};
+
+enum class RaftRole : std::uint8_t {
+  Follower,
+  PreCandidate,
+  Candidate,
+  Leader
+};
+
+/// What became of a proposal.
+enum class ProposeStatus : std::uint8_t {
+  Committed, ///< Durable on a majority and applied here.
+  NotLeader, ///< Not taken; nothing was done.
+  Unknown    ///< Leadership was lost while it was under way.
+};
+
+struct ProposeResult {
+  ProposeStatus Status_ = ProposeStatus::NotLeader;
+  LogIndex Index_;
+  /// What the Apply hook returned.
+  std::string Output_;
+};
+
+/// The state machine that the log drives. All hooks are deterministic.
+struct StateMachineHooks {
+  /// Applies one committed command and returns its output.
+  std::function<std::string(LogIndex, std::string_view Command)> Apply_;
+  /// Returns the whole state, to be restored by `Restore_` on any replica.
+  std::function<std::string()> Snapshot_;
+  std::function<void(std::string_view)> Restore_;
+};
+
+struct ReplicatedLogOptions {
+  ReplicaId Self_;
+  /// First members, used where the data folder is new; empty for a learner
+  /// that waits to be added.
+  std::vector<Member> FirstMembers_;
+  Duration ElectionTimeout_ = std::chrono::milliseconds(500);
+  Duration HeartbeatPeriod_ = std::chrono::milliseconds(100);
+  /// Bound on how much clocks of two VMs may differ in rate, in thousandths.
+  std::uint32_t DriftPermille_ = 20;
+  std::size_t SnapshotEveryRecords_ = 10000;
+  std::size_t MaxBatchBytes_ = 256U << 10U;
+  std::uint64_t Seed_ = 1;
+  StateMachineHooks Machine_;
+  /// Sends bytes to a peer; they may be lost, doubled or late.
+  std::function<void(ReplicaId To, std::string Bytes)> Send_;
+  /// Called when this replica becomes leader or stops being it.
+  std::function<void(bool Leader)> OnLeadership_;
+};
+
+/// One replica of the log.
+class ReplicatedLog {
+public:
+  /// Recovers from \p Disk. Throws StorageError.
+  ReplicatedLog(ReplicatedLogOptions Options, std::unique_ptr<Storage> Disk,
+                TimePoint Now);
+  ~ReplicatedLog();
+
+  /// Runs timers, syncs what has been queued and sends what follows from it.
+  /// Call it every few milliseconds and after each batch of input. Throws
+  /// StorageError; the process must end then.
+  void tick(TimePoint Now);
+
+  /// Takes bytes that a peer's Send hook was given.
+  void receive(TimePoint Now, ReplicaId From, std::string_view Bytes);
+
+  /// Proposes a command; \p Done runs exactly once.
+  void propose(std::string Command, std::function<void(ProposeResult)> Done);
+
+  /// Calls \p Done with true once everything committed before this call is
+  /// applied here and this replica is known to lead still.
+  void readBarrier(std::function<void(bool)> Done);
+
+  /// Adds, promotes, demotes or removes one member; one change at a time.
+  void changeMember(Member Target, bool Remove,
+                    std::function<void(ProposeResult)> Done);
+
+  RaftRole role() const;
+  /// True while this replica leads and a majority has answered it recently
+  /// enough that no other leader can have been elected.
+  bool holdsLeaderLease(TimePoint Now) const;
+  ReplicaId leader() const;
+  Term term() const;
+  LogIndex commitIndex() const;
+  LogIndex appliedIndex() const;
+  const std::vector<Member> &members() const;
+  StoreId store() const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+} // namespace dragonfly::consensus
+
+#endif // DRAGONFLY_CONSENSUS_REPLICATEDLOG_H
--- /dev/null
+++ b/include/dragonfly/decide/Router.h
@@ -0,0 +1,85 @@
+/// Chooses the upstream for a request, ejects outliers and bounds retries.
+#ifndef DRAGONFLY_DECIDE_ROUTER_H
+#define DRAGONFLY_DECIDE_ROUTER_H
+
+#include "dragonfly/base/Clock.h"
+#include "dragonfly/base/Ids.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace dragonfly::decide {
+
+/// One upstream as it was last announced.
+struct UpstreamRow {
+  std::string Name_;
+  Incarnation Incarnation_;
+  std::string AvailabilityZone_;
+  std::uint32_t Slots_ = 0;
+  std::uint32_t FreeSlots_ = 0;
+  bool Draining_ = false;
+};
+
+/// How an attempt on an upstream ended, as far as routing cares.
+enum class AttemptResult : std::uint8_t {
+  Answered,
+  Refused, ///< The agent had no room; not a fault of the upstream.
+  Failed   ///< It failed, broke off or did not answer in time.
+};
+
+struct RouterOptions {
+  std::string AvailabilityZone_;
+  std::uint64_t Seed_ = 1;
+  /// Retries and hedges as a share of requests, in thousandths.
+  std::uint32_t RetryPermille_ = 100;
+  /// Most of the upstreams that may be ejected at once, in thousandths.
+  std::uint32_t MaxEjectedPermille_ = 500;
+  /// First ejection; doubles with each that follows.
+  Duration Ejection_ = std::chrono::seconds(5);
+};
+
+/// Position of an upstream in the router's table.
+using UpstreamIndex = std::uint32_t;
+
+/// Routing of one entry. `pick()` allocates nothing.
+class Router {
+public:
+  explicit Router(RouterOptions Options);
+  ~Router();
+
+  /// Replaces the table; what is known of a name and incarnation is kept.
+  void setUpstreams(std::span<const UpstreamRow> Rows);
+  const UpstreamRow &row(UpstreamIndex Upstream) const;
+  std::size_t size() const;
+
+  /// Returns an upstream other than those in \p Exclude, or nothing where none
+  /// may take work. Draining and ejected ones are passed over.
+  std::optional<UpstreamIndex> pick(TimePoint Now,
+                                    std::span<const UpstreamIndex> Exclude);
+  /// Tells that an attempt begins; pair it with `finished()`.
+  void started(TimePoint Now, UpstreamIndex Upstream);
+  void finished(TimePoint Now, UpstreamIndex Upstream, AttemptResult Result,
+                Duration Latency);
+  /// Counts a first attempt towards the retry budget.
+  void countRequest();
+  /// Takes one retry from the budget, if there is one.
+  bool takeRetry();
+  /// Returns after how long a hedge of a request is worth sending, or nothing
+  /// while too little is known.
+  std::optional<Duration> hedgeDelay() const;
+  bool ejected(TimePoint Now, UpstreamIndex Upstream) const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+} // namespace dragonfly::decide
+
+#endif // DRAGONFLY_DECIDE_ROUTER_H
--- /dev/null
+++ b/include/dragonfly/net/FrameServer.h
@@ -0,0 +1,66 @@
+/// Accepts connections from the system's other processes and answers their
+/// frames, in any order.
+#ifndef DRAGONFLY_NET_FRAMESERVER_H
+#define DRAGONFLY_NET_FRAMESERVER_H
+
+#include "dragonfly/base/Ids.h"
+#include "dragonfly/net/Endpoint.h"
+#include "dragonfly/wire/Messages.h"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+namespace dragonfly::net {
+
+class EventLoop;
+
+/// Answers one request. May outlive the connection, when it has no effect.
+class FrameReplier {
+public:
+  struct State;
+  explicit FrameReplier(std::shared_ptr<State> Request);
+
+  /// Sends one part of a streamed answer; more follow.
+  void part(const wire::Message &Value) const;
+  /// Sends the last or only answer.
+  void answer(const wire::Message &Value) const;
+  /// False once the peer is gone.
+  bool connected() const;
+  /// Bytes queued to the peer that it has not taken yet.
+  std::size_t queuedBytes() const;
+
+private:
+  std::shared_ptr<State> State_;
+};
+
+struct FrameServerOptions {
+  Endpoint Listen_;
+  Incarnation Self_;
+  std::size_t MaxConnections_ = 1024;
+  /// Called for each request and each one-way frame.
+  std::function<void(wire::Message, FrameReplier)> OnMessage_;
+};
+
+/// Listens for frames on one endpoint.
+class FrameServer {
+public:
+  /// Starts to listen. Throws NetError(CannotListen).
+  FrameServer(EventLoop &Loop, FrameServerOptions Options);
+  ~FrameServer();
+
+  /// Accepts no more connections; those that are open go on.
+  void stopAccepting();
+  /// Closes every connection.
+  void close();
+  /// The port in use, where the options left it 0.
+  Endpoint endpoint() const;
+
+private:
+  struct Impl;
+  std::shared_ptr<Impl> Impl_;
+};
+
+} // namespace dragonfly::net
+
+#endif // DRAGONFLY_NET_FRAMESERVER_H
--- /dev/null
+++ b/include/dragonfly/net/HttpServer.h
@@ -0,0 +1,76 @@
+/// HTTP/1.1 towards callers, operators and the platform.
+#ifndef DRAGONFLY_NET_HTTPSERVER_H
+#define DRAGONFLY_NET_HTTPSERVER_H
+
+#include "dragonfly/base/Clock.h"
+#include "dragonfly/net/Endpoint.h"
+#include "dragonfly/net/HttpMessage.h"
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string_view>
+
+namespace dragonfly::net {
+
+class EventLoop;
+
+/// Answers one HTTP request. May outlive the connection, when it has no
+/// effect. Answers of one connection leave in the order of its requests.
+class HttpReplier {
+public:
+  struct State;
+  explicit HttpReplier(std::shared_ptr<State> Request);
+
+  /// Sends a whole response.
+  void reply(HttpResponse Response) const;
+  /// Starts a chunked response; its body is ignored.
+  void beginChunks(HttpResponse Head) const;
+  void chunk(std::string_view Bytes) const;
+  void endChunks() const;
+  /// Closes the connection in the middle of a chunked response, so that the
+  /// caller can tell that it is not whole.
+  void abort() const;
+  /// Called once if the caller goes away before the response has left.
+  void onGone(std::function<void()> Handler) const;
+  /// Bytes queued to the caller that it has not taken yet.
+  std::size_t queuedBytes() const;
+
+private:
+  std::shared_ptr<State> State_;
+};
+
+struct HttpServerOptions {
+  Endpoint Listen_;
+  std::size_t MaxConnections_ = 1024;
+  std::size_t MaxHeaderBytes_ = 16U << 10U;
+  std::size_t MaxBodyBytes_ = 1U << 20U;
+  /// For a whole request to arrive, and between requests.
+  Duration IdleTimeout_ = std::chrono::seconds(30);
+  /// For the caller to take queued bytes.
+  Duration WriteTimeout_ = std::chrono::seconds(30);
+  std::function<void(HttpRequest, HttpReplier)> OnRequest_;
+};
+
+/// Listens for HTTP on one endpoint.
+class HttpServer {
+public:
+  /// Starts to listen. Throws NetError(CannotListen).
+  HttpServer(EventLoop &Loop, HttpServerOptions Options);
+  ~HttpServer();
+
+  /// Accepts no more connections and closes each one once its last answer has
+  /// left ("Connection: close").
+  void stopAccepting();
+  std::size_t openConnections() const;
+  Endpoint endpoint() const;
+
+private:
+  struct Impl;
+  std::shared_ptr<Impl> Impl_;
+};
+
+} // namespace dragonfly::net
+
+#endif // DRAGONFLY_NET_HTTPSERVER_H
--- /dev/null
+++ b/include/dragonfly/settings/Settings.h
@@ -0,0 +1,146 @@
+/// Checked settings of each program, read from one JSON file per process.
+#ifndef DRAGONFLY_SETTINGS_SETTINGS_H
+#define DRAGONFLY_SETTINGS_SETTINGS_H
+
+#include "dragonfly/base/Clock.h"
+#include "dragonfly/base/EnumTable.h"
+#include "dragonfly/base/Ids.h"
+#include "dragonfly/base/Log.h"
+#include "dragonfly/base/Resources.h"
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace dragonfly::settings {
+
+/// How urgent a kind of request is.
+enum class Urgency : std::uint8_t {
+  LatencyCritical, ///< Answered while the caller waits.
+  Deadline,        ///< Heavy work that must finish by its deadline.
+  Watch            ///< Runs long and answers in parts.
+};
+
+/// What carries a kind: a request through a slot of an upstream, or a task
+/// that control places on a worker.
+enum class Carrier : std::uint8_t { Request, Task };
+
+/// One kind of request, such as a belt check.
+struct KindSettings {
+  std::string Name_;
+  Urgency Urgency_ = Urgency::LatencyCritical;
+  Carrier Carrier_ = Carrier::Request;
+  bool NonIdempotent_ = false;
+  /// Deadline where the caller names none.
+  Duration Deadline_ = std::chrono::seconds(1);
+  /// Share of all slots that this kind is guaranteed, in thousandths.
+  std::uint32_t FloorPermille_ = 0;
+  /// Requests of this kind that an entry lets wait for a slot.
+  std::size_t QueueLimit_ = 1000;
+  /// What one task of this kind declares, where it is a task.
+  Resources Need_;
+  Duration ExpectedRunTime_ = std::chrono::seconds(1);
+};
+
+/// What a deployment weighs, in thousandths of the total.
+struct Weights {
+  std::uint32_t TailLatency_ = 500;
+  std::uint32_t BatchThroughput_ = 250;
+  std::uint32_t Evictions_ = 250;
+};
+
+/// Settings that every process of a deployment shares.
+struct DeploymentSettings {
+  std::string Name_;
+  std::vector<KindSettings> Kinds_;
+  Weights Weights_;
+  /// A VM's lease, counted by the agent from when it sent the heartbeat.
+  Duration LeaseTerm_ = std::chrono::seconds(3);
+  /// Added by control before it places a lost VM's tasks again.
+  Duration DriftMargin_ = std::chrono::milliseconds(300);
+  Duration HeartbeatPeriod_ = std::chrono::milliseconds(500);
+};
+
+/// A control replica as its peers, the entries and the agents reach it.
+struct ReplicaSettings {
+  ReplicaId Id_;
+  /// Frames over TCP and heartbeats over UDP, as "address:port".
+  std::string Address_;
+  /// HTTP for operators.
+  std::string OperatorAddress_;
+};
+
+/// What every program has.
+struct ProcessSettings {
+  std::string Name_;
+  std::string AvailabilityZone_;
+  std::string Rack_;
+  LogFormat LogFormat_ = LogFormat::Json;
+  Severity LogLevel_ = Severity::Info;
+  /// A graceful stop that takes longer is cut off, with an event.
+  Duration StopBound_ = std::chrono::seconds(20);
+  DeploymentSettings Deployment_;
+  std::vector<ReplicaSettings> Control_;
+};
+
+struct EntrySettings {
+  ProcessSettings Process_;
+  /// HTTP for callers, health checks and histograms.
+  std::string Listen_;
+  std::size_t MaxConnections_ = 1024;
+  std::size_t MaxHeaderBytes_ = 16U << 10U;
+  std::size_t MaxBodyBytes_ = 1U << 20U;
+  Duration IdleTimeout_ = std::chrono::seconds(30);
+  /// Retries as a share of requests, in thousandths.
+  std::uint32_t RetryPermille_ = 100;
+};
+
+struct ControlSettings {
+  ProcessSettings Process_;
+  ReplicaId Replica_;
+  std::string DataFolder_;
+  /// True where this replica starts a new deployment or is one of its first
+  /// members; false where it joins as a learner.
+  bool FirstMember_ = true;
+  Duration ElectionTimeout_ = std::chrono::milliseconds(500);
+  std::size_t SnapshotEveryRecords_ = 10000;
+};
+
+struct AgentSettings {
+  ProcessSettings Process_;
+  /// Frames over TCP and heartbeats over UDP.
+  std::string Listen_;
+  /// HTTP for health checks and histograms.
+  std::string StatusListen_;
+  /// The upstream's HTTP endpoint beside this agent.
+  std::string Upstream_;
+  Resources Capacity_;
+  std::uint32_t Slots_ = 8;
+  std::uint32_t Connections_ = 64;
+};
+
+} // namespace dragonfly::settings
+
+namespace dragonfly {
+
+template <> struct EnumTable<settings::Urgency> {
+  static constexpr std::array<EnumName<settings::Urgency>, 3> Rows{{
+      {settings::Urgency::LatencyCritical, "latency-critical"},
+      {settings::Urgency::Deadline, "deadline"},
+      {settings::Urgency::Watch, "watch"},
+  }};
+};
+
+template <> struct EnumTable<settings::Carrier> {
+  static constexpr std::array<EnumName<settings::Carrier>, 2> Rows{{
+      {settings::Carrier::Request, "request"},
+      {settings::Carrier::Task, "task"},
+  }};
+};
+
+} // namespace dragonfly
+
+#endif // DRAGONFLY_SETTINGS_SETTINGS_H
--- /dev/null
+++ b/src/base/Event.cpp
@@ -0,0 +1,69 @@
+#include "dragonfly/base/Event.h"
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+
+namespace dragonfly {
+namespace {
+
+constexpr auto Catalogue = std::to_array<EventRow>({
+    {Event::ProcessStarted, Severity::Info, "process-started",
+     "The program has read its settings and begins to listen."},
+    {Event::ProcessStopping, Severity::Info, "process-stopping",
+     "A graceful stop has begun; work in progress is being finished."},
+    {Event::ProcessStopped, Severity::Info, "process-stopped",
+     "The program has stopped with nothing left in progress."},
+    {Event::StopBoundReached, Severity::Warning, "stop-bound-reached",
+     "The graceful stop took longer than its bound; the rest was cut off."},
+    {Event::SettingsRejected, Severity::Failure, "settings-rejected",
+     "The settings hold at least one fault; nothing was started."},
+    {Event::EntryReady, Severity::Info, "entry-ready",
+     "The entry holds a fresh configuration and takes requests."},
+    {Event::EntryNotReady, Severity::Warning, "entry-not-ready",
+     "The entry's configuration lease has run out; it refuses new requests."},
+    {Event::ConfigurationApplied, Severity::Info, "configuration-applied",
+     "A newer version of a list is in force in this process."},
+    {Event::ListAccepted, Severity::Info, "list-accepted",
+     "A change of a list is durable on a majority of the replicas."},
+    {Event::ListRejected, Severity::Warning, "list-rejected",
+     "A change of a list was refused; nothing changed."},
+    {Event::UpstreamJoined, Severity::Info, "upstream-joined",
+     "An agent announced an upstream or a new incarnation of one."},
+    {Event::UpstreamLeft, Severity::Info, "upstream-left",
+     "An agent announced that its upstream is leaving."},
+    {Event::UpstreamLost, Severity::Warning, "upstream-lost",
+     "An agent has not been heard of for a whole lease term."},
+    {Event::LeaderElected, Severity::Info, "leader-elected",
+     "This replica leads the replicated log in a new term."},
+    {Event::LeaderLost, Severity::Warning, "leader-lost",
+     "This replica no longer leads the replicated log."},
+    {Event::TornTailCut, Severity::Warning, "torn-tail-cut",
+     "An incomplete record at the end of the log was removed."},
+    {Event::StorageFailed, Severity::Failure, "storage-failed",
+     "The data folder could not be read, written or synced."},
+    {Event::AgentReady, Severity::Info, "agent-ready",
+     "The agent knows what its VM runs and admits work."},
+    {Event::AgentDraining, Severity::Info, "agent-draining",
+     "The agent refuses new work and finishes what is in progress."},
+    {Event::LeaseExpired, Severity::Warning, "lease-expired",
+     "The VM's lease ran out; the agent stopped its tasks."},
+    {Event::ConnectionOpened, Severity::Debug, "connection-opened",
+     "A connection between two of the system's processes is open."},
+    {Event::ConnectionClosed, Severity::Debug, "connection-closed",
+     "A connection between two of the system's processes has closed."},
+    {Event::FrameRejected, Severity::Warning, "frame-rejected",
+     "A frame broke the protocol; its connection was closed."},
+});
+
+} // namespace
+
+std::span<const EventRow> eventCatalogue() { return Catalogue; }
+
+const EventRow &eventRow(Event Value) {
+  const auto *Row = std::ranges::find(Catalogue, Value, &EventRow::Event_);
+  assert(Row != Catalogue.end() && "event without a row in the catalogue");
+  return *Row;
+}
+
+} // namespace dragonfly
--- /dev/null
+++ b/tests/Main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tools/check-layers.sh
@@ -0,0 +1,28 @@
+#!/usr/bin/env bash
+# Fails where a folder includes one that it may not depend on, or a public
+# header pulls in a heavy library.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+bad=0
+check() { # check FOLDER ALLOWED...
+  local folder=$1; shift
+  local allowed; allowed=$(IFS='|'; echo "$folder|$*" | tr ' ' '|')
+  local found
+  found=$(grep -rnE '#include "dragonfly/' "include/dragonfly/$folder" "src/$folder" 2>/dev/null |
+    grep -vE "#include \"dragonfly/($allowed)/")
+  if [ -n "$found" ]; then echo "layer violation in $folder:"; echo "$found"; bad=1; fi
+}
+check base
+check decide base
+check consensus base
+check wire base
+check settings base
+check net base wire
+check entry base settings wire net decide
+check control base settings wire net decide consensus
+check agent base settings wire net decide
+heavy=$(grep -rnE '#include [<"](boost/(asio|beast)|spdlog|cereal|absl)' include)
+if [ -n "$heavy" ]; then echo "heavy include in a public header:"; echo "$heavy"; bad=1; fi
+pure=$(grep -rnE '#include [<"]boost/(asio|beast)' src/decide src/consensus 2>/dev/null)
+if [ -n "$pure" ]; then echo "sockets in pure code:"; echo "$pure"; bad=1; fi
+exit $bad
