Add frames and the connections between the system's processes

Cause: every part needs to talk to the others; nothing carried bytes yet. Ruled out: cereal's own binary archives, which resize strings and vectors to a claimed length before reading (a hostile length could claim any amount), and fixed-width numbers, which would triple a heartbeat. Conclusion: entry, control and agent can be joined.

--- /dev/null
+++ b/src/net/FrameClient.cpp
@@ -0,0 +1,274 @@
+#include "dragonfly/net/FrameClient.h"
+
+#include "dragonfly/net/EventLoop.h"
+#include "net/ClockTimer.h"
+#include "net/FrameStream.h"
+#include "net/Sockets.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace dragonfly::net {
+
+using boost::asio::ip::tcp;
+
+struct FrameClient::Impl : std::enable_shared_from_this<FrameClient::Impl> {
+  enum class Link : std::uint8_t { Connecting, Open, BackingOff, Closed };
+
+  struct Call {
+    Handler OnEnd_;
+    PartHandler OnPart_;
+    Duration Timeout_{};
+    TimePoint StartedAt_;
+    TimePoint Expiry_;
+    bool Sent_ = false;
+  };
+
+  Impl(EventLoop &Loop, FrameClientOptions Options)
+      : Context_(Loop.context()), Options_(std::move(Options)),
+        Backoff_(Options_.MinBackoff_), Connecting_(Context_),
+        LinkTimer_(Context_), CallTimer_(Context_) {}
+
+  void connect() {
+    Link_ = Link::Connecting;
+    ++Attempt_;
+    Connecting_ = tcp::socket(Context_);
+    Connecting_.async_connect(
+        toAsio<tcp>(Options_.Peer_),
+        [Self = shared_from_this(), Attempt = Attempt_](const auto &Fault) {
+          if (Self->Link_ == Link::Connecting && Attempt == Self->Attempt_)
+            Self->connected(Fault);
+        });
+    armLink(Options_.ConnectTimeout_, [this] { connected(TimedOutFault); });
+  }
+
+  template <typename Work> void armLink(Duration Delay, Work OnExpiry) {
+    LinkTimer_.expires_after(Delay);
+    LinkTimer_.async_wait(
+        [Self = shared_from_this(), OnExpiry](const auto &Fault) {
+          if (!Fault && Self->Link_ != Link::Closed)
+            OnExpiry();
+        });
+  }
+
+  void connected(const boost::system::error_code &Fault) {
+    LinkTimer_.cancel();
+    if (Fault) {
+      boost::system::error_code Ignored;
+      Connecting_.close(Ignored);
+      disconnected();
+      return;
+    }
+    Link_ = Link::Open;
+    Backoff_ = Options_.MinBackoff_;
+    Stream_ = std::make_shared<FrameStream>(
+        std::move(Connecting_),
+        FrameStream::Hooks{.OnFrame_ =
+                               [Self = weak_from_this()](wire::Frame Value) {
+                                 if (const auto Client = Self.lock())
+                                   Client->take(std::move(Value));
+                               },
+                           .OnClosed_ =
+                               [Self = weak_from_this()] {
+                                 if (const auto Client = Self.lock())
+                                   Client->disconnected();
+                               },
+                           .OnWriting_ =
+                               [Self = weak_from_this()] {
+                                 if (const auto Client = Self.lock())
+                                   Client->markSent();
+                               }});
+    Stream_->start();
+    for (auto &[Sequence, Bytes] : std::exchange(BeforeOpen_, {})) {
+      if (!Calls_.contains(Sequence))
+        continue;
+      Unsent_.push_back(Sequence);
+      Stream_->write(Bytes);
+    }
+  }
+
+  void disconnected() {
+    if (Stream_)
+      Stream_->close();
+    Stream_.reset();
+    Link_ = Link::BackingOff;
+    armLink(Backoff_, [this] { connect(); });
+    Backoff_ = std::min(Backoff_ * 2, Options_.MaxBackoff_);
+    BeforeOpen_.clear();
+    Unsent_.clear();
+    Expiries_.clear();
+    for (auto &[Sequence, Ended] : std::exchange(Calls_, {}))
+      Ended.OnEnd_(
+          {.Status_ = Ended.Sent_ ? CallStatus::Lost : CallStatus::NeverSent});
+  }
+
+  void markSent() {
+    for (const std::uint64_t Sequence : Unsent_)
+      if (const auto It = Calls_.find(Sequence); It != Calls_.end())
+        It->second.Sent_ = true;
+    Unsent_.clear();
+  }
+
+  void take(wire::Frame Value) {
+    LastHeard_ = Clock::now();
+    const auto It = Calls_.find(Value.Sequence_);
+    if (It == Calls_.end()) {
+      ++LateAnswers_;
+      return;
+    }
+    if (Value.Kind_ == wire::FrameKind::Part) {
+      takePart(Value.Sequence_, It->second, std::move(Value.Message_));
+      return;
+    }
+    if (Value.Kind_ != wire::FrameKind::Answer)
+      return;
+    finish(Value.Sequence_, {.Status_ = CallStatus::Answered,
+                             .Answer_ = std::move(Value.Message_)});
+  }
+
+  void takePart(std::uint64_t Sequence, Call &Pending, wire::Message Part) {
+    Expiries_.erase({Pending.Expiry_, Sequence});
+    Pending.Expiry_ = Clock::now() + Pending.Timeout_;
+    Expiries_.insert({Pending.Expiry_, Sequence});
+    if (const PartHandler OnPart = Pending.OnPart_)
+      OnPart(std::move(Part));
+  }
+
+  void finish(std::uint64_t Sequence, CallResult Result) {
+    auto Ended = Calls_.extract(Sequence);
+    Expiries_.erase({Ended.mapped().Expiry_, Sequence});
+    Ended.mapped().OnEnd_(std::move(Result));
+  }
+
+  void call(const wire::Message &Request, Duration Timeout, Handler OnEnd,
+            PartHandler OnPart) {
+    const bool Full =
+        Stream_ && Stream_->queuedBytes() > Options_.MaxQueuedBytes_;
+    if (Link_ == Link::BackingOff || Link_ == Link::Closed || Full) {
+      boost::asio::post(Context_, [OnEnd = std::move(OnEnd)] {
+        OnEnd({.Status_ = CallStatus::NeverSent});
+      });
+      return;
+    }
+    const std::uint64_t Sequence = ++LastSequence_;
+    std::string Bytes = encode(wire::FrameKind::Request, Sequence, Request);
+    const TimePoint Now = Clock::now();
+    Calls_.emplace(Sequence, Call{.OnEnd_ = std::move(OnEnd),
+                                  .OnPart_ = std::move(OnPart),
+                                  .Timeout_ = Timeout,
+                                  .StartedAt_ = Now,
+                                  .Expiry_ = Now + Timeout});
+    Expiries_.insert({Now + Timeout, Sequence});
+    armCalls();
+    if (Link_ == Link::Connecting) {
+      BeforeOpen_.emplace_back(Sequence, std::move(Bytes));
+      return;
+    }
+    Unsent_.push_back(Sequence);
+    Stream_->write(Bytes);
+  }
+
+  std::string encode(wire::FrameKind Kind, std::uint64_t Sequence,
+                     const wire::Message &Value) const {
+    return wire::encodeFrame({.Kind_ = Kind,
+                              .Sender_ = Options_.Self_,
+                              .Sequence_ = Sequence,
+                              .Message_ = Value});
+  }
+
+  /// Keeps the timer at or before the earliest expiry.
+  void armCalls() {
+    if (Expiries_.empty() || (Armed_ && ArmedAt_ <= Expiries_.begin()->first))
+      return;
+    Armed_ = true;
+    ArmedAt_ = Expiries_.begin()->first;
+    CallTimer_.expires_at(ArmedAt_);
+    CallTimer_.async_wait([Self = shared_from_this()](const auto &Fault) {
+      if (Fault || Self->Link_ == Link::Closed)
+        return;
+      Self->Armed_ = false;
+      Self->expire();
+      Self->armCalls();
+    });
+  }
+
+  void expire() {
+    const TimePoint Now = Clock::now();
+    bool Silent = false;
+    while (!Expiries_.empty() && Expiries_.begin()->first <= Now) {
+      const std::uint64_t Sequence = Expiries_.begin()->second;
+      const Call &Late = Calls_.at(Sequence);
+      Silent = Silent || (Late.Sent_ && LastHeard_ < Late.StartedAt_);
+      finish(Sequence, {.Status_ = Late.Sent_ ? CallStatus::TimedOut
+                                              : CallStatus::NeverSent});
+    }
+    // Nothing came for a whole call: the connection may be half open.
+    if (Silent && Link_ == Link::Open)
+      disconnected();
+  }
+
+  void close() {
+    Link_ = Link::Closed;
+    LinkTimer_.cancel();
+    CallTimer_.cancel();
+    boost::system::error_code Ignored;
+    Connecting_.close(Ignored);
+    if (Stream_)
+      Stream_->close();
+    Calls_.clear();
+  }
+
+  static inline const boost::system::error_code TimedOutFault =
+      boost::asio::error::timed_out;
+
+  boost::asio::io_context &Context_;
+  FrameClientOptions Options_;
+  Link Link_ = Link::Connecting;
+  Duration Backoff_;
+  std::uint64_t Attempt_ = 0;
+  tcp::socket Connecting_;
+  ClockTimer LinkTimer_;
+  ClockTimer CallTimer_;
+  std::shared_ptr<FrameStream> Stream_;
+  std::uint64_t LastSequence_ = 0;
+  std::uint64_t LateAnswers_ = 0;
+  TimePoint LastHeard_;
+  std::unordered_map<std::uint64_t, Call> Calls_;
+  std::set<std::pair<TimePoint, std::uint64_t>> Expiries_;
+  std::vector<std::pair<std::uint64_t, std::string>> BeforeOpen_;
+  std::vector<std::uint64_t> Unsent_;
+  bool Armed_ = false;
+  TimePoint ArmedAt_;
+};
+
+FrameClient::FrameClient(EventLoop &Loop, FrameClientOptions Options)
+    : Impl_(std::make_shared<Impl>(Loop, std::move(Options))) {
+  Impl_->connect();
+}
+
+FrameClient::~FrameClient() { Impl_->close(); }
+
+void FrameClient::call(const wire::Message &Request, Duration Timeout,
+                       Handler OnEnd, PartHandler OnPart) {
+  Impl_->call(Request, Timeout, std::move(OnEnd), std::move(OnPart));
+}
+
+void FrameClient::send(const wire::Message &Value) {
+  const auto &Stream = Impl_->Stream_;
+  if (Stream && Stream->queuedBytes() <= Impl_->Options_.MaxQueuedBytes_)
+    Stream->write(Impl_->encode(wire::FrameKind::OneWay, 0, Value));
+}
+
+bool FrameClient::connected() const { return Impl_->Link_ == Impl::Link::Open; }
+
+std::size_t FrameClient::pendingCalls() const { return Impl_->Calls_.size(); }
+
+std::uint64_t FrameClient::lateAnswers() const { return Impl_->LateAnswers_; }
+
+} // namespace dragonfly::net
