--- a/tools/check-layers.sh
+++ b/tools/check-layers.sh
@@ -18,9 +18,10 @@
 check wire base
 check settings base
 check net base wire
-check entry base settings wire net decide
+check link base settings wire net decide
+check entry base settings wire net decide link
 check control base settings wire net decide consensus
-check agent base settings wire net decide
+check agent base settings wire net decide link
 heavy=$(grep -rnE '#include [<"](boost/(asio|beast)|spdlog|cereal|absl)' include)
 if [ -n "$heavy" ]; then echo "heavy include in a public header:"; echo "$heavy"; bad=1; fi
 pure=$(grep -rnE '#include [<"]boost/(asio|beast)' src/decide src/consensus 2>/dev/null)
