--- a/include/dragonfly/base/Clock.h
+++ b/include/dragonfly/base/Clock.h
@@ -27,6 +27,8 @@
   /// Moves a paused clock forward; has no effect on a running one.
   static void advance(duration By) noexcept;
 
+  static bool paused() noexcept;
+
   /// Lets the clock follow the steady time again.
   static void resume() noexcept;
 };
--- a/src/base/Clock.cpp
+++ b/src/base/Clock.cpp
@@ -5,13 +5,13 @@
 namespace dragonfly {
 namespace {
 
-std::atomic<bool> Paused{false};
+std::atomic<bool> IsPaused{false};
 std::atomic<Clock::rep> PausedAt{0};
 
 } // namespace
 
 Clock::time_point Clock::now() noexcept {
-  if (Paused.load(std::memory_order_acquire))
+  if (paused())
     return time_point(duration(PausedAt.load(std::memory_order_relaxed)));
   return time_point(std::chrono::duration_cast<duration>(
       std::chrono::steady_clock::now().time_since_epoch()));
@@ -19,7 +19,11 @@
 
 void Clock::pause(time_point At) noexcept {
   PausedAt.store(At.time_since_epoch().count(), std::memory_order_relaxed);
-  Paused.store(true, std::memory_order_release);
+  IsPaused.store(true, std::memory_order_release);
+}
+
+bool Clock::paused() noexcept {
+  return IsPaused.load(std::memory_order_acquire);
 }
 
 void Clock::advance(duration By) noexcept {
@@ -27,7 +31,7 @@
 }
 
 void Clock::resume() noexcept {
-  Paused.store(false, std::memory_order_release);
+  IsPaused.store(false, std::memory_order_release);
 }
 
 } // namespace dragonfly
