Add settings, lists, command lines and histograms

Cause: the daemons need checked settings before they start, control needs the lists checked, and every part records durations. Ruled out: separate code for reading and printing, which drifts apart; stopping at the first fault, which costs an operator one run per fault; a tail_quantile cache per histogram, whose memory at 2,048 rows is some 16 MB. Change: one description of each object's fields serves reading, checking and printing; faults carry JSON pointer, expected and found; deployment.json holds the shared part with the control replicas; parseCommandLine and run*Program; event process-failed; Histogram with extended P-square estimates, exact for 64 durations. Conclusion: the daemons' main functions can be written.

--- a/include/dragonfly/base/Event.h
+++ b/include/dragonfly/base/Event.h
@@ -20,6 +20,7 @@
   ProcessStopped = 1003,
   StopBoundReached = 1004,
   SettingsRejected = 1005,
+  ProcessFailed = 1006,
   // entry
   EntryReady = 2001,
   EntryNotReady = 2002,
--- a/include/dragonfly/base/Histogram.h
+++ b/include/dragonfly/base/Histogram.h
@@ -23,7 +23,11 @@
   Duration P999_{};
 };
 
-/// Records durations in bounded memory.
+/// Records durations in bounded memory and constant time. Count, mean and
+/// maximum are exact, and so are the quantiles of the first 64 durations.
+/// Beyond them the quantiles are estimates of the extended P-square algorithm:
+/// for a stationary distribution within 2% at P50 and P90, 5% at P99 and 15% at
+/// P999.
 class Histogram {
 public:
   Histogram();
--- a/include/dragonfly/settings/Program.h
+++ b/include/dragonfly/settings/Program.h
@@ -4,8 +4,8 @@
 
 #include "dragonfly/settings/Settings.h"
 
+#include <cstdint>
 #include <functional>
-#include <string>
 
 namespace dragonfly::settings {
 
--- a/src/base/Event.cpp
+++ b/src/base/Event.cpp
@@ -18,6 +18,8 @@
      "The graceful stop took longer than its bound; the rest was cut off."},
     {Event::SettingsRejected, Severity::Failure, "settings-rejected",
      "The settings hold at least one fault; nothing was started."},
+    {Event::ProcessFailed, Severity::Failure, "process-failed",
+     "The program ends because of the failure whose type is given."},
     {Event::EntryReady, Severity::Info, "entry-ready",
      "The entry holds a fresh configuration and takes requests."},
     {Event::EntryNotReady, Severity::Warning, "entry-not-ready",
