--- a/include/dragonfly/net/HttpServer.h
+++ b/include/dragonfly/net/HttpServer.h
@@ -60,6 +60,9 @@
   HttpServer(EventLoop &Loop, HttpServerOptions Options);
   ~HttpServer();
 
+  /// Lets each connection end with its next answer ("Connection: close"), but
+  /// goes on accepting: callers move elsewhere without a lost request.
+  void closeAfterAnswers();
   /// Accepts no more connections and closes each one once its last answer has
   /// left ("Connection: close").
   void stopAccepting();
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -79,7 +79,7 @@
   void close();
 
   EventLoop &Loop_;
-  const HttpClientOptions Options_;
+  HttpClientOptions Options_;
   tcp::endpoint Peer_;
   std::string Host_;
   std::uint64_t LastNumber_ = 0;
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -52,7 +52,7 @@
         [Weak = weak_from_this()](const beast::error_code &Failure,
                                   tcp::socket Peer) {
           const auto Self = Weak.lock();
-          if (!Self || Self->Owner_.Stopping_)
+          if (!Self || !Self->Acceptor_.is_open())
             return;
           if (!Failure)
             Self->add(std::move(Peer));
@@ -71,6 +71,8 @@
     armSweep();
   }
 
+  void closeAfterAnswers() { Owner_.Stopping_ = true; }
+
   void stopAccepting() {
     Owner_.Stopping_ = true;
     beast::error_code Ignored;
@@ -107,7 +109,7 @@
   }
 
   EventLoop &Loop_;
-  const HttpServerOptions Options_;
+  HttpServerOptions Options_;
   HttpConnectionOwner Owner_{Options_, false, {}};
   tcp::acceptor Acceptor_;
   Endpoint Endpoint_;
@@ -183,6 +185,8 @@
 
 HttpServer::~HttpServer() { Impl_->close(); }
 
+void HttpServer::closeAfterAnswers() { Impl_->closeAfterAnswers(); }
+
 void HttpServer::stopAccepting() { Impl_->stopAccepting(); }
 
 std::size_t HttpServer::openConnections() const {
