Add the agent: ledger, requests, tasks, leases, graceful stop

Cause: nothing committed a VM's slots and resources or reached an upstream. Ruled out: a lease that only the agent watches (a killed agent would leave its tasks running past the time at which control places them again). Change: the agent admits requests against its ledger, passes them on over HTTP and leaves receipts; it carries out directives under fencing epochs and tells the worker until when it may run tasks; SIGTERM drains it. Receipts and task reports share one outbox.

--- /dev/null
+++ b/daemons/dragonfly-agent.cpp
@@ -0,0 +1,28 @@
+#include "dragonfly/agent/Agent.h"
+#include "dragonfly/net/EventLoop.h"
+#include "dragonfly/settings/Program.h"
+
+namespace {
+
+using namespace dragonfly;
+
+settings::ExitCode run(const settings::AgentSettings &Settings) {
+  net::EventLoop Loop;
+  agent::Agent Agent(Loop, Settings);
+  settings::ExitCode Code = settings::ExitCode::Ok;
+  Loop.onTerminate([&] {
+    Agent.stop([&](bool Clean) {
+      if (!Clean)
+        Code = settings::ExitCode::StopBoundReached;
+      Loop.stop();
+    });
+  });
+  Loop.run();
+  return Code;
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  return settings::runAgentProgram(Argc, Argv, run);
+}
