Add control's state machine: lists, claims, counts and tasks

Cause: what must survive the loss of a minority needs one deterministic state that the replicated log drives. Ruled out: reading a clock while applying (replicas would differ); remembering rejected list changes (they change nothing, and a resend may be valid by then); releasing a claim on any refusal (a late resend of an old receipt would let the request run twice, so a receipt names the claimant that it speaks for).

Conclusion: the log's hooks can drive it as it stands.

--- /dev/null
+++ b/src/control/Command.cpp
@@ -0,0 +1,47 @@
+#include "dragonfly/control/Command.h"
+
+#include "control/Archive.h"
+
+namespace dragonfly::settings {
+
+template <typename Archive> void serialize(Archive &Ar, JsonFault &Fault) {
+  Ar(Fault.Path_, Fault.Expected_, Fault.Found_);
+}
+
+} // namespace dragonfly::settings
+
+namespace dragonfly::control {
+
+template <typename Archive> void serialize(Archive &Ar, PutOutcome &Value) {
+  Ar(Value.Status_, Value.Version_, Value.Current_, Value.Faults_);
+}
+
+std::string encodeCommand(const Command &Value) {
+  return encodeValues(Value.At_, Value.Body_);
+}
+
+Command decodeCommand(std::string_view Bytes) {
+  try {
+    Command Value;
+    decodeValues(Bytes, Value.At_, Value.Body_);
+    return Value;
+  } catch (const std::exception &Cause) {
+    throw CodecError(CodecFault::BadCommand, Cause.what());
+  }
+}
+
+std::string encodeOutput(const CommandOutput &Value) {
+  return encodeValues(Value);
+}
+
+CommandOutput decodeOutput(std::string_view Bytes) {
+  try {
+    CommandOutput Value;
+    decodeValues(Bytes, Value);
+    return Value;
+  } catch (const std::exception &Cause) {
+    throw CodecError(CodecFault::BadCommand, Cause.what());
+  }
+}
+
+} // namespace dragonfly::control
--- /dev/null
+++ b/src/control/CountTable.cpp
@@ -0,0 +1,82 @@
+#include "dragonfly/control/CountTable.h"
+
+#include <algorithm>
+
+namespace dragonfly::control {
+namespace {
+
+/// Clocks may differ in rate: an age counts as this much older, in parts.
+constexpr int DriftParts = 20;
+
+bool outranks(Outcome A, Outcome B) {
+  constexpr std::array<int, 3> Rank{2, 0, 1};
+  return Rank[static_cast<std::size_t>(A)] > Rank[static_cast<std::size_t>(B)];
+}
+
+} // namespace
+
+bool CountTable::covers(const ReceiptRow &Row) const {
+  const auto Customer = Customers_.find(Row.Key_.Customer_);
+  if (Customer == Customers_.end())
+    return false;
+  const auto &Requests = Customer->second.Requests_;
+  const auto Found = Requests.find(Row.Key_.RequestId_);
+  return Found != Requests.end() &&
+         !outranks(Row.Outcome_, Found->second.Outcome_);
+}
+
+bool CountTable::merge(Duration At, const ReceiptRow &Row) {
+  CustomerCounts &Counts = Customers_[Row.Key_.Customer_];
+  forget(At, Counts);
+  const auto Index = static_cast<std::size_t>(Row.Outcome_);
+  if (const auto Found = Counts.Requests_.find(Row.Key_.RequestId_);
+      Found != Counts.Requests_.end()) {
+    RequestRecord &First = Found->second;
+    if (!outranks(Row.Outcome_, First.Outcome_))
+      return false;
+    auto &Requests = Counts.Kinds_[First.Kind_].Requests_;
+    --Requests[static_cast<std::size_t>(First.Outcome_)];
+    ++Requests[Index];
+    First.Outcome_ = Row.Outcome_;
+    return true;
+  }
+  const Duration EndedAt = At - Row.Age_ - Row.Age_ / DriftParts;
+  if (EndedAt < Counts.ForgottenUntil_) {
+    ++Counts.Kinds_[Row.Kind_].Late_;
+    return false;
+  }
+  ++Counts.Kinds_[Row.Kind_].Requests_[Index];
+  Counts.Requests_.emplace(
+      Row.Key_.RequestId_,
+      RequestRecord{.Kind_ = Row.Kind_, .Outcome_ = Row.Outcome_});
+  Counts.Order_.push_back({.At_ = At, .RequestId_ = Row.Key_.RequestId_});
+  return true;
+}
+
+void CountTable::forget(Duration At, CustomerCounts &Counts) const {
+  while (!Counts.Order_.empty()) {
+    const Merged &Oldest = Counts.Order_.front();
+    if (Counts.Order_.size() < Window_.MaxPerCustomer_ &&
+        At - Oldest.At_ <= Window_.MaxAge_)
+      return;
+    // A request merged just now may be forgotten for want of room; a watermark
+    // in the future would turn away receipts of requests that are new.
+    Counts.ForgottenUntil_ = std::min(
+        At, std::max(Counts.ForgottenUntil_, Oldest.At_ + Window_.HolderSkew_));
+    Counts.Requests_.erase(Oldest.RequestId_);
+    Counts.Order_.pop_front();
+  }
+}
+
+std::vector<CountRow> CountTable::rows() const {
+  std::vector<CountRow> Rows;
+  for (const auto &[Customer, Counts] : Customers_)
+    for (const auto &[Kind, Row] : Counts.Kinds_)
+      Rows.push_back({.Customer_ = Customer,
+                      .Kind_ = Kind,
+                      .Requests_ = Row.Requests_,
+                      .Late_ = Row.Late_});
+  return Rows;
+}
+
+} // namespace dragonfly::control
--- /dev/null
+++ b/src/control/ListTable.cpp
@@ -0,0 +1,88 @@
+#include "dragonfly/control/ListTable.h"
+
+#include "control/Hash.h"
+
+#include <utility>
+
+namespace dragonfly::control {
+namespace {
+
+std::size_t indexOf(settings::ListName Name) {
+  return Name == settings::ListName::Plans ? 0 : 1;
+}
+
+/// Hash of what a change asks for, so that a reused change id is noticed.
+std::uint64_t hashOf(const PutList &Change) {
+  return stableHash(Change.Content_) + 2 * Change.Expected_.Value_ +
+         indexOf(Change.List_);
+}
+
+} // namespace
+
+ListTable::ListTable(ListValidator Validator)
+    : Validator_(std::move(Validator)) {
+  Lists_[0].Content_ = R"({"plans":[]})";
+  Lists_[1].Content_ = R"({"purchases":[]})";
+}
+
+const VersionedList &ListTable::list(settings::ListName Name) const {
+  return Lists_[indexOf(Name)];
+}
+
+PutOutcome ListTable::put(const PutList &Change) {
+  if (const auto Found = Changes_.find(Change.ChangeId_);
+      Found != Changes_.end()) {
+    const ChangeRecord &First = Found->second;
+    if (First.ContentHash_ != hashOf(Change))
+      return {.Status_ = PutStatus::ChangeIdReused,
+              .Version_ = {},
+              .Current_ = list(Change.List_).Version_,
+              .Faults_ = {}};
+    return {.Status_ = First.Status_,
+            .Version_ = First.Version_,
+            .Current_ = First.Current_,
+            .Faults_ = {}};
+  }
+  PutOutcome Result = decide(Change);
+  if (Result.Status_ != PutStatus::Rejected)
+    remember(Change, Result);
+  return Result;
+}
+
+PutOutcome ListTable::decide(const PutList &Change) {
+  const std::size_t Index = indexOf(Change.List_);
+  VersionedList &Target = Lists_[Index];
+  if (Target.Version_ != Change.Expected_)
+    return {.Status_ = PutStatus::Conflict,
+            .Version_ = {},
+            .Current_ = Target.Version_,
+            .Faults_ = {}};
+  std::vector<settings::JsonFault> Faults =
+      Validator_(Change.List_, Change.Content_, Lists_[1 - Index].Content_);
+  if (!Faults.empty())
+    return {.Status_ = PutStatus::Rejected,
+            .Version_ = {},
+            .Current_ = Target.Version_,
+            .Faults_ = std::move(Faults)};
+  ++Target.Version_.Value_;
+  Target.Content_ = Change.Content_;
+  return {.Status_ = PutStatus::Accepted,
+          .Version_ = Target.Version_,
+          .Current_ = Target.Version_,
+          .Faults_ = {}};
+}
+
+void ListTable::remember(const PutList &Change, const PutOutcome &Result) {
+  Changes_.emplace(Change.ChangeId_,
+                   ChangeRecord{.ContentHash_ = hashOf(Change),
+                                .Status_ = Result.Status_,
+                                .Version_ = Result.Version_,
+                                .Current_ = Result.Current_});
+  Order_.push_back(Change.ChangeId_);
+  if (Order_.size() > MaxChangeIds) {
+    Changes_.erase(Order_.front());
+    Order_.pop_front();
+  }
+}
+
+} // namespace dragonfly::control
--- /dev/null
+++ b/src/control/ListValidation.cpp
@@ -0,0 +1,19 @@
+#include "dragonfly/control/ListTable.h"
+
+namespace dragonfly::control {
+
+std::vector<settings::JsonFault> validateList(settings::ListName List,
+                                              const std::string &Content,
+                                              const std::string &Other) {
+  const bool IsPlans = List == settings::ListName::Plans;
+  try {
+    settings::checkPurchases(
+        settings::parsePurchases(IsPlans ? Other : Content),
+        settings::parsePlans(IsPlans ? Content : Other));
+    return {};
+  } catch (const settings::SettingsError &Rejected) {
+    return Rejected.faults();
+  }
+}
+
+} // namespace dragonfly::control
--- /dev/null
+++ b/src/control/StateMachine.cpp
@@ -0,0 +1,144 @@
+#include "dragonfly/control/StateMachine.h"
+
+#include "control/Archive.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonfly::control {
+namespace {
+
+/// Applies \p Apply to each row and counts those that had an effect.
+template <typename Rows, typename Function>
+RowsApplied countApplied(const Rows &Values, Function Apply) {
+  return {.Count_ =
+              static_cast<std::uint64_t>(std::ranges::count_if(Values, Apply))};
+}
+
+} // namespace
+
+StateMachine::StateMachine(StateMachineOptions Options)
+    : Options_(std::move(Options)), Lists_(Options_.Validator_),
+      Claims_(Options_.Claims_), Counts_(Options_.Counts_),
+      Tasks_(Options_.Tasks_, [this](TaskChange Change, const TaskRecord &Task,
+                                     const std::string &Worker) {
+        if (Change == TaskChange::Ended)
+          countEnded(Task);
+        if (Options_.OnTask_)
+          Options_.OnTask_(Change, Task, Worker);
+      }) {}
+
+CommandOutput StateMachine::apply(const Command &Value) {
+  LogTime_ = std::max(LogTime_, Value.At_);
+  return std::visit([this](const auto &Body) { return run(Body); },
+                    Value.Body_);
+}
+
+CommandOutput StateMachine::run(const PutList &Body) {
+  return Lists_.put(Body);
+}
+
+CommandOutput StateMachine::run(const ClaimRequests &Body) {
+  ClaimOutcomes Result;
+  std::ranges::transform(
+      Body.Rows_, std::back_inserter(Result.Rows_),
+      [this](const ClaimRow &Row) { return Claims_.claim(LogTime_, Row); });
+  return Result;
+}
+
+CommandOutput StateMachine::run(const MergeReceipts &Body) {
+  return countApplied(Body.Rows_, [this](const ReceiptRow &Row) {
+    if (Row.NonIdempotent_)
+      Claims_.settle(Row);
+    return Counts_.merge(LogTime_, Row);
+  });
+}
+
+CommandOutput StateMachine::run(const AcceptTasks &Body) {
+  AcceptOutcomes Result;
+  std::ranges::transform(
+      Body.Rows_, std::back_inserter(Result.Rows_),
+      [this](const TaskRequest &Row) { return Tasks_.accept(LogTime_, Row); });
+  return Result;
+}
+
+CommandOutput StateMachine::run(const PlaceTasks &Body) {
+  return countApplied(
+      Body.Rows_, [this](const PlaceRow &Row) { return Tasks_.place(Row); });
+}
+
+CommandOutput StateMachine::run(const ReportTasks &Body) {
+  return countApplied(Body.Rows_, [&](const ReportRow &Row) {
+    return Tasks_.report(LogTime_, Body.Worker_, Row);
+  });
+}
+
+CommandOutput StateMachine::run(const LoseTasks &Body) {
+  return countApplied(Body.Rows_, [this](const TaskAt &Row) {
+    return Tasks_.lose(LogTime_, Row);
+  });
+}
+
+CommandOutput StateMachine::run(const CancelTasks &Body) {
+  return countApplied(
+      Body.Rows_, [this](TaskId Row) { return Tasks_.cancel(LogTime_, Row); });
+}
+
+CommandOutput StateMachine::run(const ParkTasks &Body) {
+  return countApplied(Body.Rows_, [this](const ParkRow &Row) {
+    return Tasks_.park(LogTime_, Row);
+  });
+}
+
+/// A task counts like a request, under the id that its caller gave it.
+void StateMachine::countEnded(const TaskRecord &Task) {
+  ReceiptRow Row;
+  Row.Key_ = Task.Key_;
+  Row.Kind_ = Task.Kind_;
+  Row.Outcome_ = Task.Outcome_;
+  Row.Reason_ = Task.Reason_;
+  Counts_.merge(LogTime_, Row);
+}
+
+std::string StateMachine::snapshot() const {
+  return encodeValues(SnapshotFormat, LogTime_, Lists_, Claims_, Counts_,
+                      Tasks_);
+}
+
+void StateMachine::restore(std::string_view Bytes) {
+  Duration At{};
+  ListTable Lists(Options_.Validator_);
+  ClaimTable Claims = Claims_;
+  CountTable Counts = Counts_;
+  TaskTable Tasks = Tasks_;
+  std::uint32_t Format = 0;
+  try {
+    decodeValues(Bytes, Format);
+    if (Format == SnapshotFormat)
+      decodeValues(Bytes, Format, At, Lists, Claims, Counts, Tasks);
+  } catch (const std::exception &Cause) {
+    throw CodecError(CodecFault::BadSnapshot, Cause.what());
+  }
+  if (Format != SnapshotFormat)
+    throw CodecError(CodecFault::WrongFormat,
+                     "snapshot format " + std::to_string(Format));
+  Tasks.rebuild();
+  LogTime_ = At;
+  Lists_ = std::move(Lists);
+  Claims_ = std::move(Claims);
+  Counts_ = std::move(Counts);
+  Tasks_ = std::move(Tasks);
+  if (Options_.OnRestore_)
+    Options_.OnRestore_();
+}
+
+consensus::StateMachineHooks StateMachine::hooks() {
+  return {.Apply_ =
+              [this](LogIndex, std::string_view Bytes) {
+                return encodeOutput(apply(decodeCommand(Bytes)));
+              },
+          .Snapshot_ = [this] { return snapshot(); },
+          .Restore_ = [this](std::string_view Bytes) { restore(Bytes); }};
+}
+
+} // namespace dragonfly::control
--- /dev/null
+++ b/tests/control/StateMachineTest.cpp
@@ -0,0 +1,64 @@
+#include "control/MachineFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace dragonfly;
+using namespace dragonfly::control;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string Plans = "gold";
+
+} // namespace
+
+TEST_CASE("bytes that are no command are refused by type",
+          "[control][machine]") {
+  const std::string Good = encodeCommand(
+      {.At_ = 1s,
+       .Body_ = PutList{settings::ListName::Plans, {1}, "id", Plans}});
+  for (std::size_t Length = 0; Length < Good.size(); ++Length) {
+    INFO(Length);
+    CHECK_THROWS_AS(decodeCommand(Good.substr(0, Length)), CodecError);
+  }
+  CHECK(decodeCommand(Good).At_ == 1s);
+}
+
+TEST_CASE("a snapshot that cannot be read leaves the state alone",
+          "[control][machine]") {
+  MachineFixture Fixture(false);
+  Fixture.apply(PutList{settings::ListName::Plans, {1}, "id", Plans}, 5s);
+  const std::string Before = Fixture.machine().snapshot();
+  std::string OtherFormat = Before;
+  OtherFormat[1] = '\x7f';
+  for (const std::string &Bytes :
+       {std::string(), Before.substr(0, Before.size() - 1), OtherFormat}) {
+    CHECK_THROWS_AS(Fixture.machine().restore(Bytes), CodecError);
+    CHECK(Fixture.machine().snapshot() == Before);
+  }
+}
+
+TEST_CASE("a restored machine goes on as the first one does",
+          "[control][machine]") {
+  MachineFixture Running(false);
+  MachineFixture Restarting(true);
+  std::vector<std::string> Ends;
+  for (MachineFixture *Fixture : {&Running, &Restarting}) {
+    Fixture->apply(PutList{settings::ListName::Plans, {1}, "id", Plans}, 5s);
+    Fixture->apply(ClaimRequests{{{{"c", "r"}, "vm", {1}, {2}, 1, 3}}}, 4s);
+    Fixture->apply(AcceptTasks{{{{"c", "t"}, "review", {}, 9s, 1s, true, ""}}});
+    Fixture->apply(PlaceTasks{{{{1}, {1}, "vm"}}});
+    Fixture->apply(MergeReceipts{{{{"c", "r"},
+                                   "check",
+                                   Outcome::Completed,
+                                   Reason::None,
+                                   {},
+                                   true,
+                                   {},
+                                   200,
+                                   "x"}}});
+    Ends.push_back(Fixture->machine().snapshot());
+    CHECK(Fixture->machine().logTime() == 5s);
+  }
+  CHECK(Ends[0] == Ends[1]);
+}
