Encode control's records with the shared compact archives

Cause: base/Archive.h came with the frames; fixed-width integers and 8-byte lengths would be paid for in every record. Ruled out: cereal's portable binary archive, used until now. Conclusion: one pair of archives for messages and records.

--- a/src/control/Archive.h
+++ b/src/control/Archive.h
@@ -1,38 +1,77 @@
-/// Encoding of control's commands and snapshots with cereal.
-#ifndef DRAGONFLY_CONTROL_ARCHIVE_H
-#define DRAGONFLY_CONTROL_ARCHIVE_H
+/// Encoding of control's commands and snapshots, on top of the shared archives.
+#ifndef DRAGONFLY_SRC_CONTROL_ARCHIVE_H
+#define DRAGONFLY_SRC_CONTROL_ARCHIVE_H
+
+#include "base/Archive.h"
 
-#include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/array.hpp>
 #include <cereal/types/chrono.hpp>
-#include <cereal/types/deque.hpp>
 #include <cereal/types/map.hpp>
-#include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
-#include <cereal/types/vector.hpp>
 
-#include <sstream>
+#include <deque>
 #include <string>
 #include <string_view>
 
+namespace dragonfly {
+
+template <typename T>
+void CEREAL_SERIALIZE_FUNCTION_NAME(OutputArchive &Ar,
+                                    cereal::SizeTag<T> &Value) {
+  Ar(Value.size);
+}
+
+template <typename T>
+void CEREAL_SERIALIZE_FUNCTION_NAME(InputArchive &Ar,
+                                    cereal::SizeTag<T> &Value) {
+  Ar(Value.size);
+}
+
+template <typename T>
+void CEREAL_SERIALIZE_FUNCTION_NAME(OutputArchive &Ar,
+                                    cereal::NameValuePair<T> &Pair) {
+  Ar(Pair.value);
+}
+
+template <typename T>
+void CEREAL_SERIALIZE_FUNCTION_NAME(InputArchive &Ar,
+                                    cereal::NameValuePair<T> &Pair) {
+  Ar(Pair.value);
+}
+
+template <typename T>
+void CEREAL_SAVE_FUNCTION_NAME(OutputArchive &Ar, const std::deque<T> &Rows) {
+  Ar.number(Rows.size());
+  for (const T &Row : Rows)
+    Ar(Row);
+}
+
+template <typename T>
+void CEREAL_LOAD_FUNCTION_NAME(InputArchive &Ar, std::deque<T> &Rows) {
+  Rows.clear();
+  for (std::uint64_t Left = Ar.number(); Left > 0; --Left)
+    Ar(Rows.emplace_back());
+}
+
+} // namespace dragonfly
+
 namespace dragonfly::control {
 
 /// Returns the encoding of \p Values, one after the other.
 template <typename... Ts> std::string encodeValues(const Ts &...Values) {
-  std::ostringstream Out;
-  cereal::PortableBinaryOutputArchive Ar(Out);
+  std::string Bytes;
+  OutputArchive Ar(Bytes);
   Ar(Values...);
-  return std::move(Out).str();
+  return Bytes;
 }
 
 /// Reads what `encodeValues` wrote. Throws a std::exception on other bytes.
 template <typename... Ts>
 void decodeValues(std::string_view Bytes, Ts &...Values) {
-  std::istringstream In{std::string(Bytes)};
-  cereal::PortableBinaryInputArchive Ar(In);
+  InputArchive Ar(Bytes);
   Ar(Values...);
 }
 
 } // namespace dragonfly::control
 
-#endif // DRAGONFLY_CONTROL_ARCHIVE_H
+#endif // DRAGONFLY_SRC_CONTROL_ARCHIVE_H
--- a/src/control/Hash.h
+++ b/src/control/Hash.h
@@ -1,6 +1,6 @@
 /// A hash that is the same on every replica and in every build.
-#ifndef DRAGONFLY_CONTROL_HASH_H
-#define DRAGONFLY_CONTROL_HASH_H
+#ifndef DRAGONFLY_SRC_CONTROL_HASH_H
+#define DRAGONFLY_SRC_CONTROL_HASH_H
 
 #include <cstdint>
 #include <numeric>
@@ -21,4 +21,4 @@
 
 } // namespace dragonfly::control
 
-#endif // DRAGONFLY_CONTROL_HASH_H
+#endif // DRAGONFLY_SRC_CONTROL_HASH_H
