Let a receipt name its claimant and its age

Cause: a refused receipt that is resent late must not release another claim, and a receipt older than the counting window must not count twice. Ruled out: releasing a claim on any refusal. Change: wire::Receipt has Claimant_ and Age_, both optional; Claim says that the claimant is drawn afresh for each request of a caller.

--- a/include/dragonfly/wire/Messages.h
+++ b/include/dragonfly/wire/Messages.h
@@ -157,7 +157,9 @@
   std::string Kind_;
   std::string Worker_;
   Incarnation Target_;
-  /// The entry that claims; with `Attempt_` it makes a resend recognisable.
+  /// Who claims; with `Attempt_` it makes a resend recognisable. Drawn afresh
+  /// for each request that a caller sends: a caller's resend is another
+  /// claimant, even at the same entry.
   Incarnation Claimant_;
   /// From 1. A later attempt states that the one before, by the same claimant,
   /// was refused and not run.
@@ -190,6 +192,12 @@
   /// Kept by control for non-idempotent requests only.
   std::uint16_t Status_ = 0;
   std::string Body_;
+  /// The claimant whose claim this settles, where the holder made the claim. A
+  /// refused receipt without it releases no claim.
+  Incarnation Claimant_;
+  /// From the request's end until this receipt was sent, so that one too old to
+  /// be told from a duplicate is not counted again.
+  Duration Age_{};
 };
 
 /// Receipts that a holder keeps until they are acknowledged.
--- a/src/wire/Serialize.h
+++ b/src/wire/Serialize.h
@@ -95,7 +95,7 @@
 
 template <typename Archive> void serialize(Archive &Ar, Receipt &Row) {
   Ar(Row.Key_, Row.Kind_, Row.Outcome_, Row.Reason_, Row.NonIdempotent_,
-     Row.Status_, Row.Body_);
+     Row.Status_, Row.Body_, Row.Claimant_, Row.Age_);
 }
 
 template <typename Archive> void serialize(Archive &Ar, ReceiptBatch &Row) {
