--- a/include/dragonfly/decide/Admission.h
+++ b/include/dragonfly/decide/Admission.h
@@ -67,6 +67,8 @@
 class Admission {
 public:
   explicit Admission(AdmissionOptions Options);
+  Admission(Admission &&) noexcept;
+  Admission &operator=(Admission &&) noexcept;
   ~Admission();
 
   /// Sets the number of slots that this entry may occupy.
--- a/include/dragonfly/decide/Placement.h
+++ b/include/dragonfly/decide/Placement.h
@@ -80,6 +80,8 @@
 class Placement {
 public:
   explicit Placement(PlacementOptions Options);
+  Placement(Placement &&) noexcept;
+  Placement &operator=(Placement &&) noexcept;
   ~Placement();
 
   /// Adds a worker or replaces what was known of it.
--- a/include/dragonfly/decide/Router.h
+++ b/include/dragonfly/decide/Router.h
@@ -42,15 +42,28 @@
   std::uint32_t MaxEjectedPermille_ = 500;
   /// First ejection; doubles with each that follows.
   Duration Ejection_ = std::chrono::seconds(5);
+  /// Longest ejection.
+  Duration MaxEjection_ = std::chrono::seconds(60);
+  /// Failures in a row that eject.
+  std::uint32_t FailuresToEject_ = 3;
+  /// Latency that ejects, in thousandths of the median upstream's.
+  std::uint32_t SlowPermille_ = 5000;
 };
 
-/// Position of an upstream in the router's table.
+/// Position of an upstream in the router's table; it stays with that upstream
+/// until nothing is in progress there.
 using UpstreamIndex = std::uint32_t;
 
+/// Numbers the kinds whose latencies differ, below `MaxRoutedKinds`.
+using RoutedKind = std::uint32_t;
+inline constexpr RoutedKind MaxRoutedKinds = 16;
+
 /// Routing of one entry. `pick()` allocates nothing.
 class Router {
 public:
   explicit Router(RouterOptions Options);
+  Router(Router &&) noexcept;
+  Router &operator=(Router &&) noexcept;
   ~Router();
 
   /// Replaces the table; what is known of a name and incarnation is kept.
@@ -64,15 +77,16 @@
                                     std::span<const UpstreamIndex> Exclude);
   /// Tells that an attempt begins; pair it with `finished()`.
   void started(TimePoint Now, UpstreamIndex Upstream);
+  /// \p Kind tells whose usual latency \p Latency is compared with.
   void finished(TimePoint Now, UpstreamIndex Upstream, AttemptResult Result,
-                Duration Latency);
+                Duration Latency, RoutedKind Kind = 0);
   /// Counts a first attempt towards the retry budget.
   void countRequest();
   /// Takes one retry from the budget, if there is one.
   bool takeRetry();
   /// Returns after how long a hedge of a request is worth sending, or nothing
   /// while too little is known.
-  std::optional<Duration> hedgeDelay() const;
+  std::optional<Duration> hedgeDelay(RoutedKind Kind = 0) const;
   bool ejected(TimePoint Now, UpstreamIndex Upstream) const;
 
 private:
