Add placement of tasks, pressure and quarantine

Ruled out: changing a reservation during a stay (the agent's ledger and the policy would disagree); learning how batch kinds slow each other from run times (declared run times are wrong by more than the effect); scanning all waiting tasks for each freed worker. Change: tables and systems in small files. A stay reserves the corrected size and never more than is free; the command carries the reservation. Workers are indexed by free processors, waiting tasks by size, so a tick touches what changed. Conclusion: interface kept; PlacementCommand::Reserve_ and Placement::reserved() are new.

--- a/include/dragonfly/decide/Placement.h
+++ b/include/dragonfly/decide/Placement.h
@@ -55,6 +55,9 @@
   std::string Worker_;
   Reason Reason_ = Reason::None;
   std::uint32_t ThrottlePermille_ = 1000;
+  /// For Start: what to commit on the worker in place of the declared need.
+  /// Reservations of a worker never exceed its capacity.
+  Resources Reserve_;
 };
 
 /// How a task's stay on a worker ended.
@@ -106,6 +109,8 @@
 
   bool quarantined(TimePoint Now, const std::string &Worker) const;
   std::size_t waiting() const;
+  /// Returns what is committed on a worker, or nothing where it is unknown.
+  Resources reserved(const std::string &Worker) const;
 
 private:
   struct Impl;
--- /dev/null
+++ b/src/decide/Interference.cpp
@@ -0,0 +1,62 @@
+#include "decide/Interference.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace dragonfly::decide {
+namespace {
+
+/// Least step of the fit, so that it follows a drift.
+constexpr double LeastRate = 0.05;
+/// Loads below this tell nothing.
+constexpr double LeastLoad = 0.01;
+
+} // namespace
+
+Interference::Pair &Interference::pair(KindIndex Victim, KindIndex Aggressor) {
+  if (Pairs_.size() <= Victim)
+    Pairs_.resize(Victim + 1);
+  std::vector<Pair> &Row = Pairs_[Victim];
+  if (Row.size() <= Aggressor)
+    Row.resize(Aggressor + 1);
+  return Row[Aggressor];
+}
+
+void Interference::observe(KindIndex Victim, std::span<const KindLoad> Loads,
+                           double Slowdown) {
+  double Expected = 0;
+  double Norm = 0;
+  for (const KindLoad &Load : Loads) {
+    Expected += pair(Victim, Load.Kind_).Mean_ * Load.Load_;
+    Norm += Load.Load_ * Load.Load_;
+  }
+  if (Norm < LeastLoad * LeastLoad)
+    return;
+  const double Error = Slowdown - Expected;
+  for (const KindLoad &Load : Loads) {
+    Pair &Row = pair(Victim, Load.Kind_);
+    const double Rate = std::max(LeastRate, 1 / (2 + Row.Weight_));
+    Row.Mean_ = std::max(0.0, Row.Mean_ + Rate * Error * Load.Load_ / Norm);
+    Row.Weight_ += Load.Load_ / std::sqrt(Norm);
+  }
+}
+
+double Interference::estimate(KindIndex Victim, KindIndex Aggressor) const {
+  Pair Row;
+  if (Victim < Pairs_.size() && Aggressor < Pairs_[Victim].size())
+    Row = Pairs_[Victim][Aggressor];
+  return Row.Mean_ + Risk_ * PriorDeviation / std::sqrt(1 + Row.Weight_);
+}
+
+double Interference::added(KindIndex Kind, double Load,
+                           std::span<const KindLoad> Mates) const {
+  return std::accumulate(Mates.begin(), Mates.end(), 0.0,
+                         [&](double Sum, const KindLoad &Mate) {
+                           const double Both = estimate(Mate.Kind_, Kind) +
+                                               estimate(Kind, Mate.Kind_);
+                           return Sum + Both * Load * Mate.Load_;
+                         });
+}
+
+} // namespace dragonfly::decide
--- /dev/null
+++ b/src/decide/Interference.h
@@ -0,0 +1,59 @@
+/// Estimates how much one kind of work slows down another on the same VM.
+#ifndef DRAGONFLY_SRC_DECIDE_INTERFERENCE_H
+#define DRAGONFLY_SRC_DECIDE_INTERFERENCE_H
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace dragonfly::decide {
+
+/// Numbers a kind; 0 stands for the latency-critical requests of a VM.
+using KindIndex = std::uint32_t;
+inline constexpr KindIndex RequestsKind = 0;
+
+/// What tasks of one kind use on one VM, as a share of its processors.
+struct KindLoad {
+  KindIndex Kind_ = 0;
+  double Load_ = 0;
+};
+
+/// Slowdown per unit of load, for each pair of kinds, fitted online to the
+/// slowdown that was seen where several kinds ran together.
+class Interference {
+public:
+  /// \p Risk is how many standard deviations an estimate is raised by.
+  explicit Interference(double Risk) : Risk_(Risk) {}
+
+  /// Takes how much slower than alone \p Victim ran beside \p Loads; 0 is
+  /// undisturbed, 1 is twice as long.
+  void observe(KindIndex Victim, std::span<const KindLoad> Loads,
+               double Slowdown);
+
+  /// Returns the slowdown of \p Victim per unit of load of \p Aggressor,
+  /// raised while little is known of the pair.
+  double estimate(KindIndex Victim, KindIndex Aggressor) const;
+
+  /// Returns what \p Load of \p Kind adds to the slowdown of \p Mates, and
+  /// they to it, weighted by their loads.
+  double added(KindIndex Kind, double Load,
+               std::span<const KindLoad> Mates) const;
+
+private:
+  struct Pair {
+    double Mean_ = PriorMean;
+    double Weight_ = 0;
+  };
+
+  static constexpr double PriorMean = 0.5;
+  static constexpr double PriorDeviation = 0.5;
+
+  Pair &pair(KindIndex Victim, KindIndex Aggressor);
+
+  double Risk_;
+  std::vector<std::vector<Pair>> Pairs_;
+};
+
+} // namespace dragonfly::decide
+
+#endif // DRAGONFLY_SRC_DECIDE_INTERFERENCE_H
--- /dev/null
+++ b/src/decide/PlacementTables.cpp
@@ -0,0 +1,184 @@
+#include "decide/PlacementTables.h"
+
+#include <algorithm>
+
+namespace dragonfly::decide {
+namespace {
+
+constexpr double Permille = 1000;
+/// Throttled tasks are left this share of a processor, in thousandths.
+constexpr std::uint32_t ThrottledPermille = 400;
+
+/// Where tail latency weighs much, less slowdown is put up with.
+PressureLimits limitsFor(const PlacementOptions &Options) {
+  PressureLimits Limits;
+  const double Tail = std::max(Options.TailLatencyPermille_, 1U) / Permille;
+  const double Evictions = Options.EvictionsPermille_ / Permille;
+  Limits.HighSlowdown_ = static_cast<std::uint32_t>(Permille + 300 / Tail);
+  Limits.LowSlowdown_ = static_cast<std::uint32_t>(Permille + 125 / Tail);
+  Limits.Patience_ = std::chrono::milliseconds(
+      4000 + static_cast<std::int64_t>(16000 * Evictions));
+  return Limits;
+}
+
+/// Where evictions weigh much, more of the measured usage is reserved.
+double processorQuantile(const PlacementOptions &Options) {
+  return 0.85 + 0.2 * Options.EvictionsPermille_ / Permille;
+}
+
+} // namespace
+
+PlacementState::PlacementState(PlacementOptions Options)
+    : Options_(Options), Random_(Options.Seed_), Limits_(limitsFor(Options)),
+      Needs_(std::min(processorQuantile(Options), 0.97)),
+      Interference_(Options.TailLatencyPermille_ / Permille) {}
+
+WorkerEntry *PlacementState::worker(const std::string &Name) {
+  const auto Found = WorkerNames_.find(Name);
+  return Found == WorkerNames_.end() ? nullptr : &Workers_[Found->second];
+}
+
+TaskEntry *PlacementState::task(TaskId Id) {
+  const auto Found = TaskIds_.find(Id);
+  return Found == TaskIds_.end() ? nullptr : &Tasks_[Found->second];
+}
+
+TaskIndex PlacementState::addEntry(const TaskRow &Row) {
+  if (FreeTasks_.empty()) {
+    FreeTasks_.push_back(static_cast<TaskIndex>(Tasks_.size()));
+    Tasks_.emplace_back();
+  }
+  const TaskIndex Index = FreeTasks_.back();
+  FreeTasks_.pop_back();
+  TaskIds_[Row.Task_] = Index;
+  TaskEntry &Task = Tasks_[Index];
+  Task = TaskEntry();
+  Task.Row_ = Row;
+  Task.Kind_ = Kinds_.number(Row.Kind_);
+  Task.Group_ = Groups_.number(Row.Kind_ + '\n' + Row.Customer_);
+  Task.Remaining_ = Needs_.corrected(Task.Group_, Row.ExpectedRunTime_);
+  return Index;
+}
+
+void PlacementState::removeEntry(TaskIndex Index) {
+  TaskEntry &Task = Tasks_[Index];
+  TaskIds_.erase(Task.Row_.Task_);
+  Task.Phase_ = TaskPhase::Free;
+  FreeTasks_.push_back(Index);
+}
+
+void PlacementState::changeShape(const Resources &Capacity, int By) {
+  auto Found = std::ranges::find(Shapes_, Capacity,
+                                 &std::pair<Resources, std::uint32_t>::first);
+  if (Found == Shapes_.end())
+    Found = Shapes_.insert(Shapes_.end(), {Capacity, 0});
+  Found->second =
+      static_cast<std::uint32_t>(static_cast<std::int64_t>(Found->second) + By);
+  if (Found->second == 0)
+    Shapes_.erase(Found);
+}
+
+bool PlacementState::fitsSomewhere(const Resources &Need) const {
+  return Shapes_.empty() ||
+         std::ranges::any_of(Shapes_, [&Need](const auto &Shape) {
+           return Need.fitsIn(Shape.first);
+         });
+}
+
+void PlacementState::enqueue(TimePoint Now, TaskIndex Index) {
+  TaskEntry &Task = Tasks_[Index];
+  const Resources Corrected = Needs_.corrected(Task.Group_, Task.Row_.Need_);
+  // A corrected size that no VM has would never start.
+  Task.Reserve_ = fitsSomewhere(Corrected) ? Corrected : Task.Row_.Need_;
+  const TimePoint LatestStart = Task.Row_.Deadline_ - Task.Remaining_;
+  Task.Order_ = {Task.Row_.Evictable_, LatestStart < Now, LatestStart,
+                 Task.Row_.Task_};
+  Task.Phase_ = TaskPhase::Waiting;
+  Task.Throttled_ = false;
+  Waiting_.insert(Task.Order_, Task.Reserve_);
+  New_.push_back(Index);
+}
+
+void PlacementState::dequeue(TaskIndex Index) {
+  Waiting_.erase(Tasks_[Index].Order_, Tasks_[Index].Reserve_);
+}
+
+void PlacementState::commit(TimePoint Now, TaskIndex Index,
+                            WorkerIndexValue Worker) {
+  TaskEntry &Task = Tasks_[Index];
+  WorkerEntry &Host = Workers_[Worker];
+  Task.Phase_ = TaskPhase::Running;
+  Task.Worker_ = Worker;
+  Task.StartedAt_ = Now;
+  Task.Usage_ = Task.PeakUsage_ = {};
+  Task.UsageLearnt_ = false;
+  Host.Committed_ += Task.Reserve_;
+  Host.Tasks_.push_back(Index);
+  Host.ChangedAt_ = Now;
+  Spread_.add(Task.Group_, Host.Rack_, Host.Zone_, 1);
+  refreshLoads(Host);
+  reindex(Worker);
+}
+
+void PlacementState::release(TimePoint Now, TaskIndex Index) {
+  TaskEntry &Task = Tasks_[Index];
+  WorkerEntry &Host = Workers_[Task.Worker_];
+  if (Task.Phase_ == TaskPhase::Evicting)
+    Host.Evicting_ = false;
+  Host.Committed_ -= Task.Reserve_;
+  std::erase(Host.Tasks_, Index);
+  Host.ChangedAt_ = Now;
+  Spread_.add(Task.Group_, Host.Rack_, Host.Zone_, -1);
+  refreshLoads(Host);
+  markFreed(Task.Worker_);
+}
+
+void PlacementState::refreshLoads(WorkerEntry &Worker) {
+  Worker.Loads_.clear();
+  for (TaskIndex Index : Worker.Tasks_) {
+    const TaskEntry &Task = Tasks_[Index];
+    const double Load = Worker.share(Task.load().MilliProcessors_);
+    const auto Found =
+        std::ranges::find(Worker.Loads_, Task.Kind_, &KindLoad::Kind_);
+    if (Found == Worker.Loads_.end())
+      Worker.Loads_.push_back({Task.Kind_, Load});
+    else
+      Found->Load_ += Load;
+  }
+}
+
+void PlacementState::reindex(WorkerIndexValue Worker) {
+  const WorkerEntry &Host = Workers_[Worker];
+  if (Host.Listed_ && Host.Row_.Accepting_ && !Host.Hot_)
+    Index_.set(Worker, Host.free());
+  else
+    Index_.remove(Worker);
+}
+
+void PlacementState::markFreed(WorkerIndexValue Worker) {
+  reindex(Worker);
+  WorkerEntry &Host = Workers_[Worker];
+  if (!std::exchange(Host.Freed_, true))
+    Freed_.push_back(Worker);
+}
+
+void PlacementState::wakeAt(TimePoint When, WorkerIndexValue Worker) {
+  Wakeups_[When].push_back(Worker);
+}
+
+void PlacementState::command(PlacementAction Action, const TaskEntry &Task,
+                             Reason Why) {
+  PlacementCommand Value;
+  Value.Action_ = Action;
+  Value.Task_ = Task.Row_.Task_;
+  Value.Reason_ = Why;
+  if (Action != PlacementAction::Park)
+    Value.Worker_ = Workers_[Task.Worker_].Row_.Name_;
+  if (Action == PlacementAction::Throttle)
+    Value.ThrottlePermille_ = ThrottledPermille;
+  if (Action == PlacementAction::Start)
+    Value.Reserve_ = Task.Reserve_;
+  Pending_.push_back(std::move(Value));
+}
+
+} // namespace dragonfly::decide
