--- a/src/entry/Gateway.cpp
+++ b/src/entry/Gateway.cpp
@@ -57,8 +57,10 @@
 Gateway::Impl::Impl(GatewayOptions Options)
     : Options_(std::move(Options)), Admission_(policies(Options_.Kinds_)),
       Router_(routing(Options_)), Window_(Options_.Window_) {
-  for (const settings::KindSettings &Kind : Options_.Kinds_)
-    Kinds_.emplace(Kind.Name_, Kind);
+  for (const settings::KindSettings &Kind : Options_.Kinds_) {
+    const auto Number = static_cast<decide::RoutedKind>(Kinds_.size());
+    Kinds_.emplace(Kind.Name_, KindRow{Kind, Number % decide::MaxRoutedKinds});
+  }
 }
 
 Reason Gateway::Impl::reasonToRefuse(TimePoint Now,
@@ -102,7 +104,7 @@
     return Added;
   }
   Row->Handle_ = Admission_.offer(Now, {.Customer_ = Row->Key_.Customer_,
-                                        .Kind_ = Row->Kind_->Name_,
+                                        .Kind_ = Row->Kind_->Settings_.Name_,
                                         .Deadline_ = Row->Deadline_});
   Waiting_.emplace(Row->Handle_, Row);
   pump(Now);
@@ -132,7 +134,8 @@
   Row->Body_ = std::move(Sent.Body_);
   Row->BodyHash_ = BodyHash;
   Row->ArrivedAt_ = Now;
-  Row->Deadline_ = Now + Sent.TimeLeft_.value_or(Row->Kind_->Deadline_);
+  Row->Deadline_ =
+      Now + Sent.TimeLeft_.value_or(Row->Kind_->Settings_.Deadline_);
   Row->Detached_ = Sent.Detached_;
   Requests_.emplace(Row->Key_, Row);
   return Row;
@@ -159,7 +162,7 @@
   } else if (Row->Phase_ == Phase::Executing && Row->streamed()) {
     Options_.Hooks_.TellAgent_(Row->Attempt_.Worker_,
                                wire::CancelExecute{Row->Key_});
-    releaseUpstream(Now, Row->Attempt_, decide::AttemptResult::Answered);
+    releaseUpstream(Now, *Row, decide::AttemptResult::Answered);
     finish(Now, Row,
            {.Outcome_ = Outcome::Unknown, .Reason_ = Reason::Cancelled});
   }
@@ -213,7 +216,8 @@
     End.RetryAfter_ = DefaultRetryAfter;
   leaveReceipt(*Row, End);
   if (End.Outcome_ == Outcome::Completed && Options_.Hooks_.OnCompleted_)
-    Options_.Hooks_.OnCompleted_(Row->Key_.Customer_, Row->Kind_->Name_,
+    Options_.Hooks_.OnCompleted_(Row->Key_.Customer_,
+                                 Row->Kind_->Settings_.Name_,
                                  Now - Row->ArrivedAt_);
   const auto Kept = std::make_shared<const Answer>(std::move(End));
   Requests_.erase(Row->Key_);
@@ -236,12 +240,13 @@
     return;
   Options_.Hooks_.KeepReceipt_(
       {.Key_ = Row.Key_,
-       .Kind_ = Row.Kind_->Name_,
+       .Kind_ = Row.Kind_->Settings_.Name_,
        .Outcome_ = End.Outcome_,
        .Reason_ = End.Reason_,
-       .NonIdempotent_ = Row.Kind_->NonIdempotent_,
+       .NonIdempotent_ = Row.Kind_->Settings_.NonIdempotent_,
        .Status_ = End.Status_,
-       .Body_ = Row.Kind_->NonIdempotent_ ? End.Body_ : std::string()});
+       .Body_ =
+           Row.Kind_->Settings_.NonIdempotent_ ? End.Body_ : std::string()});
 }
 
 void Gateway::Impl::pump(TimePoint Now) {
@@ -313,7 +318,6 @@
                                    .Draining_ = Row.Draining_};
       });
   Impl_->Router_.setUpstreams(Table);
-  ++Impl_->TableVersion_;
   Impl_->Admission_.setCapacity(Slots);
 }
 
--- a/src/entry/GatewayAttempts.cpp
+++ b/src/entry/GatewayAttempts.cpp
@@ -43,8 +43,6 @@
     endWith(Now, Row, Outcome::RefusedNotRun, Reason::Cancelled);
     return;
   }
-  if (std::exchange(Row->TableVersion_, TableVersion_) != TableVersion_)
-    Row->Excluded_.clear();
   const auto Picked = Router_.pick(Now, Row->Excluded_);
   if (!Picked) {
     endWith(Now, Row, Outcome::RefusedNotRun, Reason::NoUpstream);
@@ -55,7 +53,7 @@
                    .Worker_ = Chosen.Name_,
                    .Target_ = Chosen.Incarnation_,
                    .StartedAt_ = Now};
-  if (Row->Kind_->NonIdempotent_)
+  if (Row->Kind_->Settings_.NonIdempotent_)
     claim(Now, Row);
   else
     execute(Now, Row);
@@ -64,7 +62,7 @@
 void Gateway::Impl::claim(TimePoint Now, const RequestPtr &Row) {
   Row->Phase_ = Phase::Claiming;
   wire::Claim Asked{.Key_ = Row->Key_,
-                    .Kind_ = Row->Kind_->Name_,
+                    .Kind_ = Row->Kind_->Settings_.Name_,
                     .Worker_ = Row->Attempt_.Worker_,
                     .Target_ = Row->Attempt_.Target_,
                     .Claimant_ = Options_.Self_,
@@ -134,13 +132,14 @@
   const Duration TimeLeft = Row->Deadline_ - Now;
   Options_.Hooks_.CallAgent_(
       {.Worker_ = Row->Attempt_.Worker_,
-       .Request_ = wire::Execute{.Key_ = Row->Key_,
-                                 .Kind_ = Row->Kind_->Name_,
-                                 .Target_ = Row->Attempt_.Target_,
-                                 .TimeLeft_ = TimeLeft,
-                                 .NonIdempotent_ = Row->Kind_->NonIdempotent_,
-                                 .Streamed_ = Row->streamed(),
-                                 .Body_ = Row->Body_},
+       .Request_ =
+           wire::Execute{.Key_ = Row->Key_,
+                         .Kind_ = Row->Kind_->Settings_.Name_,
+                         .Target_ = Row->Attempt_.Target_,
+                         .TimeLeft_ = TimeLeft,
+                         .NonIdempotent_ = Row->Kind_->Settings_.NonIdempotent_,
+                         .Streamed_ = Row->streamed(),
+                         .Body_ = Row->Body_},
        .Timeout_ = TimeLeft + AnswerGrace,
        .OnEnd_ =
            [Weak = weak_from_this(), Row, Try](net::CallResult Result) {
@@ -173,7 +172,7 @@
   if (Row->Phase_ != Phase::Executing || Row->Tries_ != Try)
     return;
   const AttemptJudgement Judged = judgeAttempt(Result, Row->repeatable());
-  releaseUpstream(Now, Row->Attempt_, forRouter(Judged, Result));
+  releaseUpstream(Now, *Row, forRouter(Judged, Result));
   if (Judged.Outcome_ == Outcome::Completed) {
     finish(Now, Row,
            toAnswer(std::get<wire::ExecuteResult>(std::move(Result.Answer_))));
@@ -185,20 +184,10 @@
     endWith(Now, Row, Judged.Outcome_, Judged.Reason_);
 }
 
-/// The table may have been replaced since the attempt began.
-void Gateway::Impl::releaseUpstream(TimePoint Now, const Attempt &Ended,
+void Gateway::Impl::releaseUpstream(TimePoint Now, const Request &Row,
                                     decide::AttemptResult Result) {
-  decide::UpstreamIndex Index = Ended.Index_;
-  const auto Matches = [&](decide::UpstreamIndex Candidate) {
-    return Candidate < Router_.size() &&
-           Router_.row(Candidate).Name_ == Ended.Worker_ &&
-           Router_.row(Candidate).Incarnation_ == Ended.Target_;
-  };
-  if (!Matches(Index))
-    for (Index = 0; Index < Router_.size() && !Matches(Index);)
-      ++Index;
-  if (Matches(Index))
-    Router_.finished(Now, Index, Result, Now - Ended.StartedAt_);
+  Router_.finished(Now, Row.Attempt_.Index_, Result,
+                   Now - Row.Attempt_.StartedAt_, Row.Kind_->Routed_);
 }
 
 bool Gateway::Impl::tryElsewhere(TimePoint Now, const RequestPtr &Row,
@@ -206,14 +195,11 @@
   if (Row->PartsPassed_ || Row->CancelAsked_ || Now >= Row->Deadline_ ||
       Row->Tries_ >= MaxTries)
     return false;
-  if (Row->TableVersion_ == TableVersion_)
-    Row->Excluded_.push_back(Row->Attempt_.Index_);
-  else
-    Row->Excluded_.clear();
-  Row->TableVersion_ = TableVersion_;
+  Row->Excluded_.push_back(Row->Attempt_.Index_);
   if (!Router_.pick(Now, Row->Excluded_) || !Router_.takeRetry())
     return false;
-  if (Row->Kind_->NonIdempotent_ && Judged.Outcome_ == Outcome::RefusedNotRun)
+  if (Row->Kind_->Settings_.NonIdempotent_ &&
+      Judged.Outcome_ == Outcome::RefusedNotRun)
     ++Row->ClaimAttempt_;
   beginAttempt(Now, Row);
   return true;
--- a/src/entry/GatewayImpl.h
+++ b/src/entry/GatewayImpl.h
@@ -34,10 +34,16 @@
   TimePoint StartedAt_;
 };
 
+/// One kind and its number towards the router.
+struct KindRow {
+  settings::KindSettings Settings_;
+  decide::RoutedKind Routed_ = 0;
+};
+
 /// One row of the request table.
 struct Request {
   wire::RequestKey Key_;
-  const settings::KindSettings *Kind_ = nullptr;
+  const KindRow *Kind_ = nullptr;
   std::string Body_;
   std::uint64_t BodyHash_ = 0;
   TimePoint ArrivedAt_;
@@ -57,15 +63,17 @@
   std::uint32_t ClaimAttempt_ = 1;
   Attempt Attempt_;
   std::vector<decide::UpstreamIndex> Excluded_;
-  /// Version of the router's table that `Excluded_` refers to.
-  std::uint64_t TableVersion_ = 0;
   Duration PollDelay_{};
   std::vector<Waiter> Waiters_;
 
-  bool streamed() const { return Kind_->Urgency_ == settings::Urgency::Watch; }
-  bool task() const { return Kind_->Carrier_ == settings::Carrier::Task; }
+  bool streamed() const {
+    return Kind_->Settings_.Urgency_ == settings::Urgency::Watch;
+  }
+  bool task() const {
+    return Kind_->Settings_.Carrier_ == settings::Carrier::Task;
+  }
   Repeatable repeatable() const {
-    return Kind_->NonIdempotent_ ? Repeatable::No : Repeatable::Yes;
+    return Kind_->Settings_.NonIdempotent_ ? Repeatable::No : Repeatable::Yes;
   }
 };
 
@@ -102,7 +110,7 @@
                 const wire::Message &Part);
   void attemptEnded(TimePoint Now, const RequestPtr &Row, std::uint32_t Try,
                     net::CallResult Result);
-  void releaseUpstream(TimePoint Now, const Attempt &Ended,
+  void releaseUpstream(TimePoint Now, const Request &Row,
                        decide::AttemptResult Result);
   bool tryElsewhere(TimePoint Now, const RequestPtr &Row,
                     const AttemptJudgement &Judged);
@@ -118,11 +126,10 @@
   void pollLater(TimePoint Now, const RequestPtr &Row);
 
   GatewayOptions Options_;
-  std::unordered_map<std::string, settings::KindSettings> Kinds_;
+  std::unordered_map<std::string, KindRow> Kinds_;
   std::unordered_set<std::string> Customers_;
   decide::Admission Admission_;
   decide::Router Router_;
-  std::uint64_t TableVersion_ = 0;
   AnswerWindow Window_;
   std::unordered_map<wire::RequestKey, RequestPtr, RequestKeyHash> Requests_;
   std::unordered_map<decide::RequestHandle, RequestPtr> Waiting_;
--- a/src/entry/GatewayTasks.cpp
+++ b/src/entry/GatewayTasks.cpp
@@ -34,11 +34,12 @@
   Row->Phase_ = Phase::Following;
   const Duration TimeLeft = Row->Deadline_ - Now;
   wire::SubmitTask Task{.Key_ = Row->Key_,
-                        .Kind_ = Row->Kind_->Name_,
-                        .Need_ = Row->Kind_->Need_,
+                        .Kind_ = Row->Kind_->Settings_.Name_,
+                        .Need_ = Row->Kind_->Settings_.Need_,
                         .TimeLeft_ = TimeLeft,
-                        .ExpectedRunTime_ = Row->Kind_->ExpectedRunTime_,
-                        .NonIdempotent_ = Row->Kind_->NonIdempotent_,
+                        .ExpectedRunTime_ =
+                            Row->Kind_->Settings_.ExpectedRunTime_,
+                        .NonIdempotent_ = Row->Kind_->Settings_.NonIdempotent_,
                         .Body_ = Row->Body_};
   Options_.Hooks_.CallControl_(
       std::move(Task), TimeLeft,
