Replicate the log with own consensus and file storage

Ruled out: a unanimous acknowledgement of the first membership record; the unanimous first election alone already keeps a wiped replica out.

--- a/include/dragonfly/base/Event.h
+++ b/include/dragonfly/base/Event.h
@@ -35,6 +35,9 @@
   LeaderLost = 4002,
   TornTailCut = 4003,
   StorageFailed = 4004,
+  ReplicaMessageRejected = 4005,
+  StoreUnknown = 4006,
+  SnapshotInstalled = 4007,
   // agent
   AgentReady = 5001,
   AgentDraining = 5002,
--- a/include/dragonfly/consensus/ReplicatedLog.h
+++ b/include/dragonfly/consensus/ReplicatedLog.h
@@ -5,8 +5,10 @@
 #define DRAGONFLY_CONSENSUS_REPLICATEDLOG_H
 
 #include "dragonfly/base/Clock.h"
+#include "dragonfly/base/Error.h"
 #include "dragonfly/base/Ids.h"
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -39,10 +41,18 @@
   Leader
 };
 
+/// States that a correct group cannot reach; the process must end.
+enum class LogFault : std::uint8_t {
+  CommittedRecordDiffers ///< A leader's record contradicts a committed one.
+};
+
+using LogError = TypedError<LogFault>;
+
 /// What became of a proposal.
 enum class ProposeStatus : std::uint8_t {
   Committed, ///< Durable on a majority and applied here.
   NotLeader, ///< Not taken; nothing was done.
+  Refused,   ///< The leader does not allow this change now; nothing was done.
   Unknown    ///< Leadership was lost while it was under way.
 };
 
@@ -64,8 +74,10 @@
 
 struct ReplicatedLogOptions {
   ReplicaId Self_;
-  /// First members, used where the data folder is new; empty for a learner
-  /// that waits to be added.
+  /// First members, used until the log names any; empty for a learner that
+  /// waits to be added. A member's `Store_` 0 stands for the store that it
+  /// starts with; the first leader, which needs the votes of all of them,
+  /// records what these are.
   std::vector<Member> FirstMembers_;
   Duration ElectionTimeout_ = std::chrono::milliseconds(500);
   Duration HeartbeatPeriod_ = std::chrono::milliseconds(100);
@@ -91,20 +103,25 @@
 
   /// Runs timers, syncs what has been queued and sends what follows from it.
   /// Call it every few milliseconds and after each batch of input. Throws
-  /// StorageError; the process must end then.
+  /// StorageError or LogError; the process must end then.
   void tick(TimePoint Now);
 
   /// Takes bytes that a peer's Send hook was given.
   void receive(TimePoint Now, ReplicaId From, std::string_view Bytes);
 
-  /// Proposes a command; \p Done runs exactly once.
+  /// Proposes a command; \p Done runs exactly once, from within a later
+  /// `tick()`, unless the log is destroyed before.
   void propose(std::string Command, std::function<void(ProposeResult)> Done);
 
   /// Calls \p Done with true once everything committed before this call is
-  /// applied here and this replica is known to lead still.
+  /// applied here and this replica is known to lead still. It runs from within
+  /// a later `tick()`.
   void readBarrier(std::function<void(bool)> Done);
 
-  /// Adds, promotes, demotes or removes one member; one change at a time.
+  /// Adds, promotes, demotes or removes one member; one change at a time. A new
+  /// member, and one with another store than before, must join as a learner
+  /// and is promoted once it has caught up. `Store_` 0 stands for the store
+  /// that the member was last seen with.
   void changeMember(Member Target, bool Remove,
                     std::function<void(ProposeResult)> Done);
 
@@ -126,4 +143,23 @@
 
 } // namespace dragonfly::consensus
 
+namespace dragonfly {
+
+template <> struct EnumTable<consensus::LogFault> {
+  static constexpr std::array<EnumName<consensus::LogFault>, 1> Rows{{
+      {consensus::LogFault::CommittedRecordDiffers, "committed-record-differs"},
+  }};
+};
+
+template <> struct EnumTable<consensus::RaftRole> {
+  static constexpr std::array<EnumName<consensus::RaftRole>, 4> Rows{{
+      {consensus::RaftRole::Follower, "follower"},
+      {consensus::RaftRole::PreCandidate, "pre-candidate"},
+      {consensus::RaftRole::Candidate, "candidate"},
+      {consensus::RaftRole::Leader, "leader"},
+  }};
+};
+
+} // namespace dragonfly
+
 #endif // DRAGONFLY_CONSENSUS_REPLICATEDLOG_H
--- /dev/null
+++ b/src/consensus/Commit.cpp
@@ -0,0 +1,157 @@
+#include "consensus/RaftCore.h"
+
+#include <algorithm>
+
+namespace dragonfly::consensus {
+
+/// A learner may lag by this many records when it is promoted.
+static constexpr std::uint64_t MaxPromotionLagRecords = 1000;
+
+void RaftCore::propose(std::string Command, ProposeHandler Done) {
+  if (Role_ != RaftRole::Leader) {
+    later([Done = std::move(Done)] { Done({}); });
+    return;
+  }
+  const LogIndex Index = nextIndex(Log_.lastIndex());
+  appendRecord({Index, Hard_.Term_, RecordKind::Command, std::move(Command)});
+  Pending_[Index] = {Hard_.Term_, std::move(Done)};
+}
+
+/// The barrier waits for a record of this term as well: before one is
+/// committed a leader cannot know what its predecessors committed.
+void RaftCore::readBarrier(ReadHandler Done) {
+  if (Role_ != RaftRole::Leader) {
+    later([Done = std::move(Done)] { Done(false); });
+    return;
+  }
+  ++Round_;
+  Barriers_.push_back({Round_, std::max(Commit_, TermStart_), std::move(Done)});
+}
+
+void RaftCore::changeMember(Member Target, bool Remove, ProposeHandler Done) {
+  if (!Target.Store_ && Observed_.contains(Target.Id_))
+    Target.Store_ = Observed_[Target.Id_];
+  if (Role_ != RaftRole::Leader || !changeIsAllowed(Target, Remove)) {
+    const ProposeStatus Status = Role_ == RaftRole::Leader
+                                     ? ProposeStatus::Refused
+                                     : ProposeStatus::NotLeader;
+    later([Done = std::move(Done), Status] { Done({Status, {}, {}}); });
+    return;
+  }
+  std::vector<Member> Rows = members();
+  std::erase_if(Rows, [&](const Member &Row) { return Row.Id_ == Target.Id_; });
+  if (!Remove)
+    Rows.push_back(std::move(Target));
+  std::ranges::sort(Rows, {}, &Member::Id_);
+  const LogIndex Index = nextIndex(Log_.lastIndex());
+  appendRecord(
+      {Index, Hard_.Term_, RecordKind::Membership, encodeMembers(Rows)});
+  Pending_[Index] = {Hard_.Term_, std::move(Done)};
+  syncPeers();
+}
+
+/// One change at a time, each moving at most one voter, and only after a
+/// record of this term has been committed.
+bool RaftCore::changeIsAllowed(const Member &Target, bool Remove) const {
+  if (Commit_ < TermStart_ || Members_.index() > Commit_)
+    return false;
+  const Member *Row = Members_.find(Target.Id_);
+  const bool OtherVoter =
+      std::ranges::any_of(members(), [&](const Member &Other) {
+        return Other.Voter_ && Other.Id_ != Target.Id_;
+      });
+  if (Remove)
+    return Row && OtherVoter;
+  if (!Target.Store_)
+    return false;
+  if (!Target.Voter_)
+    return OtherVoter;
+  if (!Row || Row->Store_ != Target.Store_)
+    return false;
+  const auto Progress = Peers_.find(Target.Id_);
+  return Row->Voter_ ||
+         (Progress != Peers_.end() &&
+          Progress->second.Match_.Value_ + MaxPromotionLagRecords >=
+              Commit_.Value_ &&
+          Progress->second.Match_);
+}
+
+/// Only records of the present term are committed by counting; they carry
+/// earlier ones with them.
+void RaftCore::advanceCommit() {
+  if (Role_ != RaftRole::Leader)
+    return;
+  const std::int64_t Value =
+      Members_.quorumValue([this](const Member &Row) -> std::int64_t {
+        if (isSelf(Row))
+          return static_cast<std::int64_t>(Synced_.Value_);
+        const auto Found = Peers_.find(Row.Id_);
+        return Found == Peers_.end()
+                   ? 0
+                   : static_cast<std::int64_t>(Found->second.Match_.Value_);
+      });
+  const LogIndex Index{
+      static_cast<std::uint64_t>(std::max<std::int64_t>(Value, 0))};
+  if (Index > Commit_ && Log_.termAt(Index) == Hard_.Term_)
+    Commit_ = Index;
+}
+
+void RaftCore::applyCommitted() {
+  while (Applied_ < Commit_) {
+    Applied_ = nextIndex(Applied_);
+    applyRecord(Log_.at(Applied_));
+  }
+}
+
+void RaftCore::applyRecord(const Record &Value) {
+  ProposeResult Result{ProposeStatus::Committed, Value.Index_, {}};
+  if (Value.Kind_ == RecordKind::Command)
+    Result.Output_ = Options_.Machine_.Apply_(Value.Index_, Value.Payload_);
+  const auto Waiting = Pending_.find(Value.Index_);
+  if (Waiting != Pending_.end()) {
+    if (Waiting->second.Term_ != Value.Term_)
+      Result = {ProposeStatus::Unknown, {}, {}};
+    later([Done = std::move(Waiting->second.Done_),
+           Result = std::move(Result)]() mutable { Done(std::move(Result)); });
+    Pending_.erase(Waiting);
+  }
+  const bool Removed =
+      Value.Kind_ == RecordKind::Membership &&
+      Value.Index_ == Members_.index() &&
+      std::ranges::none_of(members(),
+                           [this](const Member &Row) { return isSelf(Row); });
+  if (Removed && Role_ == RaftRole::Leader)
+    becomeFollower(Hard_.Term_, {});
+}
+
+void RaftCore::finishBarriers() {
+  if (Barriers_.empty())
+    return;
+  const std::int64_t Acked =
+      Members_.quorumValue([this](const Member &Row) -> std::int64_t {
+        if (isSelf(Row))
+          return static_cast<std::int64_t>(Round_);
+        const auto Found = Peers_.find(Row.Id_);
+        return Found == Peers_.end()
+                   ? 0
+                   : static_cast<std::int64_t>(Found->second.AckedRound_);
+      });
+  std::erase_if(Barriers_, [&](Barrier &Waiting) {
+    if (static_cast<std::int64_t>(Waiting.Round_) > Acked ||
+        Waiting.Index_ > Applied_)
+      return false;
+    later([Done = std::move(Waiting.Done_)] { Done(true); });
+    return true;
+  });
+}
+
+void RaftCore::failPending() {
+  for (auto &[Index, Waiting] : std::exchange(Pending_, {}))
+    later([Done = std::move(Waiting.Done_)] {
+      Done({ProposeStatus::Unknown, {}, {}});
+    });
+  for (Barrier &Waiting : std::exchange(Barriers_, {}))
+    later([Done = std::move(Waiting.Done_)] { Done(false); });
+}
+
+} // namespace dragonfly::consensus
--- /dev/null
+++ b/src/consensus/Election.cpp
@@ -0,0 +1,162 @@
+#include "consensus/RaftCore.h"
+
+#include "dragonfly/base/Log.h"
+
+namespace dragonfly::consensus {
+
+void RaftCore::tickElection() {
+  if (Now_ < ElectionAt_)
+    return;
+  restartElectionTimer();
+  Leader_ = {};
+  if (mayCampaign())
+    campaign(/*Pre=*/true);
+}
+
+bool RaftCore::mayCampaign() const {
+  return (!Excluded_ || Members_.formed()) &&
+         Members_.isVoter(Options_.Self_, Store_);
+}
+
+/// True while a leader may count on this replica not to vote for another. A
+/// replica that has just started counts as having heard one, since it cannot
+/// know what it acknowledged before.
+bool RaftCore::hearsLeader() const {
+  return Role_ == RaftRole::Leader ||
+         Now_ - LeaderHeardAt_ < Options_.ElectionTimeout_;
+}
+
+void RaftCore::restartElectionTimer() {
+  std::uniform_int_distribution<Duration::rep> Extra(
+      0, Options_.ElectionTimeout_.count() - 1);
+  ElectionAt_ = Now_ + Options_.ElectionTimeout_ + Duration(Extra(Random_));
+}
+
+void RaftCore::campaign(bool Pre) {
+  Role_ = Pre ? RaftRole::PreCandidate : RaftRole::Candidate;
+  if (!Pre) {
+    Hard_ = {{Hard_.Term_.Value_ + 1}, Options_.Self_};
+    Disk_->saveHardState(Hard_);
+    HardDirty_ = true;
+  }
+  Votes_.clear();
+  Votes_[Options_.Self_] = Store_;
+  const Term Asked{Hard_.Term_.Value_ + (Pre ? 1 : 0)};
+  for (const Member &Row : members())
+    if (Row.Voter_ && !isSelf(Row))
+      post(Row.Id_, Row.Store_,
+           VoteRequest{Asked, Pre, Log_.lastIndex(), Log_.lastTerm()});
+  countVotes();
+}
+
+/// A vote counts only under the store that the membership names.
+void RaftCore::countVotes() {
+  const bool Won = Members_.reachesQuorum([this](const Member &Row) {
+    const auto Vote = Votes_.find(Row.Id_);
+    return Vote != Votes_.end() && (!Row.Store_ || Row.Store_ == Vote->second);
+  });
+  if (!Won)
+    return;
+  if (Role_ == RaftRole::PreCandidate)
+    campaign(/*Pre=*/false);
+  else if (Role_ == RaftRole::Candidate)
+    becomeLeader();
+}
+
+void RaftCore::becomeFollower(Term NewTerm, ReplicaId NewLeader) {
+  const bool Led = Role_ == RaftRole::Leader;
+  if (NewTerm > Hard_.Term_)
+    adoptTerm(NewTerm);
+  Role_ = RaftRole::Follower;
+  Leader_ = NewLeader;
+  restartElectionTimer();
+  if (!Led)
+    return;
+  Peers_.clear();
+  failPending();
+  logEvent(Event::LeaderLost,
+           {{"replica", Options_.Self_.Value_}, {"term", Hard_.Term_.Value_}});
+  if (Options_.OnLeadership_)
+    later([Hook = Options_.OnLeadership_] { Hook(false); });
+}
+
+/// The first leader of a new group records the stores of all its members; any
+/// other appends an empty record, whose commit settles what came before it.
+void RaftCore::becomeLeader() {
+  Role_ = RaftRole::Leader;
+  Leader_ = Options_.Self_;
+  Record First{nextIndex(Log_.lastIndex()), Hard_.Term_, RecordKind::Empty, {}};
+  if (!Members_.formed()) {
+    std::vector<Member> Rows = members();
+    for (Member &Row : Rows)
+      if (!Row.Store_)
+        Row.Store_ = Votes_[Row.Id_];
+    std::erase_if(Rows, [](const Member &Row) { return !Row.Store_; });
+    First.Kind_ = RecordKind::Membership;
+    First.Payload_ = encodeMembers(Rows);
+  }
+  TermStart_ = First.Index_;
+  appendRecord(std::move(First));
+  Peers_.clear();
+  syncPeers();
+  logEvent(Event::LeaderElected,
+           {{"replica", Options_.Self_.Value_}, {"term", Hard_.Term_.Value_}});
+  if (Options_.OnLeadership_)
+    later([Hook = Options_.OnLeadership_] { Hook(true); });
+}
+
+bool RaftCore::isUpToDate(const VoteRequest &Asked) const {
+  return Asked.LastTerm_ != Log_.lastTerm()
+             ? Asked.LastTerm_ > Log_.lastTerm()
+             : Asked.LastIndex_ >= Log_.lastIndex();
+}
+
+void RaftCore::on(ReplicaId From, StoreId Store, const VoteRequest &Value) {
+  const Member *Row = Members_.find(From);
+  const bool Empty = !Value.LastIndex_;
+  if (Empty && Row && Row->Store_ && Row->Store_ != Store) {
+    post(From, Store, StoreMismatch{Row->Store_});
+    return;
+  }
+  bool Granted = !hearsLeader() && isUpToDate(Value);
+  if (Granted && !Value.Pre_ && Value.Term_ > Hard_.Term_)
+    becomeFollower(Value.Term_, {});
+  Granted = Granted && (Value.Term_ > Hard_.Term_ ||
+                        (Value.Term_ == Hard_.Term_ &&
+                         (!Hard_.VotedFor_ || Hard_.VotedFor_ == From)));
+  if (Granted && !Value.Pre_) {
+    Hard_.VotedFor_ = From;
+    Disk_->saveHardState(Hard_);
+    HardDirty_ = true;
+    restartElectionTimer();
+  }
+  post(From, Store, VoteReply{Hard_.Term_, Value.Term_, Value.Pre_, Granted});
+}
+
+void RaftCore::on(ReplicaId From, StoreId Store, const VoteReply &Value) {
+  if (Value.Term_ > Hard_.Term_) {
+    becomeFollower(Value.Term_, {});
+    return;
+  }
+  const bool Wanted =
+      Value.Pre_ ? Role_ == RaftRole::PreCandidate &&
+                       Value.Asked_.Value_ == Hard_.Term_.Value_ + 1
+                 : Role_ == RaftRole::Candidate && Value.Asked_ == Hard_.Term_;
+  if (!Wanted || !Value.Granted_)
+    return;
+  Votes_[From] = Store;
+  countVotes();
+}
+
+void RaftCore::on(ReplicaId From, StoreId Store, const StoreMismatch &Value) {
+  if (Value.Member_ != Store_ && !Members_.formed()) {
+    if (!Excluded_)
+      logEvent(Event::StoreUnknown, {{"replica", Options_.Self_.Value_},
+                                     {"store", Store_.Value_},
+                                     {"member", Value.Member_.Value_}});
+    Excluded_ = true;
+  }
+  Observed_[From] = Store;
+}
+
+} // namespace dragonfly::consensus
--- /dev/null
+++ b/tests/consensus/ReplicatedLogTest.cpp
@@ -0,0 +1,224 @@
+#include "dragonfly/consensus/ReplicatedLog.h"
+
+#include "support/LogCluster.h"
+
+#include <catch2/catch.hpp>
+
+using namespace dragonfly;
+using namespace dragonfly::bench;
+using namespace dragonfly::consensus;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration Patience = 10s;
+
+Replica &awaitLeader(LogCluster &Group) {
+  REQUIRE(Group.runUntil([&] { return Group.leader() != nullptr; }, Patience));
+  return *Group.leader();
+}
+
+ProposeResult proposeAt(LogCluster &Group, Replica &At, std::string Command) {
+  std::optional<ProposeResult> Result;
+  At.Log_->propose(std::move(Command),
+                   [&](ProposeResult Value) { Result = std::move(Value); });
+  REQUIRE(Group.runUntil([&] { return Result.has_value(); }, Patience));
+  return *Result;
+}
+
+ProposeStatus changeAt(LogCluster &Group, Replica &At, const Member &Target,
+                       bool Remove = false) {
+  std::optional<ProposeStatus> Result;
+  At.Log_->changeMember(Target, Remove, [&](const ProposeResult &Value) {
+    Result = Value.Status_;
+  });
+  REQUIRE(Group.runUntil([&] { return Result.has_value(); }, Patience));
+  return *Result;
+}
+
+void requireSameState(LogCluster &Group) {
+  const std::vector<std::string> Wanted = awaitLeader(Group).Applied_;
+  REQUIRE(Group.runUntil(
+      [&] {
+        return std::ranges::all_of(Group.replicas(), [&](const Replica &Row) {
+          return Row.Applied_ == Wanted;
+        });
+      },
+      Patience));
+}
+
+} // namespace
+
+TEST_CASE("one leader is elected and commands commit on all replicas",
+          "[consensus][log]") {
+  LogCluster Group({.Seed_ = 7});
+  Replica &Leader = awaitLeader(Group);
+  for (int I = 0; I < 20; ++I)
+    REQUIRE(proposeAt(Group, Leader, std::to_string(I)).Status_ ==
+            ProposeStatus::Committed);
+  requireSameState(Group);
+  REQUIRE(Leader.Applied_.size() == 20);
+  REQUIRE(Leader.Log_->holdsLeaderLease(Group.now()));
+}
+
+TEST_CASE("a follower refuses proposals, reads and changes",
+          "[consensus][log]") {
+  LogCluster Group({.Seed_ = 8});
+  const Replica &Leader = awaitLeader(Group);
+  Replica &Follower = Group.replicas()[Leader.Id_.Value_ % 3];
+  REQUIRE(proposeAt(Group, Follower, "x").Status_ == ProposeStatus::NotLeader);
+  REQUIRE(changeAt(Group, Follower, {}) == ProposeStatus::NotLeader);
+  std::optional<bool> Read;
+  Follower.Log_->readBarrier([&](bool Value) { Read = Value; });
+  Group.run(10ms);
+  REQUIRE(Read == false);
+}
+
+TEST_CASE("a leader that is cut off steps down within an election timeout",
+          "[consensus][log]") {
+  LogCluster Group({.Seed_ = 9});
+  Replica &Old = awaitLeader(Group);
+  Group.run(1s);
+  Group.isolate(Old.Id_);
+  std::optional<ProposeResult> Lost;
+  Old.Log_->propose("lost", [&](const ProposeResult &Value) { Lost = Value; });
+  Group.run(500ms);
+  REQUIRE(Old.Log_->role() != RaftRole::Leader);
+  REQUIRE(Lost->Status_ == ProposeStatus::Unknown);
+  REQUIRE(proposeAt(Group, awaitLeader(Group), "kept").Status_ ==
+          ProposeStatus::Committed);
+  Group.heal();
+  requireSameState(Group);
+  REQUIRE(Old.Applied_ == std::vector<std::string>{"kept"});
+}
+
+TEST_CASE("a replica that returns after a cut does not disturb the leader",
+          "[consensus][log]") {
+  LogCluster Group({.Seed_ = 10});
+  const Replica &Leader = awaitLeader(Group);
+  const Term Before = Leader.Log_->term();
+  const ReplicaId Away = Group.replicas()[Leader.Id_.Value_ % 3].Id_;
+  Group.isolate(Away);
+  Group.run(10s);
+  Group.heal();
+  Group.run(3s);
+  REQUIRE(Leader.Log_->role() == RaftRole::Leader);
+  REQUIRE(Leader.Log_->term() == Before);
+}
+
+TEST_CASE("a lagging replica is brought up by a chunked snapshot",
+          "[consensus][snapshot]") {
+  LogCluster Group(
+      {.Seed_ = 11, .SnapshotEveryRecords_ = 40, .MaxBatchBytes_ = 64});
+  Replica &Leader = awaitLeader(Group);
+  const ReplicaId Away = Group.replicas()[Leader.Id_.Value_ % 3].Id_;
+  bool Restored = false;
+  Group.OnRestore_ = [&](ReplicaId Id, bool) { Restored |= Id == Away; };
+  Group.isolate(Away);
+  for (int I = 0; I < 200; ++I)
+    proposeAt(Group, Leader, std::to_string(I));
+  Group.heal();
+  requireSameState(Group);
+  REQUIRE(Restored);
+}
+
+TEST_CASE("state survives a restart of all replicas", "[consensus][log]") {
+  LogCluster Group({.Seed_ = 12, .SnapshotEveryRecords_ = 30});
+  for (int I = 0; I < 100; ++I)
+    proposeAt(Group, awaitLeader(Group), std::to_string(I));
+  for (const Replica &Row : Group.replicas())
+    Group.kill(Row.Id_, false);
+  proposeAt(Group, awaitLeader(Group), "last");
+  requireSameState(Group);
+  REQUIRE(Group.leader()->Applied_.size() == 101);
+}
+
+TEST_CASE("a replica that lost its folder neither votes nor campaigns",
+          "[consensus][membership]") {
+  LogCluster Group({.Seed_ = 13});
+  const Replica &Leader = awaitLeader(Group);
+  const ReplicaId First = Leader.Id_;
+  const ReplicaId Wiped{First.Value_ % 3 + 1};
+  const ReplicaId Behind{Wiped.Value_ % 3 + 1};
+  Group.run(1s);
+  Group.isolate(Behind);
+  REQUIRE(proposeAt(Group, Group.replica(First), "kept").Status_ ==
+          ProposeStatus::Committed);
+  Group.heal();
+  Group.isolate(First);
+  Group.loseDisk(Wiped);
+  Group.run(20s);
+  REQUIRE(Group.leader() == nullptr);
+  Group.heal();
+  const Replica &Next = awaitLeader(Group);
+  REQUIRE(Next.Id_ != Wiped);
+  REQUIRE(Group.runUntil([&] { return !Next.Applied_.empty(); }, Patience));
+  REQUIRE(Next.Applied_.front() == "kept");
+}
+
+TEST_CASE("a replica that lost its folder before a first start has finished",
+          "[consensus][membership]") {
+  LogCluster Group({.Seed_ = 14});
+  Group.isolate({3});
+  Group.run(10s);
+  REQUIRE(Group.leader() == nullptr);
+  Group.loseDisk({3});
+  Group.heal();
+  const Replica &Leader = awaitLeader(Group);
+  REQUIRE(Leader.Log_->members()[2].Store_ == Group.replica({3}).Log_->store());
+}
+
+TEST_CASE("a lost folder is replaced as a learner and then promoted",
+          "[consensus][membership]") {
+  LogCluster Group({.Seed_ = 15});
+  Replica &Leader = awaitLeader(Group);
+  const ReplicaId Wiped{Leader.Id_.Value_ % 3 + 1};
+  proposeAt(Group, Leader, "before");
+  Group.loseDisk(Wiped);
+  Group.run(1s);
+  const StoreId Store = Group.replica(Wiped).Log_->store();
+  Member Row{.Id_ = Wiped, .Store_ = Store, .Voter_ = true, .Address_ = "a"};
+  REQUIRE(changeAt(Group, Leader, Row) == ProposeStatus::Refused);
+  Row.Voter_ = false;
+  Row.Store_ = {};
+  REQUIRE(changeAt(Group, Leader, Row) == ProposeStatus::Committed);
+  requireSameState(Group);
+  Group.run(100ms);
+  Row.Voter_ = true;
+  Row.Store_ = Store;
+  REQUIRE(changeAt(Group, Leader, Row) == ProposeStatus::Committed);
+  const ReplicaId Third{Wiped.Value_ % 3 + 1};
+  Group.isolate(Third);
+  REQUIRE(proposeAt(Group, Leader, "after").Status_ ==
+          ProposeStatus::Committed);
+}
+
+TEST_CASE("a leader that is removed steps down once that is committed",
+          "[consensus][membership]") {
+  LogCluster Group({.Seed_ = 16});
+  Replica &Leader = awaitLeader(Group);
+  const Member Self = Leader.Log_->members()[Leader.Id_.Value_ - 1];
+  Group.run(100ms);
+  REQUIRE(changeAt(Group, Leader, Self, /*Remove=*/true) ==
+          ProposeStatus::Committed);
+  REQUIRE(Leader.Log_->role() == RaftRole::Follower);
+  const Replica &Next = awaitLeader(Group);
+  REQUIRE(Next.Id_ != Leader.Id_);
+  REQUIRE(Next.Log_->members().size() == 2);
+}
+
+TEST_CASE("a read barrier ends only after a quorum has answered it",
+          "[consensus][read]") {
+  LogCluster Group({.Seed_ = 17});
+  Replica &Leader = awaitLeader(Group);
+  proposeAt(Group, Leader, "x");
+  std::optional<bool> Read;
+  Leader.Log_->readBarrier([&](bool Value) { Read = Value; });
+  REQUIRE(Group.runUntil([&] { return Read.has_value(); }, 100ms));
+  REQUIRE(*Read);
+  Group.isolate(Leader.Id_);
+  Read.reset();
+  Leader.Log_->readBarrier([&](bool Value) { Read = Value; });
+  REQUIRE(Group.runUntil([&] { return Read.has_value(); }, 1s));
+  REQUIRE_FALSE(*Read);
+}
