--- a/src/entry/AttemptRules.cpp
+++ b/src/entry/AttemptRules.cpp
@@ -10,6 +10,7 @@
 constexpr std::array TemporaryReasons{
     Reason::NoFreeSlot,     Reason::Draining,   Reason::StaleConfiguration,
     Reason::LedgerNotReady, Reason::NoUpstream, Reason::WrongIncarnation,
+    Reason::UpstreamFailed,
 };
 
 AttemptJudgement judgeResult(const wire::ExecuteResult &Result,
--- a/src/entry/Gateway.cpp
+++ b/src/entry/Gateway.cpp
@@ -81,8 +81,8 @@
 WaiterId Gateway::Impl::submit(TimePoint Now, CallerRequest Sent,
                                AnswerHooks Hooks) {
   const std::uint64_t BodyHash = hashBody(Sent.Kind_, Sent.Body_);
-  if (const auto Found = Requests_.find(Sent.Key_); Found != Requests_.end())
-    return join(Found->second, BodyHash, std::move(Hooks));
+  if (const RequestPtr Existing = find(Sent.Key_))
+    return join(Existing, BodyHash, std::move(Hooks));
   const AnswerWindow::Row *Kept = Window_.find(Sent.Key_);
   if (Kept != nullptr && Kept->Answer_->Outcome_ == Outcome::Completed) {
     Hooks.OnAnswer_(Kept->BodyHash_ == BodyHash
@@ -168,12 +168,16 @@
   }
 }
 
+RequestPtr Gateway::Impl::find(const wire::RequestKey &Key) const {
+  const auto Found = Requests_.find(Key);
+  return Found == Requests_.end() ? nullptr : Found->second;
+}
+
 RequestStatus Gateway::Impl::cancel(TimePoint Now,
                                     const wire::RequestKey &Key) {
-  const auto Found = Requests_.find(Key);
-  if (Found == Requests_.end())
+  const RequestPtr Row = find(Key);
+  if (!Row)
     return {};
-  const RequestPtr Row = Found->second;
   Row->CancelAsked_ = true;
   if (Row->Phase_ == Phase::Waiting) {
     Admission_.cancel(Row->Handle_);
@@ -284,7 +288,7 @@
 
 void Gateway::Impl::tick(TimePoint Now) {
   while (!Polls_.empty() && Polls_.begin()->first <= Now) {
-    const RequestPtr Row = Polls_.extract(Polls_.begin()).mapped();
+    const RequestPtr Row = std::move(Polls_.extract(Polls_.begin()).mapped());
     if (Row->Phase_ == Phase::Claiming)
       claim(Now, Row);
     else if (Row->Phase_ == Phase::Following)
--- a/src/entry/GatewayAttempts.cpp
+++ b/src/entry/GatewayAttempts.cpp
@@ -31,6 +31,7 @@
     return failingStatus(Result) ? decide::AttemptResult::Failed
                                  : decide::AttemptResult::Answered;
   const bool Refused = Judged.Outcome_ == Outcome::RefusedNotRun &&
+                       Judged.Reason_ != Reason::UpstreamFailed &&
                        Result.Status_ == net::CallStatus::Answered;
   return Refused ? decide::AttemptResult::Refused
                  : decide::AttemptResult::Failed;
--- a/src/entry/GatewayImpl.h
+++ b/src/entry/GatewayImpl.h
@@ -90,6 +90,7 @@
   RequestPtr insert(TimePoint Now, CallerRequest Sent, std::uint64_t BodyHash);
   void callerGone(TimePoint Now, WaiterId Gone);
   void abandon(TimePoint Now, const RequestPtr &Row);
+  RequestPtr find(const wire::RequestKey &Key) const;
   RequestStatus cancel(TimePoint Now, const wire::RequestKey &Key);
   void tellAccepted(const Request &Row);
   void drop(const RequestPtr &Row);
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -336,7 +336,7 @@
   });
   if (Found == Connections_.end())
     return;
-  const ConnectionPtr Dropped = *Found;
+  const ConnectionPtr Dropped = (*Found)->shared_from_this();
   Dropped->Current_.reset();
   Dropped->close();
   dispatch();
