Add control's table of upstreams and its task scheduler

Cause: the leader needs to know who is alive, whose lease has run out, and what each worker shall do. Ruled out: giving a name to the newest incarnation at once (two workers would run the same tasks under one name until the older lease ends); keeping orders in the log (throttles and checkpoints are decided anew by each leader). Change: UpstreamTable from heartbeats alone, with take-over after the lease and the drift margin; TaskScheduler drives decide::Placement and answers with everything a worker shall do, safe to repeat; a placement names the incarnation and what is reserved. Events 3006 to 3008. Conclusion: tests follow with the service that drives them.

--- a/include/dragonfly/base/Event.h
+++ b/include/dragonfly/base/Event.h
@@ -31,6 +31,9 @@
   UpstreamJoined = 3003,
   UpstreamLeft = 3004,
   UpstreamLost = 3005,
+  UpstreamContested = 3006,
+  LeaseRanOut = 3007,
+  MemberChanged = 3008,
   // consensus
   LeaderElected = 4001,
   LeaderLost = 4002,
--- a/include/dragonfly/control/Command.h
+++ b/include/dragonfly/control/Command.h
@@ -111,9 +111,13 @@
   TaskId Task_;
   Epoch Epoch_;
   std::string Worker_;
+  /// The agent's process that holds the worker's lease.
+  Incarnation Target_;
+  /// What the worker commits to the task.
+  Resources Reserve_;
 
   template <typename Archive> void serialize(Archive &Ar) {
-    Ar(Task_, Epoch_, Worker_);
+    Ar(Task_, Epoch_, Worker_, Target_, Reserve_);
   }
 };
 
--- a/include/dragonfly/control/TaskTable.h
+++ b/include/dragonfly/control/TaskTable.h
@@ -41,6 +41,9 @@
   /// whenever a stay ends.
   Epoch Epoch_{1};
   std::string Worker_;
+  /// The agent's process that the present stay was given to.
+  Incarnation Target_;
+  Resources Reserve_;
   /// Where the next or the present stay resumes from.
   std::string CheckpointId_;
   bool EverPlaced_ = false;
@@ -60,8 +63,8 @@
   template <typename Archive> void serialize(Archive &Ar) {
     Ar(Task_, Key_.Customer_, Key_.RequestId_, Kind_, Need_, Deadline_,
        ExpectedRunTime_, NonIdempotent_, Body_, BodyHash_, State_, Epoch_,
-       Worker_, CheckpointId_, EverPlaced_, Cancelling_, Outcome_, Reason_,
-       Status_, Answer_, Starts_, Evictions_, EndedAt_);
+       Worker_, Target_, Reserve_, CheckpointId_, EverPlaced_, Cancelling_,
+       Outcome_, Reason_, Status_, Answer_, Starts_, Evictions_, EndedAt_);
   }
 };
 
@@ -104,6 +107,9 @@
   const std::map<TaskId, TaskRecord> &rows() const { return Rows_; }
   /// Tasks that are placed or run on \p Worker.
   const std::set<TaskId> &onWorker(const std::string &Worker) const;
+  /// The agent's process whose lease covers the tasks on \p Worker, or none
+  /// where there are no tasks.
+  Incarnation holderOf(const std::string &Worker) const;
   /// Workers that have tasks, with them.
   const std::map<std::string, std::set<TaskId>> &workers() const {
     return ByWorker_;
--- /dev/null
+++ b/src/control/TaskScheduler.cpp
@@ -0,0 +1,308 @@
+#include "dragonfly/control/TaskScheduler.h"
+
+#include "dragonfly/base/Log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonfly::control {
+
+using decide::PlacementAction;
+using wire::TaskAction;
+using wire::TaskState;
+
+namespace {
+
+wire::TaskDirective directiveOf(const TaskRecord &Task, TaskAction Action) {
+  wire::TaskDirective Row;
+  Row.Task_ = Task.Task_;
+  Row.Epoch_ = Task.Epoch_;
+  Row.Action_ = Action;
+  Row.Kind_ = Task.Kind_;
+  return Row;
+}
+
+wire::TaskDirective startOf(const TaskRecord &Task) {
+  wire::TaskDirective Row =
+      directiveOf(Task, Task.CheckpointId_.empty() ? TaskAction::Start
+                                                   : TaskAction::Resume);
+  Row.Need_ = Task.Reserve_;
+  Row.CheckpointId_ = Task.CheckpointId_;
+  Row.Body_ = Task.Body_;
+  return Row;
+}
+
+decide::WorkerRow workerOf(const wire::Heartbeat &Beat) {
+  return {.Name_ = Beat.Name_,
+          .AvailabilityZone_ = Beat.AvailabilityZone_,
+          .Rack_ = Beat.Rack_,
+          .Capacity_ = Beat.Vm_.Capacity_,
+          .Usage_ = Beat.Vm_.Usage_,
+          .Accepting_ = Beat.LedgerReady_ && !Beat.Draining_};
+}
+
+std::optional<decide::RunResult> resultOf(TaskChange Change) {
+  switch (Change) {
+  case TaskChange::Refused:
+    return decide::RunResult::Refused;
+  case TaskChange::Evicted:
+    return decide::RunResult::Evicted;
+  case TaskChange::Failed:
+    return decide::RunResult::Failed;
+  case TaskChange::Lost:
+    return decide::RunResult::Lost;
+  default:
+    return std::nullopt;
+  }
+}
+
+} // namespace
+
+TaskScheduler::TaskScheduler(TaskSchedulerOptions Options,
+                             const TaskTable &Tasks,
+                             const UpstreamTable &Upstreams)
+    : Options_(std::move(Options)), Tasks_(Tasks), Upstreams_(Upstreams) {}
+
+TaskScheduler::~TaskScheduler() = default;
+
+void TaskScheduler::lead(TimePoint Now, Duration LogNow) {
+  stop();
+  Now_ = Now;
+  LogNow_ = LogNow;
+  SettledAt_ = Now + Options_.SettleTime_;
+  Placement_.emplace(Options_.Placement_);
+  syncWorkers(Now);
+  for (const auto &[Id, Task] : Tasks_.rows()) {
+    if (Task.onWorker())
+      Placement_->addRunning(Now, rowOf(Task), Task.Worker_);
+    else if (!Task.ended())
+      Unadded_.insert(Id);
+  }
+}
+
+void TaskScheduler::stop() {
+  Placement_.reset();
+  Unadded_.clear();
+  Told_.clear();
+  Orders_.clear();
+  Losing_.clear();
+}
+
+decide::TaskRow TaskScheduler::rowOf(const TaskRecord &Task) const {
+  return {.Task_ = Task.Task_,
+          .Customer_ = Task.Key_.Customer_,
+          .Kind_ = Task.Kind_,
+          .Need_ = Task.Need_,
+          .Deadline_ = Now_ + (Task.Deadline_ - LogNow_),
+          .ExpectedRunTime_ = Task.ExpectedRunTime_,
+          .Evictable_ =
+              !Options_.Evictable_ || Options_.Evictable_(Task.Kind_)};
+}
+
+void TaskScheduler::onTask(TaskChange Change, const TaskRecord &Task,
+                           const std::string &Worker) {
+  if (!Placement_)
+    return;
+  if (Change == TaskChange::Accepted)
+    Unadded_.insert(Task.Task_);
+  if (const auto Result = resultOf(Change))
+    Placement_->ended(Now_, Task.Task_, *Result);
+  if (Change == TaskChange::Ended) {
+    Unadded_.erase(Task.Task_);
+    if (Task.State_ == TaskState::Finished)
+      Placement_->ended(Now_, Task.Task_, decide::RunResult::Finished);
+    else if (Task.State_ == TaskState::Failed &&
+             Task.Reason_ == Reason::UpstreamFailed)
+      Placement_->ended(Now_, Task.Task_, decide::RunResult::Failed);
+    Placement_->removeTask(Now_, Task.Task_);
+  }
+  if (!Task.onWorker())
+    forgetOrders(Task.Task_, Worker);
+}
+
+void TaskScheduler::forgetOrders(TaskId Task, const std::string &Worker) {
+  Losing_.erase(Task);
+  const auto Found = Orders_.find(Worker);
+  if (Found == Orders_.end())
+    return;
+  Found->second.ThrottlePermille_.erase(Task);
+  Found->second.Checkpoint_.erase(Task);
+}
+
+void TaskScheduler::reportUsage(TimePoint Now, TaskId Task,
+                                const Resources &Usage) {
+  if (Placement_)
+    Placement_->reportUsage(Now, Task, Usage);
+}
+
+void TaskScheduler::stopStale(const std::string &Worker, const TaskAt &Stay) {
+  if (!Placement_)
+    return;
+  WorkerOrders &Orders = Orders_[Worker];
+  Orders.Stale_.push_back(Stay);
+  Orders.Unfetched_ = true;
+}
+
+std::vector<CommandBody> TaskScheduler::tick(TimePoint Now, Duration LogNow) {
+  std::vector<CommandBody> Records;
+  if (!Placement_)
+    return Records;
+  Now_ = Now;
+  LogNow_ = LogNow;
+  syncWorkers(Now);
+  loseExpired(Now, Records);
+  addWaiting(Now, Records);
+  PlaceTasks Place;
+  ParkTasks Park;
+  const std::vector<decide::PlacementCommand> Decisions = Placement_->tick(Now);
+  for (const decide::PlacementCommand &Decision : Decisions)
+    take(Decision, Place, Park);
+  if (!Place.Rows_.empty())
+    Records.emplace_back(std::move(Place));
+  if (!Park.Rows_.empty())
+    Records.emplace_back(std::move(Park));
+  return Records;
+}
+
+/// Tells placement of heartbeats that are newer than those it knows.
+void TaskScheduler::syncWorkers(TimePoint Now) {
+  for (const auto &[Name, Row] : Upstreams_.workers())
+    if (std::exchange(Told_[Name], Row.Last_.Sequence_) != Row.Last_.Sequence_)
+      Placement_->setWorker(Now, workerOf(Row.Last_));
+  std::erase_if(Told_, [&](const auto &Row) {
+    // A worker that still has tasks stays until they are lost by record.
+    if (Upstreams_.workers().contains(Row.first) ||
+        !Tasks_.onWorker(Row.first).empty())
+      return false;
+    Placement_->removeWorker(Now, Row.first);
+    Orders_.erase(Row.first);
+    return true;
+  });
+}
+
+void TaskScheduler::loseExpired(TimePoint Now,
+                                std::vector<CommandBody> &Records) {
+  LoseTasks Lost;
+  for (const auto &[Worker, Tasks] : Tasks_.workers()) {
+    if (!Upstreams_.leaseRanOut(Now, Worker))
+      continue;
+    for (const TaskId Id : Tasks) {
+      const Epoch At = Tasks_.find(Id)->Epoch_;
+      if (std::exchange(Losing_[Id], At) != At)
+        Lost.Rows_.push_back({.Task_ = Id, .Epoch_ = At});
+    }
+    if (!Lost.Rows_.empty())
+      logEvent(Event::LeaseRanOut, {{"upstream", Worker}});
+  }
+  if (!Lost.Rows_.empty())
+    Records.emplace_back(std::move(Lost));
+}
+
+void TaskScheduler::addWaiting(TimePoint Now,
+                               std::vector<CommandBody> &Records) {
+  ParkTasks Park;
+  std::erase_if(Unadded_, [&](TaskId Id) {
+    const TaskRecord *Task = Tasks_.find(Id);
+    if (Task == nullptr || Task->ended() || Task->onWorker())
+      return true;
+    const Reason Why = Placement_->addTask(Now, rowOf(*Task));
+    if (Why == Reason::None)
+      return true;
+    if (Now < SettledAt_)
+      return false;
+    Park.Rows_.push_back({.Task_ = Id, .Epoch_ = Task->Epoch_, .Reason_ = Why});
+    return true;
+  });
+  if (!Park.Rows_.empty())
+    Records.emplace_back(std::move(Park));
+}
+
+void TaskScheduler::take(const decide::PlacementCommand &Decision,
+                         PlaceTasks &Place, ParkTasks &Park) {
+  const TaskRecord *Task = Tasks_.find(Decision.Task_);
+  if (Task == nullptr)
+    return;
+  if (Decision.Action_ == PlacementAction::Park) {
+    Park.Rows_.push_back({.Task_ = Decision.Task_,
+                          .Epoch_ = Task->Epoch_,
+                          .Reason_ = Decision.Reason_});
+    return;
+  }
+  if (Decision.Action_ != PlacementAction::Start)
+    return order(Decision);
+  const auto Worker = Upstreams_.workers().find(Decision.Worker_);
+  if (Worker == Upstreams_.workers().end()) {
+    Placement_->ended(Now_, Decision.Task_, decide::RunResult::Refused);
+    return;
+  }
+  Place.Rows_.push_back({.Task_ = Decision.Task_,
+                         .Epoch_ = Task->Epoch_,
+                         .Worker_ = Decision.Worker_,
+                         .Target_ = Worker->second.Last_.Incarnation_,
+                         .Reserve_ = Decision.Reserve_});
+}
+
+void TaskScheduler::onPlaced(const PlaceTasks &Record) {
+  if (!Placement_)
+    return;
+  for (const PlaceRow &Row : Record.Rows_) {
+    const TaskRecord *Task = Tasks_.find(Row.Task_);
+    if (Task != nullptr && !Task->ended() && !Task->onWorker() &&
+        Task->Epoch_ == Row.Epoch_)
+      Placement_->ended(Now_, Row.Task_, decide::RunResult::Refused);
+  }
+}
+
+void TaskScheduler::order(const decide::PlacementCommand &Decision) {
+  WorkerOrders &Orders = Orders_[Decision.Worker_];
+  if (Decision.Action_ == PlacementAction::Checkpoint)
+    Orders.Checkpoint_.insert(Decision.Task_);
+  else
+    Orders.ThrottlePermille_[Decision.Task_] = Decision.ThrottlePermille_;
+  Orders.Unfetched_ = true;
+}
+
+bool TaskScheduler::hasDirectives(const std::string &Worker) const {
+  if (!Placement_)
+    return false;
+  const auto Orders = Orders_.find(Worker);
+  if (Orders != Orders_.end() &&
+      (Orders->second.Unfetched_ || !Orders->second.Checkpoint_.empty()))
+    return true;
+  return std::ranges::any_of(Tasks_.onWorker(Worker), [this](TaskId Id) {
+    const TaskRecord &Task = *Tasks_.find(Id);
+    return Task.State_ == TaskState::Placed || Task.Cancelling_;
+  });
+}
+
+wire::Directives TaskScheduler::takeDirectives(const std::string &Worker) {
+  wire::Directives Result;
+  WorkerOrders &Orders = Orders_[Worker];
+  for (const TaskId Id : Tasks_.onWorker(Worker)) {
+    const TaskRecord &Task = *Tasks_.find(Id);
+    if (Losing_.contains(Id))
+      continue;
+    if (Task.Cancelling_)
+      Result.Rows_.push_back(directiveOf(Task, TaskAction::Stop));
+    else if (Task.State_ == TaskState::Placed)
+      Result.Rows_.push_back(startOf(Task));
+    else if (Orders.Checkpoint_.contains(Id))
+      Result.Rows_.push_back(directiveOf(Task, TaskAction::Checkpoint));
+    else if (const auto Throttle = Orders.ThrottlePermille_.find(Id);
+             Throttle != Orders.ThrottlePermille_.end()) {
+      Result.Rows_.push_back(directiveOf(Task, TaskAction::Throttle));
+      Result.Rows_.back().ThrottlePermille_ = Throttle->second;
+    }
+  }
+  for (const TaskAt &Stay : std::exchange(Orders.Stale_, {})) {
+    wire::TaskDirective Row;
+    Row.Task_ = Stay.Task_;
+    Row.Epoch_ = Stay.Epoch_;
+    Row.Action_ = TaskAction::Stop;
+    Result.Rows_.push_back(std::move(Row));
+  }
+  Orders.Unfetched_ = false;
+  return Result;
+}
+
+} // namespace dragonfly::control
--- a/src/control/TaskTable.cpp
+++ b/src/control/TaskTable.cpp
@@ -59,11 +59,16 @@
 
 bool TaskTable::place(const PlaceRow &Row) {
   TaskRecord *Task = current(Row.Task_, Row.Epoch_);
+  const Incarnation Holder = holderOf(Row.Worker_);
+  if (Holder && Holder != Row.Target_)
+    return false;
   if (Task == nullptr || (Task->State_ != TaskState::Waiting &&
                           Task->State_ != TaskState::Evicted))
     return false;
   Task->State_ = TaskState::Placed;
   Task->Worker_ = Row.Worker_;
+  Task->Target_ = Row.Target_;
+  Task->Reserve_ = Row.Reserve_;
   Task->EverPlaced_ = true;
   ByWorker_[Row.Worker_].insert(Row.Task_);
   notify(TaskChange::Placed, *Task, Row.Worker_);
@@ -260,6 +265,11 @@
   return Found != ByWorker_.end() ? Found->second : None;
 }
 
+Incarnation TaskTable::holderOf(const std::string &Worker) const {
+  const std::set<TaskId> &Tasks = onWorker(Worker);
+  return Tasks.empty() ? Incarnation{} : find(*Tasks.begin())->Target_;
+}
+
 void TaskTable::rebuild() {
   ByKey_.clear();
   ByWorker_.clear();
--- /dev/null
+++ b/src/control/UpstreamTable.cpp
@@ -0,0 +1,176 @@
+#include "dragonfly/control/UpstreamTable.h"
+
+#include "dragonfly/base/Log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonfly::control {
+namespace {
+
+/// Versions per term of the log; a leader changes its table less often.
+constexpr unsigned VersionBitsPerTerm = 24;
+
+wire::Upstream upstreamOf(const wire::Heartbeat &Beat) {
+  return {.Name_ = Beat.Name_,
+          .Incarnation_ = Beat.Incarnation_,
+          .AvailabilityZone_ = Beat.AvailabilityZone_,
+          .Rack_ = Beat.Rack_,
+          .Address_ = Beat.Address_,
+          .Draining_ = Beat.Draining_,
+          .Vm_ = Beat.Vm_};
+}
+
+/// True where entries would route otherwise.
+bool routesAlike(const wire::Upstream &A, const wire::Upstream &B) {
+  return A.Incarnation_ == B.Incarnation_ && A.Address_ == B.Address_ &&
+         A.Draining_ == B.Draining_ && A.Vm_.Slots_ == B.Vm_.Slots_ &&
+         A.AvailabilityZone_ == B.AvailabilityZone_ && A.Rack_ == B.Rack_;
+}
+
+} // namespace
+
+UpstreamTable::UpstreamTable(UpstreamTableOptions Options)
+    : Options_(std::move(Options)) {}
+
+Duration UpstreamTable::fullTerm() const {
+  return Options_.LeaseTerm_ + Options_.DriftMargin_;
+}
+
+void UpstreamTable::lead(TimePoint Now, Term Value) {
+  LeadingSince_ = Now;
+  Version_ = std::max(Version_ + 1, Value.Value_ << VersionBitsPerTerm);
+  std::erase_if(Workers_, [this](const auto &Row) {
+    return belongsToAnother(Row.second.Last_);
+  });
+  for (auto &[Name, Row] : Workers_)
+    Row.RenewedAt_ = Now;
+}
+
+bool UpstreamTable::belongsToAnother(const wire::Heartbeat &Beat) const {
+  const Incarnation Holder = Options_.HolderOfTasks_
+                                 ? Options_.HolderOfTasks_(Beat.Name_)
+                                 : Incarnation{};
+  return Holder && Holder != Beat.Incarnation_;
+}
+
+bool UpstreamTable::heartbeat(TimePoint Now, const wire::Heartbeat &Beat,
+                              bool Renew) {
+  if (Beat.Role_ == wire::Role::Agent)
+    return heartbeatOfAgent(Now, Beat, Renew);
+  if (Beat.Role_ == wire::Role::Entry) {
+    WorkerEntry &Row = Entries_[Beat.Name_];
+    Row.Last_ = Beat;
+    Row.HeardAt_ = Now;
+  }
+  return Renew;
+}
+
+bool UpstreamTable::heartbeatOfAgent(TimePoint Now, const wire::Heartbeat &Beat,
+                                     bool Renew) {
+  const auto Found = Workers_.find(Beat.Name_);
+  if (Found == Workers_.end() ||
+      Found->second.Last_.Incarnation_ != Beat.Incarnation_)
+    return takeOver(Now, Beat, Renew);
+  WorkerEntry &Row = Found->second;
+  if (Beat.Sequence_ > Row.Last_.Sequence_)
+    Row.Last_ = Beat;
+  Row.HeardAt_ = Now;
+  if (Renew)
+    Row.RenewedAt_ = Now;
+  // A challenger at the same address may have been published already.
+  if (Published_.contains(Beat.Name_) &&
+      Published_[Beat.Name_].Incarnation_ == Beat.Incarnation_)
+    publish(Row.Last_);
+  return Renew;
+}
+
+bool UpstreamTable::takeOver(TimePoint Now, const wire::Heartbeat &Beat,
+                             bool Renew) {
+  const auto Retired = Retired_.find(Beat.Name_);
+  if (Retired != Retired_.end() && Retired->second == Beat.Incarnation_)
+    return false;
+  const auto Found = Workers_.find(Beat.Name_);
+  const bool IsNew = Found == Workers_.end();
+  if (!IsNew && Found->second.Last_.Address_ == Beat.Address_)
+    publish(Beat);
+  if (belongsToAnother(Beat) || (!IsNew && !leaseRanOut(Now, Beat.Name_))) {
+    contest(Beat);
+    return false;
+  }
+  Contested_.erase(Beat.Name_);
+  if (!IsNew)
+    Retired_[Beat.Name_] = Found->second.Last_.Incarnation_;
+  Workers_[Beat.Name_] = {.Last_ = Beat, .HeardAt_ = Now, .RenewedAt_ = Now};
+  publish(Beat);
+  logEvent(Event::UpstreamJoined,
+           {{"upstream", Beat.Name_}, {"address", Beat.Address_}});
+  return Renew;
+}
+
+/// Logs a refused claim to a name, once per incarnation.
+void UpstreamTable::contest(const wire::Heartbeat &Beat) {
+  if (std::exchange(Contested_[Beat.Name_], Beat.Incarnation_) !=
+      Beat.Incarnation_)
+    logEvent(Event::UpstreamContested,
+             {{"upstream", Beat.Name_}, {"address", Beat.Address_}});
+}
+
+void UpstreamTable::publish(const wire::Heartbeat &Beat) {
+  wire::Upstream Next = upstreamOf(Beat);
+  const auto Found = Published_.find(Beat.Name_);
+  if (Found == Published_.end() || !routesAlike(Found->second, Next)) {
+    ++Version_;
+    if (Next.Draining_)
+      logEvent(Event::UpstreamLeft, {{"upstream", Beat.Name_}});
+  }
+  Published_[Beat.Name_] = std::move(Next);
+}
+
+void UpstreamTable::tick(TimePoint Now) {
+  const auto Gone = [&](const auto &Row) {
+    return Now - Row.second.HeardAt_ > fullTerm();
+  };
+  std::erase_if(Workers_, [&](const auto &Row) {
+    // Followers hear heartbeats and renew nothing.
+    if (!Gone(Row) || !leaseRanOut(Now, Row.first))
+      return false;
+    logEvent(Event::UpstreamLost, {{"upstream", Row.first}});
+    Published_.erase(Row.first);
+    Retired_.erase(Row.first);
+    Contested_.erase(Row.first);
+    ++Version_;
+    return true;
+  });
+  std::erase_if(Entries_, Gone);
+}
+
+bool UpstreamTable::holds(const std::string &Worker, Incarnation Sender) const {
+  const auto Found = Workers_.find(Worker);
+  return Found != Workers_.end() && Found->second.Last_.Incarnation_ == Sender;
+}
+
+bool UpstreamTable::leaseRanOut(TimePoint Now,
+                                const std::string &Worker) const {
+  const auto Found = Workers_.find(Worker);
+  const TimePoint RenewedAt =
+      Found == Workers_.end()
+          ? LeadingSince_
+          : std::max(LeadingSince_, Found->second.RenewedAt_);
+  return Now - RenewedAt > fullTerm();
+}
+
+wire::Upstreams UpstreamTable::upstreams() const {
+  wire::Upstreams Result{.Version_ = Version_, .Rows_ = {}};
+  for (const auto &[Name, Row] : Published_)
+    Result.Rows_.push_back(Row);
+  return Result;
+}
+
+std::uint32_t UpstreamTable::entries() const {
+  const auto Serving = std::ranges::count_if(
+      Entries_, [](const auto &Row) { return !Row.second.Last_.Draining_; });
+  return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(Serving));
+}
+
+} // namespace dragonfly::control
--- a/tests/control/StateMachineTest.cpp
+++ b/tests/control/StateMachineTest.cpp
@@ -47,7 +47,7 @@
     Fixture->apply(PutList{settings::ListName::Plans, {1}, "id", Plans}, 5s);
     Fixture->apply(ClaimRequests{{{{"c", "r"}, "vm", {1}, {2}, 1, 3}}}, 4s);
     Fixture->apply(AcceptTasks{{{{"c", "t"}, "review", {}, 9s, 1s, true, ""}}});
-    Fixture->apply(PlaceTasks{{{{1}, {1}, "vm"}}});
+    Fixture->apply(PlaceTasks{{{{1}, {1}, "vm", {9}, {}}}});
     Fixture->apply(MergeReceipts{{{{"c", "r"},
                                    "check",
                                    Outcome::Completed,
--- a/tests/control/TaskTableTest.cpp
+++ b/tests/control/TaskTableTest.cpp
@@ -32,7 +32,7 @@
 
 bool place(MachineFixture &Fixture, std::uint64_t At,
            const std::string &Worker = "vm") {
-  return took(Fixture, PlaceTasks{{{TaskId{1}, Epoch{At}, Worker}}});
+  return took(Fixture, PlaceTasks{{{TaskId{1}, Epoch{At}, Worker, {9}, {}}}});
 }
 
 bool report(MachineFixture &Fixture, std::uint64_t At, TaskEvent Event,
