--- a/tools/check-layers.sh
+++ b/tools/check-layers.sh
@@ -21,6 +21,7 @@
 check link base settings wire net decide
 check entry base settings wire net decide link
 check control base settings wire net decide consensus
+check ctl base settings net
 check agent base settings wire net decide link
 heavy=$(grep -rnE '#include [<"](boost/(asio|beast)|spdlog|cereal|absl)' include)
 if [ -n "$heavy" ]; then echo "heavy include in a public header:"; echo "$heavy"; bad=1; fi
