--- a/src/decide/AdmissionTables.cpp
+++ b/src/decide/AdmissionTables.cpp
@@ -21,16 +21,35 @@
   });
 }
 
+/// Rounds to whole slots by largest remainder, so that together the floors get
+/// what they are promised as nearly as whole slots allow.
 void KindTable::setSlots(std::uint32_t Slots) {
+  std::uint64_t Promised = 0;
   std::uint32_t Left = Slots;
+  std::vector<std::pair<std::uint64_t, RowIndex>> Remainders;
   for (RowIndex Index : ByRank_) {
     KindRow &Kind = Rows_[Index];
     const std::uint64_t Share =
         std::uint64_t{Slots} * Kind.Policy_.FloorPermille_;
-    const bool Guaranteed = Kind.Policy_.FloorPermille_ > 0;
-    const auto Whole = static_cast<std::uint32_t>(Share / Permille);
-    Kind.FloorSlots_ = std::min(Left, std::max(Whole, Guaranteed ? 1U : 0U));
+    Promised += Share;
+    Kind.FloorSlots_ =
+        std::min(Left, static_cast<std::uint32_t>(Share / Permille));
     Left -= Kind.FloorSlots_;
+    // A kind that is promised anything gets a slot before others are rounded.
+    const bool Nothing = Share > 0 && Kind.FloorSlots_ == 0;
+    Remainders.emplace_back(Nothing ? Permille : Share % Permille, Index);
+  }
+  std::ranges::sort(Remainders, std::ranges::greater(),
+                    [](const auto &Row) { return Row.first; });
+  auto Whole = static_cast<std::uint32_t>((Promised + Permille / 2) / Permille);
+  Whole -= std::min(Whole, Slots - Left);
+  for (const auto &[Remainder, Index] : Remainders) {
+    const bool Nothing = Remainder == Permille;
+    if (Left == 0 || Remainder == 0 || (Whole == 0 && !Nothing))
+      break;
+    ++Rows_[Index].FloorSlots_;
+    --Left;
+    Whole -= std::min(Whole, 1U);
   }
 }
 
