--- a/src/net/FrameClient.cpp
+++ b/src/net/FrameClient.cpp
@@ -205,8 +205,10 @@
       const std::uint64_t Sequence = Expiries_.begin()->second;
       const Call &Late = Calls_.at(Sequence);
       Silent = Silent || (Late.Sent_ && LastHeard_ < Late.StartedAt_);
-      finish(Sequence, {.Status_ = Late.Sent_ ? CallStatus::TimedOut
-                                              : CallStatus::NeverSent});
+      // Bytes queued on an open connection leave once the peer takes them.
+      const bool MayLeave = Late.Sent_ || Link_ == Link::Open;
+      finish(Sequence, {.Status_ = MayLeave ? CallStatus::TimedOut
+                                            : CallStatus::NeverSent});
     }
     // Nothing came for a whole call: the connection may be half open.
     if (Silent && Link_ == Link::Open)
