--- a/src/entry/Gateway.cpp
+++ b/src/entry/Gateway.cpp
@@ -142,10 +142,10 @@
 }
 
 void Gateway::Impl::callerGone(TimePoint Now, WaiterId Gone) {
-  const auto Found = Waiters_.extract(Gone);
+  auto Found = Waiters_.extract(Gone);
   if (Found.empty())
     return;
-  const RequestPtr Row = Found.mapped();
+  const RequestPtr Row = std::move(Found.mapped());
   std::erase_if(Row->Waiters_,
                 [Gone](const Waiter &Each) { return Each.Id_ == Gone; });
   if (Row->Waiters_.empty() && !Row->Detached_)
@@ -269,10 +269,10 @@
 
 void Gateway::Impl::obey(TimePoint Now,
                          const decide::AdmissionCommand &Command) {
-  const auto Found = Waiting_.extract(Command.Request_);
+  auto Found = Waiting_.extract(Command.Request_);
   if (Found.empty())
     return;
-  const RequestPtr Row = Found.mapped();
+  const RequestPtr Row = std::move(Found.mapped());
   if (Command.Verdict_ == decide::AdmissionVerdict::Refuse) {
     finish(Now, Row,
            {.Outcome_ = Outcome::RefusedNotRun,
