Let the log's owner look at commands that are not applied yet

Cause: a replica acknowledges heartbeats with the newest list versions in its log, committed or not; records that are truncated later must drop out again. Ruled out: a hook on append (it would need another one on truncation). Change: ReplicatedLog::visitUnapplied.

--- a/include/dragonfly/consensus/ReplicatedLog.h
+++ b/include/dragonfly/consensus/ReplicatedLog.h
@@ -125,6 +125,11 @@
   void changeMember(Member Target, bool Remove,
                     std::function<void(ProposeResult)> Done);
 
+  /// Calls \p Visit with each command that is in this replica's log and not
+  /// applied yet, committed or not, in order.
+  void visitUnapplied(
+      const std::function<void(std::string_view Command)> &Visit) const;
+
   RaftRole role() const;
   /// True while this replica leads and a majority has answered it recently
   /// enough that no other leader can have been elected.
--- a/src/consensus/Commit.cpp
+++ b/src/consensus/Commit.cpp
@@ -124,6 +124,14 @@
     becomeFollower(Hard_.Term_, {});
 }
 
+void RaftCore::visitUnapplied(
+    const std::function<void(std::string_view Command)> &Visit) const {
+  for (LogIndex Index = nextIndex(Applied_); Index <= Log_.lastIndex();
+       Index = nextIndex(Index))
+    if (Log_.at(Index).Kind_ == RecordKind::Command)
+      Visit(Log_.at(Index).Payload_);
+}
+
 void RaftCore::finishBarriers() {
   if (Barriers_.empty())
     return;
--- a/src/consensus/RaftCore.h
+++ b/src/consensus/RaftCore.h
@@ -68,6 +68,9 @@
   void readBarrier(ReadHandler Done);
   void changeMember(Member Target, bool Remove, ProposeHandler Done);
 
+  void visitUnapplied(
+      const std::function<void(std::string_view Command)> &Visit) const;
+
   RaftRole role() const { return Role_; }
   bool holdsLeaderLease(TimePoint Now) const;
   ReplicaId leader() const { return Leader_; }
--- a/src/consensus/ReplicatedLog.cpp
+++ b/src/consensus/ReplicatedLog.cpp
@@ -35,6 +35,11 @@
   Impl_->Core_.changeMember(std::move(Target), Remove, std::move(Done));
 }
 
+void ReplicatedLog::visitUnapplied(
+    const std::function<void(std::string_view Command)> &Visit) const {
+  Impl_->Core_.visitUnapplied(Visit);
+}
+
 RaftRole ReplicatedLog::role() const { return Impl_->Core_.role(); }
 
 bool ReplicatedLog::holdsLeaderLease(TimePoint Now) const {
