Add ControlService: leadership, heartbeats, batched records

Cause: one replica needs a part that turns messages into records and answers only what is durable, without sockets, so that the paused clock can drive it. Ruled out: answering a proposal that lost its leader (it may have happened; the caller must hear nothing rather than a refusal); acknowledging heartbeats as a learner (what its log lacks would be taken for the absence of a newer list).

--- a/include/dragonfly/control/Command.h
+++ b/include/dragonfly/control/Command.h
@@ -14,6 +14,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -272,6 +273,9 @@
 std::string encodeCommand(const Command &Value);
 /// Throws CodecError(BadCommand).
 Command decodeCommand(std::string_view Bytes);
+/// Returns the change of a list that \p Bytes hold, or nothing where they hold
+/// another command, whose rows are not read. Throws CodecError(BadCommand).
+std::optional<PutList> decodeIfPutList(std::string_view Bytes);
 std::string encodeOutput(const CommandOutput &Value);
 /// Throws CodecError(BadCommand).
 CommandOutput decodeOutput(std::string_view Bytes);
--- /dev/null
+++ b/include/dragonfly/control/ControlService.h
@@ -0,0 +1,90 @@
+/// One replica of control without its sockets: takes messages, heartbeats and
+/// the time, and answers through hooks.
+#ifndef DRAGONFLY_CONTROL_CONTROLSERVICE_H
+#define DRAGONFLY_CONTROL_CONTROLSERVICE_H
+
+#include "dragonfly/base/Clock.h"
+#include "dragonfly/consensus/ReplicatedLog.h"
+#include "dragonfly/consensus/Storage.h"
+#include "dragonfly/control/Command.h"
+#include "dragonfly/control/StateMachine.h"
+#include "dragonfly/control/TaskScheduler.h"
+#include "dragonfly/control/UpstreamTable.h"
+#include "dragonfly/settings/Settings.h"
+#include "dragonfly/wire/Messages.h"
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace dragonfly::control {
+
+struct ControlServiceOptions {
+  /// `Machine_` and `OnLeadership_` are set by the service.
+  consensus::ReplicatedLogOptions Log_;
+  /// `OnTask_` is set by the service.
+  StateMachineOptions Machine_;
+  std::vector<settings::ReplicaSettings> Replicas_;
+  Duration LeaseTerm_ = std::chrono::seconds(3);
+  Duration DriftMargin_ = std::chrono::milliseconds(300);
+  /// How often upstreams are checked and tasks are placed.
+  Duration SchedulePeriod_ = std::chrono::milliseconds(20);
+  decide::PlacementOptions Placement_;
+  std::function<bool(const std::string &Kind)> Evictable_;
+};
+
+/// One replica. Every answer that states something durable leaves only after
+/// the record is committed. A request that provably did nothing is answered
+/// with `wire::Refusal`; one that may have done something is not answered.
+class ControlService {
+public:
+  using Reply = std::function<void(wire::Message)>;
+
+  /// Recovers from \p Disk. Throws StorageError.
+  ControlService(ControlServiceOptions Options,
+                 std::unique_ptr<consensus::Storage> Disk, TimePoint Now);
+  ~ControlService();
+
+  /// Call it every few milliseconds and after each batch of input. Throws
+  /// StorageError, LogError or CodecError; the process must end then.
+  void tick(TimePoint Now);
+
+  /// Takes bytes that another replica sent.
+  void receivePeer(TimePoint Now, ReplicaId From, std::string_view Bytes);
+
+  /// Answers a heartbeat, unless this replica is no voter: what a learner's log
+  /// lacks would be taken for the absence of a newer list.
+  std::optional<wire::HeartbeatAck> heartbeat(TimePoint Now,
+                                              const wire::Heartbeat &Beat);
+
+  /// Answers a request of an entry or an agent, now or within a later tick.
+  void handle(TimePoint Now, wire::Message Request, Reply Answer);
+
+  /// Proposes a change of a list. \p Done gets the outcome only where it was
+  /// committed.
+  void putList(PutList Change,
+               std::function<void(consensus::ProposeStatus, PutOutcome)> Done);
+  /// Calls \p Done with true once a read of the state is linearizable here.
+  void readBarrier(std::function<void(bool)> Done);
+  void changeMember(consensus::Member Target, bool Remove,
+                    std::function<void(consensus::ProposeStatus)> Done);
+
+  /// True while this replica leads and has applied what earlier terms left.
+  bool serving() const;
+  /// The leader as far as this replica knows.
+  const settings::ReplicaSettings *leader() const;
+  const StateMachine &state() const;
+  const UpstreamTable &upstreams() const;
+  const consensus::ReplicatedLog &log() const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+} // namespace dragonfly::control
+
+#endif // DRAGONFLY_CONTROL_CONTROLSERVICE_H
--- a/src/control/Command.cpp
+++ b/src/control/Command.cpp
@@ -30,6 +30,24 @@
   }
 }
 
+std::optional<PutList> decodeIfPutList(std::string_view Bytes) {
+  static_assert(
+      std::is_same_v<std::variant_alternative_t<0, CommandBody>, PutList>);
+  try {
+    Duration At{};
+    std::int32_t Alternative = 0;
+    InputArchive Ar(Bytes);
+    Ar(At, Alternative);
+    if (Alternative != 0)
+      return std::nullopt;
+    PutList Value;
+    Ar(Value);
+    return Value;
+  } catch (const std::exception &Cause) {
+    throw CodecError(CodecFault::BadCommand, Cause.what());
+  }
+}
+
 std::string encodeOutput(const CommandOutput &Value) {
   return encodeValues(Value);
 }
--- /dev/null
+++ b/src/control/ControlService.cpp
@@ -0,0 +1,361 @@
+#include "dragonfly/control/ControlService.h"
+
+#include "control/RecordBatcher.h"
+#include "dragonfly/base/Log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonfly::control {
+
+using consensus::ProposeStatus;
+using settings::ListName;
+
+namespace {
+
+struct NamedVersions {
+  ListVersion Plans_;
+  ListVersion Purchases_;
+};
+
+} // namespace
+
+struct ControlService::Impl {
+  Impl(ControlServiceOptions Options, std::unique_ptr<consensus::Storage> Disk,
+       TimePoint Now)
+      : Options_(std::move(Options)), Now_(Now), Machine_(machineOptions()),
+        Upstreams_({.LeaseTerm_ = Options_.LeaseTerm_,
+                    .DriftMargin_ = Options_.DriftMargin_,
+                    .HolderOfTasks_ =
+                        [this](const std::string &Worker) {
+                          return Machine_.tasks().holderOf(Worker);
+                        }}),
+        Scheduler_({.Placement_ = Options_.Placement_,
+                    .SettleTime_ = Options_.LeaseTerm_,
+                    .Evictable_ = Options_.Evictable_},
+                   Machine_.tasks(), Upstreams_),
+        Batcher_(
+            {.Propose_ =
+                 [this](CommandBody Body, ProposeDone Done) {
+                   propose(std::move(Body), std::move(Done));
+                 },
+             .Refuse_ = [this] { return refusal(); },
+             .OnReported_ =
+                 [this](const wire::TaskReports &Batch) { reported(Batch); }},
+            Machine_),
+        Log_(logOptions(), std::move(Disk), Now) {}
+
+  StateMachineOptions machineOptions() {
+    StateMachineOptions Result = Options_.Machine_;
+    Result.OnTask_ = [this](TaskChange Change, const TaskRecord &Task,
+                            const std::string &Worker) {
+      // Recovery applies commands before the scheduler exists.
+      if (Serving_)
+        Scheduler_.onTask(Change, Task, Worker);
+    };
+    return Result;
+  }
+
+  consensus::ReplicatedLogOptions logOptions() {
+    consensus::ReplicatedLogOptions Result = Options_.Log_;
+    Result.Machine_ = Machine_.hooks();
+    Result.OnLeadership_ = [this](bool Leader) {
+      BarrierDue_ = Leader;
+      if (!Leader)
+        stopServing();
+    };
+    return Result;
+  }
+
+  void tick(TimePoint Now) {
+    Now_ = Now;
+    NamedStale_ = true;
+    Batcher_.flush();
+    Log_.tick(Now);
+    if (std::exchange(BarrierDue_, false))
+      Log_.readBarrier([this, Led = Log_.term()](bool Passed) {
+        if (Passed && Log_.term() == Led)
+          serve();
+      });
+    if (Now < ScheduleAt_)
+      return;
+    ScheduleAt_ = Now + Options_.SchedulePeriod_;
+    Upstreams_.tick(Now);
+    if (Serving_ && Log_.holdsLeaderLease(Now))
+      schedule();
+  }
+
+  void serve() {
+    Upstreams_.lead(Now_, Log_.term());
+    Scheduler_.lead(Now_, logNow());
+    Serving_ = true;
+  }
+
+  void stopServing() {
+    Serving_ = false;
+    Scheduler_.stop();
+    Batcher_.refuseAll();
+  }
+
+  void schedule() {
+    for (CommandBody &Body : Scheduler_.tick(Now_, logNow())) {
+      std::optional<PlaceTasks> Placed;
+      if (const auto *Place = std::get_if<PlaceTasks>(&Body))
+        Placed = *Place;
+      propose(std::move(Body),
+              [this, Placed](ProposeStatus Status, const CommandOutput &) {
+                if (Status == ProposeStatus::Committed && Placed)
+                  Scheduler_.onPlaced(*Placed);
+              });
+    }
+  }
+
+  /// Log time grows with this replica's clock from the newest stamp it knows.
+  Duration logNow() {
+    const Duration Clocked = Now_.time_since_epoch();
+    LogOffset_ = std::max(LogOffset_, Machine_.logTime() - Clocked);
+    return Clocked + LogOffset_;
+  }
+
+  void propose(CommandBody Body, ProposeDone Done) {
+    NamedStale_ = true;
+    Log_.propose(
+        encodeCommand({.At_ = logNow(), .Body_ = std::move(Body)}),
+        [Done = std::move(Done)](const consensus::ProposeResult &Result) {
+          Done(Result.Status_, Result.Status_ == ProposeStatus::Committed
+                                   ? decodeOutput(Result.Output_)
+                                   : CommandOutput());
+        });
+  }
+
+  wire::Refusal refusal() const {
+    const settings::ReplicaSettings *Row = leader();
+    return {.Reason_ = Reason::NoQuorum,
+            .Leader_ = Row != nullptr ? Row->Address_ : std::string()};
+  }
+
+  const settings::ReplicaSettings *leader() const {
+    const auto Found = std::ranges::find(Options_.Replicas_, Log_.leader(),
+                                         &settings::ReplicaSettings::Id_);
+    return Found != Options_.Replicas_.end() ? &*Found : nullptr;
+  }
+
+  bool isVoter() const {
+    return std::ranges::any_of(
+        Log_.members(), [this](const consensus::Member &Row) {
+          return Row.Id_ == Options_.Log_.Self_ && Row.Voter_ &&
+                 Row.Store_ == Log_.store();
+        });
+  }
+
+  /// The newest versions in this replica's log, committed or not.
+  const NamedVersions &named() {
+    if (!std::exchange(NamedStale_, false))
+      return Named_;
+    Named_ = {.Plans_ = Machine_.lists().list(ListName::Plans).Version_,
+              .Purchases_ =
+                  Machine_.lists().list(ListName::Purchases).Version_};
+    Log_.visitUnapplied([this](std::string_view Bytes) {
+      const std::optional<PutList> Change = decodeIfPutList(Bytes);
+      if (!Change)
+        return;
+      ListVersion &Newest =
+          Change->List_ == ListName::Plans ? Named_.Plans_ : Named_.Purchases_;
+      Newest = std::max(Newest, ListVersion{Change->Expected_.Value_ + 1});
+    });
+    return Named_;
+  }
+
+  std::optional<wire::HeartbeatAck> heartbeat(TimePoint Now,
+                                              const wire::Heartbeat &Beat) {
+    Now_ = Now;
+    const bool MayRenew = Serving_ && Log_.holdsLeaderLease(Now);
+    const bool Renewed = Upstreams_.heartbeat(Now, Beat, MayRenew);
+    if (!isVoter())
+      return std::nullopt;
+    const settings::ReplicaSettings *Leader = leader();
+    wire::HeartbeatAck Ack;
+    Ack.Sequence_ = Beat.Sequence_;
+    Ack.SentAt_ = Beat.SentAt_;
+    Ack.IsLeader_ = Renewed;
+    Ack.Leader_ = Leader != nullptr ? Leader->Address_ : std::string();
+    Ack.LeaseTerm_ = Options_.LeaseTerm_;
+    Ack.Epoch_ = {Log_.term().Value_};
+    Ack.Plans_ = named().Plans_;
+    Ack.Purchases_ = named().Purchases_;
+    Ack.UpstreamsVersion_ = Upstreams_.version();
+    Ack.Entries_ = Upstreams_.entries();
+    Ack.DirectivesPending_ = Renewed && Beat.Role_ == wire::Role::Agent &&
+                             Scheduler_.hasDirectives(Beat.Name_);
+    return Ack;
+  }
+
+  void handle(wire::Message Request, Reply Answer) {
+    if (!Serving_) {
+      Answer(refusal());
+      return;
+    }
+    std::visit(
+        [&](auto &Value) { serveRequest(std::move(Value), std::move(Answer)); },
+        Request);
+  }
+
+  void serveRequest(const wire::FetchLists &, Reply Answer) {
+    const VersionedList &Plans = Machine_.lists().list(ListName::Plans);
+    const VersionedList &Purchases = Machine_.lists().list(ListName::Purchases);
+    Answer(wire::Lists{.PlansVersion_ = Plans.Version_,
+                       .Plans_ = Plans.Content_,
+                       .PurchasesVersion_ = Purchases.Version_,
+                       .Purchases_ = Purchases.Content_});
+  }
+
+  void serveRequest(const wire::FetchUpstreams &, Reply Answer) {
+    Answer(Upstreams_.upstreams());
+  }
+
+  void serveRequest(const wire::QueryTask &Query, Reply Answer) {
+    Log_.readBarrier([this, Query, Answer = std::move(Answer)](bool Passed) {
+      if (Passed)
+        Answer(replyOf(Machine_.tasks().find(Query.Key_)));
+      else
+        Answer(refusal());
+    });
+  }
+
+  /// Only who holds the worker's lease is told what to run.
+  void serveRequest(const wire::FetchDirectives &Request, Reply Answer) {
+    if (!Log_.holdsLeaderLease(Now_) ||
+        !Upstreams_.holds(Request.Worker_, Request.Incarnation_) ||
+        Upstreams_.leaseRanOut(Now_, Request.Worker_))
+      Answer(refusal());
+    else
+      Answer(Scheduler_.takeDirectives(Request.Worker_));
+  }
+
+  void serveRequest(const wire::Claim &Request, Reply Answer) {
+    Batcher_.add(Request, std::move(Answer));
+  }
+  void serveRequest(wire::ReceiptBatch Request, Reply Answer) {
+    Batcher_.add(std::move(Request), std::move(Answer));
+  }
+  void serveRequest(wire::SubmitTask Request, Reply Answer) {
+    Batcher_.add(std::move(Request), std::move(Answer));
+  }
+  void serveRequest(const wire::CancelTask &Request, Reply Answer) {
+    Batcher_.add(Request, std::move(Answer));
+  }
+  void serveRequest(wire::TaskReports Request, Reply Answer) {
+    Batcher_.add(std::move(Request), std::move(Answer));
+  }
+  template <typename Other> void serveRequest(const Other &, Reply Answer) {
+    Answer(wire::Refusal{});
+  }
+
+  void reported(const wire::TaskReports &Batch) {
+    for (const wire::TaskReport &Row : Batch.Rows_) {
+      const TaskRecord *Task = Machine_.tasks().find(Row.Task_);
+      const bool Current = Task != nullptr && Task->onWorker() &&
+                           Task->Epoch_ == Row.Epoch_ &&
+                           Task->Worker_ == Batch.Worker_;
+      if (Current)
+        Scheduler_.reportUsage(Now_, Row.Task_, Row.Usage_);
+      else if (Row.Event_ == wire::TaskEvent::Started)
+        Scheduler_.stopStale(Batch.Worker_,
+                             {.Task_ = Row.Task_, .Epoch_ = Row.Epoch_});
+    }
+  }
+
+  ControlServiceOptions Options_;
+  TimePoint Now_;
+  bool Serving_ = false;
+  bool BarrierDue_ = false;
+  bool NamedStale_ = true;
+  NamedVersions Named_;
+  Duration LogOffset_ = Duration::min() / 2;
+  TimePoint ScheduleAt_;
+  StateMachine Machine_;
+  UpstreamTable Upstreams_;
+  TaskScheduler Scheduler_;
+  RecordBatcher Batcher_;
+  consensus::ReplicatedLog Log_;
+};
+
+ControlService::ControlService(ControlServiceOptions Options,
+                               std::unique_ptr<consensus::Storage> Disk,
+                               TimePoint Now)
+    : Impl_(std::make_unique<Impl>(std::move(Options), std::move(Disk), Now)) {}
+
+ControlService::~ControlService() = default;
+
+void ControlService::tick(TimePoint Now) { Impl_->tick(Now); }
+
+void ControlService::receivePeer(TimePoint Now, ReplicaId From,
+                                 std::string_view Bytes) {
+  Impl_->Now_ = Now;
+  Impl_->NamedStale_ = true;
+  Impl_->Log_.receive(Now, From, Bytes);
+}
+
+std::optional<wire::HeartbeatAck>
+ControlService::heartbeat(TimePoint Now, const wire::Heartbeat &Beat) {
+  return Impl_->heartbeat(Now, Beat);
+}
+
+void ControlService::handle(TimePoint Now, wire::Message Request,
+                            Reply Answer) {
+  Impl_->Now_ = Now;
+  Impl_->handle(std::move(Request), std::move(Answer));
+}
+
+void ControlService::putList(
+    PutList Change, std::function<void(ProposeStatus, PutOutcome)> Done) {
+  const ListName List = Change.List_;
+  Impl_->propose(std::move(Change), [List, Done = std::move(Done)](
+                                        ProposeStatus Status,
+                                        const CommandOutput &Output) {
+    if (Status != ProposeStatus::Committed)
+      return Done(Status, {});
+    const auto &Result = std::get<PutOutcome>(Output);
+    const bool Accepted = Result.Status_ == PutStatus::Accepted;
+    logEvent(Accepted ? Event::ListAccepted : Event::ListRejected,
+             {{"list", enumName(List)},
+              {"status", enumName(Result.Status_)},
+              {"version", Result.Current_.Value_}});
+    Done(Status, Result);
+  });
+}
+
+void ControlService::readBarrier(std::function<void(bool)> Done) {
+  Impl_->Log_.readBarrier(std::move(Done));
+}
+
+void ControlService::changeMember(consensus::Member Target, bool Remove,
+                                  std::function<void(ProposeStatus)> Done) {
+  const std::uint64_t Replica = Target.Id_.Value_;
+  Impl_->Log_.changeMember(std::move(Target), Remove,
+                           [Replica, Done = std::move(Done)](
+                               const consensus::ProposeResult &Result) {
+                             if (Result.Status_ == ProposeStatus::Committed)
+                               logEvent(Event::MemberChanged,
+                                        {{"replica", Replica}});
+                             Done(Result.Status_);
+                           });
+}
+
+bool ControlService::serving() const { return Impl_->Serving_; }
+
+const settings::ReplicaSettings *ControlService::leader() const {
+  return Impl_->leader();
+}
+
+const StateMachine &ControlService::state() const { return Impl_->Machine_; }
+
+const UpstreamTable &ControlService::upstreams() const {
+  return Impl_->Upstreams_;
+}
+
+const consensus::ReplicatedLog &ControlService::log() const {
+  return Impl_->Log_;
+}
+
+} // namespace dragonfly::control
