Divide the upstreams' slots among the entries

Cause: entries that do not know of each other's requests met at full upstreams; the agents' refusals used up the retry budget and turned into refusals of urgent requests, some after seconds in the queue. Change: slotShares() divides slots from a table of entries that all see, own zone first; the router fills only its shares and tells admission how many slots they are. Where no shares are known it goes by announced free slots as before. Entries need the table of entries from control.

--- a/bench/support/EntryPolicy.cpp
+++ b/bench/support/EntryPolicy.cpp
@@ -59,6 +59,7 @@
   };
   Policy.CountRequest_ = [Own] { Own->countRequest(); };
   Policy.TakeRetry_ = [Own] { return Own->takeRetry(); };
+  Policy.Slots_ = [Own] { return Own->slots(); };
   Policy.Ejected_ = [Own](TimePoint Now) {
     std::size_t Count = 0;
     for (UpstreamIndex Index = 0; Index < Own->size(); ++Index)
@@ -145,6 +146,7 @@
   Policy.Finished_ = [Own](TimePoint, UpstreamIndex Upstream, AttemptResult,
                            Duration,
                            RoutedKind) { --Own->InProgress_.at(Upstream); };
+  Policy.Slots_ = nullptr;
   Policy.Ejected_ = [](TimePoint) { return std::size_t{0}; };
   return Own;
 }
--- a/bench/support/EntryPolicy.h
+++ b/bench/support/EntryPolicy.h
@@ -33,6 +33,8 @@
       Finished_;
   std::function<void()> CountRequest_;
   std::function<bool()> TakeRetry_;
+  /// Slots that admission may fill, where the router tells.
+  std::function<std::uint32_t()> Slots_;
   /// Upstreams that are ejected now.
   std::function<std::size_t(TimePoint)> Ejected_;
 };
--- a/bench/support/RequestRun.cpp
+++ b/bench/support/RequestRun.cpp
@@ -1,5 +1,7 @@
 #include "support/RequestRun.h"
 
+#include "dragonfly/decide/SlotShares.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -164,6 +166,8 @@
 
 void RequestRun::pump(std::size_t EntryIndex) {
   Entry &Own = Entries_[EntryIndex];
+  if (Own.Policy_.Slots_)
+    Own.Policy_.SetCapacity_(Own.Policy_.Slots_());
   for (const AdmissionCommand &Command : Own.Policy_.Tick_(Now_)) {
     const std::uint32_t Request = Own.Requests_.at(Command.Request_);
     if (Command.Verdict_ == AdmissionVerdict::Refuse) {
@@ -305,8 +309,16 @@
                     .AvailabilityZone_ = Worker.Zone_,
                     .Slots_ = Worker.Slots_,
                     .FreeSlots_ = Worker.Slots_ - Worker.Busy_});
-  for (Entry &Own : Entries_)
-    Own.Policy_.SetUpstreams_(Rows);
+  std::vector<EntryRow> Names;
+  for (std::size_t Index = 0; Index < Entries_.size(); ++Index)
+    Names.push_back(
+        {"e" + std::to_string(Index), zoneName(Options_.Site_, Index)});
+  for (std::size_t Index = 0; Index < Entries_.size(); ++Index) {
+    const auto Shares = slotShares(Names, Names[Index].Name_, Rows);
+    for (std::size_t Row = 0; Row < Rows.size(); ++Row)
+      Rows[Row].Share_ = Shares[Row];
+    Entries_[Index].Policy_.SetUpstreams_(Rows);
+  }
   schedule({.Step_ = Step::Announce}, AnnouncePeriod);
 }
 
--- a/include/dragonfly/decide/Router.h
+++ b/include/dragonfly/decide/Router.h
@@ -24,6 +24,8 @@
   std::uint32_t Slots_ = 0;
   std::uint32_t FreeSlots_ = 0;
   bool Draining_ = false;
+  /// Slots that belong to this entry, where they are divided among entries.
+  std::optional<std::uint32_t> Share_ = std::nullopt;
 };
 
 /// How an attempt on an upstream ended, as far as routing cares.
@@ -87,6 +89,9 @@
   /// Returns after how long a hedge of a request is worth sending, or nothing
   /// while too little is known.
   std::optional<Duration> hedgeDelay(RoutedKind Kind = 0) const;
+  /// Slots of all upstreams that may take work, as far as they belong to this
+  /// entry; what its admission may fill.
+  std::uint32_t slots() const;
   bool ejected(TimePoint Now, UpstreamIndex Upstream) const;
 
 private:
--- a/src/decide/Router.cpp
+++ b/src/decide/Router.cpp
@@ -23,6 +23,8 @@
 constexpr std::uint32_t LeastSamples = 20;
 /// Answers between two looks for slow upstreams.
 constexpr std::uint32_t AnswersPerSlowCheck = 64;
+/// Upstreams looked at for room where those drawn are full.
+constexpr std::size_t LookedAtForRoom = 64;
 
 bool holds(std::span<const UpstreamIndex> List, UpstreamIndex Value) {
   return std::ranges::find(List, Value) != List.end();
@@ -47,6 +49,7 @@
   TimePoint NextProbe_ = TimePoint::max();
   std::array<KindLatency, MaxRoutedKinds> Kinds_;
   std::uint32_t Answers_ = 0;
+  std::uint32_t Slots_ = 0;
 
   std::optional<UpstreamIndex> place(const UpstreamRow &Row);
   void rebuild();
@@ -57,6 +60,8 @@
                                       std::span<const UpstreamIndex> Exclude);
   std::optional<UpstreamIndex> draw(const std::vector<UpstreamIndex> &From,
                                     std::span<const UpstreamIndex> Exclude);
+  std::optional<UpstreamIndex> withRoom(const std::vector<UpstreamIndex> &From,
+                                        std::span<const UpstreamIndex> Exclude);
   void answered(TimePoint Now, UpstreamIndex Index, double Relative);
   void failed(TimePoint Now, UpstreamIndex Index);
   void eject(TimePoint Now, UpstreamIndex Index);
@@ -83,6 +88,7 @@
   Far_.clear();
   Ejected_.clear();
   NextProbe_ = TimePoint::max();
+  Slots_ = 0;
   for (UpstreamIndex Index = 0; Index < Table_.size(); ++Index) {
     const UpstreamState &State = Table_[Index];
     if (!State.Listed_ || State.Row_.Draining_)
@@ -92,6 +98,7 @@
       if (!State.Probing_)
         NextProbe_ = std::min(NextProbe_, State.ProbeAt_);
     } else {
+      Slots_ += State.slots();
       const bool Near =
           State.Row_.AvailabilityZone_ == Options_.AvailabilityZone_;
       (Near ? Near_ : Far_).push_back(Index);
@@ -136,6 +143,22 @@
                                                                 : First;
 }
 
+/// Returns an upstream with a free slot, looked for from a random one on.
+std::optional<UpstreamIndex>
+Router::Impl::withRoom(const std::vector<UpstreamIndex> &From,
+                       std::span<const UpstreamIndex> Exclude) {
+  if (From.empty())
+    return std::nullopt;
+  const std::size_t First = Random_() % From.size();
+  const std::size_t Count = std::min(From.size(), LookedAtForRoom);
+  for (std::size_t Step = 0; Step < Count; ++Step) {
+    const UpstreamIndex Index = From[(First + Step) % From.size()];
+    if (Table_[Index].hasRoom() && !holds(Exclude, Index))
+      return Index;
+  }
+  return std::nullopt;
+}
+
 bool Router::Impl::mayEject() const {
   const std::size_t Listed = Near_.size() + Far_.size() + Ejected_.size();
   return (Ejected_.size() + 1) * Permille <=
@@ -261,7 +284,13 @@
     return Near ? Near : Far;
   const double NearScore = Impl_->Table_[*Near].score(Now);
   const double FarScore = Impl_->Table_[*Far].score(Now);
-  return FarScore * ZonePreference < NearScore ? Far : Near;
+  const auto Best = FarScore * ZonePreference < NearScore ? Far : Near;
+  if (Impl_->Table_[*Best].hasRoom())
+    return Best;
+  if (const auto Room = Impl_->withRoom(Impl_->Near_, Exclude))
+    return Room;
+  const auto Room = Impl_->withRoom(Impl_->Far_, Exclude);
+  return Room ? Room : Best;
 }
 
 void Router::started(TimePoint Now, UpstreamIndex Upstream) {
@@ -304,6 +333,8 @@
   return Impl_->Kinds_.at(Kind % MaxRoutedKinds).hedgeDelay();
 }
 
+std::uint32_t Router::slots() const { return Impl_->Slots_; }
+
 bool Router::ejected(TimePoint Now, UpstreamIndex Upstream) const {
   static_cast<void>(Now);
   return Impl_->Table_.at(Upstream).Ejected_;
--- a/src/decide/UpstreamState.h
+++ b/src/decide/UpstreamState.h
@@ -29,8 +29,14 @@
   TimePoint ProbeAt_{};
   bool Probing_ = false;
 
-  /// Slots in use as announced, corrected by what this entry began since.
+  /// Slots that this entry may fill.
+  std::uint32_t slots() const { return Row_.Share_.value_or(Row_.Slots_); }
+
+  /// Slots in use: this entry's own where they are divided, else as announced,
+  /// corrected by what this entry began since.
   std::uint32_t busy() const {
+    if (Row_.Share_)
+      return InProgress_;
     const std::uint32_t Announced =
         Row_.Slots_ - std::min(Row_.FreeSlots_, Row_.Slots_);
     const std::uint32_t Now = Announced + InProgress_;
@@ -39,7 +45,7 @@
     return std::max(InProgress_, Others);
   }
 
-  bool hasRoom() const { return busy() < Row_.Slots_; }
+  bool hasRoom() const { return busy() < slots(); }
 
   /// Relative latency, of which less is believed the older it is.
   double latencyAt(TimePoint Now) const {
@@ -50,7 +56,7 @@
 
   /// Lower is better: latency weighed by occupancy.
   double score(TimePoint Now) const {
-    const double Slots = std::max(Row_.Slots_, 1U);
+    const double Slots = std::max(slots(), 1U);
     const double Occupied = static_cast<double>(busy()) / Slots;
     const double Full = hasRoom() ? 0 : FullPenalty * Occupied;
     return latencyAt(Now) * (1 + OccupancyWeight * Occupied * Occupied) + Full;
