Let requests that found no room wait again

Cause: after 6000 cancellations the entry took the cancelled requests' slots as free while the upstreams still ran them. The next ones found no room, were refused one after another, and a queue of 16000 was gone within a second. Ruled out: more retries; a pause of the whole entry after a refusal.

--- a/bench/support/EntryPolicy.cpp
+++ b/bench/support/EntryPolicy.cpp
@@ -38,6 +38,9 @@
     Own->finish(Now, Request, Service);
   };
   Policy.Cancel_ = [Own](RequestHandle Request) { Own->cancel(Request); };
+  Policy.PutBack_ = [Own](TimePoint Now, RequestHandle Request) {
+    Own->putBack(Now, Request);
+  };
   Policy.Tick_ = [Own](TimePoint Now) { return Own->tick(Now); };
 }
 
@@ -210,6 +213,7 @@
     --Own->InProgress_;
   };
   Policy.Cancel_ = [Own](RequestHandle Request) { Own->cancel(Request); };
+  Policy.PutBack_ = nullptr;
   Policy.Tick_ = [Own](TimePoint Now) { return Own->tick(Now); };
   return Policy;
 }
--- a/bench/support/EntryPolicy.h
+++ b/bench/support/EntryPolicy.h
@@ -21,6 +21,8 @@
       Offer_;
   std::function<void(TimePoint, decide::RequestHandle, Duration)> Finish_;
   std::function<void(decide::RequestHandle)> Cancel_;
+  /// Lets a request wait again; where empty it is refused.
+  std::function<void(TimePoint, decide::RequestHandle)> PutBack_;
   std::function<std::vector<decide::AdmissionCommand>(TimePoint)> Tick_;
 
   std::function<void(std::span<const decide::UpstreamRow>)> SetUpstreams_;
--- a/bench/support/RequestRun.h
+++ b/bench/support/RequestRun.h
@@ -133,6 +133,7 @@
   void reach(const Timed &Event);
   void leave(const Timed &Event);
   void answer(const Timed &Event);
+  void finishUnanswered(std::uint32_t Request, decide::AttemptResult Result);
   void settle(std::uint32_t Request, Fate Value);
   void announce();
   double rate(std::uint32_t Stream) const;
--- a/include/dragonfly/decide/Admission.h
+++ b/include/dragonfly/decide/Admission.h
@@ -81,8 +81,13 @@
   RequestHandle offer(TimePoint Now, const AdmissionRequest &Request);
   /// Tells that a dispatched request has ended after \p Service.
   void finish(TimePoint Now, RequestHandle Request, Duration Service);
-  /// Removes a request whose caller has gone; no command follows for it.
+  /// Removes a request whose caller has gone; no command follows for it. While
+  /// an attempt is still on its way, call `finish()` at its end instead: the
+  /// upstream's slot is taken until then.
   void cancel(RequestHandle Request);
+  /// Lets a dispatched request wait again that no upstream had room for and
+  /// that certainly did not run. Its slot stays unused for a moment.
+  void putBack(TimePoint Now, RequestHandle Request);
 
   /// Returns the verdicts that are due; valid until the next call.
   const std::vector<AdmissionCommand> &tick(TimePoint Now);
--- a/src/decide/Admission.cpp
+++ b/src/decide/Admission.cpp
@@ -3,6 +3,7 @@
 #include "decide/AdmissionTables.h"
 
 #include <algorithm>
+#include <deque>
 #include <utility>
 
 namespace dragonfly::decide {
@@ -15,6 +16,8 @@
 constexpr double WaitShare = 0.6;
 /// Kinds that hold a slot for longer leave the whole floors of others free.
 constexpr Duration LongService = std::chrono::seconds(1);
+/// How long a slot stays unused after no upstream had room.
+constexpr Duration HoldAfterRefusal = std::chrono::milliseconds(5);
 constexpr Duration LeastRetryAfter = std::chrono::milliseconds(100);
 constexpr Duration MostRetryAfter = std::chrono::seconds(10);
 
@@ -30,6 +33,8 @@
   std::uint32_t InProgress_ = 0;
   std::size_t Waiting_ = 0;
   std::uint64_t Arrivals_ = 0;
+  /// When slots that turned out not to be free may be tried again.
+  std::deque<TimePoint> HeldUntil_;
 
   RequestHandle offer(TimePoint Now, const AdmissionRequest &Request);
   Reason refusal(TimePoint Now, const KindRow &Kind, RowIndex Customer,
@@ -39,6 +44,8 @@
                RowIndex Request, TimePoint Deadline);
   void refuse(RowIndex Request, Reason Why);
   void removeWaiting(RowIndex Request);
+  void wait(KindRow &Kind, RowIndex Request);
+  std::uint32_t freeSlots() const;
   void end(RequestRow &Row);
 
   Duration predictedWait(const KindRow &Kind, RowIndex Customer) const;
@@ -139,15 +146,20 @@
                               RowIndex Customer, RowIndex Request,
                               TimePoint Deadline) {
   RequestRow &Row = Requests_.Rows_[Request];
-  Row.State_ = RequestState::Waiting;
   Row.OfferedAt_ = Now;
   Row.Place_ = {Deadline, ++Arrivals_, Customer, Request};
   KindRow &Kind = Kinds_.Rows_[KindIndex];
-  Kind.Queue_.push(Row.Place_);
+  wait(Kind, Request);
   Kind.Young_.push_back(Requests_.handle(Request));
   Kind.Demand_.observe(Now, static_cast<double>(Kind.InProgress_) +
                                 static_cast<double>(Kind.Queue_.size()));
-  ++Customers_.Rows_[Customer].Waiting_;
+}
+
+void Admission::Impl::wait(KindRow &Kind, RowIndex Request) {
+  RequestRow &Row = Requests_.Rows_[Request];
+  Row.State_ = RequestState::Waiting;
+  Kind.Queue_.push(Row.Place_);
+  ++Customers_.Rows_[Row.Place_.Customer_].Waiting_;
   ++Waiting_;
 }
 
@@ -191,10 +203,15 @@
   return Reserved;
 }
 
+std::uint32_t Admission::Impl::freeSlots() const {
+  const std::size_t Used = InProgress_ + HeldUntil_.size();
+  return Slots_ > Used ? static_cast<std::uint32_t>(Slots_ - Used) : 0;
+}
+
 /// Returns how many more requests of \p Kind could start now.
 std::uint32_t Admission::Impl::startable(TimePoint Now,
                                          const KindRow &Kind) const {
-  const std::uint32_t Free = Slots_ > InProgress_ ? Slots_ - InProgress_ : 0;
+  const std::uint32_t Free = freeSlots();
   const std::uint32_t Below = Kind.FloorSlots_ > Kind.InProgress_
                                   ? Kind.FloorSlots_ - Kind.InProgress_
                                   : 0;
@@ -234,7 +251,7 @@
       if (!dispatchOne(Now, Kind))
         break;
   }
-  return InProgress_ < Slots_;
+  return freeSlots() > 0;
 }
 
 void Admission::Impl::expire(TimePoint Now, KindRow &Kind) {
@@ -269,6 +286,8 @@
     expire(Now, Kind);
     reconsider(Now, Kind);
   }
+  while (!HeldUntil_.empty() && HeldUntil_.front() <= Now)
+    HeldUntil_.pop_front();
   if (dispatchPass(Now, true))
     dispatchPass(Now, false);
   Out_.swap(Pending_);
@@ -342,6 +361,17 @@
   Impl_->Requests_.remove(*Index);
 }
 
+void Admission::putBack(TimePoint Now, RequestHandle Request) {
+  const auto Index = Impl_->Requests_.find(Request);
+  if (!Index ||
+      Impl_->Requests_.Rows_[*Index].State_ != RequestState::InProgress)
+    return;
+  RequestRow &Row = Impl_->Requests_.Rows_[*Index];
+  Impl_->end(Row);
+  Impl_->wait(Impl_->Kinds_.Rows_[Row.Kind_], *Index);
+  Impl_->HeldUntil_.push_back(Now + HoldAfterRefusal);
+}
+
 const std::vector<AdmissionCommand> &Admission::tick(TimePoint Now) {
   Impl_->tick(Now);
   return Impl_->Out_;
--- a/tests/decide/AdmissionTest.cpp
+++ b/tests/decide/AdmissionTest.cpp
@@ -205,6 +205,20 @@
   REQUIRE(Value.waiting() == 0);
 }
 
+TEST_CASE("a request that found no room waits again for a moment",
+          "[decide][admission]") {
+  Admission Value = makeAdmission(1);
+  const RequestHandle First = offer(Value, "a", "check");
+  const RequestHandle Second = offer(Value, "b", "check");
+  REQUIRE(dispatched(Value.tick(Start), First));
+  Value.putBack(Start, First);
+  REQUIRE(Value.waiting() == 2);
+  REQUIRE(Value.tick(Start + 4ms).empty());
+  REQUIRE(dispatched(Value.tick(Start + 5ms), First));
+  Value.finish(Start + 6ms, First, 1ms);
+  REQUIRE(dispatched(Value.tick(Start + 6ms), Second));
+}
+
 TEST_CASE("a customer that left the lists waits no longer",
           "[decide][admission]") {
   Admission Value = makeAdmission(1);
