--- a/include/dragonfly/base/Event.h
+++ b/include/dragonfly/base/Event.h
@@ -31,11 +31,17 @@
   UpstreamJoined = 3003,
   UpstreamLeft = 3004,
   UpstreamLost = 3005,
+  UpstreamContested = 3006,
+  LeaseRanOut = 3007,
+  MemberChanged = 3008,
   // consensus
   LeaderElected = 4001,
   LeaderLost = 4002,
   TornTailCut = 4003,
   StorageFailed = 4004,
+  ReplicaMessageRejected = 4005,
+  StoreUnknown = 4006,
+  SnapshotInstalled = 4007,
   // agent
   AgentReady = 5001,
   AgentDraining = 5002,
