--- a/bench/support/EntryPolicy.cpp
+++ b/bench/support/EntryPolicy.cpp
@@ -38,6 +38,9 @@
     Own->finish(Now, Request, Service);
   };
   Policy.Cancel_ = [Own](RequestHandle Request) { Own->cancel(Request); };
+  Policy.PutBack_ = [Own](TimePoint Now, RequestHandle Request) {
+    Own->putBack(Now, Request);
+  };
   Policy.Tick_ = [Own](TimePoint Now) { return Own->tick(Now); };
 }
 
@@ -59,6 +62,7 @@
   };
   Policy.CountRequest_ = [Own] { Own->countRequest(); };
   Policy.TakeRetry_ = [Own] { return Own->takeRetry(); };
+  Policy.Slots_ = [Own] { return Own->slots(); };
   Policy.Ejected_ = [Own](TimePoint Now) {
     std::size_t Count = 0;
     for (UpstreamIndex Index = 0; Index < Own->size(); ++Index)
@@ -145,6 +149,7 @@
   Policy.Finished_ = [Own](TimePoint, UpstreamIndex Upstream, AttemptResult,
                            Duration,
                            RoutedKind) { --Own->InProgress_.at(Upstream); };
+  Policy.Slots_ = nullptr;
   Policy.Ejected_ = [](TimePoint) { return std::size_t{0}; };
   return Own;
 }
@@ -208,6 +213,7 @@
     --Own->InProgress_;
   };
   Policy.Cancel_ = [Own](RequestHandle Request) { Own->cancel(Request); };
+  Policy.PutBack_ = nullptr;
   Policy.Tick_ = [Own](TimePoint Now) { return Own->tick(Now); };
   return Policy;
 }
