Hedge slow urgent requests that may run twice

Change: a request can have two attempts in progress; the second leaves after the router's hedge delay, the first whole answer counts, the other is cancelled.

--- a/src/entry/Gateway.cpp
+++ b/src/entry/Gateway.cpp
@@ -160,9 +160,7 @@
   } else if (Row->Phase_ == Phase::Following) {
     drop(Row);
   } else if (Row->Phase_ == Phase::Executing && Row->streamed()) {
-    Options_.Hooks_.TellAgent_(Row->Attempt_.Worker_,
-                               wire::CancelExecute{Row->Key_});
-    releaseUpstream(Now, *Row, decide::AttemptResult::Answered);
+    cancelActive(Now, Row);
     finish(Now, Row,
            {.Outcome_ = Outcome::Unknown, .Reason_ = Reason::Cancelled});
   }
@@ -184,8 +182,8 @@
     Waiting_.erase(Row->Handle_);
     endWith(Now, Row, Outcome::RefusedNotRun, Reason::Cancelled);
   } else if (Row->Phase_ == Phase::Executing) {
-    Options_.Hooks_.TellAgent_(Row->Attempt_.Worker_,
-                               wire::CancelExecute{Row->Key_});
+    for (const Attempt &Each : Row->Active_)
+      Options_.Hooks_.TellAgent_(Each.Worker_, wire::CancelExecute{Row->Key_});
   } else if (Row->Phase_ == Phase::Following) {
     Options_.Hooks_.CallControl_(wire::CancelTask{Row->Key_},
                                  Row->Deadline_ - Now,
@@ -294,6 +292,7 @@
     else if (Row->Phase_ == Phase::Following)
       follow(Now, Row);
   }
+  sendDueHedges(Now);
   pump(Now);
 }
 
--- a/src/entry/GatewayAttempts.cpp
+++ b/src/entry/GatewayAttempts.cpp
@@ -44,28 +44,34 @@
     endWith(Now, Row, Outcome::RefusedNotRun, Reason::Cancelled);
     return;
   }
-  const auto Picked = Router_.pick(Now, Row->Excluded_);
-  if (!Picked) {
+  if (!pick(Now, *Row)) {
     endWith(Now, Row, Outcome::RefusedNotRun, Reason::NoUpstream);
     return;
   }
-  const decide::UpstreamRow &Chosen = Router_.row(*Picked);
-  Row->Attempt_ = {.Index_ = *Picked,
-                   .Worker_ = Chosen.Name_,
-                   .Target_ = Chosen.Incarnation_,
-                   .StartedAt_ = Now};
   if (Row->Kind_->Settings_.NonIdempotent_)
     claim(Now, Row);
   else
     execute(Now, Row);
 }
 
+/// Chooses the upstream of the next attempt; false where there is none.
+bool Gateway::Impl::pick(TimePoint Now, Request &Row) {
+  const auto Picked = Router_.pick(Now, Row.Excluded_);
+  if (!Picked)
+    return false;
+  const decide::UpstreamRow &Chosen = Router_.row(*Picked);
+  Row.Next_ = {.Index_ = *Picked,
+               .Worker_ = Chosen.Name_,
+               .Target_ = Chosen.Incarnation_};
+  return true;
+}
+
 void Gateway::Impl::claim(TimePoint Now, const RequestPtr &Row) {
   Row->Phase_ = Phase::Claiming;
   wire::Claim Asked{.Key_ = Row->Key_,
                     .Kind_ = Row->Kind_->Settings_.Name_,
-                    .Worker_ = Row->Attempt_.Worker_,
-                    .Target_ = Row->Attempt_.Target_,
+                    .Worker_ = Row->Next_.Worker_,
+                    .Target_ = Row->Next_.Target_,
                     .Claimant_ = Options_.Self_,
                     .Attempt_ = Row->ClaimAttempt_,
                     .BodyHash_ = Row->BodyHash_};
@@ -128,15 +134,20 @@
 void Gateway::Impl::execute(TimePoint Now, const RequestPtr &Row) {
   Row->Phase_ = Phase::Executing;
   const std::uint32_t Try = ++Row->Tries_;
-  Row->Attempt_.StartedAt_ = Now;
-  Router_.started(Now, Row->Attempt_.Index_);
+  Row->Next_.Try_ = Try;
+  Row->Next_.StartedAt_ = Now;
+  Row->Active_.push_back(Row->Next_);
+  Router_.started(Now, Row->Next_.Index_);
+  if (Row->hedged() && Row->Active_.size() == 1)
+    if (const auto Delay = Router_.hedgeDelay(Row->Kind_->Routed_))
+      Hedges_.push({Now + *Delay, Try, Row});
   const Duration TimeLeft = Row->Deadline_ - Now;
   Options_.Hooks_.CallAgent_(
-      {.Worker_ = Row->Attempt_.Worker_,
+      {.Worker_ = Row->Next_.Worker_,
        .Request_ =
            wire::Execute{.Key_ = Row->Key_,
                          .Kind_ = Row->Kind_->Settings_.Name_,
-                         .Target_ = Row->Attempt_.Target_,
+                         .Target_ = Row->Next_.Target_,
                          .TimeLeft_ = TimeLeft,
                          .NonIdempotent_ = Row->Kind_->Settings_.NonIdempotent_,
                          .Streamed_ = Row->streamed(),
@@ -170,33 +181,49 @@
 
 void Gateway::Impl::attemptEnded(TimePoint Now, const RequestPtr &Row,
                                  std::uint32_t Try, net::CallResult Result) {
-  if (Row->Phase_ != Phase::Executing || Row->Tries_ != Try)
+  const auto Found = std::ranges::find(Row->Active_, Try, &Attempt::Try_);
+  if (Found == Row->Active_.end())
     return;
+  const Attempt Ended = std::move(*Found);
+  Row->Active_.erase(Found);
   const AttemptJudgement Judged = judgeAttempt(Result, Row->repeatable());
-  releaseUpstream(Now, *Row, forRouter(Judged, Result));
+  releaseUpstream(Now, *Row, Ended, forRouter(Judged, Result));
   if (Judged.Outcome_ == Outcome::Completed) {
+    cancelActive(Now, Row);
     finish(Now, Row,
            toAnswer(std::get<wire::ExecuteResult>(std::move(Result.Answer_))));
     return;
   }
   if (Judged.Outcome_ == Outcome::Unknown)
     Row->MayHaveRun_ = true;
-  if (!Judged.MayTryElsewhere_ || !tryElsewhere(Now, Row, Judged))
+  if (!Row->Active_.empty())
+    return;
+  if (!Judged.MayTryElsewhere_ || !tryElsewhere(Now, Row, Ended, Judged))
     endWith(Now, Row, Judged.Outcome_, Judged.Reason_);
 }
 
+/// Tells the agents of attempts that are of no use any longer.
+void Gateway::Impl::cancelActive(TimePoint Now, const RequestPtr &Row) {
+  for (const Attempt &Each : std::exchange(Row->Active_, {})) {
+    Options_.Hooks_.TellAgent_(Each.Worker_, wire::CancelExecute{Row->Key_});
+    releaseUpstream(Now, *Row, Each, decide::AttemptResult::Answered);
+  }
+}
+
 void Gateway::Impl::releaseUpstream(TimePoint Now, const Request &Row,
+                                    const Attempt &Ended,
                                     decide::AttemptResult Result) {
-  Router_.finished(Now, Row.Attempt_.Index_, Result,
-                   Now - Row.Attempt_.StartedAt_, Row.Kind_->Routed_);
+  Router_.finished(Now, Ended.Index_, Result, Now - Ended.StartedAt_,
+                   Row.Kind_->Routed_);
 }
 
 bool Gateway::Impl::tryElsewhere(TimePoint Now, const RequestPtr &Row,
+                                 const Attempt &Ended,
                                  const AttemptJudgement &Judged) {
   if (Row->PartsPassed_ || Row->CancelAsked_ || Now >= Row->Deadline_ ||
       Row->Tries_ >= MaxTries)
     return false;
-  Row->Excluded_.push_back(Row->Attempt_.Index_);
+  Row->Excluded_.push_back(Ended.Index_);
   if (!Router_.pick(Now, Row->Excluded_) || !Router_.takeRetry())
     return false;
   if (Row->Kind_->Settings_.NonIdempotent_ &&
@@ -206,6 +233,25 @@
   return true;
 }
 
+void Gateway::Impl::sendDueHedges(TimePoint Now) {
+  while (!Hedges_.empty() && Hedges_.top().At_ <= Now) {
+    const Hedge Due = Hedges_.top();
+    Hedges_.pop();
+    const std::vector<Attempt> &Active = Due.Row_->Active_;
+    if (Active.size() == 1 && Active.front().Try_ == Due.Try_)
+      hedge(Now, Due.Row_);
+  }
+}
+
+/// Sends a request to a second upstream while the first attempt goes on.
+void Gateway::Impl::hedge(TimePoint Now, const RequestPtr &Row) {
+  if (Row->CancelAsked_ || Now >= Row->Deadline_ || Row->Tries_ >= MaxTries)
+    return;
+  Row->Excluded_.push_back(Row->Active_.front().Index_);
+  if (pick(Now, *Row) && Router_.takeRetry())
+    execute(Now, Row);
+}
+
 /// Ends a request without an answer; one that may have run is never said to be
 /// refused.
 void Gateway::Impl::endWith(TimePoint Now, const RequestPtr &Row, Outcome End,
--- a/src/entry/GatewayImpl.h
+++ b/src/entry/GatewayImpl.h
@@ -6,6 +6,7 @@
 #include "dragonfly/entry/Gateway.h"
 
 #include <map>
+#include <queue>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -28,6 +29,7 @@
 
 /// One attempt on one upstream.
 struct Attempt {
+  std::uint32_t Try_ = 0;
   decide::UpstreamIndex Index_ = 0;
   std::string Worker_;
   Incarnation Target_;
@@ -61,7 +63,10 @@
   bool PartsPassed_ = false;
   std::uint32_t Tries_ = 0;
   std::uint32_t ClaimAttempt_ = 1;
-  Attempt Attempt_;
+  /// The upstream chosen for the next attempt.
+  Attempt Next_;
+  /// Attempts with an agent: one, or two where a hedge was sent.
+  std::vector<Attempt> Active_;
   std::vector<decide::UpstreamIndex> Excluded_;
   Duration PollDelay_{};
   std::vector<Waiter> Waiters_;
@@ -72,6 +77,10 @@
   bool task() const {
     return Kind_->Settings_.Carrier_ == settings::Carrier::Task;
   }
+  bool hedged() const {
+    return Kind_->Settings_.Urgency_ == settings::Urgency::LatencyCritical &&
+           !Kind_->Settings_.NonIdempotent_;
+  }
   Repeatable repeatable() const {
     return Kind_->Settings_.NonIdempotent_ ? Repeatable::No : Repeatable::Yes;
   }
@@ -79,6 +88,15 @@
 
 using RequestPtr = std::shared_ptr<Request>;
 
+/// When a request is sent to a second upstream, if its attempt goes on.
+struct Hedge {
+  TimePoint At_;
+  std::uint32_t Try_ = 0;
+  RequestPtr Row_;
+
+  bool operator>(const Hedge &Other) const { return At_ > Other.At_; }
+};
+
 struct Gateway::Impl : std::enable_shared_from_this<Gateway::Impl> {
   explicit Impl(GatewayOptions Options);
 
@@ -111,9 +129,13 @@
                 const wire::Message &Part);
   void attemptEnded(TimePoint Now, const RequestPtr &Row, std::uint32_t Try,
                     net::CallResult Result);
-  void releaseUpstream(TimePoint Now, const Request &Row,
+  void releaseUpstream(TimePoint Now, const Request &Row, const Attempt &Ended,
                        decide::AttemptResult Result);
-  bool tryElsewhere(TimePoint Now, const RequestPtr &Row,
+  bool pick(TimePoint Now, Request &Row);
+  void cancelActive(TimePoint Now, const RequestPtr &Row);
+  void sendDueHedges(TimePoint Now);
+  void hedge(TimePoint Now, const RequestPtr &Row);
+  bool tryElsewhere(TimePoint Now, const RequestPtr &Row, const Attempt &Ended,
                     const AttemptJudgement &Judged);
   void endWith(TimePoint Now, const RequestPtr &Row, Outcome End, Reason Why);
 
@@ -136,6 +158,7 @@
   std::unordered_map<decide::RequestHandle, RequestPtr> Waiting_;
   std::unordered_map<WaiterId, RequestPtr> Waiters_;
   std::multimap<TimePoint, RequestPtr> Polls_;
+  std::priority_queue<Hedge, std::vector<Hedge>, std::greater<>> Hedges_;
   std::vector<decide::AdmissionCommand> Commands_;
   WaiterId LastWaiter_ = 0;
   bool Pumping_ = false;
