--- a/include/dragonfly/link/ControlLink.h
+++ b/include/dragonfly/link/ControlLink.h
@@ -9,6 +9,8 @@
 #include "dragonfly/net/FrameClient.h"
 #include "dragonfly/wire/Messages.h"
 
+#include <chrono>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <vector>
@@ -19,7 +21,20 @@
 
 namespace dragonfly::link {
 
+/// How a link reaches control's replicas, which are numbered from 0.
+struct ControlTransport {
+  /// Sends a heartbeat; it may be lost, doubled or late.
+  std::function<void(std::size_t Replica, const wire::Heartbeat &)> Send_;
+  /// Calls one replica. The handler runs once, later, and is never called
+  /// where the link has gone.
+  std::function<void(std::size_t Replica, const wire::Message &, Duration,
+                     net::FrameClient::Handler)>
+      Call_;
+};
+
 struct ControlLinkOptions {
+  /// Used in place of sockets, where set.
+  ControlTransport Transport_;
   /// Where heartbeats leave from and acknowledgements arrive, over UDP.
   net::Endpoint Listen_;
   /// Frame addresses of all control replicas.
@@ -54,6 +69,9 @@
   void callLeader(wire::Message Request, Duration Timeout,
                   net::FrameClient::Handler OnEnd);
 
+  /// Takes the acknowledgement of one replica, where `Transport_` was set.
+  void acknowledged(std::size_t Replica, const wire::HeartbeatAck &Ack);
+
   /// Sends a heartbeat at once, such as when draining begins.
   void beat();
 
--- a/src/link/ControlLink.cpp
+++ b/src/link/ControlLink.cpp
@@ -2,8 +2,8 @@
 
 #include "dragonfly/base/Log.h"
 #include "dragonfly/decide/ConfigurationLease.h"
-#include "dragonfly/net/DatagramSocket.h"
 #include "dragonfly/net/EventLoop.h"
+#include "link/SocketTransport.h"
 
 #include <algorithm>
 #include <optional>
@@ -30,25 +30,21 @@
 struct ControlLink::Impl : std::enable_shared_from_this<ControlLink::Impl> {
   Impl(net::EventLoop &Loop, ControlLinkOptions Options)
       : Loop_(Loop), Options_(std::move(Options)),
-        Lease_(Options_.Replicas_.size(), Options_.LeaseTerm_) {
-    for (const net::Endpoint &Replica : Options_.Replicas_)
-      Clients_.push_back(std::make_unique<net::FrameClient>(
-          Loop_,
-          net::FrameClientOptions{.Peer_ = Replica,
-                                  .Self_ = Options_.Identity_.Incarnation_}));
-  }
+        Lease_(Options_.Replicas_.size(), Options_.LeaseTerm_) {}
 
   void start() {
-    Socket_.emplace(
-        Loop_,
-        net::DatagramOptions{.Listen_ = Options_.Listen_,
-                             .Self_ = Options_.Identity_.Incarnation_,
-                             .OnMessage_ = [this](const net::Endpoint &From,
-                                                  wire::Message Value) {
-                               if (const auto *Ack =
-                                       std::get_if<wire::HeartbeatAck>(&Value))
-                                 acknowledged(From, *Ack);
-                             }});
+    if (!Options_.Transport_.Call_) {
+      Sockets_.emplace(Loop_,
+                       SocketTransportOptions{
+                           .Listen_ = Options_.Listen_,
+                           .Replicas_ = Options_.Replicas_,
+                           .Self_ = Options_.Identity_.Incarnation_,
+                           .OnAck_ = [this](std::size_t Replica,
+                                            const wire::HeartbeatAck &Ack) {
+                             acknowledged(Replica, Ack);
+                           }});
+      Options_.Transport_ = Sockets_->hooks();
+    }
     beat();
     Beats_ = Loop_.every(Options_.HeartbeatPeriod_, [this] { beat(); });
   }
@@ -61,16 +57,14 @@
     Beat.Purchases_ = Lease_.inForce().Purchases_;
     if (Options_.OnHeartbeat_)
       Options_.OnHeartbeat_(Beat);
-    for (const net::Endpoint &Replica : Options_.Replicas_)
-      Socket_->send(Replica, Beat);
+    for (std::size_t Replica = 0; Replica < Options_.Replicas_.size();
+         ++Replica)
+      Options_.Transport_.Send_(Replica, Beat);
   }
 
-  void acknowledged(const net::Endpoint &From, const wire::HeartbeatAck &Ack) {
-    const auto It = std::ranges::find(Options_.Replicas_, From);
-    if (It == Options_.Replicas_.end() || Ack.Sequence_ > Sequence_)
+  void acknowledged(std::size_t Replica, const wire::HeartbeatAck &Ack) {
+    if (Ack.Sequence_ > Sequence_)
       return;
-    const auto Replica =
-        static_cast<std::size_t>(It - Options_.Replicas_.begin());
     Lease_.acknowledged(Replica, TimePoint(Ack.SentAt_),
                         {.Plans_ = Ack.Plans_, .Purchases_ = Ack.Purchases_});
     if (Ack.IsLeader_) {
@@ -125,8 +119,8 @@
       return;
     }
     const std::size_t Replica = Leader_;
-    Clients_[Replica]->call(
-        Call->Request_, std::min(Left, ReplicaTimeout),
+    Options_.Transport_.Call_(
+        Replica, Call->Request_, std::min(Left, ReplicaTimeout),
         [Self = weak_from_this(), Call, Replica](net::CallResult Result) {
           if (const auto Link = Self.lock())
             Link->ended(Call, Replica, std::move(Result));
@@ -145,7 +139,7 @@
       Call->MayHaveArrived_ = true;
     const bool Pointed = Answered && followLeader(Refused->Leader_);
     if (!Pointed && Leader_ == Replica)
-      Leader_ = (Replica + 1) % Clients_.size();
+      Leader_ = (Replica + 1) % Options_.Replicas_.size();
     if (Pointed && Leader_ != Replica)
       tryReplica(Call);
     else
@@ -174,8 +168,7 @@
   net::EventLoop &Loop_;
   ControlLinkOptions Options_;
   decide::ConfigurationLease Lease_;
-  std::vector<std::unique_ptr<net::FrameClient>> Clients_;
-  std::optional<net::DatagramSocket> Socket_;
+  std::optional<SocketTransport> Sockets_;
   net::Timer Beats_;
   net::Timer Resume_;
   std::vector<std::shared_ptr<LeaderCall>> Paused_;
@@ -200,6 +193,11 @@
   Impl_->callLeader(std::move(Request), Timeout, std::move(OnEnd));
 }
 
+void ControlLink::acknowledged(std::size_t Replica,
+                               const wire::HeartbeatAck &Ack) {
+  Impl_->acknowledged(Replica, Ack);
+}
+
 void ControlLink::beat() { Impl_->beat(); }
 
 } // namespace dragonfly::link
