--- a/src/consensus/RaftCore.h
+++ b/src/consensus/RaftCore.h
@@ -145,6 +145,8 @@
   void install(const InstallRequest &Value, std::string State);
   void takeSnapshot();
   LogIndex retainedFrom() const;
+  /// True where \p Row has acknowledged within an election timeout.
+  bool followsClosely(const Peer &Row) const;
 
   // Commit.cpp
   void advanceCommit();
--- a/src/consensus/RecordLog.cpp
+++ b/src/consensus/RecordLog.cpp
@@ -8,22 +8,27 @@
   Base_ = Index;
   BaseTerm_ = BaseTerm;
   Records_.clear();
+  PayloadBytes_ = 0;
 }
 
 void RecordLog::append(Record Value) {
   assert(Value.Index_ == nextIndex(lastIndex()));
+  PayloadBytes_ += Value.Payload_.size();
   Records_.push_back(std::move(Value));
 }
 
 void RecordLog::truncateFrom(LogIndex From) {
-  while (!Records_.empty() && Records_.back().Index_ >= From)
+  while (!Records_.empty() && Records_.back().Index_ >= From) {
+    PayloadBytes_ -= Records_.back().Payload_.size();
     Records_.pop_back();
+  }
 }
 
 void RecordLog::dropThrough(LogIndex Index) {
   while (!Records_.empty() && Records_.front().Index_ <= Index) {
     Base_ = Records_.front().Index_;
     BaseTerm_ = Records_.front().Term_;
+    PayloadBytes_ -= Records_.front().Payload_.size();
     Records_.pop_front();
   }
 }
--- a/src/consensus/RecordLog.h
+++ b/src/consensus/RecordLog.h
@@ -26,6 +26,8 @@
   /// Removes the records up to and including \p Index.
   void dropThrough(LogIndex Index);
 
+  /// Bytes of the payloads that are held.
+  std::size_t payloadBytes() const { return PayloadBytes_; }
   LogIndex baseIndex() const { return Base_; }
   LogIndex lastIndex() const { return {Base_.Value_ + Records_.size()}; }
   Term lastTerm() const;
@@ -42,6 +44,7 @@
   LogIndex Base_;
   Term BaseTerm_;
   std::deque<Record> Records_;
+  std::size_t PayloadBytes_ = 0;
 };
 
 } // namespace dragonfly::consensus
--- a/src/consensus/Replication.cpp
+++ b/src/consensus/Replication.cpp
@@ -27,9 +27,7 @@
     const auto Found = Peers_.find(Row.Id_);
     if (isSelf(Row) || Found == Peers_.end())
       return isSelf(Row);
-    const TimePoint HeardAt =
-        std::max(Found->second.AckedAt_, Found->second.KnownSince_);
-    return Now_ - HeardAt < Options_.ElectionTimeout_;
+    return followsClosely(Found->second);
   });
 }
 
--- a/src/consensus/SnapshotTransfer.cpp
+++ b/src/consensus/SnapshotTransfer.cpp
@@ -14,6 +14,9 @@
 /// one, so that a follower that lags a little needs no transfer.
 static constexpr std::uint64_t RetainedShare = 4;
 
+/// Payload bytes in memory beyond which no record is kept for a peer.
+static constexpr std::size_t MaxRetainedBytes = 16U << 20U;
+
 static std::uint32_t checksumOf(std::string_view Bytes) {
   boost::crc_32_type Crc;
   Crc.process_bytes(Bytes.data(), Bytes.size());
@@ -34,16 +37,28 @@
   Members_.dropBefore(Snapshot_->Index_);
 }
 
+/// Records stay for the peers that follow, or that receive an older snapshot,
+/// so that one that has caught up to a snapshot does not need the next.
 LogIndex RaftCore::retainedFrom() const {
   const std::uint64_t Kept = Options_.SnapshotEveryRecords_ / RetainedShare;
   LogIndex Result{Snapshot_->Index_.Value_ -
                   std::min(Kept, Snapshot_->Index_.Value_)};
-  for (const auto &[Id, Row] : Peers_)
+  if (Log_.payloadBytes() > MaxRetainedBytes)
+    return Result;
+  for (const auto &[Id, Row] : Peers_) {
     if (Row.Transfer_)
       Result = std::min(Result, Row.Transfer_->Snapshot_->Index_);
+    else if (Row.Match_ && followsClosely(Row))
+      Result = std::min(Result, Row.Match_);
+  }
   return Result;
 }
 
+bool RaftCore::followsClosely(const Peer &Row) const {
+  return Now_ - std::max(Row.AckedAt_, Row.KnownSince_) <
+         Options_.ElectionTimeout_;
+}
+
 void RaftCore::sendChunk(const Member &Row, Peer &To) {
   if (!To.Transfer_)
     To.Transfer_ = Transfer{Snapshot_, checksumOf(Snapshot_->State_), 0};
