--- /dev/null
+++ b/include/dragonfly/control/Control.h
@@ -0,0 +1,36 @@
+/// A control replica as a process: the service with its sockets and timers.
+#ifndef DRAGONFLY_CONTROL_CONTROL_H
+#define DRAGONFLY_CONTROL_CONTROL_H
+
+#include "dragonfly/settings/Settings.h"
+
+#include <functional>
+#include <memory>
+
+namespace dragonfly::net {
+class EventLoop;
+} // namespace dragonfly::net
+
+namespace dragonfly::control {
+
+class Control {
+public:
+  /// Recovers the data folder and starts to listen. Throws StorageError or
+  /// NetError. Later failures of the log or its storage leave
+  /// `EventLoop::run()` as exceptions; the process must end then.
+  Control(net::EventLoop &Loop, const settings::ControlSettings &Settings);
+  ~Control();
+
+  /// Accepts no more connections and takes no more requests; calls \p OnStopped
+  /// once what is under way has been answered. Its argument is false where the
+  /// bound of the settings was reached first.
+  void stop(std::function<void(bool Clean)> OnStopped);
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+} // namespace dragonfly::control
+
+#endif // DRAGONFLY_CONTROL_CONTROL_H
--- /dev/null
+++ b/src/control/Control.cpp
@@ -0,0 +1,234 @@
+#include "dragonfly/control/Control.h"
+
+#include "dragonfly/base/Log.h"
+#include "dragonfly/base/Random.h"
+#include "dragonfly/control/ControlService.h"
+#include "dragonfly/control/OperatorInterface.h"
+#include "dragonfly/net/DatagramSocket.h"
+#include "dragonfly/net/EventLoop.h"
+#include "dragonfly/net/FrameClient.h"
+#include "dragonfly/net/FrameServer.h"
+#include "dragonfly/net/HttpServer.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace dragonfly::control {
+namespace {
+
+/// Between ticks: how long requests are gathered into one record.
+constexpr Duration TickPeriod = std::chrono::milliseconds(2);
+
+const settings::ReplicaSettings &
+selfOf(const settings::ControlSettings &Settings) {
+  const auto &Rows = Settings.Process_.Control_;
+  const auto Found = std::ranges::find(Rows, Settings.Replica_,
+                                       &settings::ReplicaSettings::Id_);
+  if (Found == Rows.end())
+    throw settings::SettingsError(
+        {{.Path_ = "/replica",
+          .Expected_ = "the id of a row of /control",
+          .Found_ = std::to_string(Settings.Replica_.Value_)}});
+  return *Found;
+}
+
+std::function<bool(const std::string &)>
+evictableBy(const std::vector<settings::KindSettings> &Kinds) {
+  return [Kinds](const std::string &Kind) {
+    const auto Found =
+        std::ranges::find(Kinds, Kind, &settings::KindSettings::Name_);
+    return Found == Kinds.end() ||
+           Found->Urgency_ != settings::Urgency::LatencyCritical;
+  };
+}
+
+std::vector<consensus::Member>
+firstMembersOf(const settings::ControlSettings &Settings) {
+  std::vector<consensus::Member> Members;
+  if (Settings.FirstMember_)
+    std::ranges::transform(Settings.Process_.Control_,
+                           std::back_inserter(Members),
+                           [](const settings::ReplicaSettings &Row) {
+                             return consensus::Member{.Id_ = Row.Id_,
+                                                      .Store_ = {},
+                                                      .Address_ = Row.Address_};
+                           });
+  return Members;
+}
+
+ControlServiceOptions optionsOf(const settings::ControlSettings &Settings) {
+  const settings::DeploymentSettings &Shared = Settings.Process_.Deployment_;
+  ControlServiceOptions Options;
+  Options.Log_.Self_ = Settings.Replica_;
+  Options.Log_.FirstMembers_ = firstMembersOf(Settings);
+  Options.Log_.ElectionTimeout_ = Settings.ElectionTimeout_;
+  Options.Log_.SnapshotEveryRecords_ = Settings.SnapshotEveryRecords_;
+  Options.Log_.Seed_ = freshRandom();
+  Options.Replicas_ = Settings.Process_.Control_;
+  Options.LeaseTerm_ = Shared.LeaseTerm_;
+  Options.DriftMargin_ = Shared.DriftMargin_;
+  Options.Placement_.TailLatencyPermille_ = Shared.Weights_.TailLatency_;
+  Options.Placement_.BatchThroughputPermille_ =
+      Shared.Weights_.BatchThroughput_;
+  Options.Placement_.EvictionsPermille_ = Shared.Weights_.Evictions_;
+  Options.Placement_.Seed_ = freshRandom();
+  Options.Evictable_ = evictableBy(Shared.Kinds_);
+  return Options;
+}
+
+} // namespace
+
+struct Control::Impl {
+  Impl(net::EventLoop &Loop, const settings::ControlSettings &Settings)
+      : Loop_(Loop), Settings_(Settings), Self_(makeFreshId<Incarnation>()),
+        Listen_(net::Endpoint::make(selfOf(Settings).Address_)),
+        Service_(serviceOptions(),
+                 consensus::openFileStorage(Settings.DataFolder_),
+                 Clock::now()),
+        Operators_(Service_),
+        Heartbeats_(Loop, {.Listen_ = Listen_,
+                           .Self_ = Self_,
+                           .OnMessage_ =
+                               [this](const net::Endpoint &From,
+                                      const wire::Message &Value) {
+                                 takeHeartbeat(From, Value);
+                               }}),
+        Frames_(Loop, {.Listen_ = Listen_,
+                       .Self_ = Self_,
+                       .OnMessage_ =
+                           [this](wire::Message Value, net::FrameReplier To) {
+                             takeFrame(std::move(Value), std::move(To));
+                           }}),
+        Http_(Loop, {.Listen_ =
+                         net::Endpoint::make(selfOf(Settings).OperatorAddress_),
+                     .OnRequest_ =
+                         [this](const net::HttpRequest &Request,
+                                const net::HttpReplier &To) {
+                           takeOperator(Request, To);
+                         }}),
+        Ticks_(Loop.every(TickPeriod, [this] { tick(); })) {}
+
+  ControlServiceOptions serviceOptions() {
+    ControlServiceOptions Options = optionsOf(Settings_);
+    Options.Log_.Send_ = [this](ReplicaId To, std::string Bytes) {
+      sendToPeer(To, std::move(Bytes));
+    };
+    return Options;
+  }
+
+  void sendToPeer(ReplicaId To, std::string Bytes) {
+    std::unique_ptr<net::FrameClient> &Peer = Peers_[To];
+    if (!Peer) {
+      const auto Row = std::ranges::find(Settings_.Process_.Control_, To,
+                                         &settings::ReplicaSettings::Id_);
+      if (Row == Settings_.Process_.Control_.end())
+        return;
+      Peer = std::make_unique<net::FrameClient>(
+          Loop_,
+          net::FrameClientOptions{.Peer_ = net::Endpoint::make(Row->Address_),
+                                  .Self_ = Self_});
+    }
+    Peer->send(wire::ReplicaTraffic{.From_ = Settings_.Replica_,
+                                    .Bytes_ = std::move(Bytes)});
+  }
+
+  void takeHeartbeat(const net::Endpoint &From, const wire::Message &Value) {
+    const auto *Beat = std::get_if<wire::Heartbeat>(&Value);
+    if (Beat == nullptr)
+      return;
+    if (const auto Ack = Service_.heartbeat(Clock::now(), *Beat))
+      Heartbeats_.send(From, *Ack);
+  }
+
+  void takeFrame(wire::Message Value, net::FrameReplier To) {
+    if (const auto *Traffic = std::get_if<wire::ReplicaTraffic>(&Value)) {
+      Service_.receivePeer(Clock::now(), Traffic->From_, Traffic->Bytes_);
+      tickSoon();
+      return;
+    }
+    if (Stopping_) {
+      To.answer(wire::Refusal{.Reason_ = Reason::Draining});
+      return;
+    }
+    Service_.handle(Clock::now(), std::move(Value),
+                    [To = std::move(To)](const wire::Message &Answer) {
+                      To.answer(Answer);
+                    });
+  }
+
+  void takeOperator(const net::HttpRequest &Request,
+                    const net::HttpReplier &To) {
+    ++OperatorCalls_;
+    Operators_.handle(Request, [this, To](net::HttpResponse Response) {
+      --OperatorCalls_;
+      To.reply(std::move(Response));
+    });
+  }
+
+  /// One tick serves all peers' frames that have arrived together.
+  void tickSoon() {
+    if (std::exchange(TickPosted_, true))
+      return;
+    Loop_.post([this] {
+      TickPosted_ = false;
+      tick();
+    });
+  }
+
+  void tick() { Service_.tick(Clock::now()); }
+
+  void stop(std::function<void(bool)> OnStopped) {
+    Stopping_ = true;
+    OnStopped_ = std::move(OnStopped);
+    StopBy_ = Clock::now() + Settings_.Process_.StopBound_;
+    Frames_.stopAccepting();
+    Http_.stopAccepting();
+    // One lease of the leader is more than a record needs to be committed.
+    SettledAt_ = Clock::now() + Settings_.ElectionTimeout_;
+    Stops_ = Loop_.every(TickPeriod, [this] { continueStop(); });
+  }
+
+  void continueStop() {
+    const TimePoint Now = Clock::now();
+    const bool Settled = Now >= SettledAt_ && OperatorCalls_ == 0;
+    if (!Settled && Now < StopBy_)
+      return;
+    Stops_.cancel();
+    if (!Settled)
+      logEvent(Event::StopBoundReached);
+    std::exchange(OnStopped_, nullptr)(Settled);
+  }
+
+  net::EventLoop &Loop_;
+  settings::ControlSettings Settings_;
+  Incarnation Self_;
+  net::Endpoint Listen_;
+  std::map<ReplicaId, std::unique_ptr<net::FrameClient>> Peers_;
+  std::size_t OperatorCalls_ = 0;
+  bool TickPosted_ = false;
+  bool Stopping_ = false;
+  TimePoint StopBy_;
+  TimePoint SettledAt_;
+  std::function<void(bool)> OnStopped_;
+  ControlService Service_;
+  OperatorInterface Operators_;
+  net::DatagramSocket Heartbeats_;
+  net::FrameServer Frames_;
+  net::HttpServer Http_;
+  net::Timer Ticks_;
+  net::Timer Stops_;
+};
+
+Control::Control(net::EventLoop &Loop,
+                 const settings::ControlSettings &Settings)
+    : Impl_(std::make_unique<Impl>(Loop, Settings)) {}
+
+Control::~Control() = default;
+
+void Control::stop(std::function<void(bool)> OnStopped) {
+  Impl_->stop(std::move(OnStopped));
+}
+
+} // namespace dragonfly::control
