--- a/bench/support/EntryPolicy.h
+++ b/bench/support/EntryPolicy.h
@@ -21,6 +21,8 @@
       Offer_;
   std::function<void(TimePoint, decide::RequestHandle, Duration)> Finish_;
   std::function<void(decide::RequestHandle)> Cancel_;
+  /// Lets a request wait again; where empty it is refused.
+  std::function<void(TimePoint, decide::RequestHandle)> PutBack_;
   std::function<std::vector<decide::AdmissionCommand>(TimePoint)> Tick_;
 
   std::function<void(std::span<const decide::UpstreamRow>)> SetUpstreams_;
@@ -33,6 +35,8 @@
       Finished_;
   std::function<void()> CountRequest_;
   std::function<bool()> TakeRetry_;
+  /// Slots that admission may fill, where the router tells.
+  std::function<std::uint32_t()> Slots_;
   /// Upstreams that are ejected now.
   std::function<std::size_t(TimePoint)> Ejected_;
 };
