Let the entry claim under a fresh claimant per request

Cause: with the entry's incarnation as claimant, a caller's resend that reached the same entry after it had forgotten an unknown outcome looked like a claim whose answer was lost, was granted again and would have run twice; and a refusal that named no claimant released nothing, so the id stayed pending for good. Ruled out: releasing on any refusal (a late resend of it would free the claim of another entry). Change: Request::Claimant_, in the claim and in the receipt that ends it. All tests of entry and control pass.

--- a/src/entry/Gateway.cpp
+++ b/src/entry/Gateway.cpp
@@ -1,5 +1,6 @@
 #include "dragonfly/entry/Gateway.h"
 
+#include "dragonfly/base/Random.h"
 #include "entry/GatewayImpl.h"
 
 #include <algorithm>
@@ -133,6 +134,7 @@
   Row->Key_ = std::move(Sent.Key_);
   Row->Body_ = std::move(Sent.Body_);
   Row->BodyHash_ = BodyHash;
+  Row->Claimant_ = makeFreshId<Incarnation>();
   Row->ArrivedAt_ = Now;
   Row->Deadline_ =
       Now + Sent.TimeLeft_.value_or(Row->Kind_->Settings_.Deadline_);
@@ -249,8 +251,8 @@
        .Reason_ = End.Reason_,
        .NonIdempotent_ = Row.Kind_->Settings_.NonIdempotent_,
        .Status_ = End.Status_,
-       .Body_ =
-           Row.Kind_->Settings_.NonIdempotent_ ? End.Body_ : std::string()});
+       .Body_ = Row.Kind_->Settings_.NonIdempotent_ ? End.Body_ : std::string(),
+       .Claimant_ = Row.ClaimHeld_ ? Row.Claimant_ : Incarnation{}});
 }
 
 void Gateway::Impl::pump(TimePoint Now) {
--- a/src/entry/GatewayAttempts.cpp
+++ b/src/entry/GatewayAttempts.cpp
@@ -66,7 +66,7 @@
                     .Kind_ = Row->Kind_->Settings_.Name_,
                     .Worker_ = Row->Attempt_.Worker_,
                     .Target_ = Row->Attempt_.Target_,
-                    .Claimant_ = Options_.Self_,
+                    .Claimant_ = Row->Claimant_,
                     .Attempt_ = Row->ClaimAttempt_,
                     .BodyHash_ = Row->BodyHash_};
   Options_.Hooks_.CallControl_(
--- a/src/entry/GatewayImpl.h
+++ b/src/entry/GatewayImpl.h
@@ -61,6 +61,9 @@
   bool PartsPassed_ = false;
   std::uint32_t Tries_ = 0;
   std::uint32_t ClaimAttempt_ = 1;
+  /// Fresh for each request, so that a later resend at this entry is told from
+  /// a claim whose answer was lost.
+  Incarnation Claimant_;
   Attempt Attempt_;
   std::vector<decide::UpstreamIndex> Excluded_;
   Duration PollDelay_{};
