--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,12 @@
 # make test   builds everything and runs the tests
 # make demo   builds, runs a local deployment with load, and checks the counts
+# make faults restarts and kills processes of a local deployment under load
 BUILD ?= build
 JOBS ?= $(shell nproc)
 export CCACHE_BASEDIR := $(CURDIR)
 export CCACHE_NOHASHDIR := 1
 
-.PHONY: packages build test sanitize lint format format-check layers demo clean
+.PHONY: packages build test sanitize lint format format-check layers demo faults clean
 
 packages:
 	tools/install-packages.sh
@@ -35,5 +36,9 @@
 demo: build
 	tools/demo.sh $(BUILD)
 
+faults: build
+	tools/rolling-restart.sh $(BUILD)
+	tools/process-faults.sh $(BUILD)
+
 clean:
 	cmake --build $(BUILD) --target clean
--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -76,7 +76,8 @@
         "dragonfly", std::make_shared<spdlog::sinks::stderr_sink_mt>());
   }
   const bool Json = State.Options_.Format_ == LogFormat::Json;
-  State.Logger_->set_pattern(Json ? "%v" : "%Y-%m-%dT%H:%M:%S.%e %l %v");
+  State.Logger_->set_pattern(Json ? R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z",%v)"
+                                  : "%Y-%m-%dT%H:%M:%S.%e%z %l %v");
   State.Logger_->set_level(toLevel(State.Options_.Least_));
   State.Logger_->flush_on(spdlog::level::info);
 }
@@ -90,7 +91,11 @@
       State.Options_.Format_ == LogFormat::Json
           ? formatJson(Row, State.Options_.Process_, Fields)
           : formatText(Row, State.Options_.Process_, Fields);
-  State.Logger_->log(toLevel(Row.Severity_), Line);
+  // The pattern opens a JSON line with the time; a hook gets the line without.
+  const bool Opened =
+      State.Options_.Format_ == LogFormat::Json && !State.Options_.Sink_;
+  State.Logger_->log(toLevel(Row.Severity_),
+                     std::string_view(Line).substr(Opened ? 1 : 0));
 }
 
 } // namespace dragonfly
