--- a/src/settings/CommandLine.cpp
+++ b/src/settings/CommandLine.cpp
@@ -4,6 +4,8 @@
 #include <absl/flags/usage.h>
 
 #include <algorithm>
+#include <iterator>
+#include <mutex>
 
 namespace dragonfly::settings {
 namespace {
@@ -20,7 +22,8 @@
 
 std::vector<std::string> parseCommandLine(int Argc, char **Argv,
                                           const std::string &Usage) {
-  absl::SetProgramUsageMessage(Usage);
+  static std::once_flag UsageSet;
+  std::call_once(UsageSet, [&Usage] { absl::SetProgramUsageMessage(Usage); });
   std::vector<std::string> Arguments(Argv, Argv + Argc);
   std::ranges::transform(Arguments, Arguments.begin(), normaliseFlagName);
   std::vector<char *> Pointers;
