Pass the test's arguments in an array

Cause: the linter asks for a container of known size. Ruled out: nothing else. Change: std::array and std::ranges::transform.

--- a/tests/settings/ProgramTest.cpp
+++ b/tests/settings/ProgramTest.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <array>
 #include <functional>
 #include <iostream>
@@ -55,9 +56,9 @@
 int runWith(const std::string &File, const std::string &Check, const Run &Do) {
   std::vector<std::string> Arguments{"program", "--settings=" + File,
                                      "--check-settings=" + Check};
-  std::vector<char *> Pointers;
-  for (std::string &Argument : Arguments)
-    Pointers.push_back(Argument.data());
+  std::array<char *, 3> Pointers{};
+  std::ranges::transform(Arguments, Pointers.begin(),
+                         [](std::string &Argument) { return Argument.data(); });
   return runAgentProgram(static_cast<int>(Pointers.size()), Pointers.data(),
                          Do);
 }
