--- a/bench/PolicyBench.cpp
+++ b/bench/PolicyBench.cpp
@@ -4,6 +4,7 @@
 ///             [--svg=FOLDER]
 #include "support/Report.h"
 #include "support/RequestScenarios.h"
+#include "support/TaskScenarios.h"
 
 #include <array>
 #include <cstdio>
@@ -37,6 +38,9 @@
     Scenario{"customer-beyond-plan", customerBeyondPlan},
     Scenario{"failing-workers", failingWorkers},
     Scenario{"cancellations", cancellationWave},
+    Scenario{"first-fit", againstFirstFit},
+    Scenario{"impossible-jobs", impossibleJobs},
+    Scenario{"weights", weightsOfDeployments},
 };
 
 bool take(std::string_view Argument, std::string_view Name, std::string &Into) {
--- a/tests/entry/GatewayFixture.h
+++ b/tests/entry/GatewayFixture.h
@@ -31,10 +31,10 @@
 }
 
 inline net::CallResult claimReply(wire::ClaimStatus Status) {
-  return answered(wire::ClaimReply{
-      .Status_ = Status,
-      .First_ = {.Outcome_ = Outcome::Completed, .Status_ = 201,
-                 .Body_ = "first"}});
+  return answered(wire::ClaimReply{.Status_ = Status,
+                                   .First_ = {.Outcome_ = Outcome::Completed,
+                                              .Status_ = 201,
+                                              .Body_ = "first"}});
 }
 
 /// Kinds: "check" idempotent, "review" non-idempotent, "watch" streamed,
@@ -75,8 +75,7 @@
          .Kind_ = Kind,
          .Body_ = std::move(Body),
          .Detached_ = Detached},
-        {.OnAnswer_ =
-             [this](const AnswerPtr &End) { Answers_.push_back(End); },
+        {.OnAnswer_ = [this](const AnswerPtr &End) { Answers_.push_back(End); },
          .OnPart_ =
              [this](std::string_view Part) {
                Parts_ += Part;
--- a/tests/entry/GatewayTest.cpp
+++ b/tests/entry/GatewayTest.cpp
@@ -210,8 +210,8 @@
 TEST_CASE("whatever happens, a non-idempotent request runs at most once and a "
           "refused one did not run",
           "[entry][at-most-once][random]") {
-  const std::vector<net::CallResult> AgentEnds{Done,   NoSlot,   NeverSent,
-                                               Lost,   TimedOut, Broken};
+  const std::vector<net::CallResult> AgentEnds{Done, NoSlot,   NeverSent,
+                                               Lost, TimedOut, Broken};
   const std::vector<net::CallResult> ClaimEnds{
       claimReply(ClaimStatus::Granted), claimReply(ClaimStatus::Granted),
       claimReply(ClaimStatus::Pending), NeverSent, TimedOut};
@@ -319,8 +319,9 @@
   CHECK(Fake.Gateway_->inProgress() == 0);
 }
 
-TEST_CASE("receipts: one per completion, and one where a held claim is given up",
-          "[entry][receipt]") {
+TEST_CASE(
+    "receipts: one per completion, and one where a held claim is given up",
+    "[entry][receipt]") {
   GatewayFixture Fake;
   Fake.submit("check", "r1");
   Fake.endAgentCall(Done);
