--- a/src/entry/GatewayImpl.h
+++ b/src/entry/GatewayImpl.h
@@ -63,6 +63,9 @@
   bool PartsPassed_ = false;
   std::uint32_t Tries_ = 0;
   std::uint32_t ClaimAttempt_ = 1;
+  /// Fresh for each request, so that a later resend at this entry is told from
+  /// a claim whose answer was lost.
+  Incarnation Claimant_;
   /// The upstream chosen for the next attempt.
   Attempt Next_;
   /// Attempts with an agent: one, or two where a hedge was sent.
