--- a/bench/support/Deployment.h
+++ b/bench/support/Deployment.h
@@ -1,6 +1,6 @@
 /// Sizes, kinds and weights of the two deployments, for the benches.
-#ifndef BENCH_SUPPORT_DEPLOYMENT_H
-#define BENCH_SUPPORT_DEPLOYMENT_H
+#ifndef DRAGONFLY_BENCH_SUPPORT_DEPLOYMENT_H
+#define DRAGONFLY_BENCH_SUPPORT_DEPLOYMENT_H
 
 #include "dragonfly/base/Clock.h"
 #include "dragonfly/base/Resources.h"
@@ -51,4 +51,4 @@
 
 } // namespace dragonfly::bench
 
-#endif // BENCH_SUPPORT_DEPLOYMENT_H
+#endif // DRAGONFLY_BENCH_SUPPORT_DEPLOYMENT_H
--- a/bench/support/EntryPolicy.h
+++ b/bench/support/EntryPolicy.h
@@ -1,6 +1,6 @@
 /// What an entry decides by, as hooks: the shipped systems or a baseline.
-#ifndef BENCH_SUPPORT_ENTRYPOLICY_H
-#define BENCH_SUPPORT_ENTRYPOLICY_H
+#ifndef DRAGONFLY_BENCH_SUPPORT_ENTRYPOLICY_H
+#define DRAGONFLY_BENCH_SUPPORT_ENTRYPOLICY_H
 
 #include "dragonfly/decide/Admission.h"
 #include "dragonfly/decide/Router.h"
@@ -61,4 +61,4 @@
 
 } // namespace dragonfly::bench
 
-#endif // BENCH_SUPPORT_ENTRYPOLICY_H
+#endif // DRAGONFLY_BENCH_SUPPORT_ENTRYPOLICY_H
--- a/bench/support/Measure.h
+++ b/bench/support/Measure.h
@@ -1,6 +1,6 @@
 /// Measures with their bounds, over several seeds.
-#ifndef BENCH_SUPPORT_MEASURE_H
-#define BENCH_SUPPORT_MEASURE_H
+#ifndef DRAGONFLY_BENCH_SUPPORT_MEASURE_H
+#define DRAGONFLY_BENCH_SUPPORT_MEASURE_H
 
 #include "support/Statistics.h"
 
@@ -49,4 +49,4 @@
 
 } // namespace dragonfly::bench
 
-#endif // BENCH_SUPPORT_MEASURE_H
+#endif // DRAGONFLY_BENCH_SUPPORT_MEASURE_H
--- a/bench/support/Report.h
+++ b/bench/support/Report.h
@@ -1,6 +1,6 @@
 /// Prints measures as a table, as JSON and as plots.
-#ifndef BENCH_SUPPORT_REPORT_H
-#define BENCH_SUPPORT_REPORT_H
+#ifndef DRAGONFLY_BENCH_SUPPORT_REPORT_H
+#define DRAGONFLY_BENCH_SUPPORT_REPORT_H
 
 #include "support/Measure.h"
 
@@ -20,4 +20,4 @@
 
 } // namespace dragonfly::bench
 
-#endif // BENCH_SUPPORT_REPORT_H
+#endif // DRAGONFLY_BENCH_SUPPORT_REPORT_H
--- a/bench/support/RequestRun.h
+++ b/bench/support/RequestRun.h
@@ -1,7 +1,7 @@
 /// Drives entries' policies with an open-loop load against fake workers, on
 /// simulated time.
-#ifndef BENCH_SUPPORT_REQUESTRUN_H
-#define BENCH_SUPPORT_REQUESTRUN_H
+#ifndef DRAGONFLY_BENCH_SUPPORT_REQUESTRUN_H
+#define DRAGONFLY_BENCH_SUPPORT_REQUESTRUN_H
 
 #include "dragonfly/base/Random.h"
 #include "support/EntryPolicy.h"
@@ -157,4 +157,4 @@
 
 } // namespace dragonfly::bench
 
-#endif // BENCH_SUPPORT_REQUESTRUN_H
+#endif // DRAGONFLY_BENCH_SUPPORT_REQUESTRUN_H
--- a/bench/support/RequestScenarios.h
+++ b/bench/support/RequestScenarios.h
@@ -1,6 +1,6 @@
 /// Floods, bad workers, cancellations and a customer beyond its plan.
-#ifndef BENCH_SUPPORT_REQUESTSCENARIOS_H
-#define BENCH_SUPPORT_REQUESTSCENARIOS_H
+#ifndef DRAGONFLY_BENCH_SUPPORT_REQUESTSCENARIOS_H
+#define DRAGONFLY_BENCH_SUPPORT_REQUESTSCENARIOS_H
 
 #include "support/Measure.h"
 #include "support/RequestRun.h"
@@ -16,4 +16,4 @@
 
 } // namespace dragonfly::bench
 
-#endif // BENCH_SUPPORT_REQUESTSCENARIOS_H
+#endif // DRAGONFLY_BENCH_SUPPORT_REQUESTSCENARIOS_H
--- a/bench/support/Statistics.h
+++ b/bench/support/Statistics.h
@@ -1,6 +1,6 @@
 /// Quantiles and spreads of measured values.
-#ifndef BENCH_SUPPORT_STATISTICS_H
-#define BENCH_SUPPORT_STATISTICS_H
+#ifndef DRAGONFLY_BENCH_SUPPORT_STATISTICS_H
+#define DRAGONFLY_BENCH_SUPPORT_STATISTICS_H
 
 #include <algorithm>
 #include <cmath>
@@ -35,4 +35,4 @@
 
 } // namespace dragonfly::bench
 
-#endif // BENCH_SUPPORT_STATISTICS_H
+#endif // DRAGONFLY_BENCH_SUPPORT_STATISTICS_H
--- a/bench/support/TaskPolicy.h
+++ b/bench/support/TaskPolicy.h
@@ -1,6 +1,6 @@
 /// What control places tasks by, as hooks: the shipped system or a baseline.
-#ifndef BENCH_SUPPORT_TASKPOLICY_H
-#define BENCH_SUPPORT_TASKPOLICY_H
+#ifndef DRAGONFLY_BENCH_SUPPORT_TASKPOLICY_H
+#define DRAGONFLY_BENCH_SUPPORT_TASKPOLICY_H
 
 #include "dragonfly/decide/Placement.h"
 
@@ -30,4 +30,4 @@
 
 } // namespace dragonfly::bench
 
-#endif // BENCH_SUPPORT_TASKPOLICY_H
+#endif // DRAGONFLY_BENCH_SUPPORT_TASKPOLICY_H
--- a/bench/support/TaskRun.h
+++ b/bench/support/TaskRun.h
@@ -1,7 +1,7 @@
 /// Runs batch tasks on fake workers beside the requests of a RequestRun:
 /// hidden interference, wrong sizes, late usage, lost racks.
-#ifndef BENCH_SUPPORT_TASKRUN_H
-#define BENCH_SUPPORT_TASKRUN_H
+#ifndef DRAGONFLY_BENCH_SUPPORT_TASKRUN_H
+#define DRAGONFLY_BENCH_SUPPORT_TASKRUN_H
 
 #include "support/RequestRun.h"
 #include "support/TaskPolicy.h"
@@ -114,4 +114,4 @@
 
 } // namespace dragonfly::bench
 
-#endif // BENCH_SUPPORT_TASKRUN_H
+#endif // DRAGONFLY_BENCH_SUPPORT_TASKRUN_H
--- a/bench/support/TaskScenarios.h
+++ b/bench/support/TaskScenarios.h
@@ -1,6 +1,6 @@
 /// Placement beside requests: against first-fit, impossible jobs, weights.
-#ifndef BENCH_SUPPORT_TASKSCENARIOS_H
-#define BENCH_SUPPORT_TASKSCENARIOS_H
+#ifndef DRAGONFLY_BENCH_SUPPORT_TASKSCENARIOS_H
+#define DRAGONFLY_BENCH_SUPPORT_TASKSCENARIOS_H
 
 #include "support/Measure.h"
 #include "support/TaskRun.h"
@@ -13,4 +13,4 @@
 
 } // namespace dragonfly::bench
 
-#endif // BENCH_SUPPORT_TASKSCENARIOS_H
+#endif // DRAGONFLY_BENCH_SUPPORT_TASKSCENARIOS_H
