Leave part of the retry budget to retries

Ruled out: retries outside the budget, which feed a flood. Change: hedges also take from a budget of their own, half as large. Conclusion: the new case fails without the change and passes with it.

--- a/src/entry/Gateway.cpp
+++ b/src/entry/Gateway.cpp
@@ -11,6 +11,8 @@
 
 /// When a caller may come back after a refusal that names no time.
 constexpr Duration DefaultRetryAfter = std::chrono::seconds(1);
+/// Part of the retry budget that hedges may use.
+constexpr std::uint32_t HedgePart = 2;
 /// Part of a kind's deadline that its first expected service time may take.
 constexpr int ExpectedDeadlineParts = 4;
 
@@ -57,7 +59,8 @@
 
 Gateway::Impl::Impl(GatewayOptions Options)
     : Options_(std::move(Options)), Admission_(policies(Options_.Kinds_)),
-      Router_(routing(Options_)), Window_(Options_.Window_) {
+      Router_(routing(Options_)), Window_(Options_.Window_),
+      HedgeBudget_(Options_.RetryPermille_ / HedgePart) {
   for (const settings::KindSettings &Kind : Options_.Kinds_) {
     const auto Number = static_cast<decide::RoutedKind>(Kinds_.size());
     Kinds_.emplace(Kind.Name_, KindRow{Kind, Number % decide::MaxRoutedKinds});
@@ -284,6 +287,7 @@
   Row->Admitted_ = true;
   Row->DispatchedAt_ = Now;
   Router_.countRequest();
+  HedgeBudget_.countRequest();
   beginAttempt(Now, Row);
 }
 
--- a/src/entry/GatewayAttempts.cpp
+++ b/src/entry/GatewayAttempts.cpp
@@ -252,7 +252,7 @@
   if (Row->CancelAsked_ || Now >= Row->Deadline_ || Row->Tries_ >= MaxTries)
     return;
   Row->Excluded_.push_back(Row->Active_.front().Index_);
-  if (pick(Now, *Row) && Router_.takeRetry())
+  if (pick(Now, *Row) && HedgeBudget_.take() && Router_.takeRetry())
     execute(Now, Row);
 }
 
--- a/src/entry/GatewayImpl.h
+++ b/src/entry/GatewayImpl.h
@@ -2,6 +2,7 @@
 #ifndef DRAGONFLY_SRC_ENTRY_GATEWAYIMPL_H
 #define DRAGONFLY_SRC_ENTRY_GATEWAYIMPL_H
 
+#include "decide/RetryBudget.h"
 #include "dragonfly/entry/AttemptRules.h"
 #include "dragonfly/entry/Gateway.h"
 
@@ -162,6 +163,9 @@
   std::unordered_map<WaiterId, RequestPtr> Waiters_;
   std::multimap<TimePoint, RequestPtr> Polls_;
   std::priority_queue<Hedge, std::vector<Hedge>, std::greater<>> Hedges_;
+  /// Hedges take from this and from the router's budget, so that they leave
+  /// part of it for retries.
+  decide::RetryBudget HedgeBudget_;
   std::vector<decide::AdmissionCommand> Commands_;
   WaiterId LastWaiter_ = 0;
   bool Pumping_ = false;
--- a/tests/entry/GatewayFixture.h
+++ b/tests/entry/GatewayFixture.h
@@ -41,12 +41,12 @@
 /// "batch" a non-idempotent task.
 class GatewayFixture {
 public:
-  GatewayFixture() {
+  explicit GatewayFixture(std::uint32_t RetryPermille = 1000) {
     Clock::pause(TimePoint(std::chrono::hours(1)));
     Gateway_.emplace(GatewayOptions{.Self_ = {77},
                                     .AvailabilityZone_ = "az-a",
                                     .Kinds_ = kinds(),
-                                    .RetryPermille_ = 1000,
+                                    .RetryPermille_ = RetryPermille,
                                     .Window_ = {.MaxAnswers_ = 100},
                                     .Hooks_ = hooks()});
     Gateway_->setCustomers({{"acme", 100, 100}});
--- a/tests/entry/GatewayTest.cpp
+++ b/tests/entry/GatewayTest.cpp
@@ -541,3 +541,20 @@
   Fake.advance(std::chrono::seconds(5));
   CHECK(Fake.AgentCalls_.size() == 1);
 }
+
+TEST_CASE("hedges leave part of the budget for retries", "[entry][hedge]") {
+  constexpr std::uint32_t RetryPermille = 20;
+  constexpr std::size_t Slow = 20;
+  GatewayFixture Fake(RetryPermille);
+  learnLatency(Fake, "check");
+  for (std::size_t Number = 0; Number < Slow; ++Number)
+    Fake.submit("check", "slow" + std::to_string(Number));
+  Fake.advance(std::chrono::milliseconds(100));
+  REQUIRE(Fake.AgentCalls_.size() > Slow);
+  REQUIRE(Fake.AgentCalls_.size() < 2 * Slow);
+  Fake.submit("check", "refused");
+  const std::size_t Before = Fake.AgentCalls_.size();
+  Fake.endAgentCall(NoSlot);
+  CHECK(Fake.Answers_.empty());
+  CHECK(Fake.AgentCalls_.size() == Before + 1);
+}
