Show how long the entry's thread waited for a processor

Cause: tails measured on a busy machine cannot be told from the path's own. Change: EntryBench reads /proc/thread-self/schedstat per round.

--- a/bench/EntryBench.cpp
+++ b/bench/EntryBench.cpp
@@ -15,6 +15,7 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <fstream>
 #include <list>
 #include <new>
 #include <optional>
@@ -60,15 +61,26 @@
 /// What a thread has spent so far.
 struct Spent {
   double CpuSeconds_ = 0;
+  /// Time for which the thread was ready to run but had no processor.
+  double WaitSeconds_ = 0;
   std::uint64_t Allocations_ = 0;
 };
 
+/// Returns the seconds that the kernel has kept this thread waiting.
+double processorWait() {
+  std::ifstream In("/proc/thread-self/schedstat");
+  double Ran = 0;
+  double Waited = 0;
+  In >> Ran >> Waited;
+  return Waited * 1e-9;
+}
+
 Spent spentByThread() {
   timespec Time{};
   clock_gettime(CLOCK_THREAD_CPUTIME_ID, &Time);
   return {static_cast<double>(Time.tv_sec) +
               static_cast<double>(Time.tv_nsec) * 1e-9,
-          Allocations};
+          processorWait(), Allocations};
 }
 
 /// Every process of a small deployment, each on a thread of its own.
@@ -212,17 +224,23 @@
     const load::LoadResult Direct = send(Plan);
     Plan.Targets_ = {Local.entry()};
     Plan.Target_ = load::LoadTarget::Entry;
+    const Spent Before = Local.entrySpent();
     const load::LoadResult Through = send(Plan);
+    const Spent After = Local.entrySpent();
     AddedMedian.push_back(toMilliseconds(Through.P50_ - Direct.P50_));
     AddedTail.push_back(toMilliseconds(Through.P99_ - Direct.P99_));
     std::printf("round %d at %.0f/s: straight p50 %.3f p99 %.3f ms; through "
-                "p50 %.3f p99 %.3f ms; ratio %.2f and %.2f; refused %llu\n",
+                "p50 %.3f p99 %.3f ms; ratio %.2f and %.2f; refused %llu; "
+                "entry thread ran "
+                "%.0f ms, waited for a processor %.0f ms\n",
                 Round + 1, Rate, toMilliseconds(Direct.P50_),
                 toMilliseconds(Direct.P99_), toMilliseconds(Through.P50_),
                 toMilliseconds(Through.P99_),
                 toMilliseconds(Through.P50_) / toMilliseconds(Direct.P50_),
                 toMilliseconds(Through.P99_) / toMilliseconds(Direct.P99_),
-                static_cast<unsigned long long>(Through.Refused_));
+                static_cast<unsigned long long>(Through.Refused_),
+                (After.CpuSeconds_ - Before.CpuSeconds_) * 1e3,
+                (After.WaitSeconds_ - Before.WaitSeconds_) * 1e3);
   }
   std::printf("added, median over rounds: p50 %.3f ms, p99 %.3f ms\n",
               bench::medianOf(AddedMedian), bench::medianOf(AddedTail));
