Poll tasks in step with their age; name each request in its body

Ruled out: a fixed short poll, which loads control by the number of long tasks. Change: the next poll comes after an eighth of the request's age, from 20 ms to 1 s; bodies of load name their request.

--- a/bench/support/LoadGenerator.cpp
+++ b/bench/support/LoadGenerator.cpp
@@ -37,9 +37,16 @@
 struct RowState {
   LoadResult Result_;
   std::vector<Duration> Latencies_;
-  std::string Body_;
 };
 
+/// Returns a body that names its request, padded to \p Bytes; a task's answer
+/// echoes it.
+std::string makeBody(const std::string &RequestId, std::size_t Bytes) {
+  std::string Body = R"({"request_id":")" + RequestId + "\"}";
+  Body.resize(std::max(Body.size(), Bytes), ' ');
+  return Body;
+}
+
 /// True where the body is the whole answer to \p RequestId.
 bool ownAnswer(const std::string &Body, const std::string &RequestId) {
   const bool Named = Body.find("\"" + RequestId + "\"") != std::string::npos;
@@ -71,8 +78,7 @@
                      .MaxWaiting_ = 1U << 20U}));
     for (const LoadRow &Row : Plan_.Rows_)
       Rows_.push_back(
-          {.Result_ = {.Customer_ = Row.Customer_, .Kind_ = Row.Kind_},
-           .Body_ = std::string(Row.BodyBytes_, 'x')});
+          {.Result_ = {.Customer_ = Row.Customer_, .Kind_ = Row.Kind_}});
   }
 
   void start() {
@@ -148,7 +154,7 @@
                      {"Dragonfly-Kind", Row.Kind_},
                      {Direct ? "Dragonfly-Request-Id" : "Idempotency-Key",
                       Request.RequestId_}},
-        .Body_ = Rows_[Request.Row_].Body_};
+        .Body_ = makeBody(Request.RequestId_, Row.BodyBytes_)};
     if (Row.Deadline_ > Duration::zero())
       Result.Headers_.push_back(
           {"Dragonfly-Deadline-Ms",
--- a/src/entry/GatewayImpl.h
+++ b/src/entry/GatewayImpl.h
@@ -72,7 +72,6 @@
   /// Attempts with an agent: one, or two where a hedge was sent.
   std::vector<Attempt> Active_;
   std::vector<decide::UpstreamIndex> Excluded_;
-  Duration PollDelay_{};
   std::vector<Waiter> Waiters_;
 
   bool streamed() const {
--- a/src/entry/GatewayTasks.cpp
+++ b/src/entry/GatewayTasks.cpp
@@ -6,8 +6,11 @@
 namespace dragonfly::entry {
 namespace {
 
-constexpr Duration FirstPollDelay = std::chrono::milliseconds(20);
+constexpr Duration MinPollDelay = std::chrono::milliseconds(20);
 constexpr Duration MaxPollDelay = std::chrono::seconds(1);
+/// Part of the time since arrival that passes until the next poll, which bounds
+/// what polling adds to a request.
+constexpr int PollPart = 8;
 
 bool ended(wire::TaskState State) {
   switch (State) {
@@ -102,9 +105,9 @@
 }
 
 void Gateway::Impl::pollLater(TimePoint Now, const RequestPtr &Row) {
-  Row->PollDelay_ =
-      std::clamp(Row->PollDelay_ * 2, FirstPollDelay, MaxPollDelay);
-  Polls_.emplace(std::min(Now + Row->PollDelay_, Row->Deadline_), Row);
+  const Duration Delay = std::clamp((Now - Row->ArrivedAt_) / PollPart,
+                                    MinPollDelay, MaxPollDelay);
+  Polls_.emplace(std::min(Now + Delay, Row->Deadline_), Row);
 }
 
 } // namespace dragonfly::entry
