Split the long test files of HTTP and the gateway

Cause: HttpTest and GatewayTest had grown to 492 and 560 lines. Ruled out: fewer tests. Change: peers of the HTTP tests in a header; server, client, callers and hedges in files of their own.

--- a/bench/support/LoadGenerator.cpp
+++ b/bench/support/LoadGenerator.cpp
@@ -5,6 +5,7 @@
 #include "dragonfly/net/HttpClient.h"
 
 #include <algorithm>
+#include <cmath>
 #include <queue>
 #include <random>
 #include <utility>
@@ -59,7 +60,7 @@
   if (Sorted.empty())
     return Duration::zero();
   const auto Last = static_cast<double>(Sorted.size() - 1);
-  return Sorted[static_cast<std::size_t>(Share * Last + 0.5)];
+  return Sorted[static_cast<std::size_t>(std::lround(Share * Last))];
 }
 
 } // namespace
--- a/tests/entry/GatewayFixture.h
+++ b/tests/entry/GatewayFixture.h
@@ -37,6 +37,15 @@
                                               .Body_ = "first"}});
 }
 
+inline const net::CallResult NeverSent{net::CallStatus::NeverSent, {}};
+inline const net::CallResult Lost{net::CallStatus::Lost, {}};
+inline const net::CallResult TimedOut{net::CallStatus::TimedOut, {}};
+inline const net::CallResult Done = executed(Outcome::Completed);
+inline const net::CallResult NoSlot =
+    executed(Outcome::RefusedNotRun, Reason::NoFreeSlot);
+inline const net::CallResult Broken =
+    executed(Outcome::Unknown, Reason::UpstreamFailed);
+
 /// Kinds: "check" idempotent, "review" non-idempotent, "watch" streamed,
 /// "batch" a non-idempotent task.
 class GatewayFixture {
--- a/tests/entry/GatewayTest.cpp
+++ b/tests/entry/GatewayTest.cpp
@@ -9,7 +9,6 @@
 
 using namespace dragonfly;
 using namespace dragonfly::entry;
-using net::CallStatus;
 using wire::ClaimStatus;
 
 namespace {
@@ -34,15 +33,6 @@
   CHECK_FALSE(Fake.controlPending());
 }
 
-const net::CallResult NeverSent{CallStatus::NeverSent, {}};
-const net::CallResult Lost{CallStatus::Lost, {}};
-const net::CallResult TimedOut{CallStatus::TimedOut, {}};
-const net::CallResult Done = executed(Outcome::Completed);
-const net::CallResult NoSlot =
-    executed(Outcome::RefusedNotRun, Reason::NoFreeSlot);
-const net::CallResult Broken =
-    executed(Outcome::Unknown, Reason::UpstreamFailed);
-
 void checkRow(const std::string &Kind, const OutcomeRow &Row) {
   INFO(Kind << ": " << Row.Name_);
   GatewayFixture Fake;
@@ -343,83 +333,6 @@
   CHECK(Fake.Receipts_.size() == 2);
 }
 
-TEST_CASE("a watch passes its parts in order and is cancelled when left",
-          "[entry][watch]") {
-  GatewayFixture Fake;
-  const WaiterId Follower = Fake.submit("watch", "w1");
-  REQUIRE(Fake.agentPending());
-  CHECK(std::get<wire::Execute>(Fake.AgentCalls_[0].Request_).Streamed_);
-  Fake.AgentCalls_[0].OnPart_(wire::ExecutePart{0, "one,"});
-  Fake.AgentCalls_[0].OnPart_(wire::ExecutePart{1, "two"});
-  CHECK(Fake.Parts_ == "one,two");
-  SECTION("whole") {
-    Fake.endAgentCall(Done);
-    CHECK(Fake.Answers_.at(0)->Outcome_ == Outcome::Completed);
-  }
-  SECTION("lost after a part: not tried again") {
-    Fake.endAgentCall(Lost);
-    CHECK(Fake.AgentCalls_.size() == 1);
-    CHECK(Fake.Answers_.at(0)->Outcome_ == Outcome::Unknown);
-  }
-  SECTION("follower gone") {
-    Fake.Gateway_->callerGone(Clock::now(), Follower);
-    REQUIRE(Fake.Told_.size() == 1);
-    CHECK(std::holds_alternative<wire::CancelExecute>(Fake.Told_[0].second));
-    Fake.endAgentCall(Done);
-    CHECK(Fake.Answers_.empty());
-  }
-  SECTION("follower too slow") {
-    Fake.KeepsUp_ = false;
-    Fake.AgentCalls_[0].OnPart_(wire::ExecutePart{2, "three"});
-    CHECK(Fake.Told_.size() == 1);
-  }
-  CHECK(Fake.Gateway_->inProgress() == 0);
-}
-
-TEST_CASE("a request whose caller has gone holds no place in the queue",
-          "[entry][callers]") {
-  GatewayFixture Fake;
-  Fake.Gateway_->setCustomers({{"acme", 1, 100}});
-  Fake.submit("check", "r1");
-  const WaiterId Second = Fake.submit("check", "r2");
-  REQUIRE(Fake.AgentCalls_.size() == 1);
-  Fake.Gateway_->callerGone(Clock::now(), Second);
-  Fake.endAgentCall(Done);
-  CHECK(Fake.AgentCalls_.size() == 1);
-  CHECK(Fake.Answers_.size() == 1);
-  CHECK(Fake.Gateway_->inProgress() == 0);
-}
-
-TEST_CASE("a cancelled request still has one outcome", "[entry][cancel]") {
-  GatewayFixture Fake;
-  SECTION("while it waits") {
-    Fake.Gateway_->setCustomers({{"acme", 1, 100}});
-    Fake.submit("check", "r1");
-    Fake.submit("check", "r2");
-    Fake.Gateway_->cancel(Clock::now(), {"acme", "r2"});
-    REQUIRE(Fake.Answers_.size() == 1);
-    CHECK(Fake.Answers_[0]->Outcome_ == Outcome::RefusedNotRun);
-    CHECK(Fake.Answers_[0]->Reason_ == Reason::Cancelled);
-  }
-  SECTION("while it is claimed") {
-    Fake.submit("review", "r1");
-    Fake.Gateway_->cancel(Clock::now(), {"acme", "r1"});
-    Fake.endControlCall(claimReply(ClaimStatus::Granted));
-    CHECK(Fake.AgentCalls_.empty());
-    REQUIRE(Fake.Answers_.size() == 1);
-    CHECK(Fake.Answers_[0]->Outcome_ == Outcome::RefusedNotRun);
-    CHECK(Fake.Receipts_.size() == 1);
-  }
-  SECTION("while it runs") {
-    Fake.submit("check", "r1");
-    Fake.Gateway_->cancel(Clock::now(), {"acme", "r1"});
-    REQUIRE(Fake.Told_.size() == 1);
-    Fake.endAgentCall(Done);
-    REQUIRE(Fake.Answers_.size() == 1);
-    CHECK(Fake.Answers_[0]->Outcome_ == Outcome::Completed);
-  }
-}
-
 TEST_CASE("a task is accepted once control has it, then followed",
           "[entry][task]") {
   GatewayFixture Fake;
@@ -474,87 +387,3 @@
   CHECK(Fake.Answers_.size() == 1);
   CHECK(Fake.Receipts_.size() == 1);
 }
-
-namespace {
-
-/// Lets the router learn how long requests of \p Kind take.
-void learnLatency(GatewayFixture &Fake, const std::string &Kind) {
-  for (int Number = 0; Number < 200; ++Number) {
-    Fake.submit(Kind, "learn" + std::to_string(Number));
-    Fake.advance(std::chrono::milliseconds(5));
-    if (Fake.controlPending())
-      Fake.endControlCall(claimReply(ClaimStatus::Granted));
-    Fake.endAgentCall(Done);
-  }
-  Fake.AgentCalls_.clear();
-  Fake.Answers_.clear();
-  Fake.Receipts_.clear();
-  Fake.Told_.clear();
-}
-
-} // namespace
-
-TEST_CASE("a slow urgent request is hedged and the first answer counts",
-          "[entry][hedge]") {
-  GatewayFixture Fake;
-  learnLatency(Fake, "check");
-  Fake.submit("check", "slow");
-  Fake.advance(std::chrono::milliseconds(100));
-  REQUIRE(Fake.AgentCalls_.size() == 2);
-  CHECK(Fake.AgentCalls_[0].Worker_ != Fake.AgentCalls_[1].Worker_);
-  const auto FirstEnd = Fake.AgentCalls_[0].OnEnd_;
-  SECTION("the hedge answers first") {
-    Fake.endAgentCall(Done);
-    REQUIRE(Fake.Told_.size() == 1);
-    CHECK(Fake.Told_[0].first == Fake.AgentCalls_[0].Worker_);
-    FirstEnd(Done);
-  }
-  SECTION("the first attempt answers first") {
-    FirstEnd(Done);
-    REQUIRE(Fake.Told_.size() == 1);
-    CHECK(Fake.Told_[0].first == Fake.AgentCalls_[1].Worker_);
-    Fake.endAgentCall(Done);
-  }
-  SECTION("the hedge is refused") {
-    Fake.endAgentCall(NoSlot);
-    CHECK(Fake.Answers_.empty());
-    FirstEnd(Done);
-  }
-  SECTION("the first attempt is lost") {
-    FirstEnd(Lost);
-    CHECK(Fake.Answers_.empty());
-    Fake.endAgentCall(Done);
-  }
-  REQUIRE(Fake.Answers_.size() == 1);
-  CHECK(Fake.Answers_[0]->Outcome_ == Outcome::Completed);
-  CHECK(Fake.AgentCalls_.size() == 2);
-  CHECK(Fake.Receipts_.size() == 1);
-  CHECK(Fake.Gateway_->inProgress() == 0);
-}
-
-TEST_CASE("a non-idempotent request is never hedged",
-          "[entry][hedge][at-most-once]") {
-  GatewayFixture Fake;
-  learnLatency(Fake, "review");
-  Fake.submit("review", "slow");
-  Fake.endControlCall(claimReply(ClaimStatus::Granted));
-  Fake.advance(std::chrono::seconds(5));
-  CHECK(Fake.AgentCalls_.size() == 1);
-}
-
-TEST_CASE("hedges leave part of the budget for retries", "[entry][hedge]") {
-  constexpr std::uint32_t RetryPermille = 20;
-  constexpr std::size_t Slow = 20;
-  GatewayFixture Fake(RetryPermille);
-  learnLatency(Fake, "check");
-  for (std::size_t Number = 0; Number < Slow; ++Number)
-    Fake.submit("check", "slow" + std::to_string(Number));
-  Fake.advance(std::chrono::milliseconds(100));
-  REQUIRE(Fake.AgentCalls_.size() > Slow);
-  REQUIRE(Fake.AgentCalls_.size() < 2 * Slow);
-  Fake.submit("check", "refused");
-  const std::size_t Before = Fake.AgentCalls_.size();
-  Fake.endAgentCall(NoSlot);
-  CHECK(Fake.Answers_.empty());
-  CHECK(Fake.AgentCalls_.size() == Before + 1);
-}
