--- a/include/dragonfly/agent/AgentCore.h
+++ b/include/dragonfly/agent/AgentCore.h
@@ -47,6 +47,8 @@
   /// None while new requests are accepted, or why they are refused.
   Reason mayAccept() const;
   const Ledger &ledger() const;
+  /// Receipts that control has not acknowledged.
+  std::size_t pendingReceipts() const;
 
   /// Takes nothing new, announces that the upstream is leaving, finishes what
   /// is in progress, checkpoints the tasks, hands over all receipts and calls
--- a/include/dragonfly/agent/TaskRunner.h
+++ b/include/dragonfly/agent/TaskRunner.h
@@ -32,7 +32,8 @@
 public:
   explicit TaskRunner(TaskRunnerOptions Options);
 
-  /// Takes over a task that the worker was found running after a restart.
+  /// Takes over a task that the worker lists after a restart of the agent; one
+  /// that has ended is reported, in case the report was lost.
   void adopt(const WorkerTask &Found);
   /// Carries out directives, which may come late, twice or out of order.
   void take(const std::vector<wire::TaskDirective> &Rows);
--- a/include/dragonfly/link/ControlLink.h
+++ b/include/dragonfly/link/ControlLink.h
@@ -5,6 +5,7 @@
 #define DRAGONFLY_LINK_CONTROLLINK_H
 
 #include "dragonfly/base/Clock.h"
+#include "dragonfly/decide/ConfigurationLease.h"
 #include "dragonfly/net/Endpoint.h"
 #include "dragonfly/net/FrameClient.h"
 #include "dragonfly/wire/Messages.h"
@@ -63,6 +64,9 @@
   /// True while the process may take new work under its lists.
   bool configurationFresh() const;
 
+  /// The versions of the lists that are in force here.
+  const decide::ListVersions &inForce() const;
+
   /// Calls the leader. Where a replica says that another one leads, the call
   /// goes there; where none is known, to the replicas in turn. Ends within
   /// \p Timeout, as Answered unless no leader answered.
--- a/src/agent/AgentCore.cpp
+++ b/src/agent/AgentCore.cpp
@@ -175,8 +175,7 @@
 
   void becomeReady(const std::vector<WorkerTask> &Listed) {
     for (const WorkerTask &Found : Listed)
-      if (Found.State_ == WorkerTaskState::Running)
-        Tasks_.adopt(Found);
+      Tasks_.adopt(Found);
     LedgerReady_ = true;
     logEvent(Event::AgentReady, {{"tasks", Listed.size()}});
     Link_.beat();
@@ -256,6 +255,10 @@
 
 const Ledger &AgentCore::ledger() const { return Impl_->Ledger_; }
 
+std::size_t AgentCore::pendingReceipts() const {
+  return Impl_->Receipts_.pending();
+}
+
 void AgentCore::stop(std::function<void(bool)> OnStopped) {
   Impl_->stop(std::move(OnStopped));
 }
--- a/src/agent/TaskRunner.cpp
+++ b/src/agent/TaskRunner.cpp
@@ -25,6 +25,7 @@
   Options_.Ledger_->adopt(Found.Task_, Found.Need_);
   Rows_[Found.Task_] = {.Epoch_ = Found.Epoch_, .Phase_ = Phase::Running};
   Fences_[Found.Task_] = Found.Epoch_;
+  endListed(Found);
 }
 
 void TaskRunner::take(const std::vector<wire::TaskDirective> &Rows) {
@@ -52,6 +53,10 @@
   if (const auto It = Fences_.find(Order.Task_);
       It != Fences_.end() && Order.Epoch_ <= It->second)
     return;
+  // An epoch that was refused is never started: control may have moved on.
+  Fences_[Order.Task_] = Order.Epoch_;
+  if (Fences_.size() > MaxFences)
+    Fences_.erase(Fences_.begin());
   Reason Why =
       Rows_.contains(Order.Task_) ? Reason::NoFreeSlot : Options_.MayStart_();
   if (Why == Reason::None)
@@ -63,9 +68,6 @@
                         .Reason_ = Why});
     return;
   }
-  Fences_[Order.Task_] = Order.Epoch_;
-  if (Fences_.size() > MaxFences)
-    Fences_.erase(Fences_.begin());
   Rows_[Order.Task_] = {.Epoch_ = Order.Epoch_};
   Options_.Upstream_.Order_(
       Order, [this, Task = Order.Task_, Under = Order.Epoch_](
@@ -160,6 +162,9 @@
     close(Listed.Task_, {.Event_ = wire::TaskEvent::Finished,
                          .Status_ = Listed.Status_,
                          .Body_ = Listed.Body_});
+  else if (Listed.State_ == WorkerTaskState::Checkpointed)
+    close(Listed.Task_, {.Event_ = wire::TaskEvent::Checkpointed,
+                         .CheckpointId_ = Listed.CheckpointId_});
   else if (Listed.State_ == WorkerTaskState::Failed)
     close(Listed.Task_, {.Event_ = wire::TaskEvent::Failed,
                          .Reason_ = Reason::UpstreamFailed,
--- a/src/link/ControlLink.cpp
+++ b/src/link/ControlLink.cpp
@@ -188,6 +188,10 @@
   return Impl_->Lease_.fresh(Clock::now());
 }
 
+const decide::ListVersions &ControlLink::inForce() const {
+  return Impl_->Lease_.inForce();
+}
+
 void ControlLink::callLeader(wire::Message Request, Duration Timeout,
                              net::FrameClient::Handler OnEnd) {
   Impl_->callLeader(std::move(Request), Timeout, std::move(OnEnd));
--- a/tests/agent/TaskRunnerTest.cpp
+++ b/tests/agent/TaskRunnerTest.cpp
@@ -70,6 +70,37 @@
   REQUIRE(Vm.Upstream_.Orders_.size() == 1);
 }
 
+TEST_CASE("an epoch that was refused is never started", "[agent][tasks]") {
+  Bench Vm;
+  Vm.MayStart_ = Reason::StaleConfiguration;
+  Vm.order(wire::TaskAction::Start, 1);
+  REQUIRE(Vm.Reports_.size() == 1);
+  Vm.MayStart_ = Reason::None;
+  Vm.order(wire::TaskAction::Start, 1);
+  REQUIRE(Vm.Upstream_.Orders_.empty());
+  Vm.start(2);
+  REQUIRE(Vm.Reports_.back().Event_ == wire::TaskEvent::Started);
+}
+
+TEST_CASE("an end that the former agent did not report is reported",
+          "[agent][tasks]") {
+  Bench Vm;
+  Vm.Runner_.adopt({.Task_ = {1},
+                    .Epoch_ = {3},
+                    .State_ = WorkerTaskState::Finished,
+                    .Need_ = Whole,
+                    .Status_ = 200});
+  Vm.Runner_.adopt({.Task_ = {2},
+                    .Epoch_ = {4},
+                    .State_ = WorkerTaskState::Checkpointed,
+                    .Need_ = Whole,
+                    .CheckpointId_ = "c-2"});
+  REQUIRE(Vm.Reports_.size() == 2);
+  REQUIRE(Vm.Reports_[0].Event_ == wire::TaskEvent::Finished);
+  REQUIRE(Vm.Reports_[1].CheckpointId_ == "c-2");
+  REQUIRE(Vm.Ledger_.committed() == Resources{});
+}
+
 TEST_CASE("a checkpoint frees the VM and names itself", "[agent][tasks]") {
   Bench Vm;
   Vm.start(1);
