--- a/src/consensus/Commit.cpp
+++ b/src/consensus/Commit.cpp
@@ -77,14 +77,15 @@
 }
 
 /// Only records of the present term are committed by counting; they carry
-/// earlier ones with them.
+/// earlier ones with them. Runs after the sync of `tick()`, so that this
+/// replica's own copies count.
 void RaftCore::advanceCommit() {
   if (Role_ != RaftRole::Leader)
     return;
   const std::int64_t Value =
       Members_.quorumValue([this](const Member &Row) -> std::int64_t {
         if (isSelf(Row))
-          return static_cast<std::int64_t>(Synced_.Value_);
+          return static_cast<std::int64_t>(Log_.lastIndex().Value_);
         const auto Found = Peers_.find(Row.Id_);
         return Found == Peers_.end()
                    ? 0
--- a/src/consensus/RaftCore.cpp
+++ b/src/consensus/RaftCore.cpp
@@ -29,7 +29,6 @@
       Members_.add(Value.Index_, decodeMembers(Value.Payload_));
     Log_.append(std::move(Value));
   }
-  Synced_ = Log_.lastIndex();
 }
 
 void RaftCore::tick(TimePoint Now) {
@@ -89,7 +88,6 @@
   if (Dirty_ || HardDirty_)
     Disk_->sync();
   Dirty_ = HardDirty_ = false;
-  Synced_ = Log_.lastIndex();
   SendAll(std::exchange(Early_, {}));
   SendAll(std::exchange(AfterSync_, {}));
 }
@@ -116,7 +114,6 @@
   Dirty_ = true;
   Log_.truncateFrom(From);
   Members_.truncateFrom(From);
-  Synced_ = std::min(Synced_, Log_.lastIndex());
 }
 
 void RaftCore::adoptTerm(Term Value) {
--- a/src/consensus/RaftCore.h
+++ b/src/consensus/RaftCore.h
@@ -166,7 +166,6 @@
   Membership Members_;
   RecordLog Log_;
   std::shared_ptr<const Snapshot> Snapshot_;
-  LogIndex Synced_;
   LogIndex Commit_;
   LogIndex Applied_;
 
--- a/src/consensus/SnapshotTransfer.cpp
+++ b/src/consensus/SnapshotTransfer.cpp
@@ -146,7 +146,6 @@
     Log_.reset(Value.Index_, Value.SnapshotTerm_);
     Members_.reset(Value.Index_, std::move(Rows));
   }
-  Synced_ = std::min(Synced_, Log_.lastIndex());
   Commit_ = Applied_ = Value.Index_;
   Options_.Machine_.Restore_(Snapshot_->State_);
   logEvent(Event::SnapshotInstalled, {{"replica", Options_.Self_.Value_},
