--- a/src/consensus/Election.cpp
+++ b/src/consensus/Election.cpp
@@ -148,14 +148,20 @@
   countVotes();
 }
 
+/// Keeps a replica without recorded members from campaigning, since the group
+/// names \p Member as its store.
+void RaftCore::exclude(StoreId Member) {
+  if (Excluded_ || Members_.formed())
+    return;
+  Excluded_ = true;
+  logEvent(Event::StoreUnknown, {{"replica", Options_.Self_.Value_},
+                                 {"store", Store_.Value_},
+                                 {"member", Member.Value_}});
+}
+
 void RaftCore::on(ReplicaId From, StoreId Store, const StoreMismatch &Value) {
-  if (Value.Member_ != Store_ && !Members_.formed()) {
-    if (!Excluded_)
-      logEvent(Event::StoreUnknown, {{"replica", Options_.Self_.Value_},
-                                     {"store", Store_.Value_},
-                                     {"member", Value.Member_.Value_}});
-    Excluded_ = true;
-  }
+  if (Value.Member_ != Store_)
+    exclude(Value.Member_);
   Observed_[From] = Store;
 }
 
--- a/src/consensus/RaftCore.cpp
+++ b/src/consensus/RaftCore.cpp
@@ -64,7 +64,7 @@
   if (std::holds_alternative<StoreMismatch>(Value.Message_) || !Value.To_ ||
       Value.To_ == Store_)
     return true;
-  Excluded_ = true;
+  exclude(Value.To_);
   post(From, {}, StoreMismatch{Value.To_});
   return false;
 }
--- a/src/consensus/RaftCore.h
+++ b/src/consensus/RaftCore.h
@@ -114,6 +114,7 @@
   void tickElection();
   bool mayCampaign() const;
   bool hearsLeader() const;
+  void exclude(StoreId Member);
   void restartElectionTimer();
   void campaign(bool Pre);
   void countVotes();
