--- a/bench/support/LogCluster.cpp
+++ b/bench/support/LogCluster.cpp
@@ -1,6 +1,7 @@
 #include "support/LogCluster.h"
 
 #include <algorithm>
+#include <cstring>
 
 namespace dragonfly::bench {
 
@@ -8,31 +9,49 @@
 
 namespace {
 
-constexpr char Separator = '\n';
 /// How far each step moves the time.
 constexpr Duration Step = std::chrono::milliseconds(1);
 
-std::string joinCommands(const std::vector<std::string> &Commands) {
+/// The applied commands and the state of the machine behind them.
+struct WholeState {
+  std::vector<std::string> Applied_;
+  std::string Machine_;
+};
+
+void putString(std::string &Out, std::string_view Value) {
+  const std::uint64_t Size = Value.size();
+  Out.append(reinterpret_cast<const char *>(&Size), sizeof Size);
+  Out.append(Value);
+}
+
+std::string takeString(std::string_view &In) {
+  std::uint64_t Size = 0;
+  std::memcpy(&Size, In.data(), sizeof Size);
+  std::string Result(In.substr(sizeof Size, Size));
+  In.remove_prefix(sizeof Size + Size);
+  return Result;
+}
+
+std::string encodeState(const WholeState &Value) {
   std::string Result;
-  for (const std::string &Command : Commands)
-    Result += Command + Separator;
+  putString(Result, Value.Machine_);
+  for (const std::string &Command : Value.Applied_)
+    putString(Result, Command);
   return Result;
 }
 
-std::vector<std::string> splitCommands(std::string_view State) {
-  std::vector<std::string> Result;
-  while (!State.empty()) {
-    const std::size_t End = State.find(Separator);
-    Result.emplace_back(State.substr(0, End));
-    State.remove_prefix(End + 1);
-  }
+WholeState decodeState(std::string_view Bytes) {
+  WholeState Result;
+  Result.Machine_ = takeString(Bytes);
+  while (!Bytes.empty())
+    Result.Applied_.push_back(takeString(Bytes));
   return Result;
 }
 
 } // namespace
 
 LogCluster::LogCluster(LogClusterOptions Options)
-    : Options_(Options), Replicas_(Options.Replicas_) {
+    : Options_(std::move(Options)), Replicas_(Options_.Replicas_) {
   for (std::size_t I = 0; I < Replicas_.size(); ++I) {
     Replicas_[I].Id_ = {I + 1};
     Replicas_[I].Disk_ = std::make_shared<MemoryDisk>(StoreId{NextStore_++});
@@ -43,23 +62,34 @@
 
 StateMachineHooks LogCluster::machine(Replica &Target) {
   const ReplicaId Id = Target.Id_;
+  const StateMachineHooks Inner =
+      Options_.Machine_ ? Options_.Machine_(Id) : StateMachineHooks{};
   return {
       .Apply_ =
-          [this, Id](LogIndex, std::string_view Command) {
+          [this, Id, Inner](LogIndex Index, std::string_view Command) {
             if (OnApply_)
-              OnApply_(Id, false);
+              OnApply_(Id, Command, false);
             replica(Id).Applied_.emplace_back(Command);
+            std::string Output =
+                Inner.Apply_ ? Inner.Apply_(Index, Command) : std::string();
             if (OnApply_)
-              OnApply_(Id, true);
-            return std::to_string(replica(Id).Applied_.size());
+              OnApply_(Id, Command, true);
+            return Output;
+          },
+      .Snapshot_ =
+          [this, Id, Inner] {
+            return encodeState({replica(Id).Applied_,
+                                Inner.Snapshot_ ? Inner.Snapshot_() : ""});
           },
-      .Snapshot_ = [this, Id] { return joinCommands(replica(Id).Applied_); },
       .Restore_ =
-          [this, Id](std::string_view State) {
+          [this, Id, Inner](std::string_view State) {
             const bool Running = replica(Id).Log_ != nullptr;
             if (OnRestore_ && Running)
               OnRestore_(Id, false);
-            replica(Id).Applied_ = splitCommands(State);
+            WholeState Whole = decodeState(State);
+            replica(Id).Applied_ = std::move(Whole.Applied_);
+            if (Inner.Restore_)
+              Inner.Restore_(Whole.Machine_);
             if (OnRestore_ && Running)
               OnRestore_(Id, true);
           },
--- a/bench/support/LogCluster.h
+++ b/bench/support/LogCluster.h
@@ -53,6 +53,9 @@
   std::size_t SnapshotEveryRecords_ = 10000;
   std::size_t MaxBatchBytes_ = 256U << 10U;
   Duration Latency_ = std::chrono::milliseconds(1);
+  /// Makes the state machine of a process that starts; without it the state is
+  /// the sequence of commands alone.
+  std::function<consensus::StateMachineHooks(ReplicaId)> Machine_;
   /// How long a killed process stays down.
   Duration RestartDelay_ = std::chrono::milliseconds(50);
 };
@@ -91,7 +94,7 @@
   /// Called before a message is handed over and after it.
   std::function<void(const Parcel &, bool After)> OnReceive_;
   /// Called before a command is applied and after it.
-  std::function<void(ReplicaId, bool After)> OnApply_;
+  std::function<void(ReplicaId, std::string_view Command, bool After)> OnApply_;
   /// Called when a snapshot has been restored by a running process.
   std::function<void(ReplicaId, bool After)> OnRestore_;
   std::function<void(ReplicaId, DiskStep, bool After)> OnDisk_;
--- a/tests/faults/ConsensusScenario.cpp
+++ b/tests/faults/ConsensusScenario.cpp
@@ -59,12 +59,13 @@
 } // namespace
 
 ConsensusScenario::ConsensusScenario(Step AtStep, Fault Kind,
-                                     std::uint64_t Seed)
-    : Step_(AtStep), Fault_(Kind), Seed_(Seed), Random_(Seed),
-      Group_({.Replicas_ = replicasFor(AtStep),
-              .Seed_ = Seed,
-              .SnapshotEveryRecords_ = 25,
-              .MaxBatchBytes_ = 256}),
+                                     std::uint64_t Seed, ScenarioHooks Hooks)
+    : Hooks_(std::move(Hooks)), Step_(AtStep), Fault_(Kind), Seed_(Seed),
+      Random_(Seed), Group_({.Replicas_ = replicasFor(AtStep),
+                             .Seed_ = Seed,
+                             .SnapshotEveryRecords_ = 25,
+                             .MaxBatchBytes_ = 256,
+                             .Machine_ = Hooks_.Machine_}),
       Skip_(Seed % 7) {
   if (Fault_ == Fault::SameFaultTwice)
     StrikesLeft_ = 2;
@@ -86,12 +87,13 @@
     }
     onStep(Id, toStep(Reached), After);
   };
-  Group_.OnApply_ = [this](ReplicaId Id, bool After) {
+  Group_.OnApply_ = [this](ReplicaId Id, std::string_view Command, bool After) {
     if (After) {
       const std::vector<std::string> &Applied = Group_.replica(Id).Applied_;
       History_.applied(Applied.size() - 1, Applied.back());
     }
-    onStep(Id, Step::Apply, After);
+    if (!Hooks_.StrikesAt_ || Hooks_.StrikesAt_(Command))
+      onStep(Id, Step::Apply, After);
   };
   Group_.OnRestore_ = [this](ReplicaId Id, bool After) {
     const std::vector<std::string> &Applied = Group_.replica(Id).Applied_;
@@ -249,7 +251,10 @@
     if (Row.Log_ && Row.Log_->role() == RaftRole::Leader)
       History_.leads(Row.Id_, Row.Log_->term(),
                      Row.Log_->holdsLeaderLease(Group_.localNow(Row)));
-  load();
+  if (Hooks_.Load_)
+    Hooks_.Load_();
+  else
+    load();
   operate();
 }
 
--- a/tests/faults/ConsensusScenario.h
+++ b/tests/faults/ConsensusScenario.h
@@ -13,9 +13,20 @@
 
 namespace dragonfly::faults {
 
+/// What a scenario runs on top of the log; the default is commands and reads
+/// that say nothing but their number.
+struct ScenarioHooks {
+  std::function<consensus::StateMachineHooks(ReplicaId)> Machine_;
+  /// Called at each step of time in place of the default load.
+  std::function<void()> Load_;
+  /// Tells at which commands a fault at apply may strike.
+  std::function<bool(std::string_view Command)> StrikesAt_;
+};
+
 class ConsensusScenario {
 public:
-  ConsensusScenario(Step AtStep, Fault Kind, std::uint64_t Seed);
+  ConsensusScenario(Step AtStep, Fault Kind, std::uint64_t Seed,
+                    ScenarioHooks Hooks = {});
 
   /// Runs the cell and returns the promises that it found broken.
   std::vector<Violation> run();
@@ -40,6 +51,7 @@
   void operate();
   bool isWhole();
 
+  ScenarioHooks Hooks_;
   Step Step_;
   Fault Fault_;
   std::uint64_t Seed_;
