--- a/tests/faults/ControlLoad.cpp
+++ b/tests/faults/ControlLoad.cpp
@@ -17,6 +17,9 @@
 constexpr std::uint64_t TaskPeriodSteps = 67;
 constexpr std::uint64_t SchedulePeriodSteps = 13;
 constexpr std::uint64_t CancelledShare = 7;
+/// A task returns to its worker, so that only the epoch tells its stays apart.
+constexpr std::uint64_t Workers = 3;
+constexpr std::uint64_t LateReportMs = 100;
 /// Fewer edits, claims or tasks than this would prove little.
 constexpr std::size_t LeastOfEach = 20;
 constexpr Duration ResendAfter = 700ms;
@@ -75,7 +78,8 @@
 /// answer came.
 void ControlLoad::send(const std::shared_ptr<Call> &Value) {
   const TimePoint Now = Scenario_->group().now();
-  if (Value->Done_ || (Value->UnderWay_ && Now - Value->SentAt_ < ResendAfter))
+  if (Value->Done_ || Now < Value->NotBefore_ ||
+      (Value->UnderWay_ && Now - Value->SentAt_ < ResendAfter))
     return;
   for (Replica &Row : Scenario_->group().replicas()) {
     if (!Row.Log_ || Row.Frozen_ || Row.Log_->role() != RaftRole::Leader)
@@ -100,9 +104,12 @@
 }
 
 void ControlLoad::submit(CommandBody Body,
-                         std::function<void(const CommandOutput &)> OnOutput) {
+                         std::function<void(const CommandOutput &)> OnOutput,
+                         Duration Delay) {
   Calls_.push_back(std::make_shared<Call>(
-      Call{.Body_ = std::move(Body), .OnOutput_ = std::move(OnOutput)}));
+      Call{.Body_ = std::move(Body),
+           .OnOutput_ = std::move(OnOutput),
+           .NotBefore_ = Scenario_->group().now() + Delay}));
 }
 
 /// Operators start from what they know, so that they often race each other
@@ -227,7 +234,11 @@
   } else if (Task.State_ == wire::TaskState::Running) {
     Row.Event_ = wire::TaskEvent::Finished;
   }
-  submit(ReportTasks{Task.Worker_, {std::move(Row)}}, Ignore);
+  const ReportTasks Report{Task.Worker_, {std::move(Row)}};
+  submit(Report, Ignore);
+  // The worker misses the answer and tells it again, perhaps in a later stay.
+  submit(Report, Ignore,
+         Duration(1ms) * static_cast<std::int64_t>(Random_() % LateReportMs));
 }
 
 std::vector<ControlViolation> ControlLoad::finish() {
--- a/tests/faults/ControlLoad.h
+++ b/tests/faults/ControlLoad.h
@@ -51,6 +51,8 @@
   struct Call {
     control::CommandBody Body_;
     std::function<void(const control::CommandOutput &)> OnOutput_;
+    /// Earliest time to send it.
+    TimePoint NotBefore_ = TimePoint::min();
     TimePoint SentAt_ = TimePoint::min();
     bool UnderWay_ = false;
     bool Done_ = false;
@@ -69,7 +71,8 @@
   void step();
   void send(const std::shared_ptr<Call> &Value);
   void submit(control::CommandBody Body,
-              std::function<void(const control::CommandOutput &)> OnOutput);
+              std::function<void(const control::CommandOutput &)> OnOutput,
+              Duration Delay = {});
   void edit(std::uint64_t Operator);
   void edited(std::uint64_t Operator, const std::string &ChangeId,
               const control::PutOutcome &Result);
