--- /dev/null
+++ b/tests/control/UpstreamTableTest.cpp
@@ -0,0 +1,139 @@
+#include "dragonfly/control/UpstreamTable.h"
+#include "dragonfly/base/Log.h"
+
+#include <catch2/catch.hpp>
+
+using namespace dragonfly;
+using namespace dragonfly::control;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration LeaseTerm = 3s;
+constexpr Duration Margin = 300ms;
+
+/// One heartbeat, when it comes and what must hold afterwards.
+struct BeatStep {
+  const char *Name_;
+  Duration At_;
+  std::uint64_t Process_;
+  const char *Address_;
+  bool Draining_;
+  bool Renewed_;
+  std::uint64_t Holder_;    ///< Process that holds the name.
+  std::uint64_t Published_; ///< Process that entries are told.
+};
+
+struct BeatCase {
+  const char *Name_;
+  std::vector<BeatStep> Steps_;
+};
+
+const std::vector<BeatCase> Cases{
+    {"joins, drains and comes back",
+     {{"join", 0s, 1, "a", false, true, 1, 1},
+      {"drain", 1s, 1, "a", true, true, 1, 1},
+      {"serve again", 2s, 1, "a", false, true, 1, 1}}},
+    {"restarts at the same address",
+     {{"join", 0s, 1, "a", false, true, 1, 1},
+      {"new process", 1s, 2, "a", false, false, 1, 2},
+      {"late heartbeat of the old one", 1s, 1, "a", false, true, 1, 2},
+      {"lease still runs", 4200ms, 2, "a", false, false, 1, 2},
+      {"lease has run out", 4400ms, 2, "a", false, true, 2, 2},
+      {"old process is not taken back", 9s, 1, "a", false, false, 2, 2}}},
+    {"two processes claim one name",
+     {{"join", 0s, 1, "a", false, true, 1, 1},
+      {"challenge", 1s, 2, "b", false, false, 1, 1},
+      {"renewal", 2s, 1, "a", false, true, 1, 1},
+      {"challenge again", 5200ms, 2, "b", false, false, 1, 1},
+      {"first one fell silent", 5400ms, 2, "b", false, true, 2, 2}}},
+};
+
+wire::Heartbeat beatOf(const BeatStep &Step) {
+  wire::Heartbeat Beat;
+  Beat.Name_ = "vm";
+  Beat.Incarnation_ = {Step.Process_};
+  Beat.Sequence_ = static_cast<std::uint64_t>(Step.At_.count()) + 1;
+  Beat.Address_ = Step.Address_;
+  Beat.Draining_ = Step.Draining_;
+  return Beat;
+}
+
+UpstreamTable makeTable(Incarnation HolderOfTasks = {}) {
+  configureLog({.Sink_ = [](std::string_view) {}});
+  return UpstreamTable(
+      {.LeaseTerm_ = LeaseTerm,
+       .DriftMargin_ = Margin,
+       .HolderOfTasks_ = [=](const std::string &) { return HolderOfTasks; }});
+}
+
+} // namespace
+
+TEST_CASE("one incarnation at a time holds a name", "[control][upstreams]") {
+  for (const BeatCase &Case : Cases) {
+    UpstreamTable Table = makeTable();
+    for (const BeatStep &Step : Case.Steps_) {
+      INFO(Case.Name_ << ": " << Step.Name_);
+      CHECK(Table.heartbeat(TimePoint(100s) + Step.At_, beatOf(Step), true) ==
+            Step.Renewed_);
+      CHECK(Table.holds("vm", {Step.Holder_}));
+      const wire::Upstreams Told = Table.upstreams();
+      REQUIRE(Told.Rows_.size() == 1);
+      CHECK(Told.Rows_[0].Incarnation_ == Incarnation{Step.Published_});
+      CHECK(Told.Rows_[0].Draining_ == Step.Draining_);
+    }
+  }
+}
+
+TEST_CASE("a silent upstream vanishes after its lease",
+          "[control][upstreams]") {
+  UpstreamTable Table = makeTable();
+  const TimePoint At(100s);
+  Table.heartbeat(At, beatOf({"", 0s, 1, "a", false, true, 1, 1}), true);
+  const std::uint64_t Version = Table.version();
+  Table.tick(At + LeaseTerm + Margin);
+  CHECK(Table.upstreams().Rows_.size() == 1);
+  Table.tick(At + LeaseTerm + Margin + 1ms);
+  CHECK(Table.upstreams().Rows_.empty());
+  CHECK(Table.version() > Version);
+}
+
+TEST_CASE("a new leader takes each lease for renewed at its election",
+          "[control][upstreams]") {
+  UpstreamTable Table = makeTable();
+  const TimePoint At(100s);
+  Table.heartbeat(At, beatOf({"", 0s, 1, "a", false, true, 1, 1}), false);
+  const std::uint64_t Version = Table.version();
+  Table.lead(At + 2s, {7});
+  CHECK(Table.version() > Version);
+  for (const std::string Worker : {"vm", "never heard"}) {
+    CHECK_FALSE(Table.leaseRanOut(At + 2s + LeaseTerm + Margin, Worker));
+    CHECK(Table.leaseRanOut(At + 2s + LeaseTerm + Margin + 1ms, Worker));
+  }
+}
+
+TEST_CASE("a name with tasks goes to no one but their holder",
+          "[control][upstreams]") {
+  UpstreamTable Table = makeTable({1});
+  const TimePoint At(100s);
+  CHECK_FALSE(
+      Table.heartbeat(At, beatOf({"", 0s, 2, "b", false, true, 1, 1}), true));
+  CHECK(Table.heartbeat(At, beatOf({"", 0s, 1, "a", false, true, 1, 1}), true));
+  CHECK(Table.holds("vm", {1}));
+}
+
+TEST_CASE("live entries are counted", "[control][upstreams]") {
+  UpstreamTable Table = makeTable();
+  const TimePoint At(100s);
+  CHECK(Table.entries() == 1);
+  for (const std::string Name : {"entry-1", "entry-2", "entry-3"}) {
+    wire::Heartbeat Beat;
+    Beat.Role_ = wire::Role::Entry;
+    Beat.Name_ = Name;
+    Beat.Draining_ = Name == "entry-3";
+    Table.heartbeat(At, Beat, true);
+  }
+  CHECK(Table.entries() == 2);
+  Table.tick(At + 4s);
+  CHECK(Table.entries() == 1);
+}
