Let followers count leases as the leader does

Receipts that were all merged before made an empty record, and a stopping leader waited an election timeout with nothing left to answer. An agent's first heartbeat was logged as upstream-left. Ruled out: keeping renewals and heartbeats apart (counting a heartbeat as a renewal errs towards later loss, which is the safe side). Change: UpstreamTable counts from the last heartbeat of the holder, and a new leader forgets who was replaced; RecordBatcher acknowledges without a record where nothing is new; Control::stop counts open requests. Conclusion: names move only after a lease, on every replica.

--- a/include/dragonfly/control/UpstreamTable.h
+++ b/include/dragonfly/control/UpstreamTable.h
@@ -30,9 +30,9 @@
 /// A worker, as its agent's heartbeats tell it.
 struct WorkerEntry {
   wire::Heartbeat Last_;
+  /// The VM's lease counts as renewed then, whether or not this replica was the
+  /// one that renewed it.
   TimePoint HeardAt_;
-  /// Latest renewal of the VM's lease.
-  TimePoint RenewedAt_;
 };
 
 /// The table of one replica. One incarnation holds a name, and with it the VM
--- a/src/control/Control.cpp
+++ b/src/control/Control.cpp
@@ -152,8 +152,10 @@
       To.answer(wire::Refusal{.Reason_ = Reason::Draining});
       return;
     }
+    ++OpenRequests_;
     Service_.handle(Clock::now(), std::move(Value),
-                    [To = std::move(To)](const wire::Message &Answer) {
+                    [this, To = std::move(To)](const wire::Message &Answer) {
+                      --OpenRequests_;
                       To.answer(Answer);
                     });
   }
@@ -185,14 +187,16 @@
     StopBy_ = Clock::now() + Settings_.Process_.StopBound_;
     Frames_.stopAccepting();
     Http_.stopAccepting();
-    // One lease of the leader is more than a record needs to be committed.
+    // What has not been answered by then is not going to be: its leader is
+    // lost, and its sender must not be told either way.
     SettledAt_ = Clock::now() + Settings_.ElectionTimeout_;
     Stops_ = Loop_.every(TickPeriod, [this] { continueStop(); });
   }
 
   void continueStop() {
     const TimePoint Now = Clock::now();
-    const bool Settled = Now >= SettledAt_ && OperatorCalls_ == 0;
+    const bool Answered = OpenRequests_ == 0 || Now >= SettledAt_;
+    const bool Settled = Answered && OperatorCalls_ == 0;
     if (!Settled && Now < StopBy_)
       return;
     Stops_.cancel();
@@ -207,6 +211,7 @@
   net::Endpoint Listen_;
   std::map<ReplicaId, std::unique_ptr<net::FrameClient>> Peers_;
   std::size_t OperatorCalls_ = 0;
+  std::size_t OpenRequests_ = 0;
   bool TickPosted_ = false;
   bool Stopping_ = false;
   TimePoint StopBy_;
--- a/src/control/RecordBatcher.cpp
+++ b/src/control/RecordBatcher.cpp
@@ -204,12 +204,14 @@
           return Row.NonIdempotent_ || !State_.counts().covers(Row);
         });
   }
-  Options_.Propose_(
-      std::move(Body),
-      whenCommitted(Replies, [Replies, Counts](const CommandOutput &) {
-        for (std::size_t I = 0; I < Replies.size(); ++I)
-          Replies[I](wire::ReceiptAck{.Count_ = Counts[I]});
-      }));
+  const auto Acknowledge = [Replies, Counts](const CommandOutput &) {
+    for (std::size_t I = 0; I < Replies.size(); ++I)
+      Replies[I](wire::ReceiptAck{.Count_ = Counts[I]});
+  };
+  if (Body.Rows_.empty())
+    Acknowledge({});
+  else
+    Options_.Propose_(std::move(Body), whenCommitted(Replies, Acknowledge));
 }
 
 void RecordBatcher::flushSubmits() {
--- a/src/control/UpstreamTable.cpp
+++ b/src/control/UpstreamTable.cpp
@@ -43,8 +43,8 @@
   std::erase_if(Workers_, [this](const auto &Row) {
     return belongsToAnother(Row.second.Last_);
   });
-  for (auto &[Name, Row] : Workers_)
-    Row.RenewedAt_ = Now;
+  // A holder that this replica took for replaced may come back.
+  Retired_.clear();
 }
 
 bool UpstreamTable::belongsToAnother(const wire::Heartbeat &Beat) const {
@@ -77,8 +77,6 @@
     Row.Last_ = Beat;
   Row.HeardAt_ = Now;
   Changed_.insert(Beat.Name_);
-  if (Renew)
-    Row.RenewedAt_ = Now;
   // A challenger at the same address may have been published already.
   if (Published_.contains(Beat.Name_) &&
       Published_[Beat.Name_].Incarnation_ == Beat.Incarnation_)
@@ -102,7 +100,7 @@
   Contested_.erase(Beat.Name_);
   if (!IsNew)
     Retired_[Beat.Name_] = Found->second.Last_.Incarnation_;
-  Workers_[Beat.Name_] = {.Last_ = Beat, .HeardAt_ = Now, .RenewedAt_ = Now};
+  Workers_[Beat.Name_] = {.Last_ = Beat, .HeardAt_ = Now};
   Changed_.insert(Beat.Name_);
   publish(Beat);
   logEvent(Event::UpstreamJoined,
@@ -123,19 +121,16 @@
   const auto Found = Published_.find(Beat.Name_);
   if (Found == Published_.end() || !routesAlike(Found->second, Next)) {
     ++Version_;
-    if (Next.Draining_)
+    // An agent that has just started is draining until its upstream answers.
+    if (Next.Draining_ && Found != Published_.end() && !Found->second.Draining_)
       logEvent(Event::UpstreamLeft, {{"upstream", Beat.Name_}});
   }
   Published_[Beat.Name_] = std::move(Next);
 }
 
 void UpstreamTable::tick(TimePoint Now) {
-  const auto Gone = [&](const auto &Row) {
-    return Now - Row.second.HeardAt_ > fullTerm();
-  };
   std::erase_if(Workers_, [&](const auto &Row) {
-    // Followers hear heartbeats and renew nothing.
-    if (!Gone(Row) || !leaseRanOut(Now, Row.first))
+    if (!leaseRanOut(Now, Row.first))
       return false;
     logEvent(Event::UpstreamLost, {{"upstream", Row.first}});
     Changed_.insert(Row.first);
@@ -145,7 +140,9 @@
     ++Version_;
     return true;
   });
-  std::erase_if(Entries_, Gone);
+  std::erase_if(Entries_, [&](const auto &Row) {
+    return Now - Row.second.HeardAt_ > fullTerm();
+  });
 }
 
 bool UpstreamTable::holds(const std::string &Worker, Incarnation Sender) const {
@@ -157,9 +154,8 @@
                                 const std::string &Worker) const {
   const auto Found = Workers_.find(Worker);
   const TimePoint RenewedAt =
-      Found == Workers_.end()
-          ? LeadingSince_
-          : std::max(LeadingSince_, Found->second.RenewedAt_);
+      Found == Workers_.end() ? LeadingSince_
+                              : std::max(LeadingSince_, Found->second.HeardAt_);
   return Now - RenewedAt > fullTerm();
 }
 
--- a/tests/control/UpstreamTableTest.cpp
+++ b/tests/control/UpstreamTableTest.cpp
@@ -122,6 +122,36 @@
   CHECK(Table.holds("vm", {1}));
 }
 
+TEST_CASE("a follower lets no second process take a name that is in use",
+          "[control][upstreams]") {
+  UpstreamTable Table = makeTable();
+  const TimePoint At(100s);
+  for (Duration Passed{}; Passed < 10s; Passed += 500ms) {
+    Table.heartbeat(At + Passed, beatOf({"", Passed, 1, "a"}), false);
+    Table.heartbeat(At + Passed, beatOf({"", Passed, 2, "b"}), false);
+    CHECK(Table.holds("vm", {1}));
+  }
+  Table.lead(At + 10s, {7});
+  CHECK(Table.heartbeat(At + 10s, beatOf({"", 10s, 1, "a"}), true));
+}
+
+TEST_CASE("a new leader gives a name back to whom its tasks belong",
+          "[control][upstreams]") {
+  Incarnation Holder;
+  UpstreamTable Table(
+      {.LeaseTerm_ = LeaseTerm,
+       .DriftMargin_ = Margin,
+       .HolderOfTasks_ = [&](const std::string &) { return Holder; }});
+  const TimePoint At(100s);
+  Table.heartbeat(At, beatOf({"", 0s, 1, "a"}), false);
+  Table.heartbeat(At + 5s, beatOf({"", 5s, 2, "b"}), false);
+  REQUIRE(Table.holds("vm", {2}));
+  Holder = {1};
+  Table.lead(At + 6s, {7});
+  CHECK(Table.heartbeat(At + 6s, beatOf({"", 6s, 1, "a"}), true));
+  CHECK_FALSE(Table.heartbeat(At + 6s, beatOf({"", 6s, 2, "b"}), true));
+}
+
 TEST_CASE("live entries are counted", "[control][upstreams]") {
   UpstreamTable Table = makeTable();
   const TimePoint At(100s);
