Bound control's windows over all customers

Cause: windows per customer grow with the customers: 300 of them with full windows would take gigabytes against 128 MB. Ruled out: one window for all (a greedy customer would push out the others). Change: claims, answers and counted ids have one bound each, in equal shares for the customers that have any; fewer tasks are kept.

--- a/include/dragonfly/control/ClaimTable.h
+++ b/include/dragonfly/control/ClaimTable.h
@@ -17,13 +17,14 @@
   Duration MinAge_ = std::chrono::minutes(10);
   /// A claim is forgotten once it is older than this.
   Duration MaxAge_ = std::chrono::hours(24);
-  /// Claims kept per customer. Beyond it the oldest one is forgotten, or,
-  /// where that is younger than `MinAge_`, the new one is refused as outside
-  /// the window.
-  std::size_t MaxPerCustomer_ = 65536;
-  /// Bytes of answers kept per customer. Beyond it the oldest answers are
-  /// dropped: their outcome stays known, with status 410 and no body.
-  std::size_t MaxAnswerBytes_ = 4U << 20U;
+  /// Claims kept, in equal shares for the customers that have any. Beyond its
+  /// share a customer's oldest claim is forgotten, or, where that is younger
+  /// than `MinAge_`, the new one is refused as outside the window.
+  std::size_t MaxRows_ = 65536;
+  /// Bytes of answers kept, in equal shares. Beyond its share a customer's
+  /// oldest answers are dropped: their outcome stays known, with status 410 and
+  /// no body.
+  std::size_t MaxAnswerBytes_ = 16U << 20U;
 };
 
 /// The claims of every customer. A claim is granted once: again only to the
@@ -80,6 +81,9 @@
   void keepAnswer(CustomerClaims &Claims, const ReceiptRow &Row,
                   ClaimRecord &Record) const;
 
+  /// A customer's part of what all may hold.
+  std::size_t shareOf(std::size_t Total) const;
+
   ClaimWindow Window_;
   std::map<std::string, CustomerClaims> Customers_;
 };
--- a/include/dragonfly/control/CountTable.h
+++ b/include/dragonfly/control/CountTable.h
@@ -16,8 +16,9 @@
 namespace dragonfly::control {
 
 struct CountWindow {
-  /// Request ids kept per customer; beyond it the oldest ones are forgotten.
-  std::size_t MaxPerCustomer_ = 65536;
+  /// Request ids kept, in equal shares for the customers that have any; beyond
+  /// its share a customer's oldest ids are forgotten.
+  std::size_t MaxRows_ = 131072;
   /// Request ids older than this are forgotten.
   Duration MaxAge_ = std::chrono::minutes(10);
   /// Longest time from the merge of one holder's receipt until the other
--- a/include/dragonfly/control/TaskTable.h
+++ b/include/dragonfly/control/TaskTable.h
@@ -17,10 +17,10 @@
 
 struct TaskWindow {
   /// Tasks that may be unfinished at once; more are refused.
-  std::size_t MaxOpen_ = 131072;
+  std::size_t MaxOpen_ = 65536;
   /// Ended tasks kept for resends and queries; beyond it the oldest are
   /// forgotten, but none sooner than `MinAge_` after its end.
-  std::size_t MaxEnded_ = 65536;
+  std::size_t MaxEnded_ = 16384;
   Duration MinAge_ = std::chrono::minutes(10);
 };
 
--- a/src/control/ClaimTable.cpp
+++ b/src/control/ClaimTable.cpp
@@ -1,5 +1,6 @@
 #include "dragonfly/control/ClaimTable.h"
 
+#include <algorithm>
 #include <numeric>
 
 namespace dragonfly::control {
@@ -75,11 +76,16 @@
   return outcomeOf(wire::ClaimStatus::Granted);
 }
 
+std::size_t ClaimTable::shareOf(std::size_t Total) const {
+  return std::max<std::size_t>(
+      1, Total / std::max<std::size_t>(1, Customers_.size()));
+}
+
 bool ClaimTable::makeRoom(Duration At, CustomerClaims &Claims) const {
   while (!Claims.Order_.empty()) {
     const auto Oldest = Claims.Rows_.find(Claims.Order_.front());
     const Duration Age = At - Oldest->second.ClaimedAt_;
-    const bool Full = Claims.Rows_.size() >= Window_.MaxPerCustomer_;
+    const bool Full = Claims.Rows_.size() >= shareOf(Window_.MaxRows_);
     if (!Full && Age <= Window_.MaxAge_)
       return true;
     if (Age < Window_.MinAge_)
@@ -127,7 +133,7 @@
     return;
   Claims.AnswerBytes_ += Record.Body_.size();
   Claims.Answers_.push_back(Row.Key_.RequestId_);
-  while (Claims.AnswerBytes_ > Window_.MaxAnswerBytes_ &&
+  while (Claims.AnswerBytes_ > shareOf(Window_.MaxAnswerBytes_) &&
          !Claims.Answers_.empty()) {
     if (const auto Oldest = Claims.Rows_.find(Claims.Answers_.front());
         Oldest != Claims.Rows_.end()) {
--- a/src/control/CountTable.cpp
+++ b/src/control/CountTable.cpp
@@ -54,10 +54,11 @@
 }
 
 void CountTable::forget(Duration At, CustomerCounts &Counts) const {
+  const std::size_t Share =
+      std::max<std::size_t>(1, Window_.MaxRows_ / Customers_.size());
   while (!Counts.Order_.empty()) {
     const Merged &Oldest = Counts.Order_.front();
-    if (Counts.Order_.size() < Window_.MaxPerCustomer_ &&
-        At - Oldest.At_ <= Window_.MaxAge_)
+    if (Counts.Order_.size() < Share && At - Oldest.At_ <= Window_.MaxAge_)
       return;
     // A request merged just now may be forgotten for want of room; a watermark
     // in the future would turn away receipts of requests that are new.
--- a/tests/control/ClaimTableTest.cpp
+++ b/tests/control/ClaimTableTest.cpp
@@ -164,10 +164,8 @@
 }
 
 TEST_CASE("the claim window bounds rows, age and bytes", "[control][claims]") {
-  ClaimTable Claims({.MinAge_ = 10s,
-                     .MaxAge_ = 100s,
-                     .MaxPerCustomer_ = 2,
-                     .MaxAnswerBytes_ = 8});
+  ClaimTable Claims(
+      {.MinAge_ = 10s, .MaxAge_ = 100s, .MaxRows_ = 2, .MaxAnswerBytes_ = 8});
   CHECK(Claims.claim(0s, claimOf(1, 1, "r1")).Status_ == ClaimStatus::Granted);
   CHECK(Claims.claim(1s, claimOf(1, 1, "r2")).Status_ == ClaimStatus::Granted);
   CHECK(Claims.claim(9s, claimOf(1, 1, "r3")).Status_ ==
@@ -185,3 +183,21 @@
         ClaimStatus::Granted);
   CHECK(Claims.size() == 1);
 }
+
+TEST_CASE("customers share the claim window in equal parts",
+          "[control][claims]") {
+  ClaimTable Claims({.MinAge_ = 10s, .MaxAge_ = 100s, .MaxRows_ = 8});
+  const auto ClaimFor = [&](const std::string &Customer, Duration At, int Id) {
+    ClaimRow Row = claimOf(1, 1, std::to_string(Id));
+    Row.Key_.Customer_ = Customer;
+    return Claims.claim(At, Row).Status_;
+  };
+  for (int Id = 0; Id < 8; ++Id)
+    CHECK(ClaimFor("greedy", 0s, Id) == ClaimStatus::Granted);
+  CHECK(ClaimFor("greedy", 1s, 8) == ClaimStatus::OutsideWindow);
+  for (int Id = 0; Id < 4; ++Id)
+    CHECK(ClaimFor("modest", 1s, Id) == ClaimStatus::Granted);
+  CHECK(ClaimFor("modest", 1s, 4) == ClaimStatus::OutsideWindow);
+  CHECK(ClaimFor("greedy", 10s, 8) == ClaimStatus::Granted);
+  CHECK(Claims.size() == 8);
+}
