Tell control how old a receipt is

Cause: control keeps a bounded window of counted ids and turns away a receipt that is older, but holders sent no age, so that one resent after a long cut could have counted twice. Ruled out: an unbounded window. Change: ReceiptKeeper fills Age_ as each batch leaves; its test checks the age of a batch and of its resend, and is renamed, since a resend now differs in this. All tests of link, entry, agent and control pass.

--- a/src/link/ReceiptKeeper.cpp
+++ b/src/link/ReceiptKeeper.cpp
@@ -1,5 +1,6 @@
 #include "dragonfly/link/ReceiptKeeper.h"
 
+#include "dragonfly/base/Clock.h"
 #include "dragonfly/link/Outbox.h"
 
 #include <utility>
@@ -17,6 +18,9 @@
 auto makeSender(ReceiptKeeperOptions Options) {
   return [Options = std::move(Options)](std::vector<wire::Receipt> Rows,
                                         std::function<void(bool)> OnEnd) {
+    const Duration Now = Clock::now().time_since_epoch();
+    for (wire::Receipt &Row : Rows)
+      Row.Age_ = Now - Row.Age_;
     Options.CallLeader_(
         wire::ReceiptBatch{.Holder_ = Options.Holder_,
                            .Incarnation_ = Options.Incarnation_,
@@ -39,7 +43,11 @@
 
 ReceiptKeeper::~ReceiptKeeper() = default;
 
-void ReceiptKeeper::add(wire::Receipt Row) { Impl_->add(std::move(Row)); }
+/// While a receipt is kept, its age holds when the request ended.
+void ReceiptKeeper::add(wire::Receipt Row) {
+  Row.Age_ = Clock::now().time_since_epoch();
+  Impl_->add(std::move(Row));
+}
 
 std::size_t ReceiptKeeper::pending() const { return Impl_->pending(); }
 
--- a/tests/link/ReceiptKeeperTest.cpp
+++ b/tests/link/ReceiptKeeperTest.cpp
@@ -42,7 +42,8 @@
 
 } // namespace
 
-TEST_CASE("a batch that was lost is sent again unchanged", "[link][receipts]") {
+TEST_CASE("a lost batch is sent again unchanged but for its age",
+          "[link][receipts]") {
   const PausedClock Paused;
   net::EventLoop Loop;
   FakeLeader Leader;
@@ -68,6 +69,9 @@
   REQUIRE(Leader.Batches_.size() == 2);
   REQUIRE(Leader.Batches_[1].Rows_.size() == 1);
   REQUIRE(Leader.Batches_[1].Rows_[0].Key_.RequestId_ == "a");
+  // The receipt is as old as it is when it leaves, not when it was first sent.
+  REQUIRE(Leader.Batches_[0].Rows_[0].Age_ == 100ms);
+  REQUIRE(Leader.Batches_[1].Rows_[0].Age_ == 200ms);
   Leader.acknowledge();
   REQUIRE(Keeper.pending() == 1);
 }
