Pack workers by measured usage within the reservations

Cause: workers stood at 0.8 of their processors while tasks waited; groups' quantiles reserve more than most tasks use. Ruled out: lowering reservations during a stay (the agent's ledger holds them). Change: a start needs room both by the reservations, which never exceed the capacity, and by what running tasks were measured to use plus a tenth.

--- a/src/decide/Interference.cpp
+++ b/src/decide/Interference.cpp
@@ -51,11 +51,10 @@
 
 double Interference::expected(KindIndex Victim,
                               std::span<const KindLoad> Loads) const {
-  return std::accumulate(Loads.begin(), Loads.end(), 0.0,
-                         [&](double Sum, const KindLoad &Load) {
-                           return Sum +
-                                  at(Victim, Load.Kind_).Mean_ * Load.Load_;
-                         });
+  return std::accumulate(
+      Loads.begin(), Loads.end(), 0.0, [&](double Sum, const KindLoad &Load) {
+        return Sum + at(Victim, Load.Kind_).Mean_ * Load.Load_;
+      });
 }
 
 double Interference::estimate(KindIndex Victim, KindIndex Aggressor) const {
--- a/src/decide/PlacementTables.cpp
+++ b/src/decide/PlacementTables.cpp
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr double Permille = 1000;
+/// Measured usage is raised by one part in this many.
+constexpr std::int64_t MarginParts = 10;
 /// Throttled tasks are left this share of a processor, in thousandths.
 constexpr std::uint32_t ThrottledPermille = 400;
 
@@ -22,12 +24,14 @@
   return Limits;
 }
 
-Resources excessOf(const TaskEntry &Task) {
-  const auto Beyond = [](std::int64_t Used, std::int64_t Reserved) {
-    return std::max<std::int64_t>(Used - Reserved, 0);
+/// Returns what a task is taken to use, with a margin where it was measured.
+Resources expectedOf(const TaskEntry &Task) {
+  const auto Measured = [](std::int64_t Used, std::int64_t Reserved) {
+    return Used > 0 ? Used + Used / MarginParts : Reserved;
   };
-  return {Beyond(Task.Usage_.MilliProcessors_, Task.Reserve_.MilliProcessors_),
-          Beyond(Task.Usage_.MemoryMib_, Task.Reserve_.MemoryMib_), 0};
+  return {Measured(Task.PeakUsage_.MilliProcessors_,
+                   Task.Reserve_.MilliProcessors_),
+          Measured(Task.PeakUsage_.MemoryMib_, Task.Reserve_.MemoryMib_), 0};
 }
 
 /// Where evictions weigh much, more of the measured usage is reserved.
@@ -144,10 +148,10 @@
 
 void PlacementState::refreshLoads(WorkerEntry &Worker) {
   Worker.Loads_.clear();
-  Worker.Excess_ = {};
+  Worker.Expected_ = {};
   for (TaskIndex Index : Worker.Tasks_) {
     const TaskEntry &Task = Tasks_[Index];
-    Worker.Excess_ += excessOf(Task);
+    Worker.Expected_ += expectedOf(Task);
     const double Load = Worker.share(Task.load().MilliProcessors_);
     const auto Found =
         std::ranges::find(Worker.Loads_, Task.Kind_, &KindLoad::Kind_);
--- a/src/decide/PlacementTables.h
+++ b/src/decide/PlacementTables.h
@@ -10,6 +10,7 @@
 #include "decide/WorkerIndex.h"
 #include "dragonfly/decide/Placement.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <optional>
@@ -76,8 +77,8 @@
   NameIndex Rack_ = 0;
   NameIndex Zone_ = 0;
   Resources Committed_;
-  /// What tasks use beyond their reservations.
-  Resources Excess_;
+  /// What tasks are taken to use: as measured where known, else as reserved.
+  Resources Expected_;
   /// What latency-critical requests use beside the tasks, smoothed.
   double RequestMilliProcessors_ = 0;
   double RequestMemoryMib_ = 0;
@@ -95,12 +96,18 @@
   bool Dirty_ = false;
   bool Freed_ = false;
 
-  /// What may still be committed.
+  /// What a new task may take: within the capacity by the reservations, and by
+  /// what is taken to be in use.
   Resources free() const {
-    Resources Free = Row_.Capacity_ - Committed_ - Excess_;
-    Free.MilliProcessors_ -= static_cast<std::int64_t>(RequestMilliProcessors_);
-    Free.MemoryMib_ -= static_cast<std::int64_t>(RequestMemoryMib_);
-    return Free;
+    const Resources Uncommitted = Row_.Capacity_ - Committed_;
+    const Resources Unused = Row_.Capacity_ - Expected_;
+    return {std::min(Uncommitted.MilliProcessors_,
+                     Unused.MilliProcessors_ -
+                         static_cast<std::int64_t>(RequestMilliProcessors_)),
+            std::min(Uncommitted.MemoryMib_,
+                     Unused.MemoryMib_ -
+                         static_cast<std::int64_t>(RequestMemoryMib_)),
+            Uncommitted.Accelerators_};
   }
 
   /// True where notably more is free than when tasks were last tried here.
