--- a/tests/entry/GatewayTest.cpp
+++ b/tests/entry/GatewayTest.cpp
@@ -1,7 +1,7 @@
 #include "dragonfly/entry/Gateway.h"
 
-#include "GatewayFixture.h"
 #include "dragonfly/base/Random.h"
+#include "entry/GatewayFixture.h"
 
 #include <catch2/catch.hpp>
 
@@ -79,6 +79,10 @@
        {answered(wire::Refusal{.Reason_ = Reason::LedgerNotReady}), Done},
        Outcome::Completed,
        Reason::None},
+      {"upstream not reached",
+       {executed(Outcome::RefusedNotRun, Reason::UpstreamFailed), Done},
+       Outcome::Completed,
+       Reason::None},
       {"never sent", {NeverSent, Done}, Outcome::Completed, Reason::None},
       {"never sent anywhere",
        {NeverSent, NeverSent, NeverSent},
