Let control tell the entries of each other, for their shares of the slots

Cause: slotShares() needs a table of entries that all entries see. Ruled out: an ordinal in the acknowledgement of heartbeats (it says nothing of zones, so an entry could not have its own zone's slots first). Change: wire::Upstreams carries the live entries, control raises its version when they change, and the gateway divides the slots and lets admission fill what the router counts. An entry that is not in the table does as before.

--- a/include/dragonfly/entry/Gateway.h
+++ b/include/dragonfly/entry/Gateway.h
@@ -76,7 +76,11 @@
 
   /// Replaces the customers and their limits at this entry.
   void setCustomers(std::vector<decide::CustomerPolicy> Customers);
-  /// Replaces the upstreams; \p Slots is what this entry may occupy.
+  /// Replaces the entries among which the upstreams' slots are divided from the
+  /// next `setUpstreams()` on; \p Own is this entry's name.
+  void setEntries(const std::vector<wire::LiveEntry> &Entries, std::string Own);
+  /// Replaces the upstreams; \p Slots is what this entry may occupy where it is
+  /// not among the entries.
   void setUpstreams(const std::vector<wire::Upstream> &Rows,
                     std::uint32_t Slots);
 
--- a/include/dragonfly/wire/Messages.h
+++ b/include/dragonfly/wire/Messages.h
@@ -146,9 +146,17 @@
   VmStatus Vm_;
 };
 
+/// An entry among which the upstreams' slots are divided.
+struct LiveEntry {
+  std::string Name_;
+  std::string AvailabilityZone_;
+};
+
 struct Upstreams {
   std::uint64_t Version_ = 0;
   std::vector<Upstream> Rows_;
+  /// Entries that take requests; a change of them changes the version.
+  std::vector<LiveEntry> Entries_;
 };
 
 /// Claims a non-idempotent request for one incarnation of one agent.
--- a/src/control/UpstreamTable.cpp
+++ b/src/control/UpstreamTable.cpp
@@ -28,6 +28,12 @@
          A.AvailabilityZone_ == B.AvailabilityZone_ && A.Rack_ == B.Rack_;
 }
 
+/// True where the slots would be divided among the entries as before.
+bool sharesAlike(const wire::Heartbeat &A, const wire::Heartbeat &B) {
+  return A.Name_ == B.Name_ && A.AvailabilityZone_ == B.AvailabilityZone_ &&
+         A.Draining_ == B.Draining_;
+}
+
 } // namespace
 
 UpstreamTable::UpstreamTable(UpstreamTableOptions Options)
@@ -60,6 +66,8 @@
     return heartbeatOfAgent(Now, Beat, Renew);
   if (Beat.Role_ == wire::Role::Entry) {
     WorkerEntry &Row = Entries_[Beat.Name_];
+    if (!sharesAlike(Row.Last_, Beat))
+      ++Version_;
     Row.Last_ = Beat;
     Row.HeardAt_ = Now;
   }
@@ -142,7 +150,8 @@
     ++Version_;
     return true;
   });
-  std::erase_if(Entries_, Gone);
+  if (std::erase_if(Entries_, Gone) > 0)
+    ++Version_;
 }
 
 bool UpstreamTable::holds(const std::string &Worker, Incarnation Sender) const {
@@ -161,9 +170,12 @@
 }
 
 wire::Upstreams UpstreamTable::upstreams() const {
-  wire::Upstreams Result{.Version_ = Version_, .Rows_ = {}};
+  wire::Upstreams Result{.Version_ = Version_, .Rows_ = {}, .Entries_ = {}};
   for (const auto &[Name, Row] : Published_)
     Result.Rows_.push_back(Row);
+  for (const auto &[Name, Row] : Entries_)
+    if (!Row.Last_.Draining_)
+      Result.Entries_.push_back({Name, Row.Last_.AvailabilityZone_});
   return Result;
 }
 
--- a/src/decide/Admission.cpp
+++ b/src/decide/Admission.cpp
@@ -314,8 +314,8 @@
 Admission::~Admission() = default;
 
 void Admission::setCapacity(std::uint32_t Slots) {
-  Impl_->Slots_ = Slots;
-  Impl_->Kinds_.setSlots(Slots);
+  if (std::exchange(Impl_->Slots_, Slots) != Slots)
+    Impl_->Kinds_.setSlots(Slots);
 }
 
 void Admission::setCustomers(std::vector<CustomerPolicy> Customers) {
--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -163,19 +163,21 @@
   void fetchUpstreams() {
     if (std::exchange(Fetching_, true))
       return;
-    Link_->callLeader(wire::FetchUpstreams{UpstreamsVersion_}, FetchTimeout,
-                      [Weak = weak_from_this()](net::CallResult Result) {
-                        const auto Self = Weak.lock();
-                        if (!Self)
-                          return;
-                        Self->Fetching_ = false;
-                        if (auto *Newer =
-                                std::get_if<wire::Upstreams>(&Result.Answer_)) {
-                          Self->UpstreamsVersion_ = Newer->Version_;
-                          Self->Upstreams_ = std::move(Newer->Rows_);
-                          Self->applyUpstreams();
-                        }
-                      });
+    Link_->callLeader(
+        wire::FetchUpstreams{UpstreamsVersion_}, FetchTimeout,
+        [Weak = weak_from_this()](net::CallResult Result) {
+          const auto Self = Weak.lock();
+          if (!Self)
+            return;
+          Self->Fetching_ = false;
+          if (auto *Newer = std::get_if<wire::Upstreams>(&Result.Answer_)) {
+            Self->UpstreamsVersion_ = Newer->Version_;
+            Self->Upstreams_ = std::move(Newer->Rows_);
+            Self->Requests_.setEntries(Newer->Entries_,
+                                       Self->Settings_.Process_.Name_);
+            Self->applyUpstreams();
+          }
+        });
   }
 
   void applyUpstreams() {
--- a/src/entry/Gateway.cpp
+++ b/src/entry/Gateway.cpp
@@ -4,6 +4,7 @@
 #include "entry/GatewayImpl.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace dragonfly::entry {
@@ -262,6 +263,7 @@
   }
   do {
     PumpAgain_ = false;
+    Admission_.setCapacity(capacity());
     Commands_ = Admission_.tick(Now);
     for (const decide::AdmissionCommand &Command : Commands_)
       obey(Now, Command);
@@ -288,6 +290,26 @@
   beginAttempt(Now, Row);
 }
 
+bool Gateway::Impl::dividesSlots() const {
+  return std::ranges::find(Entries_, OwnName_, &decide::EntryRow::Name_) !=
+         Entries_.end();
+}
+
+/// Gives this entry its share of each upstream's slots, where it is known to
+/// be one of the entries.
+void Gateway::Impl::divideSlots(std::vector<decide::UpstreamRow> &Rows) const {
+  if (!dividesSlots())
+    return;
+  const std::vector<std::uint32_t> Shares =
+      decide::slotShares(Entries_, OwnName_, Rows);
+  for (std::size_t Index = 0; Index < Rows.size(); ++Index)
+    Rows[Index].Share_ = Shares[Index];
+}
+
+std::uint32_t Gateway::Impl::capacity() const {
+  return dividesSlots() ? Router_.slots() : Slots_;
+}
+
 void Gateway::Impl::tick(TimePoint Now) {
   while (!Polls_.empty() && Polls_.begin()->first <= Now) {
     const RequestPtr Row = std::move(Polls_.extract(Polls_.begin()).mapped());
@@ -311,6 +333,17 @@
   Impl_->Admission_.setCustomers(std::move(Customers));
 }
 
+void Gateway::setEntries(const std::vector<wire::LiveEntry> &Entries,
+                         std::string Own) {
+  Impl_->Entries_.clear();
+  std::ranges::transform(Entries, std::back_inserter(Impl_->Entries_),
+                         [](const wire::LiveEntry &Row) {
+                           return decide::EntryRow{Row.Name_,
+                                                   Row.AvailabilityZone_};
+                         });
+  Impl_->OwnName_ = std::move(Own);
+}
+
 void Gateway::setUpstreams(const std::vector<wire::Upstream> &Rows,
                            std::uint32_t Slots) {
   std::vector<decide::UpstreamRow> Table;
@@ -323,8 +356,10 @@
                                    .FreeSlots_ = Row.Vm_.FreeSlots_,
                                    .Draining_ = Row.Draining_};
       });
+  Impl_->divideSlots(Table);
   Impl_->Router_.setUpstreams(Table);
-  Impl_->Admission_.setCapacity(Slots);
+  Impl_->Slots_ = Slots;
+  Impl_->Admission_.setCapacity(Impl_->capacity());
 }
 
 WaiterId Gateway::submit(TimePoint Now, CallerRequest Request,
--- a/src/entry/GatewayImpl.h
+++ b/src/entry/GatewayImpl.h
@@ -2,6 +2,7 @@
 #ifndef DRAGONFLY_SRC_ENTRY_GATEWAYIMPL_H
 #define DRAGONFLY_SRC_ENTRY_GATEWAYIMPL_H
 
+#include "dragonfly/decide/SlotShares.h"
 #include "dragonfly/entry/AttemptRules.h"
 #include "dragonfly/entry/Gateway.h"
 
@@ -102,6 +103,9 @@
   void pump(TimePoint Now);
   void obey(TimePoint Now, const decide::AdmissionCommand &Command);
   void tick(TimePoint Now);
+  bool dividesSlots() const;
+  void divideSlots(std::vector<decide::UpstreamRow> &Rows) const;
+  std::uint32_t capacity() const;
 
   // GatewayAttempts.cpp: claims and attempts.
   void beginAttempt(TimePoint Now, const RequestPtr &Row);
@@ -134,6 +138,9 @@
   std::unordered_set<std::string> Customers_;
   decide::Admission Admission_;
   decide::Router Router_;
+  std::vector<decide::EntryRow> Entries_;
+  std::string OwnName_;
+  std::uint32_t Slots_ = 0;
   AnswerWindow Window_;
   std::unordered_map<wire::RequestKey, RequestPtr, RequestKeyHash> Requests_;
   std::unordered_map<decide::RequestHandle, RequestPtr> Waiting_;
--- a/src/wire/Serialize.h
+++ b/src/wire/Serialize.h
@@ -80,8 +80,12 @@
      Row.Address_, Row.Draining_, Row.Vm_);
 }
 
+template <typename Archive> void serialize(Archive &Ar, LiveEntry &Row) {
+  Ar(Row.Name_, Row.AvailabilityZone_);
+}
+
 template <typename Archive> void serialize(Archive &Ar, Upstreams &Row) {
-  Ar(Row.Version_, Row.Rows_);
+  Ar(Row.Version_, Row.Rows_, Row.Entries_);
 }
 
 template <typename Archive> void serialize(Archive &Ar, Claim &Row) {
