Share processors where throughput weighs; pressure by slowdown and memory

Cause: with workers at 0.82 of their processors, waiting tasks were the large ones (0.15 to 0.20 of a VM against 0.08 on average): small ones took each gap. Ruled out: a limit on used processors for throttling (a VM cannot report more than it has; the fakes could, and no longer do). Change: a start may bring a worker's expected usage beyond its processors by half the throughput weight; reservations stay within the capacity. Pressure looks at slowdown and memory. First-fit now evicts where a VM is used up.

--- a/bench/support/TaskPolicy.cpp
+++ b/bench/support/TaskPolicy.cpp
@@ -42,9 +42,7 @@
     std::vector<PlacementCommand> Commands;
     // One eviction for each report, which comes late.
     for (auto &[Name, Host] : Workers_)
-      if (std::exchange(Host.Reported_, false) &&
-          !Host.Row_.Usage_.fitsIn(Host.Row_.Capacity_) &&
-          !Host.Tasks_.empty()) {
+      if (std::exchange(Host.Reported_, false) && full(Host)) {
         PlacementCommand Command;
         Command.Action_ = PlacementAction::Checkpoint;
         Command.Task_ = Host.Tasks_.back();
@@ -71,6 +69,14 @@
     std::string Worker_;
   };
 
+  static bool full(const Host &Place) {
+    const Resources &Usage = Place.Row_.Usage_;
+    const Resources &Capacity = Place.Row_.Capacity_;
+    return !Place.Tasks_.empty() &&
+           (Usage.MilliProcessors_ >= Capacity.MilliProcessors_ ||
+            Usage.MemoryMib_ > Capacity.MemoryMib_);
+  }
+
   bool start(TaskId Id, std::vector<PlacementCommand> &Commands) {
     Task &Own = Tasks_.at(Id);
     for (auto &[Name, Place] : Workers_) {
--- a/bench/support/TaskPolicy.h
+++ b/bench/support/TaskPolicy.h
@@ -25,7 +25,7 @@
 TaskPolicy shippedPlacement(const decide::PlacementOptions &Options);
 
 /// Takes the first worker whose declared sizes leave room, in the order of
-/// arrival; evicts the newest task of a worker that is used beyond its size.
+/// arrival; evicts the newest task of a worker that is used up.
 TaskPolicy firstFit(const decide::PlacementOptions &Options);
 
 } // namespace dragonfly::bench
--- a/bench/support/TaskRun.cpp
+++ b/bench/support/TaskRun.cpp
@@ -195,7 +195,9 @@
   for (std::size_t Kind = 0; Kind < Kinds; ++Kind)
     Own.Slowdown_ += OnRequests[Kind] * Own.Shares_[Kind] * drift(Kind, At) *
                      (0.6 + 0.4 * std::min(Demand, 1.5));
-  Own.Usage_.MilliProcessors_ = static_cast<std::int64_t>(Demand * Whole);
+  // No more can be measured than there is.
+  Own.Usage_.MilliProcessors_ =
+      static_cast<std::int64_t>(std::min(Demand, 1.0) * Whole);
 }
 
 void TaskRun::advance(Duration At, std::size_t Host, double Seconds) {
@@ -269,8 +271,9 @@
       1000 * std::max(1.0, Own.Slowdown_ * Noise(Random_)));
   for (std::size_t Index : Own.Tasks_) {
     Resources Used = Tasks_[Index].Usage_;
-    Used.MilliProcessors_ = static_cast<std::int64_t>(
-        static_cast<double>(Used.MilliProcessors_) * Tasks_[Index].Throttle_);
+    Used.MilliProcessors_ =
+        static_cast<std::int64_t>(static_cast<double>(Used.MilliProcessors_) *
+                                  Tasks_[Index].Throttle_ / Own.Contention_);
     Late.Usage_.emplace_back(Tasks_[Index].Row_.Task_, Used);
   }
   Reports_.push_back(std::move(Late));
--- a/src/decide/Placement.cpp
+++ b/src/decide/Placement.cpp
@@ -134,6 +134,7 @@
     ++State.ListedWorkers_;
   State.changeShape(Worker.Capacity_, 1);
   Host.Row_ = Worker;
+  Host.ProcessorOveruse_ = State.Limits_.ProcessorOveruse_;
   Host.Listed_ = true;
   Host.Rack_ = State.Racks_.number(Worker.Rack_);
   Host.Zone_ = State.Zones_.number(Worker.AvailabilityZone_);
--- a/src/decide/PlacementTables.cpp
+++ b/src/decide/PlacementTables.cpp
@@ -11,6 +11,11 @@
 /// Throttled tasks are left this share of a processor, in thousandths.
 constexpr std::uint32_t ThrottledPermille = 400;
 
+/// Where throughput weighs much, processors are shared more.
+double processorOveruse(const PlacementOptions &Options) {
+  return 0.5 * Options.BatchThroughputPermille_ / Permille;
+}
+
 /// Where tail latency weighs much, less slowdown is put up with.
 PressureLimits limitsFor(const PlacementOptions &Options) {
   PressureLimits Limits;
@@ -18,6 +23,7 @@
   const double Evictions = Options.EvictionsPermille_ / Permille;
   Limits.HighSlowdown_ = static_cast<std::uint32_t>(Permille + 2500 / Tail);
   Limits.LowSlowdown_ = static_cast<std::uint32_t>(Permille + 900 / Tail);
+  Limits.ProcessorOveruse_ = processorOveruse(Options);
   Limits.StartSlowdown_ = static_cast<std::uint32_t>(Permille + 1600 / Tail);
   Limits.Patience_ = std::chrono::milliseconds(
       4000 + static_cast<std::int64_t>(16000 * Evictions));
--- a/src/decide/PlacementTables.h
+++ b/src/decide/PlacementTables.h
@@ -79,6 +79,8 @@
   Resources Committed_;
   /// What tasks are taken to use: as measured where known, else as reserved.
   Resources Expected_;
+  /// Copied from the limits.
+  double ProcessorOveruse_ = 0;
   /// What latency-critical requests use beside the tasks, smoothed.
   double RequestMilliProcessors_ = 0;
   double RequestMemoryMib_ = 0;
@@ -101,8 +103,11 @@
   Resources free() const {
     const Resources Uncommitted = Row_.Capacity_ - Committed_;
     const Resources Unused = Row_.Capacity_ - Expected_;
+    const auto Shared = static_cast<std::int64_t>(
+        ProcessorOveruse_ *
+        static_cast<double>(Row_.Capacity_.MilliProcessors_));
     return {std::min(Uncommitted.MilliProcessors_,
-                     Unused.MilliProcessors_ -
+                     Unused.MilliProcessors_ + Shared -
                          static_cast<std::int64_t>(RequestMilliProcessors_)),
             std::min(Uncommitted.MemoryMib_,
                      Unused.MemoryMib_ -
--- a/src/decide/Pressure.h
+++ b/src/decide/Pressure.h
@@ -13,9 +13,9 @@
 
 /// Bounds between which a worker is left alone.
 struct PressureLimits {
-  /// Usage of the scarcest resource, as a share of the capacity.
-  double HighUsage_ = 0.97;
-  double LowUsage_ = 0.85;
+  /// Processors that may be expected to be used beyond the capacity, as a share
+  /// of it: they can be shared, at the price of time.
+  double ProcessorOveruse_ = 0;
   /// Memory cannot be throttled; above this a task has to go.
   double HighMemory_ = 0.97;
   /// Slowdown of latency-critical requests, in thousandths of undisturbed.
@@ -31,7 +31,7 @@
 
 /// What was measured on a worker.
 struct PressureReading {
-  double Processors_ = 0;
+  /// Used share of the memory.
   double Memory_ = 0;
   std::uint32_t SlowdownPermille_ = 1000;
 };
@@ -41,10 +41,8 @@
 public:
   PressureStep step(TimePoint Now, const PressureLimits &Limits,
                     const PressureReading &Reading) {
-    const bool High = Reading.Processors_ > Limits.HighUsage_ ||
-                      Reading.SlowdownPermille_ > Limits.HighSlowdown_;
-    const bool Low = Reading.Processors_ < Limits.LowUsage_ &&
-                     Reading.SlowdownPermille_ < Limits.LowSlowdown_;
+    const bool High = Reading.SlowdownPermille_ > Limits.HighSlowdown_;
+    const bool Low = Reading.SlowdownPermille_ < Limits.LowSlowdown_;
     HighSince_ = High ? earlier(HighSince_, Now) : TimePoint::max();
     LowSince_ = Low ? earlier(LowSince_, Now) : TimePoint::max();
     if (Now < NotBefore_)
--- a/src/decide/RelievePressure.cpp
+++ b/src/decide/RelievePressure.cpp
@@ -22,12 +22,11 @@
 PressureReading readingOf(const WorkerEntry &Host) {
   const Resources &Capacity = Host.Row_.Capacity_;
   const Resources &Usage = Host.Row_.Usage_;
-  return {.Processors_ = Host.share(Usage.MilliProcessors_),
-          .Memory_ = Capacity.MemoryMib_ == 0
-                         ? 0
-                         : static_cast<double>(Usage.MemoryMib_) /
-                               static_cast<double>(Capacity.MemoryMib_),
-          .SlowdownPermille_ = Host.Row_.SlowdownPermille_};
+  const double Memory = Capacity.MemoryMib_ == 0
+                            ? 0
+                            : static_cast<double>(Usage.MemoryMib_) /
+                                  static_cast<double>(Capacity.MemoryMib_);
+  return {.Memory_ = Memory, .SlowdownPermille_ = Host.Row_.SlowdownPermille_};
 }
 
 double disturbance(const PlacementState &State, const WorkerEntry &Host,
@@ -126,8 +125,7 @@
   WorkerEntry &Host = State.Workers_[Worker];
   const PressureReading Reading = readingOf(Host);
   const bool WasHot = Host.Hot_;
-  Host.Hot_ = Reading.Processors_ > State.Limits_.HighUsage_ ||
-              Reading.Memory_ > State.Limits_.HighMemory_;
+  Host.Hot_ = Reading.Memory_ > State.Limits_.HighMemory_;
   if (WasHot && !Host.Hot_)
     State.markFreed(Worker);
   else
