Let the weights set limits that each deployment wins by

Change: 1800 and 1300; patience with throttling grows with the evictions' weight over the tail's. The eviction weight has nothing to win while hardly anything is evicted.

--- a/src/decide/PlacementTables.cpp
+++ b/src/decide/PlacementTables.cpp
@@ -11,22 +11,37 @@
 /// Throttled tasks are left this share of a processor, in thousandths.
 constexpr std::uint32_t ThrottledPermille = 400;
 
-/// Where throughput weighs much, processors are shared more.
-double processorOveruse(const PlacementOptions &Options) {
-  return 0.5 * Options.BatchThroughputPermille_ / Permille;
-}
-
-/// Where tail latency weighs much, less slowdown is put up with.
+/// Slowdowns beyond undisturbed, in thousandths, for a tail that weighs all.
+constexpr double HighSlowdown = 1800;
+constexpr double LowSlowdown = 720;
+constexpr double StartSlowdown = 1300;
+/// Patience with throttling: at least, and more where evictions weigh as much
+/// as the tail.
+constexpr Duration LeastPatience = std::chrono::seconds(2);
+constexpr double PatienceSeconds = 12;
+constexpr double OverusePerThroughput = 0.5;
+constexpr double LeastProcessorQuantile = 0.5;
+constexpr double QuantilePerEvictions = 0.2;
+
+/// Where tail latency weighs much, less slowdown is put up with; where
+/// throughput does, processors are shared more; where evictions do, throttling
+/// is given longer to help.
 PressureLimits limitsFor(const PlacementOptions &Options) {
-  PressureLimits Limits;
   const double Tail = std::max(Options.TailLatencyPermille_, 1U) / Permille;
   const double Evictions = Options.EvictionsPermille_ / Permille;
-  Limits.HighSlowdown_ = static_cast<std::uint32_t>(Permille + 2500 / Tail);
-  Limits.LowSlowdown_ = static_cast<std::uint32_t>(Permille + 900 / Tail);
-  Limits.ProcessorOveruse_ = processorOveruse(Options);
-  Limits.StartSlowdown_ = static_cast<std::uint32_t>(Permille + 1600 / Tail);
-  Limits.Patience_ = std::chrono::milliseconds(
-      4000 + static_cast<std::int64_t>(16000 * Evictions));
+  const auto Above = [Tail](double Slowdown) {
+    return static_cast<std::uint32_t>(Permille + Slowdown / Tail);
+  };
+  PressureLimits Limits;
+  Limits.HighSlowdown_ = Above(HighSlowdown);
+  Limits.LowSlowdown_ = Above(LowSlowdown);
+  Limits.StartSlowdown_ = Above(StartSlowdown);
+  Limits.ProcessorOveruse_ =
+      OverusePerThroughput * Options.BatchThroughputPermille_ / Permille;
+  Limits.Patience_ =
+      LeastPatience +
+      std::chrono::duration_cast<Duration>(
+          std::chrono::duration<double>(PatienceSeconds * Evictions / Tail));
   return Limits;
 }
 
@@ -42,14 +57,15 @@
 
 /// Where evictions weigh much, more of the measured usage is reserved.
 double processorQuantile(const PlacementOptions &Options) {
-  return 0.5 + 0.2 * Options.EvictionsPermille_ / Permille;
+  return LeastProcessorQuantile +
+         QuantilePerEvictions * Options.EvictionsPermille_ / Permille;
 }
 
 } // namespace
 
 PlacementState::PlacementState(PlacementOptions Options)
     : Options_(Options), Random_(Options.Seed_), Limits_(limitsFor(Options)),
-      Needs_(std::min(processorQuantile(Options), 0.97)),
+      Needs_(processorQuantile(Options)),
       Interference_(Options.TailLatencyPermille_ / Permille) {}
 
 WorkerEntry *PlacementState::worker(const std::string &Name) {
