Measure memory and bytes of the deciding tables

Cause: docs/CAPACITY.md needs slopes for memory and messages. Ruled out: resident size of a process (it holds the allocator's slack). Change: DecideBench counts live bytes per row and the bytes of frames.

--- a/bench/DecideBench.cpp
+++ b/bench/DecideBench.cpp
@@ -4,6 +4,9 @@
 #include "dragonfly/decide/Admission.h"
 #include "dragonfly/decide/Placement.h"
 #include "dragonfly/decide/Router.h"
+#include "dragonfly/wire/Frame.h"
+
+#include <malloc.h>
 
 #include <array>
 #include <chrono>
@@ -21,6 +24,8 @@
 namespace {
 
 std::uint64_t Allocations = 0;
+/// Bytes that are allocated now.
+std::uint64_t LiveBytes = 0;
 
 constexpr TimePoint Start{1000s};
 constexpr std::size_t LargestFleet = 5900;
@@ -200,18 +205,103 @@
               LargestFleet, Taken, Taken / Count);
 }
 
+void printMemory(const char *What, std::uint64_t Before, std::size_t Count) {
+  std::printf("| memory: %s | - | %.0f bytes | |\n", What,
+              static_cast<double>(LiveBytes - Before) /
+                  static_cast<double>(Count));
+}
+
+void measurePlacementMemory() {
+  constexpr std::size_t Workers = 1000;
+  RandomEngine Random(1);
+  std::uint64_t Before = LiveBytes;
+  Placement Fleet{PlacementOptions{}};
+  for (std::size_t Index = 0; Index < Workers; ++Index)
+    Fleet.setWorker(Start, makeWorker(Index));
+  printMemory("one worker in placement", Before, Workers);
+  constexpr std::size_t Tasks = 11186;
+  Before = LiveBytes;
+  for (std::uint64_t Id = 1; Id <= Tasks; ++Id)
+    Fleet.addTask(Start, makeTask(Id, Random));
+  Fleet.tick(Start);
+  printMemory("one task in placement", Before, Tasks);
+}
+
+void measureEntryMemory() {
+  constexpr std::size_t Upstreams = 1000;
+  std::uint64_t Before = LiveBytes;
+  Router Route({.AvailabilityZone_ = "az-1"});
+  Route.setUpstreams(makeUpstreams(Upstreams));
+  printMemory("one upstream in the router", Before, Upstreams);
+  Admission Admit({.Kinds_ = {{.Name_ = "check", .QueueLimit_ = 100000}}});
+  Admit.setCustomers({{"c", 1, 100000}});
+  constexpr std::size_t Waiting = 10000;
+  Before = LiveBytes;
+  for (std::size_t Request = 0; Request < Waiting; ++Request)
+    Admit.offer(Start,
+                {.Customer_ = "c", .Kind_ = "check", .Deadline_ = Start + 24h});
+  printMemory("one waiting request in admission", Before, Waiting);
+}
+
+/// Bytes of a frame that holds \p Value.
+std::size_t frameBytes(wire::Message Value) {
+  return wire::encodeFrame({.Kind_ = wire::FrameKind::OneWay,
+                            .Sender_ = {~0ULL},
+                            .Sequence_ = 1000000,
+                            .Message_ = std::move(Value)})
+      .size();
+}
+
+/// Prints what one more row adds to a message.
+template <typename Rows> void printRow(const char *What, Rows One, Rows Two) {
+  const std::size_t Each = frameBytes(Two) - frameBytes(One);
+  std::printf("| bytes: %s | - | %zu bytes | frame with one %zu |\n", What,
+              Each, frameBytes(One));
+}
+
+void measureBytes() {
+  wire::Heartbeat Beat;
+  Beat.Name_ = "agent-5900";
+  Beat.AvailabilityZone_ = "az-1";
+  Beat.Rack_ = "rack-1966";
+  Beat.Address_ = "10.100.100.100:7100";
+  std::printf("| bytes: heartbeat | - | %zu bytes | answer %zu |\n",
+              frameBytes(Beat),
+              frameBytes(wire::HeartbeatAck{.Leader_ = "10.100.1.1:7000"}));
+  const wire::Upstream Row{.Name_ = Beat.Name_,
+                           .Incarnation_ = {~0ULL},
+                           .AvailabilityZone_ = Beat.AvailabilityZone_,
+                           .Rack_ = Beat.Rack_,
+                           .Address_ = Beat.Address_};
+  printRow("one upstream in a table", wire::Upstreams{.Rows_ = {Row}},
+           wire::Upstreams{.Rows_ = {Row, Row}});
+  const wire::TaskDirective Order{.Kind_ = "lot-review",
+                                  .Body_ = std::string(64, 'b')};
+  printRow("one directive with a body of 64 bytes", wire::Directives{{Order}},
+           wire::Directives{{Order, Order}});
+  printRow("one task report", wire::TaskReports{.Rows_ = {{}}},
+           wire::TaskReports{.Rows_ = {{}, {}}});
+}
+
 } // namespace
 
 void *operator new(std::size_t Size) {
   ++Allocations;
-  if (void *Memory = std::malloc(Size))
-    return Memory;
-  throw std::bad_alloc();
+  void *Memory = std::malloc(Size);
+  if (Memory == nullptr)
+    throw std::bad_alloc();
+  LiveBytes += malloc_usable_size(Memory);
+  return Memory;
 }
 
-void operator delete(void *Memory) noexcept { std::free(Memory); }
+void operator delete(void *Memory) noexcept {
+  LiveBytes -= malloc_usable_size(Memory);
+  std::free(Memory);
+}
 
-void operator delete(void *Memory, std::size_t) noexcept { std::free(Memory); }
+void operator delete(void *Memory, std::size_t) noexcept {
+  operator delete(Memory);
+}
 
 int main() {
   std::puts("| decision | workers | cost | |\n| --- | --- | --- | --- |");
@@ -226,5 +316,8 @@
   for (std::size_t Workers : FleetSizes)
     measureReports(Workers);
   measureCancellations();
+  measurePlacementMemory();
+  measureEntryMemory();
+  measureBytes();
   return 0;
 }
