Let the load end by its own process id and deployments run side by side

Cause: a trial of rolling-restart.sh ended a subshell in place of the load, and another deployment on the same addresses mixed its receipts into the counts. Ruled out: a lock file; two deployments at once are useful. Change: start_load runs dragonfly-load itself in the background; DEPLOYMENT_NET moves all addresses; prepare refuses addresses that answer already; a restarted replica is awaited at its own address.

--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -9,7 +9,8 @@
 echo "deployment in $RUN"
 bring_up || { echo "demo: FAILED to start"; exit 1; }
 echo "started $CONTROLS control, $ENTRIES entry, $AGENTS agent processes; both lists are in force"
-load demo >"$RUN/load.out" || { echo "FAILED: the load lost answers"; failed=1; }
+start_load demo
+await_load || { echo "FAILED: the load lost answers"; failed=1; }
 check_counts demo || failed=1
 stop_all || failed=1
 if [ $failed = 0 ]; then
--- a/tools/deployment.sh
+++ b/tools/deployment.sh
@@ -7,6 +7,9 @@
 AGENTS_PER_RACK=3
 READY_POLLS=300     # times 0.1 s
 STOP_POLLS=400      # times 0.1 s
+# First two numbers of each address; another value lets deployments run side by
+# side on one machine.
+NET=${DEPLOYMENT_NET:-127.0}
 declare -A PIDS=()
 
 # prepare BUILD EXAMPLE: makes a fresh folder with the settings of each process.
@@ -30,20 +33,25 @@
     sed -e "s/agent-1/agent-$n/; s/az-a/az-$zone/; s/rack-a/rack-$zone/; s/127\.0\.3\.1:/127.0.3.$n:/g" \
       "$EXAMPLE/agent-1.json" >"$RUN/agent-$n.json"
   done
+  sed -i "s/\"127\.0\./\"$NET./g" "$RUN"/*.json
+  if [ -n "$(http_status "$NET.1.1:8080")$(http_status "$NET.2.1:7001")" ]; then
+    echo "FAILED: a deployment on $NET.x.y runs already"
+    exit 1
+  fi
   trap end_all EXIT
   trap 'exit 1' INT TERM
 }
 
 zone_of() { printf '%s' "abcd" | cut -c"$1"; }
 join_by() { local IFS=$1; shift; printf '%s' "$*"; }
-entry_addresses() { join_by , $(seq -f "127.0.1.%g:8080" $ENTRIES); }
-upstream_addresses() { join_by , $(seq -f "127.0.3.%g:9000" $AGENTS); }
+entry_addresses() { join_by , $(seq -f "$NET.1.%g:8080" $ENTRIES); }
+upstream_addresses() { join_by , $(seq -f "$NET.3.%g:9000" $AGENTS); }
 
 # start NAME: starts one process, named after its settings.
 start() {
   local name=$1 command
   case $name in
-  upstream-*) command=("$BUILD/stand-in-upstream" "--listen=127.0.3.${name#upstream-}:9000"
+  upstream-*) command=("$BUILD/stand-in-upstream" "--listen=$NET.3.${name#upstream-}:9000"
     "--seed=${name#upstream-}" "--service_ms=${SERVICE_MS:-5}") ;;
   *) command=("$BUILD/dragonfly-${name%-*}" "--settings=$RUN/$name.json") ;;
   esac
@@ -109,20 +117,30 @@
 }
 
 is_ready() { [ "$(http_status "$1")" = 200 ]; }
-ctl() { "$BUILD/dragonflyctl" --json "$@"; }
-ctl_status() { ctl --tries=1 status >/dev/null 2>&1; }
+ctl() {
+  "$BUILD/dragonflyctl" --json "--control=$NET.2.1:7001,$NET.2.2:7001,$NET.2.3:7001" "$@"
+}
+
+# follows_leader N: true where replica N itself knows a leader.
+follows_leader() {
+  "$BUILD/dragonflyctl" --json --tries=1 "--control=$NET.2.$1:7001" status 2>/dev/null |
+    grep -q '"leader":[1-9]'
+}
+
+# leader: prints the replica that leads, as the first one that answers knows it.
+leader() { ctl status | sed -n 's/.*"leader":\([0-9]*\).*/\1/p'; }
 
 # ready_address NAME: prints where a process answers /readyz.
 ready_address() {
   case $1 in
-  entry-*) echo "127.0.1.${1#entry-}:8080" ;;
-  agent-*) echo "127.0.3.${1#agent-}:7101" ;;
+  entry-*) echo "$NET.1.${1#entry-}:8080" ;;
+  agent-*) echo "$NET.3.${1#agent-}:7101" ;;
   esac
 }
 
 await_ready() {
   case $1 in
-  control-*) await "$1 follows a leader" ctl_status ;;
+  control-*) await "$1 follows a leader" follows_leader "${1#control-}" ;;
   *) await "$1 is ready" is_ready "$(ready_address "$1")" ;;
   esac
 }
@@ -149,7 +167,7 @@
   local entry customer rows=
   PROBE=0
   for customer in $(customers); do
-    for entry in $(seq -f "127.0.1.%g:8080" $ENTRIES); do
+    for entry in $(seq -f "$NET.1.%g:8080" $ENTRIES); do
       await "$entry serves $customer" is_served "$entry" "$customer" || return 1
     done
     rows="$rows${rows:+,}{\"customer\":\"$customer\",\"kind\":\"$(urgent_kind)\",\"sent\":$ENTRIES,\"completed\":$ENTRIES}"
@@ -171,12 +189,23 @@
   await_served
 }
 
-# load RUN_NAME [FLAG...]: sends the example's load and writes a report.
-load() {
-  local name=$1
-  shift
-  "$BUILD/dragonfly-load" "--entries=$(entry_addresses)" "--load=$RUN/load.json" \
-    "--run=$name" "--report=$RUN/$name-report.json" "$@"
+# start_load RUN_NAME [SECONDS]: starts the example's load in the background, as
+# process "load"; it writes a report when it ends or is stopped.
+start_load() {
+  local name=$1 seconds=${2:-}
+  sed -e "s/\"seconds\": [0-9]*/\"seconds\": ${seconds:-10}/" "$RUN/load.json" >"$RUN/$name-load.json"
+  (cd "$RUN" && exec "$BUILD/dragonfly-load" "--entries=$(entry_addresses)" \
+    "--load=$RUN/$name-load.json" "--run=$name" "--report=$RUN/$name-report.json" \
+    >"$RUN/$name-load.out" 2>&1) &
+  PIDS[load]=$!
+}
+
+# await_load: waits for the load's own end and returns its exit code.
+await_load() {
+  local code=0
+  wait "${PIDS[load]}" || code=$?
+  unset "PIDS[load]"
+  return $code
 }
 
 # check_counts RUN_NAME [FLAG...]: compares completions, counts and runs.
--- a/tools/process-faults.sh
+++ b/tools/process-faults.sh
@@ -8,24 +8,38 @@
 FAULTS=(leader-killed control-frozen agent-killed entry-killed disk-lost racing-operators)
 LOAD_SECONDS=12
 
-leader() { ctl --tries=5 status | sed -n 's/.*"leader":\([0-9]*\).*/\1/p'; }
+# new_leader OLD: true where replicas other than OLD follow another leader.
+new_leader() {
+  local n
+  for n in $(seq $CONTROLS); do
+    [ "$n" = "$1" ] && continue
+    "$BUILD/dragonflyctl" --json --tries=1 "--control=$NET.2.$n:7001" status 2>/dev/null |
+      grep -q "\"leader\":[1-9]" || return 1
+    "$BUILD/dragonflyctl" --json --tries=1 "--control=$NET.2.$n:7001" status 2>/dev/null |
+      grep -q "\"leader\":$1[,}]" && return 1
+  done
+  return 0
+}
+
 version_of() { ctl lists get "$1" | sed -n 's/.*"version":\([0-9]*\).*/\1/p'; }
 
 # Each fault runs two seconds into the load; it may fail by itself.
 leader-killed() {
-  local name
-  name=control-$(leader)
+  local old name
+  old=$(leader)
+  name=control-$old
   end "$name" KILL
-  await "another replica leads" ctl_status || return 1
+  await "another replica leads" new_leader "$old" || return 1
   put_list plans "$RUN/plans.json" || { echo "FAILED: no list change after the leader's end"; return 1; }
   start "$name"
 }
 
 control-frozen() {
-  local name
-  name=control-$(leader)
+  local old name
+  old=$(leader)
+  name=control-$old
   kill -STOP "${PIDS[$name]}"
-  await "another replica leads" ctl_status || return 1
+  await "another replica leads" new_leader "$old" || return 1
   put_list plans "$RUN/plans.json" || { echo "FAILED: no list change while the leader is frozen"; return 1; }
   local before
   before=$(version_of plans)
@@ -84,13 +98,11 @@
   local fault=$1 failed=0
   prepare "$BUILD_FOLDER" "$EXAMPLE_FOLDER"
   bring_up || return 1
-  load "$fault" --seconds=$LOAD_SECONDS >"$RUN/load.out" &
-  PIDS[load]=$!
+  start_load "$fault" $LOAD_SECONDS
   sleep 2
   "$fault" || failed=1
   # An entry that is killed loses answers; check-counts judges the outcome.
-  wait "${PIDS[load]}"
-  unset "PIDS[load]"
+  await_load
   check_counts "$fault" || failed=1
   stop_all || failed=1
   return $failed
--- a/tools/rolling-restart.sh
+++ b/tools/rolling-restart.sh
@@ -7,8 +7,7 @@
 prepare "${1:-build}" "${2:-examples/notbandet}"
 failed=0
 bring_up || { echo "rolling-restart: FAILED to start"; exit 1; }
-load rolling --seconds=600 >"$RUN/load.out" &
-PIDS[load]=$!
+start_load rolling 600
 for name in $(seq -f "entry-%g" $ENTRIES) $(seq -f "agent-%g" $AGENTS) $(seq -f "control-%g" $CONTROLS); do
   stop "$name" || failed=1
   start "$name"
