--- a/src/entry/Gateway.cpp
+++ b/src/entry/Gateway.cpp
@@ -1,5 +1,6 @@
 #include "dragonfly/entry/Gateway.h"
 
+#include "dragonfly/base/Random.h"
 #include "entry/GatewayImpl.h"
 
 #include <algorithm>
@@ -133,6 +134,7 @@
   Row->Key_ = std::move(Sent.Key_);
   Row->Body_ = std::move(Sent.Body_);
   Row->BodyHash_ = BodyHash;
+  Row->Claimant_ = makeFreshId<Incarnation>();
   Row->ArrivedAt_ = Now;
   Row->Deadline_ =
       Now + Sent.TimeLeft_.value_or(Row->Kind_->Settings_.Deadline_);
@@ -142,10 +144,10 @@
 }
 
 void Gateway::Impl::callerGone(TimePoint Now, WaiterId Gone) {
-  const auto Found = Waiters_.extract(Gone);
+  auto Found = Waiters_.extract(Gone);
   if (Found.empty())
     return;
-  const RequestPtr Row = Found.mapped();
+  const RequestPtr Row = std::move(Found.mapped());
   std::erase_if(Row->Waiters_,
                 [Gone](const Waiter &Each) { return Each.Id_ == Gone; });
   if (Row->Waiters_.empty() && !Row->Detached_)
@@ -249,8 +251,8 @@
        .Reason_ = End.Reason_,
        .NonIdempotent_ = Row.Kind_->Settings_.NonIdempotent_,
        .Status_ = End.Status_,
-       .Body_ =
-           Row.Kind_->Settings_.NonIdempotent_ ? End.Body_ : std::string()});
+       .Body_ = Row.Kind_->Settings_.NonIdempotent_ ? End.Body_ : std::string(),
+       .Claimant_ = Row.ClaimHeld_ ? Row.Claimant_ : Incarnation{}});
 }
 
 void Gateway::Impl::pump(TimePoint Now) {
@@ -269,10 +271,10 @@
 
 void Gateway::Impl::obey(TimePoint Now,
                          const decide::AdmissionCommand &Command) {
-  const auto Found = Waiting_.extract(Command.Request_);
+  auto Found = Waiting_.extract(Command.Request_);
   if (Found.empty())
     return;
-  const RequestPtr Row = Found.mapped();
+  const RequestPtr Row = std::move(Found.mapped());
   if (Command.Verdict_ == decide::AdmissionVerdict::Refuse) {
     finish(Now, Row,
            {.Outcome_ = Outcome::RefusedNotRun,
