Let the local deployment carry kinds by tasks

Cause: the demo carried every kind by requests; tasks had never run through a whole deployment. Ruled out: another example folder; one word of the settings differs. Change: DEADLINE_CARRIER=task makes tasks carry the kinds with a deadline; the stand-in counts tasks that finished, check-counts compares them over all customers; the load names its request in the body, so that the whole answer of a task can be told (bench/support/LoadGenerator, owned by net).

--- a/bench/support/CountCheck.cpp
+++ b/bench/support/CountCheck.cpp
@@ -28,8 +28,15 @@
   return Sum;
 }
 
-/// Returns the number of requests that ran at least once.
-std::uint64_t ranFor(const Evidence &Found, const RowKey &Key) {
+bool isTask(const Evidence &Found, const std::string &Kind) {
+  return std::ranges::find(Found.Tasks_, Kind) != Found.Tasks_.end();
+}
+
+/// Returns the number of requests that ran at least once; that of a kind which
+/// tasks carry is known for all customers together only.
+std::uint64_t ranFor(const Evidence &Found, RowKey Key) {
+  if (isTask(Found, Key.Kind_))
+    Key.Customer_.clear();
   std::set<std::string> Ids;
   for (const RunRow &Row : Found.Runs_)
     if (keyOf(Row) == Key && Row.Count_ > 0)
@@ -54,7 +61,8 @@
     add(Rows, Promise::CountsEqualCompletions, Key,
         "completed " + std::to_string(Row.Completed_) + ", undecided " +
             std::to_string(Undecided) + ", counted " + std::to_string(Counted));
-  if (const std::uint64_t Ran = ranFor(Found, Key); Ran < Row.Completed_)
+  const std::uint64_t Ran = ranFor(Found, Key);
+  if (!isTask(Found, Row.Kind_) && Ran < Row.Completed_)
     add(Rows, Promise::CompletedRan, Key,
         "completed " + std::to_string(Row.Completed_) + ", ran " +
             std::to_string(Ran));
@@ -81,6 +89,22 @@
   }
 }
 
+void checkTaskTotals(const Evidence &Found,
+                     const std::vector<ReportRow> &Reports,
+                     std::vector<Mismatch> &Rows) {
+  for (const std::string &Kind : Found.Tasks_) {
+    std::uint64_t Completed = 0;
+    for (const ReportRow &Row : Reports)
+      if (Row.Kind_ == Kind)
+        Completed += Row.Completed_;
+    const RowKey Key{.Customer_ = "", .Kind_ = Kind};
+    if (const std::uint64_t Ran = ranFor(Found, Key); Ran < Completed)
+      add(Rows, Promise::CompletedRan, Key,
+          "completed " + std::to_string(Completed) + ", ran " +
+              std::to_string(Ran));
+  }
+}
+
 void checkRuns(const Evidence &Found, std::vector<Mismatch> &Rows) {
   std::map<std::pair<RowKey, std::string>, std::uint64_t> Totals;
   for (const RunRow &Row : Found.Runs_)
@@ -125,6 +149,7 @@
   for (const ReportRow &Row : Reports)
     checkRow(Found, Row, Rows);
   checkCountsReported(Found, Reports, Rows);
+  checkTaskTotals(Found, Reports, Rows);
   checkRuns(Found, Rows);
   return Rows;
 }
--- a/bench/support/CountCheck.h
+++ b/bench/support/CountCheck.h
@@ -64,6 +64,8 @@
   std::vector<CountedRow> Counts_;
   std::vector<RunRow> Runs_;
   std::vector<std::string> NonIdempotent_;
+  /// Kinds whose runs a worker knows by task and not by request.
+  std::vector<std::string> Tasks_;
   /// True where no request may have failed.
   bool NothingFailed_ = false;
 };
--- a/bench/support/LoadGenerator.cpp
+++ b/bench/support/LoadGenerator.cpp
@@ -142,7 +142,7 @@
                      {"Dragonfly-Kind", Row.Kind_},
                      {Direct ? "Dragonfly-Request-Id" : "Idempotency-Key",
                       Request.RequestId_}},
-        .Body_ = Rows_[Request.Row_].Body_};
+        .Body_ = "\"" + Request.RequestId_ + "\" " + Rows_[Request.Row_].Body_};
     if (Row.Deadline_ > Duration::zero())
       Result.Headers_.push_back(
           {"Dragonfly-Deadline-Ms",
--- a/bench/support/StandIn.cpp
+++ b/bench/support/StandIn.cpp
@@ -157,7 +157,10 @@
 }
 
 void StandIn::Impl::tick(TimePoint Now) {
-  Tasks_.tick(Now);
+  for (const WorkerTask &Ended : Tasks_.tick(Now))
+    ++Runs_[{.Customer_ = {},
+             .RequestId_ = "task-" + std::to_string(Ended.Task_.Value_),
+             .Kind_ = Ended.Kind_}];
   Usage_.push_back({.At_ = Now, .Used_ = Tasks_.usage()});
   while (Usage_.size() > 1 && Usage_[1].At_ <= Now - Options_.UsageDelay_)
     Usage_.pop_front();
--- a/bench/support/WorkerTasks.cpp
+++ b/bench/support/WorkerTasks.cpp
@@ -77,18 +77,22 @@
   return Row != nullptr;
 }
 
-void WorkerTasks::tick(TimePoint Now) {
+std::vector<WorkerTask> WorkerTasks::tick(TimePoint Now) {
+  std::vector<WorkerTask> Ended;
   const Duration Passed = Last_ == TimePoint{} ? Duration{} : Now - Last_;
   Last_ = Now;
   for (auto &[Task, Row] : Rows_) {
     if (Row.State_ != WorkerTaskState::Running)
       continue;
     Row.Left_ -= Passed * Row.Permille_ / Permille;
-    if (Row.Left_ <= Duration{})
+    if (Row.Left_ <= Duration{}) {
       Row.State_ = WorkerTaskState::Finished;
-    else if (Now >= LeaseUntil_)
+      Ended.push_back(Row);
+    } else if (Now >= LeaseUntil_) {
       Row.State_ = WorkerTaskState::Stopped;
+    }
   }
+  return Ended;
 }
 
 std::vector<WorkerTask> WorkerTasks::rows() const {
--- a/bench/support/WorkerTasks.h
+++ b/bench/support/WorkerTasks.h
@@ -65,8 +65,8 @@
   std::optional<std::string> checkpoint(TaskId Task, Epoch At);
   bool stop(TaskId Task, Epoch At);
 
-  /// Moves every running task on to \p Now.
-  void tick(TimePoint Now);
+  /// Moves every running task on to \p Now and returns those that finished.
+  std::vector<WorkerTask> tick(TimePoint Now);
 
   /// Returns the tasks that were not stopped.
   std::vector<WorkerTask> rows() const;
--- a/tests/standin/CountCheckTest.cpp
+++ b/tests/standin/CountCheckTest.cpp
@@ -71,3 +71,15 @@
   Found.Counts_[0].Completed_ = 4;
   CHECK(findMismatches(Found).size() == 1);
 }
+
+TEST_CASE("tasks are compared over all customers", "[standin][counts]") {
+  Evidence Found = consistent();
+  Found.Tasks_ = {"review"};
+  for (RunRow &Run : Found.Runs_)
+    Run.Customer_.clear();
+  CHECK(findMismatches(Found).empty());
+  Found.Runs_[0].Count_ = 2;
+  CHECK(findMismatches(Found)[0].Promise_ == Promise::AtMostOnce);
+  Found.Runs_.erase(Found.Runs_.begin());
+  CHECK(findMismatches(Found)[0].Promise_ == Promise::CompletedRan);
+}
--- a/tests/standin/WorkerTasksTest.cpp
+++ b/tests/standin/WorkerTasksTest.cpp
@@ -32,7 +32,8 @@
   CHECK(Tasks.throttle(TaskId{1}, Epoch{1}, 500));
   Tasks.tick(Start + 1s);
   CHECK(Tasks.rows()[0].State_ == WorkerTaskState::Running);
-  Tasks.tick(Start + 2s);
+  CHECK(Tasks.tick(Start + 2s).size() == 1);
+  CHECK(Tasks.tick(Start + 3s).empty());
   CHECK(Tasks.rows()[0].State_ == WorkerTaskState::Finished);
   CHECK(Tasks.usage().MilliProcessors_ == 0);
 }
--- a/tools/check-counts.cpp
+++ b/tools/check-counts.cpp
@@ -63,9 +63,12 @@
 check::Evidence gather(net::EventLoop &Loop,
                        const settings::ProcessSettings &Process) {
   check::Evidence Found{.NothingFailed_ = absl::GetFlag(FLAGS_nothing_failed)};
-  for (const settings::KindSettings &Kind : Process.Deployment_.Kinds_)
+  for (const settings::KindSettings &Kind : Process.Deployment_.Kinds_) {
     if (Kind.NonIdempotent_)
       Found.NonIdempotent_.push_back(Kind.Name_);
+    if (Kind.Carrier_ == settings::Carrier::Task)
+      Found.Tasks_.push_back(Kind.Name_);
+  }
   for (const std::string &Name : absl::GetFlag(FLAGS_reports))
     std::ranges::move(check::readReport(readFile(Name)),
                       std::back_inserter(Found.Reports_));
--- a/tools/deployment.sh
+++ b/tools/deployment.sh
@@ -10,6 +10,8 @@
 # First two numbers of each address; another value lets deployments run side by
 # side on one machine.
 NET=${DEPLOYMENT_NET:-127.0}
+TASKS_PER_SECOND=5  # per customer, where tasks carry the kinds with a deadline
+TASK_MS=500
 declare -A PIDS=()
 
 # prepare BUILD EXAMPLE: makes a fresh folder with the settings of each process.
@@ -33,6 +35,7 @@
     sed -e "s/agent-1/agent-$n/; s/az-a/az-$zone/; s/rack-a/rack-$zone/; s/127\.0\.3\.1:/127.0.3.$n:/g" \
       "$EXAMPLE/agent-1.json" >"$RUN/agent-$n.json"
   done
+  [ "${DEADLINE_CARRIER:-request}" = task ] && carry_by_tasks
   sed -i "s/\"127\.0\./\"$NET./g" "$RUN"/*.json
   if [ -n "$(http_status "$NET.1.1:8080")$(http_status "$NET.2.1:7001")" ]; then
     echo "FAILED: a deployment on $NET.x.y runs already"
@@ -42,6 +45,14 @@
   trap 'exit 1' INT TERM
 }
 
+# carry_by_tasks: lets tasks carry the kinds with a deadline, at a low rate.
+carry_by_tasks() {
+  local kind need='"need": {"processors": 1, "memory_mib": 256}, "expected_run_time_ms": 500'
+  kind=$(sed -n 's/.*"name": "\([^"]*\)", "urgency": "deadline".*/\1/p' "$RUN/deployment.json")
+  sed -i "/\"urgency\": \"deadline\"/s/\"carrier\": \"request\"/\"carrier\": \"task\", $need/" "$RUN/deployment.json"
+  sed -i "/\"kind\": \"$kind\"/s/\"rate_per_second\": [0-9]*/\"rate_per_second\": $TASKS_PER_SECOND/" "$RUN/load.json"
+}
+
 zone_of() { printf '%s' "abcd" | cut -c"$1"; }
 join_by() { local IFS=$1; shift; printf '%s' "$*"; }
 entry_addresses() { join_by , $(seq -f "$NET.1.%g:8080" $ENTRIES); }
@@ -52,7 +63,7 @@
   local name=$1 command
   case $name in
   upstream-*) command=("$BUILD/stand-in-upstream" "--listen=$NET.3.${name#upstream-}:9000"
-    "--seed=${name#upstream-}" "--service_ms=${SERVICE_MS:-5}") ;;
+    "--seed=${name#upstream-}" "--service_ms=${SERVICE_MS:-5}" "--task_ms=$TASK_MS") ;;
   *) command=("$BUILD/dragonfly-${name%-*}" "--settings=$RUN/$name.json") ;;
   esac
   (cd "$RUN" && exec "${command[@]}" >>"$RUN/$name.out" 2>>"$RUN/$name.log") &
