--- a/tools/deployment.sh
+++ b/tools/deployment.sh
@@ -9,7 +9,7 @@
 STOP_POLLS=400      # times 0.1 s
 # First two numbers of each address; another value lets deployments run side by
 # side on one machine.
-NET=${DEPLOYMENT_NET:-127.0}
+NET=${DRAGONFLY_NETWORK:-127.0}
 TASKS_PER_SECOND=5  # per customer, where tasks carry the kinds with a deadline
 TASK_MS=500
 declare -A PIDS=()
