Leave part of a customer's plan to its urgent requests

Cause: in rolling-restart.sh lot reviews that waited for a claim while control elected a leader held all of a small customer's requests in progress, so its belt checks passed their deadline (3 to 123 refused as deadline-passed). Ruled out: claiming before admission, which would queue without a bound at control; a reservation per floor, which halves a plan used for reviews alone. Change: kinds below the most urgent leave an eighth of the customer's requests in progress, at least one where there are two (src/decide, owned by decide). Conclusion: urgent requests of a customer do not wait for its claims.

--- a/src/decide/Admission.cpp
+++ b/src/decide/Admission.cpp
@@ -18,6 +18,9 @@
 constexpr Duration LongService = std::chrono::seconds(1);
 /// How long a slot stays unused after no upstream had room.
 constexpr Duration HoldAfterRefusal = std::chrono::milliseconds(5);
+/// Part of a customer's requests in progress that less urgent kinds leave to
+/// its urgent ones: they may be held up for as long as control has no leader.
+constexpr std::uint32_t UrgentPartOfPlan = 8;
 constexpr Duration LeastRetryAfter = std::chrono::milliseconds(100);
 constexpr Duration MostRetryAfter = std::chrono::seconds(10);
 
@@ -51,6 +54,7 @@
   Duration predictedWait(const KindRow &Kind, RowIndex Customer) const;
   std::uint32_t reservedFor(TimePoint Now, const KindRow &Borrower) const;
   std::uint32_t startable(TimePoint Now, const KindRow &Kind) const;
+  bool mayRun(const KindRow &Kind, RowIndex Customer) const;
   bool dispatchOne(TimePoint Now, KindRow &Kind);
   bool dispatchPass(TimePoint Now, bool BelowFloor);
   void expire(TimePoint Now, KindRow &Kind);
@@ -220,11 +224,22 @@
   return std::max(std::min(Free, Below), Beyond);
 }
 
+/// True where the customer's plan allows another request of \p Kind.
+bool Admission::Impl::mayRun(const KindRow &Kind, RowIndex Customer) const {
+  const CustomerRow &Owner = Customers_.Rows_[Customer];
+  const bool MostUrgent =
+      Kind.Policy_.Rank_ == Kinds_.Rows_[Kinds_.ByRank_.front()].Policy_.Rank_;
+  const std::uint32_t Left =
+      MostUrgent || Owner.MaxConcurrent_ < 2
+          ? 0
+          : std::max(Owner.MaxConcurrent_ / UrgentPartOfPlan, 1U);
+  return Owner.InProgress_ + Left < Owner.MaxConcurrent_;
+}
+
 bool Admission::Impl::dispatchOne(TimePoint Now, KindRow &Kind) {
   const std::uint32_t Share = std::max(Kind.FloorSlots_, Kind.InProgress_ + 1);
-  const auto Next = Kind.Queue_.next(Share, [this](RowIndex Customer) {
-    const CustomerRow &Owner = Customers_.Rows_[Customer];
-    return Owner.InProgress_ < Owner.MaxConcurrent_;
+  const auto Next = Kind.Queue_.next(Share, [this, &Kind](RowIndex Customer) {
+    return mayRun(Kind, Customer);
   });
   if (!Next)
     return false;
--- a/tests/decide/AdmissionTest.cpp
+++ b/tests/decide/AdmissionTest.cpp
@@ -231,3 +231,16 @@
   REQUIRE(Commands.front().Reason_ == Reason::UnknownCustomer);
   REQUIRE(Value.inProgress() == 1);
 }
+
+TEST_CASE("less urgent work leaves part of a plan to urgent work",
+          "[decide][admission]") {
+  Admission Value(twoKinds());
+  Value.setCapacity(100);
+  Value.setCustomers({{"plan", 8, 100}, {"single", 1, 100}});
+  for (int Step = 0; Step < 15; ++Step)
+    offer(Value, "plan", "review", 60s);
+  offer(Value, "single", "review", 60s);
+  CHECK(count(Value.tick(Start), AdmissionVerdict::Dispatch) == 7 + 1);
+  const RequestHandle Urgent = offer(Value, "plan", "check");
+  CHECK(dispatched(Value.tick(Start), Urgent));
+}
