Send nothing more to an incarnation that was found gone

Cause: rolling-restart.sh restarts half the agents within one heartbeat; entries tried four agents that had gone and refused the request (wrong-incarnation). Ruled out: more tries per request, which spends the retry budget on the same agents; waiting in the script, which would hide it.

--- a/include/dragonfly/decide/Router.h
+++ b/include/dragonfly/decide/Router.h
@@ -32,6 +32,7 @@
 enum class AttemptResult : std::uint8_t {
   Answered,
   Refused, ///< The agent had no room; not a fault of the upstream.
+  Gone,    ///< That incarnation leaves or has left; no request goes there.
   Failed   ///< It failed, broke off or did not answer in time.
 };
 
--- a/src/decide/Router.cpp
+++ b/src/decide/Router.cpp
@@ -91,7 +91,7 @@
   Slots_ = 0;
   for (UpstreamIndex Index = 0; Index < Table_.size(); ++Index) {
     const UpstreamState &State = Table_[Index];
-    if (!State.Listed_ || State.Row_.Draining_)
+    if (!State.Listed_ || State.Gone_ || State.Row_.Draining_)
       continue;
     if (State.Ejected_) {
       Ejected_.push_back(Index);
@@ -319,6 +319,10 @@
       Impl_->rebuild();
     }
     break;
+  case AttemptResult::Gone:
+    State.Gone_ = true;
+    Impl_->rebuild();
+    break;
   case AttemptResult::Failed:
     Impl_->failed(Now, Upstream);
     break;
--- a/src/decide/UpstreamState.h
+++ b/src/decide/UpstreamState.h
@@ -13,6 +13,8 @@
   UpstreamRow Row_;
   /// False once it is no longer announced.
   bool Listed_ = true;
+  /// True once an attempt found that this incarnation has left.
+  bool Gone_ = false;
   /// Attempts of this entry in progress, now and as it was last announced.
   std::uint32_t InProgress_ = 0;
   std::uint32_t InProgressAtRow_ = 0;
--- a/src/entry/GatewayAttempts.cpp
+++ b/src/entry/GatewayAttempts.cpp
@@ -33,6 +33,9 @@
   const bool Refused = Judged.Outcome_ == Outcome::RefusedNotRun &&
                        Judged.Reason_ != Reason::UpstreamFailed &&
                        Result.Status_ == net::CallStatus::Answered;
+  if (Refused && (Judged.Reason_ == Reason::WrongIncarnation ||
+                  Judged.Reason_ == Reason::Draining))
+    return decide::AttemptResult::Gone;
   return Refused ? decide::AttemptResult::Refused
                  : decide::AttemptResult::Failed;
 }
--- a/tests/decide/RouterTest.cpp
+++ b/tests/decide/RouterTest.cpp
@@ -182,3 +182,20 @@
   Value.setUpstreams(Rows);
   REQUIRE(Value.row(1).Name_ == "w4");
 }
+
+TEST_CASE("an incarnation that has gone gets nothing until the next one",
+          "[decide][router]") {
+  Router Value = makeRouter(2);
+  Value.started(Start, 0);
+  Value.finished(Start, 0, AttemptResult::Gone, 0ms);
+  Value.setUpstreams(makeRows(2));
+  TimePoint Now = Start;
+  CHECK(drive(Value, Now, 50, {}).count(0) == 0);
+  auto Rows = makeRows(2);
+  Rows[0].Incarnation_ = {77};
+  Value.setUpstreams(Rows);
+  const auto Sent = drive(Value, Now, 50, {});
+  CHECK(std::ranges::any_of(Sent, [&Value](const auto &Each) {
+    return Value.row(Each.first).Incarnation_ == Incarnation{77};
+  }));
+}
