--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 export CCACHE_BASEDIR := $(CURDIR)
 export CCACHE_NOHASHDIR := 1
 
-.PHONY: packages build test sanitize lint format format-check layers demo faults clean
+.PHONY: packages build test sanitize lint format format-check layers demo faults mutations clean
 
 packages:
 	tools/install-packages.sh
@@ -40,5 +40,8 @@
 	tools/rolling-restart.sh $(BUILD)
 	tools/process-faults.sh $(BUILD)
 
+mutations:
+	tools/mutations.sh
+
 clean:
 	cmake --build $(BUILD) --target clean
--- a/bench/support/TaskPolicy.cpp
+++ b/bench/support/TaskPolicy.cpp
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <utility>
 
 namespace dragonfly::bench {
 
@@ -13,7 +14,10 @@
 
 class FirstFit {
 public:
-  void setWorker(const WorkerRow &Row) { Workers_[Row.Name_].Row_ = Row; }
+  void setWorker(const WorkerRow &Row) {
+    Workers_[Row.Name_].Row_ = Row;
+    Workers_[Row.Name_].Reported_ = true;
+  }
 
   void removeWorker(const std::string &Name) {
     const std::vector<TaskId> Lost = Workers_[Name].Tasks_;
@@ -36,9 +40,9 @@
 
   std::vector<PlacementCommand> tick() {
     std::vector<PlacementCommand> Commands;
-    for (const auto &[Name, Host] : Workers_)
-      if (!Host.Row_.Usage_.fitsIn(Host.Row_.Capacity_) &&
-          !Host.Tasks_.empty()) {
+    // One eviction for each report, which comes late.
+    for (auto &[Name, Host] : Workers_)
+      if (std::exchange(Host.Reported_, false) && full(Host)) {
         PlacementCommand Command;
         Command.Action_ = PlacementAction::Checkpoint;
         Command.Task_ = Host.Tasks_.back();
@@ -58,12 +62,21 @@
     WorkerRow Row_;
     Resources Declared_;
     std::vector<TaskId> Tasks_;
+    bool Reported_ = false;
   };
   struct Task {
     TaskRow Row_;
     std::string Worker_;
   };
 
+  static bool full(const Host &Place) {
+    const Resources &Usage = Place.Row_.Usage_;
+    const Resources &Capacity = Place.Row_.Capacity_;
+    return !Place.Tasks_.empty() &&
+           (Usage.MilliProcessors_ >= Capacity.MilliProcessors_ ||
+            Usage.MemoryMib_ > Capacity.MemoryMib_);
+  }
+
   bool start(TaskId Id, std::vector<PlacementCommand> &Commands) {
     Task &Own = Tasks_.at(Id);
     for (auto &[Name, Place] : Workers_) {
--- a/src/control/UpstreamTable.cpp
+++ b/src/control/UpstreamTable.cpp
@@ -28,13 +28,20 @@
          A.AvailabilityZone_ == B.AvailabilityZone_ && A.Rack_ == B.Rack_;
 }
 
+/// True where the slots would be divided among the entries as before.
+bool sharesAlike(const wire::Heartbeat &A, const wire::Heartbeat &B) {
+  return A.Name_ == B.Name_ && A.AvailabilityZone_ == B.AvailabilityZone_ &&
+         A.Draining_ == B.Draining_;
+}
+
 } // namespace
 
 UpstreamTable::UpstreamTable(UpstreamTableOptions Options)
     : Options_(std::move(Options)) {}
 
-Duration UpstreamTable::fullTerm() const {
-  return Options_.LeaseTerm_ + Options_.DriftMargin_;
+bool UpstreamTable::ranOut(TimePoint Now, TimePoint HeardAt) const {
+  return Now - std::max(LeadingSince_, HeardAt) >
+         Options_.LeaseTerm_ + Options_.DriftMargin_;
 }
 
 void UpstreamTable::lead(TimePoint Now, Term Value) {
@@ -43,8 +50,8 @@
   std::erase_if(Workers_, [this](const auto &Row) {
     return belongsToAnother(Row.second.Last_);
   });
-  for (auto &[Name, Row] : Workers_)
-    Row.RenewedAt_ = Now;
+  // A holder that this replica took for replaced may come back.
+  Retired_.clear();
 }
 
 bool UpstreamTable::belongsToAnother(const wire::Heartbeat &Beat) const {
@@ -60,6 +67,8 @@
     return heartbeatOfAgent(Now, Beat, Renew);
   if (Beat.Role_ == wire::Role::Entry) {
     WorkerEntry &Row = Entries_[Beat.Name_];
+    if (!sharesAlike(Row.Last_, Beat))
+      ++Version_;
     Row.Last_ = Beat;
     Row.HeardAt_ = Now;
   }
@@ -76,8 +85,7 @@
   if (Beat.Sequence_ > Row.Last_.Sequence_)
     Row.Last_ = Beat;
   Row.HeardAt_ = Now;
-  if (Renew)
-    Row.RenewedAt_ = Now;
+  Changed_.insert(Beat.Name_);
   // A challenger at the same address may have been published already.
   if (Published_.contains(Beat.Name_) &&
       Published_[Beat.Name_].Incarnation_ == Beat.Incarnation_)
@@ -101,7 +109,8 @@
   Contested_.erase(Beat.Name_);
   if (!IsNew)
     Retired_[Beat.Name_] = Found->second.Last_.Incarnation_;
-  Workers_[Beat.Name_] = {.Last_ = Beat, .HeardAt_ = Now, .RenewedAt_ = Now};
+  Workers_[Beat.Name_] = {.Last_ = Beat, .HeardAt_ = Now};
+  Changed_.insert(Beat.Name_);
   publish(Beat);
   logEvent(Event::UpstreamJoined,
            {{"upstream", Beat.Name_}, {"address", Beat.Address_}});
@@ -121,28 +130,30 @@
   const auto Found = Published_.find(Beat.Name_);
   if (Found == Published_.end() || !routesAlike(Found->second, Next)) {
     ++Version_;
-    if (Next.Draining_)
+    // An agent that has just started is draining until its upstream answers.
+    if (Next.Draining_ && Found != Published_.end() && !Found->second.Draining_)
       logEvent(Event::UpstreamLeft, {{"upstream", Beat.Name_}});
   }
   Published_[Beat.Name_] = std::move(Next);
 }
 
 void UpstreamTable::tick(TimePoint Now) {
-  const auto Gone = [&](const auto &Row) {
-    return Now - Row.second.HeardAt_ > fullTerm();
-  };
   std::erase_if(Workers_, [&](const auto &Row) {
-    // Followers hear heartbeats and renew nothing.
-    if (!Gone(Row) || !leaseRanOut(Now, Row.first))
+    if (!ranOut(Now, Row.second.HeardAt_))
       return false;
     logEvent(Event::UpstreamLost, {{"upstream", Row.first}});
+    Changed_.insert(Row.first);
     Published_.erase(Row.first);
     Retired_.erase(Row.first);
     Contested_.erase(Row.first);
     ++Version_;
     return true;
   });
-  std::erase_if(Entries_, Gone);
+  const auto Gone = [&](const auto &Row) {
+    return ranOut(Now, Row.second.HeardAt_);
+  };
+  if (std::erase_if(Entries_, Gone) > 0)
+    ++Version_;
 }
 
 bool UpstreamTable::holds(const std::string &Worker, Incarnation Sender) const {
@@ -153,17 +164,17 @@
 bool UpstreamTable::leaseRanOut(TimePoint Now,
                                 const std::string &Worker) const {
   const auto Found = Workers_.find(Worker);
-  const TimePoint RenewedAt =
-      Found == Workers_.end()
-          ? LeadingSince_
-          : std::max(LeadingSince_, Found->second.RenewedAt_);
-  return Now - RenewedAt > fullTerm();
+  return ranOut(Now,
+                Found == Workers_.end() ? TimePoint() : Found->second.HeardAt_);
 }
 
 wire::Upstreams UpstreamTable::upstreams() const {
-  wire::Upstreams Result{.Version_ = Version_, .Rows_ = {}};
+  wire::Upstreams Result{.Version_ = Version_, .Rows_ = {}, .Entries_ = {}};
   for (const auto &[Name, Row] : Published_)
     Result.Rows_.push_back(Row);
+  for (const auto &[Name, Row] : Entries_)
+    if (!Row.Last_.Draining_)
+      Result.Entries_.push_back({Name, Row.Last_.AvailabilityZone_});
   return Result;
 }
 
