--- a/include/dragonfly/control/UpstreamTable.h
+++ b/include/dragonfly/control/UpstreamTable.h
@@ -11,7 +11,9 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace dragonfly::control {
@@ -28,9 +30,9 @@
 /// A worker, as its agent's heartbeats tell it.
 struct WorkerEntry {
   wire::Heartbeat Last_;
+  /// The VM's lease counts as renewed then, whether or not this replica was the
+  /// one that renewed it.
   TimePoint HeardAt_;
-  /// Latest renewal of the VM's lease.
-  TimePoint RenewedAt_;
 };
 
 /// The table of one replica. One incarnation holds a name, and with it the VM
@@ -60,6 +62,9 @@
   bool leaseRanOut(TimePoint Now, const std::string &Worker) const;
 
   const std::map<std::string, WorkerEntry> &workers() const { return Workers_; }
+  /// Returns the names of workers that were heard of or removed since the last
+  /// call.
+  std::set<std::string> takeChanged() { return std::exchange(Changed_, {}); }
   wire::Upstreams upstreams() const;
   std::uint64_t version() const { return Version_; }
   /// Live entries, at least 1.
@@ -74,7 +79,7 @@
   bool belongsToAnother(const wire::Heartbeat &Beat) const;
   void contest(const wire::Heartbeat &Beat);
   void publish(const wire::Heartbeat &Beat);
-  Duration fullTerm() const;
+  bool ranOut(TimePoint Now, TimePoint HeardAt) const;
 
   UpstreamTableOptions Options_;
   std::map<std::string, WorkerEntry> Workers_;
@@ -85,6 +90,7 @@
   std::map<std::string, Incarnation> Retired_;
   /// Incarnations that were refused a name, by name.
   std::map<std::string, Incarnation> Contested_;
+  std::set<std::string> Changed_;
   TimePoint LeadingSince_;
   std::uint64_t Version_ = 1;
 };
--- a/src/consensus/RaftCore.h
+++ b/src/consensus/RaftCore.h
@@ -114,6 +114,7 @@
   void tickElection();
   bool mayCampaign() const;
   bool hearsLeader() const;
+  void exclude(StoreId Member);
   void restartElectionTimer();
   void campaign(bool Pre);
   void countVotes();
@@ -169,7 +170,6 @@
   Membership Members_;
   RecordLog Log_;
   std::shared_ptr<const Snapshot> Snapshot_;
-  LogIndex Synced_;
   LogIndex Commit_;
   LogIndex Applied_;
 
