--- a/tests/path/PathScenario.h
+++ b/tests/path/PathScenario.h
@@ -47,6 +47,8 @@
   PathStep Step_;
   PathFault Fault_ = PathFault::MessageLost;
   std::uint64_t Seed_ = 1;
+  /// True where the first agent is stopped gracefully and started again.
+  bool Drain_ = false;
 };
 
 class PathScenario {
@@ -83,6 +85,8 @@
   void submit(CallerRow &Row);
   void answered(CallerRow &Row, const entry::Answer &End);
   void edit();
+  void drain();
+  void checkDrain();
   void checkConfiguration();
   void checkRequests();
   void checkCounts();
@@ -100,6 +104,9 @@
   std::vector<Edit> Edits_;
   bool EditPending_ = false;
   std::map<Place, std::pair<std::uint64_t, ListVersion>> Seen_;
+  /// Runs on the draining VM when its stop began.
+  std::optional<std::uint64_t> RunsAtDrain_;
+  std::uint64_t DrainLife_ = 0;
   std::vector<std::string> Broken_;
 };
 
