Let heavy work wait for room, and callers for a starting entry

Ruled out: a larger retry budget (the burst outlasts immediate retries). Change: a request of a kind with a deadline that every agent refuses for now pauses 10 ms, doubling to 160 ms, within the retry budget and its deadline; an entry accepts connections once its configuration is in force, or after 5 s.

--- a/include/dragonfly/net/HttpServer.h
+++ b/include/dragonfly/net/HttpServer.h
@@ -50,6 +50,9 @@
   Duration IdleTimeout_ = std::chrono::seconds(30);
   /// For the caller to take queued bytes.
   Duration WriteTimeout_ = std::chrono::seconds(30);
+  /// Where false, connections wait in the system's queue until
+  /// `startAccepting()`.
+  bool AcceptAtOnce_ = true;
   std::function<void(HttpRequest, HttpReplier)> OnRequest_;
 };
 
@@ -60,6 +63,9 @@
   HttpServer(EventLoop &Loop, HttpServerOptions Options);
   ~HttpServer();
 
+  /// Has an effect once, and only where `AcceptAtOnce_` was false.
+  void startAccepting();
+
   /// Lets each connection end with its next answer ("Connection: close"), but
   /// goes on accepting: callers move elsewhere without a lost request.
   void closeAfterAnswers();
--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -15,8 +15,11 @@
 namespace dragonfly::entry {
 namespace {
 
-/// How often readiness is checked for the log.
-constexpr Duration ReadyPeriod = std::chrono::milliseconds(100);
+/// How often readiness is checked.
+constexpr Duration ReadyPeriod = std::chrono::milliseconds(20);
+/// An entry that has just started lets callers wait until its configuration is
+/// in force, but not longer than this; then it answers that it is not ready.
+constexpr Duration MaxAcceptDelay = std::chrono::seconds(5);
 /// How long a stopping entry still accepts, so that the balancer notices.
 constexpr Duration LameDuckTime = std::chrono::seconds(1);
 constexpr Duration StopCheckPeriod = std::chrono::milliseconds(10);
@@ -37,6 +40,8 @@
                                                 std::move(OnEnd));
                       }}) {
     ReadyCheck_ = Loop_.every(ReadyPeriod, [this] { logReadiness(); });
+    FirstAccept_ =
+        Loop_.after(MaxAcceptDelay, [this] { Server_.startAccepting(); });
   }
 
   EntryCoreOptions coreOptions() {
@@ -66,6 +71,7 @@
             .MaxHeaderBytes_ = Settings_.MaxHeaderBytes_,
             .MaxBodyBytes_ = Settings_.MaxBodyBytes_,
             .IdleTimeout_ = Settings_.IdleTimeout_,
+            .AcceptAtOnce_ = false,
             .OnRequest_ = [this](net::HttpRequest Request,
                                  const net::HttpReplier &Replier) {
               Callers_.handle(std::move(Request), Replier);
@@ -78,6 +84,8 @@
     const bool Ready = ready();
     if (std::exchange(WasReady_, Ready) != Ready)
       logEvent(Ready ? Event::EntryReady : Event::EntryNotReady);
+    if (Ready)
+      Server_.startAccepting();
   }
 
   void stop(std::function<void(StopResult)> OnStopped) {
@@ -125,6 +133,7 @@
   EntryCore Core_;
   CallerInterface Callers_;
   net::Timer ReadyCheck_;
+  net::Timer FirstAccept_;
   net::Timer StopBound_;
   net::Timer StopStep_;
   std::function<void(StopResult)> OnStopped_;
--- a/src/entry/Gateway.cpp
+++ b/src/entry/Gateway.cpp
@@ -320,6 +320,8 @@
       claim(Now, Row);
     else if (Row->Phase_ == Phase::Following)
       follow(Now, Row);
+    else if (Row->Phase_ == Phase::Pausing)
+      resume(Now, Row);
   }
   sendDueHedges(Now);
   pump(Now);
--- a/src/entry/GatewayAttempts.cpp
+++ b/src/entry/GatewayAttempts.cpp
@@ -8,6 +8,11 @@
 
 /// Attempts that one request may take.
 constexpr std::uint32_t MaxTries = 4;
+/// Wait after the first refusal by all agents; doubles up to MaxDoublings
+/// times.
+constexpr Duration FirstPause = std::chrono::milliseconds(10);
+constexpr std::uint32_t MaxDoublings = 4;
+constexpr std::uint32_t MaxPauses = 20;
 /// Added to an attempt's timeout, so that the agent's own refusal arrives.
 constexpr Duration AnswerGrace = std::chrono::milliseconds(50);
 /// From this status on an answer tells of a failing upstream.
@@ -205,8 +210,10 @@
     Row->MayHaveRun_ = true;
   if (!Row->Active_.empty())
     return;
-  if (!Judged.MayTryElsewhere_ || !tryElsewhere(Now, Row, Ended, Judged))
-    endWith(Now, Row, Judged.Outcome_, Judged.Reason_);
+  if (Judged.MayTryElsewhere_ &&
+      (tryElsewhere(Now, Row, Ended, Judged) || pause(Now, Row, Judged)))
+    return;
+  endWith(Now, Row, Judged.Outcome_, Judged.Reason_);
 }
 
 /// Tells the agents of attempts that are of no use any longer.
@@ -228,7 +235,7 @@
                                  const Attempt &Ended,
                                  const AttemptJudgement &Judged) {
   if (Row->PartsPassed_ || Row->CancelAsked_ || Now >= Row->Deadline_ ||
-      Row->Tries_ >= MaxTries)
+      Row->Tries_ - Row->TriesBeforePause_ >= MaxTries)
     return false;
   Row->Excluded_.push_back(Ended.Index_);
   if (!Router_.pick(Now, Row->Excluded_) || !Router_.takeRetry())
@@ -240,6 +247,40 @@
   return true;
 }
 
+/// Heavy work that agents have no room for at this moment, as in the burst
+/// after control was away, waits a little: its deadline is far. Urgent work is
+/// refused at once, so that its caller can act.
+bool Gateway::Impl::pause(TimePoint Now, const RequestPtr &Row,
+                          const AttemptJudgement &Judged) {
+  const Duration Delay =
+      FirstPause * (1 << std::min(Row->Pauses_, MaxDoublings));
+  if (Row->Kind_->Settings_.Urgency_ != settings::Urgency::Deadline ||
+      Judged.Outcome_ != Outcome::RefusedNotRun || Row->PartsPassed_ ||
+      Row->CancelAsked_ || Row->Pauses_ >= MaxPauses ||
+      Now + Delay >= Row->Deadline_)
+    return false;
+  ++Row->Pauses_;
+  Row->TriesBeforePause_ = Row->Tries_;
+  Row->Excluded_.clear();
+  if (Row->Kind_->Settings_.NonIdempotent_)
+    ++Row->ClaimAttempt_;
+  Row->Phase_ = Phase::Pausing;
+  Polls_.emplace(Now + Delay, Row);
+  return true;
+}
+
+/// Takes the retry budget into account, so that pauses cause no storm.
+void Gateway::Impl::resume(TimePoint Now, const RequestPtr &Row) {
+  if (Row->CancelAsked_ || Router_.takeRetry()) {
+    beginAttempt(Now, Row);
+    return;
+  }
+  if (Now + FirstPause < Row->Deadline_)
+    Polls_.emplace(Now + FirstPause, Row);
+  else
+    endWith(Now, Row, Outcome::RefusedNotRun, Reason::NoFreeSlot);
+}
+
 void Gateway::Impl::sendDueHedges(TimePoint Now) {
   while (!Hedges_.empty() && Hedges_.top().At_ <= Now) {
     const Hedge Due = Hedges_.top();
--- a/src/entry/GatewayImpl.h
+++ b/src/entry/GatewayImpl.h
@@ -19,6 +19,7 @@
   Waiting,   ///< In the admission table.
   Claiming,  ///< Admitted; its claim is on the way to control.
   Executing, ///< An attempt is with an agent.
+  Pausing,   ///< Refused for now by agents; tried again before its deadline.
   Following, ///< Control carries it as a task.
   Done
 };
@@ -64,6 +65,9 @@
   bool ClaimHeld_ = false;
   bool PartsPassed_ = false;
   std::uint32_t Tries_ = 0;
+  /// Tries made before the last pause; each pause allows as many again.
+  std::uint32_t TriesBeforePause_ = 0;
+  std::uint32_t Pauses_ = 0;
   std::uint32_t ClaimAttempt_ = 1;
   /// Fresh for each request, so that a later resend at this entry is told from
   /// a claim whose answer was lost.
@@ -144,6 +148,9 @@
   void hedge(TimePoint Now, const RequestPtr &Row);
   bool tryElsewhere(TimePoint Now, const RequestPtr &Row, const Attempt &Ended,
                     const AttemptJudgement &Judged);
+  bool pause(TimePoint Now, const RequestPtr &Row,
+             const AttemptJudgement &Judged);
+  void resume(TimePoint Now, const RequestPtr &Row);
   void endWith(TimePoint Now, const RequestPtr &Row, Outcome End, Reason Why);
 
   // GatewayTasks.cpp: kinds that control carries as tasks.
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -44,7 +44,13 @@
 
   void listen() {
     listenOn(Acceptor_, Options_.Listen_);
-    accept();
+    if (Options_.AcceptAtOnce_)
+      accept();
+  }
+
+  void startAccepting() {
+    if (!std::exchange(Options_.AcceptAtOnce_, true) && Acceptor_.is_open())
+      accept();
   }
 
   void accept() {
@@ -185,6 +191,8 @@
 
 HttpServer::~HttpServer() { Impl_->close(); }
 
+void HttpServer::startAccepting() { Impl_->startAccepting(); }
+
 void HttpServer::closeAfterAnswers() { Impl_->closeAfterAnswers(); }
 
 void HttpServer::stopAccepting() { Impl_->stopAccepting(); }
