--- a/bench/support/LoadGenerator.cpp
+++ b/bench/support/LoadGenerator.cpp
@@ -37,9 +37,16 @@
 struct RowState {
   LoadResult Result_;
   std::vector<Duration> Latencies_;
-  std::string Body_;
 };
 
+/// Returns a body that names its request, padded to \p Bytes; a task's answer
+/// echoes it.
+std::string makeBody(const std::string &RequestId, std::size_t Bytes) {
+  std::string Body = R"({"request_id":")" + RequestId + "\"}";
+  Body.resize(std::max(Body.size(), Bytes), ' ');
+  return Body;
+}
+
 /// True where the body is the whole answer to \p RequestId.
 bool ownAnswer(const std::string &Body, const std::string &RequestId) {
   const bool Named = Body.find("\"" + RequestId + "\"") != std::string::npos;
@@ -62,16 +69,16 @@
        std::function<void(std::vector<LoadResult>)> OnDone)
       : Loop_(Loop), Plan_(std::move(Plan)), OnDone_(std::move(OnDone)),
         Random_(Plan_.Seed_), EndsAt_(Clock::now() + Plan_.Length_) {
-    for (const net::Endpoint &Target : Plan_.Targets_)
+    for (std::size_t Number = 0;
+         Number < Plan_.Rows_.size() * Plan_.Targets_.size(); ++Number)
       Clients_.push_back(std::make_unique<net::HttpClient>(
-          Loop_,
-          net::HttpClientOptions{.Peer_ = Target,
-                                 .MaxConnections_ = Plan_.ConnectionsPerTarget_,
-                                 .MaxWaiting_ = 1U << 20U}));
+          Loop_, net::HttpClientOptions{
+                     .Peer_ = Plan_.Targets_[Number % Plan_.Targets_.size()],
+                     .MaxConnections_ = Plan_.ConnectionsPerTarget_,
+                     .MaxWaiting_ = 1U << 20U}));
     for (const LoadRow &Row : Plan_.Rows_)
       Rows_.push_back(
-          {.Result_ = {.Customer_ = Row.Customer_, .Kind_ = Row.Kind_},
-           .Body_ = std::string(Row.BodyBytes_, 'x')});
+          {.Result_ = {.Customer_ = Row.Customer_, .Kind_ = Row.Kind_}});
   }
 
   void start() {
@@ -116,7 +123,7 @@
                 .RequestId_ = Plan_.RunName_ + "-" + std::to_string(Row) + "-" +
                               std::to_string(++Begun_),
                 .Intended_ = Intended,
-                .Target_ = NextTarget_++ % Clients_.size()});
+                .Target_ = NextTarget_++ % Plan_.Targets_.size()});
     ++Rows_[Row].Result_.Sent_;
     ++InProgress_;
     send(Request);
@@ -124,7 +131,7 @@
 
   void send(const std::shared_ptr<Sending> &Request) {
     ++Request->Sends_;
-    Clients_[Request->Target_]->request(
+    client(*Request).request(
         message(*Request), SendTimeout,
         [Weak = weak_from_this(), Request](const net::HttpResult &Result) {
           if (const auto Self = Weak.lock())
@@ -132,6 +139,11 @@
         });
   }
 
+  /// Each row has connections of its own, as callers do.
+  net::HttpClient &client(const Sending &Request) const {
+    return *Clients_[Request.Row_ * Plan_.Targets_.size() + Request.Target_];
+  }
+
   net::HttpRequest message(const Sending &Request) const {
     const LoadRow &Row = Plan_.Rows_[Request.Row_];
     const bool Direct = Plan_.Target_ == LoadTarget::Upstream;
@@ -142,7 +154,7 @@
                      {"Dragonfly-Kind", Row.Kind_},
                      {Direct ? "Dragonfly-Request-Id" : "Idempotency-Key",
                       Request.RequestId_}},
-        .Body_ = Rows_[Request.Row_].Body_};
+        .Body_ = makeBody(Request.RequestId_, Row.BodyBytes_)};
     if (Row.Deadline_ > Duration::zero())
       Result.Headers_.push_back(
           {"Dragonfly-Deadline-Ms",
@@ -158,7 +170,7 @@
     RowState &Row = Rows_[Request->Row_];
     if (Result.Status_ != net::CallStatus::Answered) {
       if (Request->Sends_ < Plan_.MaxSends_) {
-        Request->Target_ = (Request->Target_ + 1) % Clients_.size();
+        Request->Target_ = (Request->Target_ + 1) % Plan_.Targets_.size();
         send(Request);
         return;
       }
--- a/src/entry/Gateway.cpp
+++ b/src/entry/Gateway.cpp
@@ -12,6 +12,8 @@
 
 /// When a caller may come back after a refusal that names no time.
 constexpr Duration DefaultRetryAfter = std::chrono::seconds(1);
+/// Part of the retry budget that hedges may use.
+constexpr std::uint32_t HedgePart = 2;
 /// Part of a kind's deadline that its first expected service time may take.
 constexpr int ExpectedDeadlineParts = 4;
 
@@ -58,7 +60,8 @@
 
 Gateway::Impl::Impl(GatewayOptions Options)
     : Options_(std::move(Options)), Admission_(policies(Options_.Kinds_)),
-      Router_(routing(Options_)), Window_(Options_.Window_) {
+      Router_(routing(Options_)), Window_(Options_.Window_),
+      HedgeBudget_(Options_.RetryPermille_ / HedgePart) {
   for (const settings::KindSettings &Kind : Options_.Kinds_) {
     const auto Number = static_cast<decide::RoutedKind>(Kinds_.size());
     Kinds_.emplace(Kind.Name_, KindRow{Kind, Number % decide::MaxRoutedKinds});
@@ -135,7 +138,8 @@
   Row->Key_ = std::move(Sent.Key_);
   Row->Body_ = std::move(Sent.Body_);
   Row->BodyHash_ = BodyHash;
-  Row->Claimant_ = makeFreshId<Incarnation>();
+  if (Row->Kind_->Settings_.NonIdempotent_)
+    Row->Claimant_ = makeFreshId<Incarnation>();
   Row->ArrivedAt_ = Now;
   Row->Deadline_ =
       Now + Sent.TimeLeft_.value_or(Row->Kind_->Settings_.Deadline_);
@@ -163,9 +167,7 @@
   } else if (Row->Phase_ == Phase::Following) {
     drop(Row);
   } else if (Row->Phase_ == Phase::Executing && Row->streamed()) {
-    Options_.Hooks_.TellAgent_(Row->Attempt_.Worker_,
-                               wire::CancelExecute{Row->Key_});
-    releaseUpstream(Now, *Row, decide::AttemptResult::Answered);
+    cancelActive(Now, Row);
     finish(Now, Row,
            {.Outcome_ = Outcome::Unknown, .Reason_ = Reason::Cancelled});
   }
@@ -187,8 +189,8 @@
     Waiting_.erase(Row->Handle_);
     endWith(Now, Row, Outcome::RefusedNotRun, Reason::Cancelled);
   } else if (Row->Phase_ == Phase::Executing) {
-    Options_.Hooks_.TellAgent_(Row->Attempt_.Worker_,
-                               wire::CancelExecute{Row->Key_});
+    for (const Attempt &Each : Row->Active_)
+      Options_.Hooks_.TellAgent_(Each.Worker_, wire::CancelExecute{Row->Key_});
   } else if (Row->Phase_ == Phase::Following) {
     Options_.Hooks_.CallControl_(wire::CancelTask{Row->Key_},
                                  Row->Deadline_ - Now,
@@ -287,6 +289,7 @@
   Row->Admitted_ = true;
   Row->DispatchedAt_ = Now;
   Router_.countRequest();
+  HedgeBudget_.countRequest();
   beginAttempt(Now, Row);
 }
 
@@ -318,6 +321,7 @@
     else if (Row->Phase_ == Phase::Following)
       follow(Now, Row);
   }
+  sendDueHedges(Now);
   pump(Now);
 }
 
--- a/src/entry/GatewayAttempts.cpp
+++ b/src/entry/GatewayAttempts.cpp
@@ -20,6 +20,17 @@
           .Body_ = std::move(Result.Body_)};
 }
 
+wire::Execute makeExecute(const Request &Row, TimePoint Now) {
+  const settings::KindSettings &Kind = Row.Kind_->Settings_;
+  return {.Key_ = Row.Key_,
+          .Kind_ = Kind.Name_,
+          .Target_ = Row.Next_.Target_,
+          .TimeLeft_ = Row.Deadline_ - Now,
+          .NonIdempotent_ = Kind.NonIdempotent_,
+          .Streamed_ = Row.streamed(),
+          .Body_ = Row.Body_};
+}
+
 bool failingStatus(const net::CallResult &Result) {
   const auto *Answered = std::get_if<wire::ExecuteResult>(&Result.Answer_);
   return Answered != nullptr && Answered->Status_ >= FirstFailureStatus;
@@ -33,6 +44,9 @@
   const bool Refused = Judged.Outcome_ == Outcome::RefusedNotRun &&
                        Judged.Reason_ != Reason::UpstreamFailed &&
                        Result.Status_ == net::CallStatus::Answered;
+  if (Refused && (Judged.Reason_ == Reason::WrongIncarnation ||
+                  Judged.Reason_ == Reason::Draining))
+    return decide::AttemptResult::Gone;
   return Refused ? decide::AttemptResult::Refused
                  : decide::AttemptResult::Failed;
 }
@@ -44,28 +58,34 @@
     endWith(Now, Row, Outcome::RefusedNotRun, Reason::Cancelled);
     return;
   }
-  const auto Picked = Router_.pick(Now, Row->Excluded_);
-  if (!Picked) {
+  if (!pick(Now, *Row)) {
     endWith(Now, Row, Outcome::RefusedNotRun, Reason::NoUpstream);
     return;
   }
-  const decide::UpstreamRow &Chosen = Router_.row(*Picked);
-  Row->Attempt_ = {.Index_ = *Picked,
-                   .Worker_ = Chosen.Name_,
-                   .Target_ = Chosen.Incarnation_,
-                   .StartedAt_ = Now};
   if (Row->Kind_->Settings_.NonIdempotent_)
     claim(Now, Row);
   else
     execute(Now, Row);
 }
 
+/// Chooses the upstream of the next attempt; false where there is none.
+bool Gateway::Impl::pick(TimePoint Now, Request &Row) {
+  const auto Picked = Router_.pick(Now, Row.Excluded_);
+  if (!Picked)
+    return false;
+  const decide::UpstreamRow &Chosen = Router_.row(*Picked);
+  Row.Next_ = {.Index_ = *Picked,
+               .Worker_ = Chosen.Name_,
+               .Target_ = Chosen.Incarnation_};
+  return true;
+}
+
 void Gateway::Impl::claim(TimePoint Now, const RequestPtr &Row) {
   Row->Phase_ = Phase::Claiming;
   wire::Claim Asked{.Key_ = Row->Key_,
                     .Kind_ = Row->Kind_->Settings_.Name_,
-                    .Worker_ = Row->Attempt_.Worker_,
-                    .Target_ = Row->Attempt_.Target_,
+                    .Worker_ = Row->Next_.Worker_,
+                    .Target_ = Row->Next_.Target_,
                     .Claimant_ = Row->Claimant_,
                     .Attempt_ = Row->ClaimAttempt_,
                     .BodyHash_ = Row->BodyHash_};
@@ -128,30 +148,28 @@
 void Gateway::Impl::execute(TimePoint Now, const RequestPtr &Row) {
   Row->Phase_ = Phase::Executing;
   const std::uint32_t Try = ++Row->Tries_;
-  Row->Attempt_.StartedAt_ = Now;
-  Router_.started(Now, Row->Attempt_.Index_);
-  const Duration TimeLeft = Row->Deadline_ - Now;
-  Options_.Hooks_.CallAgent_(
-      {.Worker_ = Row->Attempt_.Worker_,
-       .Request_ =
-           wire::Execute{.Key_ = Row->Key_,
-                         .Kind_ = Row->Kind_->Settings_.Name_,
-                         .Target_ = Row->Attempt_.Target_,
-                         .TimeLeft_ = TimeLeft,
-                         .NonIdempotent_ = Row->Kind_->Settings_.NonIdempotent_,
-                         .Streamed_ = Row->streamed(),
-                         .Body_ = Row->Body_},
-       .Timeout_ = TimeLeft + AnswerGrace,
-       .OnEnd_ =
-           [Weak = weak_from_this(), Row, Try](net::CallResult Result) {
-             if (const auto Self = Weak.lock())
-               Self->attemptEnded(Clock::now(), Row, Try, std::move(Result));
-           },
-       .OnPart_ =
-           [Weak = weak_from_this(), Row, Try](const wire::Message &Part) {
-             if (const auto Self = Weak.lock())
-               Self->takePart(Clock::now(), Row, Try, Part);
-           }});
+  Row->Next_.Try_ = Try;
+  Row->Next_.StartedAt_ = Now;
+  Row->Active_.push_back(Row->Next_);
+  Router_.started(Now, Row->Next_.Index_);
+  if (Row->hedged() && Row->Active_.size() == 1)
+    if (const auto Delay = Router_.hedgeDelay(Row->Kind_->Routed_))
+      Hedges_.push({Now + *Delay, Try, Row});
+  AgentCall Call{
+      .Worker_ = Row->Next_.Worker_,
+      .Request_ = makeExecute(*Row, Now),
+      .Timeout_ = Row->Deadline_ - Now + AnswerGrace,
+      .OnEnd_ = [Weak = weak_from_this(), Row, Try](net::CallResult Result) {
+        if (const auto Self = Weak.lock())
+          Self->attemptEnded(Clock::now(), Row, Try, std::move(Result));
+      }};
+  if (Row->streamed())
+    Call.OnPart_ = [Weak = weak_from_this(), Row,
+                    Try](const wire::Message &Part) {
+      if (const auto Self = Weak.lock())
+        Self->takePart(Clock::now(), Row, Try, Part);
+    };
+  Options_.Hooks_.CallAgent_(std::move(Call));
 }
 
 void Gateway::Impl::takePart(TimePoint Now, const RequestPtr &Row,
@@ -170,33 +188,49 @@
 
 void Gateway::Impl::attemptEnded(TimePoint Now, const RequestPtr &Row,
                                  std::uint32_t Try, net::CallResult Result) {
-  if (Row->Phase_ != Phase::Executing || Row->Tries_ != Try)
+  const auto Found = std::ranges::find(Row->Active_, Try, &Attempt::Try_);
+  if (Found == Row->Active_.end())
     return;
+  const Attempt Ended = std::move(*Found);
+  Row->Active_.erase(Found);
   const AttemptJudgement Judged = judgeAttempt(Result, Row->repeatable());
-  releaseUpstream(Now, *Row, forRouter(Judged, Result));
+  releaseUpstream(Now, *Row, Ended, forRouter(Judged, Result));
   if (Judged.Outcome_ == Outcome::Completed) {
+    cancelActive(Now, Row);
     finish(Now, Row,
            toAnswer(std::get<wire::ExecuteResult>(std::move(Result.Answer_))));
     return;
   }
   if (Judged.Outcome_ == Outcome::Unknown)
     Row->MayHaveRun_ = true;
-  if (!Judged.MayTryElsewhere_ || !tryElsewhere(Now, Row, Judged))
+  if (!Row->Active_.empty())
+    return;
+  if (!Judged.MayTryElsewhere_ || !tryElsewhere(Now, Row, Ended, Judged))
     endWith(Now, Row, Judged.Outcome_, Judged.Reason_);
 }
 
+/// Tells the agents of attempts that are of no use any longer.
+void Gateway::Impl::cancelActive(TimePoint Now, const RequestPtr &Row) {
+  for (const Attempt &Each : std::exchange(Row->Active_, {})) {
+    Options_.Hooks_.TellAgent_(Each.Worker_, wire::CancelExecute{Row->Key_});
+    releaseUpstream(Now, *Row, Each, decide::AttemptResult::Answered);
+  }
+}
+
 void Gateway::Impl::releaseUpstream(TimePoint Now, const Request &Row,
+                                    const Attempt &Ended,
                                     decide::AttemptResult Result) {
-  Router_.finished(Now, Row.Attempt_.Index_, Result,
-                   Now - Row.Attempt_.StartedAt_, Row.Kind_->Routed_);
+  Router_.finished(Now, Ended.Index_, Result, Now - Ended.StartedAt_,
+                   Row.Kind_->Routed_);
 }
 
 bool Gateway::Impl::tryElsewhere(TimePoint Now, const RequestPtr &Row,
+                                 const Attempt &Ended,
                                  const AttemptJudgement &Judged) {
   if (Row->PartsPassed_ || Row->CancelAsked_ || Now >= Row->Deadline_ ||
       Row->Tries_ >= MaxTries)
     return false;
-  Row->Excluded_.push_back(Row->Attempt_.Index_);
+  Row->Excluded_.push_back(Ended.Index_);
   if (!Router_.pick(Now, Row->Excluded_) || !Router_.takeRetry())
     return false;
   if (Row->Kind_->Settings_.NonIdempotent_ &&
@@ -206,6 +240,25 @@
   return true;
 }
 
+void Gateway::Impl::sendDueHedges(TimePoint Now) {
+  while (!Hedges_.empty() && Hedges_.top().At_ <= Now) {
+    const Hedge Due = Hedges_.top();
+    Hedges_.pop();
+    const std::vector<Attempt> &Active = Due.Row_->Active_;
+    if (Active.size() == 1 && Active.front().Try_ == Due.Try_)
+      hedge(Now, Due.Row_);
+  }
+}
+
+/// Sends a request to a second upstream while the first attempt goes on.
+void Gateway::Impl::hedge(TimePoint Now, const RequestPtr &Row) {
+  if (Row->CancelAsked_ || Now >= Row->Deadline_ || Row->Tries_ >= MaxTries)
+    return;
+  Row->Excluded_.push_back(Row->Active_.front().Index_);
+  if (pick(Now, *Row) && HedgeBudget_.take() && Router_.takeRetry())
+    execute(Now, Row);
+}
+
 /// Ends a request without an answer; one that may have run is never said to be
 /// refused.
 void Gateway::Impl::endWith(TimePoint Now, const RequestPtr &Row, Outcome End,
