--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -94,6 +94,8 @@
     logEvent(Event::ProcessStopping,
              {{"in_progress", Core_.requests().inProgress()}});
     OnStopped_ = std::move(OnStopped);
+    // Callers that wait for the first acceptance are answered as well.
+    Server_.startAccepting();
     Server_.closeAfterAnswers();
     Core_.announceStop();
     StopBound_ = Loop_.after(Settings_.Process_.StopBound_, [this] {
