Show that a second loss right after a repair loses nothing

Ruled out: one try of members add; the leader refuses it until it has seen the new store. Conclusion: a repaired replica carries its vote.

--- a/src/ctl/Context.cpp
+++ b/src/ctl/Context.cpp
@@ -20,12 +20,23 @@
 constexpr std::uint16_t Conflict = 409;
 constexpr std::uint16_t Unprocessable = 422;
 
+/// Returns the type of a problem, or empty text.
+std::string typeOf(const net::HttpResponse &Response) {
+  const json::value Body = parseJson(Response.Body_);
+  const auto *Object = Body.if_object();
+  const auto *Type = Object == nullptr ? nullptr : Object->if_contains("type");
+  const auto *Text = Type == nullptr ? nullptr : Type->if_string();
+  return Text == nullptr ? std::string()
+                         : std::string(Text->data(), Text->size());
+}
+
 CtlExit toExit(const ControlAnswer &Answer) {
   if (Answer.End_ == CallEnd::Unavailable)
     return CtlExit::Unavailable;
   if (Answer.End_ == CallEnd::Unknown)
     return CtlExit::OutcomeUnknown;
-  if (Answer.Response_.Status_ == Conflict)
+  if (Answer.Response_.Status_ == Conflict &&
+      typeOf(Answer.Response_) == "version-conflict")
     return CtlExit::VersionConflict;
   return Answer.Response_.Status_ == Unprocessable ? CtlExit::ListRejected
                                                    : CtlExit::Refused;
--- a/tests/ctl/CtlTest.cpp
+++ b/tests/ctl/CtlTest.cpp
@@ -168,6 +168,7 @@
        CtlExit::ListRejected,
        1},
       {{{400, R"({"type":"bad"})", ""}}, CtlExit::Refused, 1},
+      {{{409, R"({"type":"change-not-allowed"})", ""}}, CtlExit::Refused, 1},
       {{{503, "", ""}, {503, "", ""}, {503, "", ""}},
        CtlExit::OutcomeUnknown,
        3},
--- a/tools/process-faults.sh
+++ b/tools/process-faults.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.." || exit 1
 . tools/deployment.sh
 EXAMPLE_FOLDER=${EXAMPLE_FOLDER:-examples/notbandet}
-FAULTS=(leader-killed control-frozen agent-killed entry-killed disk-lost racing-operators)
+FAULTS=(leader-killed control-frozen agent-killed entry-killed disk-lost second-loss-after-repair racing-operators)
 LOAD_SECONDS=12
 
 # new_leader OLD: true where replicas other than OLD follow another leader.
@@ -73,6 +73,24 @@
   [ "$(version_of plans)" -gt "$before" ] || { echo "FAILED: the list reverted"; return 1; }
 }
 
+# Refused until the leader has seen the new store.
+add_learner() { ctl --id="$1" "--address=$NET.2.$1:7000" members add >/dev/null 2>>"$RUN/ctl.log"; }
+promote() { ctl --id="$1" members promote >/dev/null 2>>"$RUN/ctl.log"; }
+
+# A repaired replica must carry its vote: another one is lost right afterwards.
+second-loss-after-repair() {
+  local before
+  disk-lost || return 1
+  await "the replica is a learner" add_learner 3 || return 1
+  await "the learner is promoted" promote 3 || return 1
+  before=$(version_of plans)
+  end control-1 KILL
+  put_list plans "$RUN/plans.json" || { echo "FAILED: no list change after the second loss"; return 1; }
+  [ "$(version_of plans)" = $((before + 1)) ] || { echo "FAILED: the list reverted"; return 1; }
+  start control-1
+  await_ready control-1
+}
+
 # Operators race with the same version: exactly one change is accepted.
 racing-operators() {
   local version racer code winners=0 racers=()
