--- a/tests/entry/GatewayFixture.h
+++ b/tests/entry/GatewayFixture.h
@@ -37,16 +37,25 @@
                                               .Body_ = "first"}});
 }
 
+inline const net::CallResult NeverSent{net::CallStatus::NeverSent, {}};
+inline const net::CallResult Lost{net::CallStatus::Lost, {}};
+inline const net::CallResult TimedOut{net::CallStatus::TimedOut, {}};
+inline const net::CallResult Done = executed(Outcome::Completed);
+inline const net::CallResult NoSlot =
+    executed(Outcome::RefusedNotRun, Reason::NoFreeSlot);
+inline const net::CallResult Broken =
+    executed(Outcome::Unknown, Reason::UpstreamFailed);
+
 /// Kinds: "check" idempotent, "review" non-idempotent, "watch" streamed,
 /// "batch" a non-idempotent task.
 class GatewayFixture {
 public:
-  GatewayFixture() {
+  explicit GatewayFixture(std::uint32_t RetryPermille = 1000) {
     Clock::pause(TimePoint(std::chrono::hours(1)));
     Gateway_.emplace(GatewayOptions{.Self_ = {77},
                                     .AvailabilityZone_ = "az-a",
                                     .Kinds_ = kinds(),
-                                    .RetryPermille_ = 1000,
+                                    .RetryPermille_ = RetryPermille,
                                     .Window_ = {.MaxAnswers_ = 100},
                                     .Hooks_ = hooks()});
     Gateway_->setCustomers({{"acme", 100, 100}});
--- a/tests/path/PathScenario.cpp
+++ b/tests/path/PathScenario.cpp
@@ -24,6 +24,9 @@
 constexpr std::uint64_t BuildEverySteps = 300;
 constexpr std::uint64_t WheelEverySteps = 350;
 constexpr std::uint64_t EditEverySteps = 400;
+/// When the graceful stop of an agent begins, after the fault is armed.
+constexpr Duration DrainAfter = 1s;
+constexpr Place Drained{Site::Agent, 0};
 constexpr const char *Customer = "alnarp";
 
 const std::string Plans =
@@ -170,8 +173,12 @@
   while (World_.network().now() < End) {
     Armed_ = World_.network().now() >= Start + WarmUp;
     load();
+    if (Settings_.Drain_ && !RunsAtDrain_ && World_.agent(Drained.Number_) &&
+        World_.network().now() >= Start + WarmUp + DrainAfter)
+      drain();
     World_.step();
     checkConfiguration();
+    checkDrain();
     ++Steps_;
   }
   Armed_ = false;
@@ -291,6 +298,27 @@
       });
 }
 
+void PathScenario::drain() {
+  RunsAtDrain_ = World_.worker(Drained.Number_).runs();
+  DrainLife_ = World_.network().process(Drained).Life_;
+  World_.drain(Drained);
+}
+
+/// From the moment that the stop begins until the next start no request begins
+/// at the upstream. What had begun ends: the stop waits for it.
+void PathScenario::checkDrain() {
+  const bool SameLife = World_.network().process(Drained).Life_ == DrainLife_;
+  if (!RunsAtDrain_ || !SameLife)
+    return;
+  if (World_.worker(Drained.Number_).runs() > *RunsAtDrain_)
+    broken("a leaving upstream received a request");
+  if (!World_.stopped(Drained))
+    return;
+  if (World_.evidence().Checkpoints_ == 0)
+    broken("a graceful stop made no checkpoint");
+  killFor(Drained, DownTime);
+}
+
 void PathScenario::checkConfiguration() {
   const TimePoint Now = World_.network().now();
   const auto Check = [&](const Place &Where, link::ControlLink &Link) {
