--- a/bench/support/MemoryDisk.cpp
+++ b/bench/support/MemoryDisk.cpp
@@ -42,7 +42,7 @@
   }
 
   void sync() override {
-    run(DiskStep::Sync, [&] { Disk_->Durable_ = Disk_->Current_; });
+    run(DiskStep::Sync, [&] { Disk_->keep(); });
   }
 
 private:
@@ -64,6 +64,14 @@
   Durable_ = Current_;
 }
 
+void MemoryDisk::keep() {
+  Durable_.Hard_ = Current_.Hard_;
+  Durable_.Records_ = Current_.Records_;
+  // The state is long; it is copied only where it was replaced.
+  if (Durable_.Snapshot_.Index_ != Current_.Snapshot_.Index_)
+    Durable_.Snapshot_ = Current_.Snapshot_;
+}
+
 void MemoryDisk::crash(bool Torn) {
   const std::vector<Record> Written = Current_.Records_;
   Current_ = Durable_;
--- a/bench/support/MemoryDisk.h
+++ b/bench/support/MemoryDisk.h
@@ -23,6 +23,8 @@
 public:
   explicit MemoryDisk(StoreId Store);
 
+  /// Makes what was written survive a crash.
+  void keep();
   /// Loses what was not synced. With \p Torn half of the records that were
   /// being written survive.
   void crash(bool Torn);
--- a/tests/consensus/FileStorageTest.cpp
+++ b/tests/consensus/FileStorageTest.cpp
@@ -259,3 +259,31 @@
     REQUIRE(faultOf([&] { Disk->saveHardState({}); }) == Row.Fault_);
   }
 }
+
+TEST_CASE("a replaced file is synced before its name and the folder after it",
+          "[consensus][storage]") {
+  const DataFolder Folder;
+  const std::string Path = Folder.path() + "/hard-state";
+  struct Synced {
+    bool IsFolder_;
+    bool NameExists_;
+  };
+  std::vector<Synced> Syncs;
+  FileHooks Hooks = systemFileHooks();
+  Hooks.Sync_ = [&](int Fd) {
+    const fs::path Target =
+        fs::read_symlink("/proc/self/fd/" + std::to_string(Fd));
+    Syncs.push_back({fs::is_directory(Target), fs::exists(Path)});
+    return 0;
+  };
+  const auto Disk =
+      openFileStorage({.Folder_ = Folder.path(), .Hooks_ = Hooks});
+  Disk->recover();
+  Syncs.clear();
+  Disk->saveHardState({{1}, {1}});
+  REQUIRE(Syncs.size() == 2);
+  REQUIRE_FALSE(Syncs[0].IsFolder_);
+  REQUIRE_FALSE(Syncs[0].NameExists_);
+  REQUIRE(Syncs[1].IsFolder_);
+  REQUIRE(Syncs[1].NameExists_);
+}
--- a/tests/faults/ConsensusScenario.h
+++ b/tests/faults/ConsensusScenario.h
@@ -21,6 +21,7 @@
   std::function<void()> Load_;
   /// Tells at which commands a fault at apply may strike.
   std::function<bool(std::string_view Command)> StrikesAt_;
+  std::size_t SnapshotEveryRecords_ = 25;
 };
 
 class ConsensusScenario {
