--- a/tests/path/PathFaultMatrixTest.cpp
+++ b/tests/path/PathFaultMatrixTest.cpp
@@ -2,8 +2,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <cstdlib>
 #include <optional>
+#include <span>
 #include <string>
 #include <variant>
 
@@ -62,11 +64,11 @@
   return std::strtoull(Text, nullptr, 10);
 }
 
-void runCell(const PathStep &Step, PathFault Fault, std::uint64_t Seed) {
-  PathScenario Cell({.Step_ = Step, .Fault_ = Fault, .Seed_ = Seed});
+void runCell(const PathSettings &Settings) {
+  PathScenario Cell(Settings);
   const std::vector<std::string> Broken = Cell.run();
-  INFO("step: " << Step.Name_ << ", fault: " << enumName(Fault)
-                << ", seed: " << Seed);
+  INFO("step: " << Settings.Step_.Name_ << ", fault: "
+                << enumName(Settings.Fault_) << ", seed: " << Settings.Seed_);
   std::string Text;
   for (std::size_t Line = 0; Line < Broken.size() && Line < 5; ++Line)
     Text += Broken[Line] + "\n";
@@ -74,17 +76,32 @@
   CHECK(Cell.struck());
 }
 
-} // namespace
-
-TEST_CASE("every promise holds through every fault at every step of the path",
-          "[faults][path]") {
-  // DRAGONFLY_SEED chooses other seeds, DRAGONFLY_CELL one cell by its seed.
-  std::uint64_t Seed = numberFrom("DRAGONFLY_SEED").value_or(1);
+/// Runs each fault at each of \p Steps. DRAGONFLY_SEED chooses other seeds,
+/// DRAGONFLY_CELL one cell by its seed.
+void runCells(std::span<const PathStep> Rows, std::uint64_t FirstSeed,
+              bool Drain) {
+  std::uint64_t Seed = numberFrom("DRAGONFLY_SEED").value_or(FirstSeed);
   const std::optional<std::uint64_t> Only = numberFrom("DRAGONFLY_CELL");
-  for (const PathStep &Step : Steps)
+  for (const PathStep &Step : Rows)
     for (const auto &Row : EnumTable<PathFault>::Rows) {
       ++Seed;
       if (canOccur(Step, Row.Value_) && Only.value_or(Seed) == Seed)
-        runCell(Step, Row.Value_, Seed);
+        runCell({.Step_ = Step,
+                 .Fault_ = Row.Value_,
+                 .Seed_ = Seed,
+                 .Drain_ = Drain});
     }
 }
+
+} // namespace
+
+TEST_CASE("every promise holds through every fault at every step of the path",
+          "[path]") {
+  runCells(Steps, 1, /*Drain=*/false);
+}
+
+TEST_CASE("a graceful stop holds its promises through every fault",
+          "[path][drain]") {
+  constexpr std::array Rows{Steps.front(), Steps.back()};
+  runCells(Rows, 1000, /*Drain=*/true);
+}
