End a task that is cancelled before its start is fetched

Cause: control then sends Stop in place of Start; the agent had no row for the task and said nothing, so the task stayed placed for good (seen on a local deployment by submitting and cancelling at once). Ruled out: ending it at control without the agent's word (a start may be on its way to the agent). Change: an agent whose ledger is ready fences the epoch and reports a refusal. The path matrix cancels tasks; the new unit test failed before. The retry budget, which the entry uses, moves to include/, and check-layers finds such includes of another folder's internals.

--- a/include/dragonfly/agent/TaskRunner.h
+++ b/include/dragonfly/agent/TaskRunner.h
@@ -55,6 +55,9 @@
     Phase Phase_ = Phase::Starting;
   };
 
+  /// Raises the task's fence; false where the directive is an older one.
+  bool fence(const wire::TaskDirective &Order);
+  void cancel(const wire::TaskDirective &Order);
   void start(const wire::TaskDirective &Order);
   void started(TaskId Task, Epoch Under, const OrderResult &Result);
   void checkpoint(const wire::TaskDirective &Order);
--- a/src/decide/RetryBudget.h
+++ b/include/dragonfly/decide/RetryBudget.h
@@ -1,6 +1,6 @@
 /// Bounds retries and hedges to a share of the requests.
-#ifndef DRAGONFLY_SRC_DECIDE_RETRYBUDGET_H
-#define DRAGONFLY_SRC_DECIDE_RETRYBUDGET_H
+#ifndef DRAGONFLY_DECIDE_RETRYBUDGET_H
+#define DRAGONFLY_DECIDE_RETRYBUDGET_H
 
 #include <algorithm>
 #include <cstdint>
@@ -33,4 +33,4 @@
 
 } // namespace dragonfly::decide
 
-#endif // DRAGONFLY_SRC_DECIDE_RETRYBUDGET_H
+#endif // DRAGONFLY_DECIDE_RETRYBUDGET_H
--- a/src/agent/TaskRunner.cpp
+++ b/src/agent/TaskRunner.cpp
@@ -43,20 +43,41 @@
       checkpoint(Order);
       break;
     case wire::TaskAction::Stop:
-      stop(Order.Task_, Order.Epoch_, Reason::Cancelled);
+      cancel(Order);
       break;
     }
   }
 }
 
-void TaskRunner::start(const wire::TaskDirective &Order) {
-  if (const auto It = Fences_.find(Order.Task_);
-      It != Fences_.end() && Order.Epoch_ <= It->second)
-    return;
-  // An epoch that was refused is never started: control may have moved on.
-  Fences_[Order.Task_] = Order.Epoch_;
+bool TaskRunner::fence(const wire::TaskDirective &Order) {
+  const auto [It, New] = Fences_.emplace(Order.Task_, Order.Epoch_);
+  if (!New && Order.Epoch_ <= It->second)
+    return false;
+  It->second = Order.Epoch_;
   if (Fences_.size() > MaxFences)
     Fences_.erase(Fences_.begin());
+  return true;
+}
+
+/// A task that was never started here is refused, so that control hears of its
+/// end; while the worker's tasks are not known, it may be one of them.
+void TaskRunner::cancel(const wire::TaskDirective &Order) {
+  if (Rows_.contains(Order.Task_)) {
+    stop(Order.Task_, Order.Epoch_, Reason::Cancelled);
+    return;
+  }
+  if (Options_.MayStart_() == Reason::LedgerNotReady || !fence(Order))
+    return;
+  Options_.OnReport_({.Task_ = Order.Task_,
+                      .Epoch_ = Order.Epoch_,
+                      .Event_ = wire::TaskEvent::Refused,
+                      .Reason_ = Reason::Cancelled});
+}
+
+void TaskRunner::start(const wire::TaskDirective &Order) {
+  // An epoch that was refused is never started: control may have moved on.
+  if (!fence(Order))
+    return;
   Reason Why =
       Rows_.contains(Order.Task_) ? Reason::NoFreeSlot : Options_.MayStart_();
   if (Why == Reason::None)
--- a/src/decide/Router.cpp
+++ b/src/decide/Router.cpp
@@ -1,9 +1,9 @@
 #include "dragonfly/decide/Router.h"
 
 #include "decide/KindLatency.h"
-#include "decide/RetryBudget.h"
 #include "decide/UpstreamState.h"
 #include "dragonfly/base/Random.h"
+#include "dragonfly/decide/RetryBudget.h"
 
 #include <algorithm>
 #include <array>
--- a/src/entry/GatewayImpl.h
+++ b/src/entry/GatewayImpl.h
@@ -2,7 +2,7 @@
 #ifndef DRAGONFLY_SRC_ENTRY_GATEWAYIMPL_H
 #define DRAGONFLY_SRC_ENTRY_GATEWAYIMPL_H
 
-#include "decide/RetryBudget.h"
+#include "dragonfly/decide/RetryBudget.h"
 #include "dragonfly/decide/SlotShares.h"
 #include "dragonfly/entry/AttemptRules.h"
 #include "dragonfly/entry/Gateway.h"
--- a/tests/agent/TaskRunnerTest.cpp
+++ b/tests/agent/TaskRunnerTest.cpp
@@ -82,6 +82,21 @@
   REQUIRE(Vm.Reports_.back().Event_ == wire::TaskEvent::Started);
 }
 
+TEST_CASE("a task cancelled before its start is refused, once",
+          "[agent][tasks]") {
+  Bench Vm;
+  Vm.MayStart_ = Reason::LedgerNotReady;
+  Vm.order(wire::TaskAction::Stop, 2);
+  REQUIRE(Vm.Reports_.empty());
+  Vm.MayStart_ = Reason::None;
+  Vm.order(wire::TaskAction::Stop, 2);
+  Vm.order(wire::TaskAction::Stop, 2);
+  Vm.order(wire::TaskAction::Start, 2);
+  REQUIRE(Vm.Reports_.size() == 1);
+  REQUIRE(Vm.Reports_[0].Event_ == wire::TaskEvent::Refused);
+  REQUIRE(Vm.Upstream_.Orders_.empty());
+}
+
 TEST_CASE("an end that the former agent did not report is reported",
           "[agent][tasks]") {
   Bench Vm;
--- a/tests/path/PathScenario.cpp
+++ b/tests/path/PathScenario.cpp
@@ -25,6 +25,9 @@
 constexpr std::uint64_t ReviewEverySteps = 25;
 constexpr std::uint64_t BuildEverySteps = 300;
 constexpr std::uint64_t WheelEverySteps = 350;
+constexpr std::uint64_t CancelEverySteps = 450;
+/// Some cancellations come before the start is fetched, some after.
+constexpr Duration CancelAfter = 60ms;
 constexpr std::uint64_t EditEverySteps = 400;
 /// When the graceful stop of an agent begins, after the fault is armed.
 constexpr Duration DrainAfter = 1s;
@@ -221,7 +224,7 @@
     const wire::RequestKey Key{Customer, Kind + "-" + std::to_string(Steps_)};
     CallerRow &Row = Callers_[Key];
     Row.Key_ = Key;
-    Row.Kind_ = Kind;
+    Row.Kind_ = Kind == "build-cancelled" ? "build" : Kind;
     submit(Row);
   };
   if (Steps_ % CheckEverySteps == 0)
@@ -232,10 +235,27 @@
     Add("build");
   if (Steps_ % WheelEverySteps == 0)
     Add("wheel");
+  if (Steps_ % CancelEverySteps == 0) {
+    Add("build-cancelled");
+    cancelSoon({Customer, "build-cancelled-" + std::to_string(Steps_)});
+  }
   if (Steps_ % EditEverySteps == 0)
     edit();
 }
 
+/// Cancels at every entry, as its caller does not know which one has it.
+void PathScenario::cancelSoon(const wire::RequestKey &Key) {
+  PathNetwork &Network = World_.network();
+  Network.at(Network.now() + CancelAfter, [this, Key] {
+    Callers_[Key].Tries_ = MaxTries;
+    for (std::size_t Number = 0; Number < PathWorld::Entries; ++Number)
+      World_.network().within(
+          {Site::Entry, Number}, Duration::zero(), [this, Number, Key] {
+            World_.entry(Number)->requests().cancel(Clock::now(), Key);
+          });
+  });
+}
+
 /// Sends a request to one entry, and again later where it did not complete.
 void PathScenario::submit(CallerRow &Row) {
   if (Row.Completed_ || ++Row.Tries_ > MaxTries)
@@ -356,7 +376,7 @@
     Completed += Row.Completed_ ? 1 : 0;
     if (Row.Kind_ == "review" && Runs > 1)
       broken("a non-idempotent request ran twice: " + Key.RequestId_);
-    if (Row.Refused_ == Row.Tries_ && Runs > 0)
+    if (Row.Refused_ >= Row.Tries_ && Runs > 0)
       broken("refused as not run, but it ran: " + Key.RequestId_);
   }
   if (Completed * 10 < Callers_.size() * 8)
--- a/tests/path/PathScenario.h
+++ b/tests/path/PathScenario.h
@@ -28,8 +28,8 @@
   MessageDelayed, ///< Past the next leader's election.
   OneWayCut,      ///< From sender to receiver.
   TwoWayCut,      ///< The receiver is cut off from everyone.
-  DiskLost,  ///< The leader of control is killed and its folder lost.
-  ClockFast, ///< The receiver's clock runs 2% fast.
+  DiskLost,       ///< The leader of control is killed and its folder lost.
+  ClockFast,      ///< The receiver's clock runs 2% fast.
   ClockSlow,
   LeaderToo, ///< The receiver is killed, and the leader during the repair.
   SameTwice  ///< The receiver is killed, and again after its repair.
@@ -83,6 +83,7 @@
   bool atRest();
   void load();
   void submit(CallerRow &Row);
+  void cancelSoon(const wire::RequestKey &Key);
   void answered(CallerRow &Row, const entry::Answer &End);
   void edit();
   void drain();
--- a/tools/check-layers.sh
+++ b/tools/check-layers.sh
@@ -10,6 +10,9 @@
   local found
   found=$(grep -rnE '#include "dragonfly/' "include/dragonfly/$folder" "src/$folder" 2>/dev/null |
     grep -vE "#include \"dragonfly/($allowed)/")
+  # Another folder's internals are closed to all, but for base's.
+  found+=$(grep -rnE '#include "[a-z]+/' "include/dragonfly/$folder" "src/$folder" 2>/dev/null |
+    grep -vE "#include \"(dragonfly|base|$folder)/")
   if [ -n "$found" ]; then echo "layer violation in $folder:"; echo "$found"; bad=1; fi
 }
 check base
