Return a task to its worker in the fault matrix

Ruled out: nothing. Change: the worker follows from the task's number. Conclusion: only the epoch tells the stays of a task apart, as the defect of the ignored epoch needs.

--- a/tests/faults/ControlLoad.cpp
+++ b/tests/faults/ControlLoad.cpp
@@ -220,11 +220,12 @@
     if (Task.Task_.Value_ % CancelledShare == 0)
       submit(CancelTasks{{Task.Task_}}, Ignore);
     else
-      submit(PlaceTasks{{PlaceRow{.Task_ = Task.Task_,
-                                  .Epoch_ = Task.Epoch_,
-                                  .Worker_ =
-                                      "worker " + std::to_string(Random_() % 3),
-                                  .Target_ = {7}}}},
+      submit(PlaceTasks{{PlaceRow{
+                 .Task_ = Task.Task_,
+                 .Epoch_ = Task.Epoch_,
+                 .Worker_ =
+                     "worker " + std::to_string(Task.Task_.Value_ % Workers),
+                 .Target_ = {7}}}},
              Ignore);
     return;
   }
