Let urgent work that no agent has room for wait in the queue again

Cause: with every agent full, a request was refused on the spot although its deadline was far enough; under a flood one wrong count of free slots empties the queue that way (docs/DESIGN.md, "no room at an upstream"). Ruled out: more retries at once (they meet the same full agents). Change: the gateway puts such a request back into the admission table, which refuses it once its deadline cannot be met; heavy kinds keep their pause. Conclusion: refusals are left to admission.

--- a/src/entry/GatewayAttempts.cpp
+++ b/src/entry/GatewayAttempts.cpp
@@ -211,7 +211,7 @@
   if (!Row->Active_.empty())
     return;
   if (Judged.MayTryElsewhere_ &&
-      (tryElsewhere(Now, Row, Ended, Judged) || pause(Now, Row, Judged)))
+      (tryElsewhere(Now, Row, Ended, Judged) || waitAgain(Now, Row, Judged)))
     return;
   endWith(Now, Row, Judged.Outcome_, Judged.Reason_);
 }
@@ -247,25 +247,34 @@
   return true;
 }
 
-/// Heavy work that agents have no room for at this moment, as in the burst
-/// after control was away, waits a little: its deadline is far. Urgent work is
-/// refused at once, so that its caller can act.
-bool Gateway::Impl::pause(TimePoint Now, const RequestPtr &Row,
-                          const AttemptJudgement &Judged) {
+/// Lets a request wait that certainly did not run and that no agent has room
+/// for now: in the admission table, which refuses it once its deadline cannot
+/// be met, or, for heavy work, for a growing pause, since its deadline is far.
+bool Gateway::Impl::waitAgain(TimePoint Now, const RequestPtr &Row,
+                              const AttemptJudgement &Judged) {
+  const bool Heavy =
+      Row->Kind_->Settings_.Urgency_ == settings::Urgency::Deadline;
+  const bool NoRoom = Heavy || Judged.Reason_ == Reason::NoFreeSlot;
   const Duration Delay =
       FirstPause * (1 << std::min(Row->Pauses_, MaxDoublings));
-  if (Row->Kind_->Settings_.Urgency_ != settings::Urgency::Deadline ||
-      Judged.Outcome_ != Outcome::RefusedNotRun || Row->PartsPassed_ ||
-      Row->CancelAsked_ || Row->Pauses_ >= MaxPauses ||
-      Now + Delay >= Row->Deadline_)
+  if (!NoRoom || Judged.Outcome_ != Outcome::RefusedNotRun ||
+      Row->MayHaveRun_ || Row->PartsPassed_ || Row->CancelAsked_ ||
+      Row->Pauses_ >= MaxPauses || Now + Delay >= Row->Deadline_)
     return false;
   ++Row->Pauses_;
   Row->TriesBeforePause_ = Row->Tries_;
   Row->Excluded_.clear();
   if (Row->Kind_->Settings_.NonIdempotent_)
     ++Row->ClaimAttempt_;
-  Row->Phase_ = Phase::Pausing;
-  Polls_.emplace(Now + Delay, Row);
+  if (Heavy) {
+    Row->Phase_ = Phase::Pausing;
+    Polls_.emplace(Now + Delay, Row);
+    return true;
+  }
+  Row->Phase_ = Phase::Waiting;
+  Row->Admitted_ = false;
+  Waiting_.emplace(Row->Handle_, Row);
+  Admission_.putBack(Now, Row->Handle_);
   return true;
 }
 
--- a/src/entry/GatewayImpl.h
+++ b/src/entry/GatewayImpl.h
@@ -148,8 +148,8 @@
   void hedge(TimePoint Now, const RequestPtr &Row);
   bool tryElsewhere(TimePoint Now, const RequestPtr &Row, const Attempt &Ended,
                     const AttemptJudgement &Judged);
-  bool pause(TimePoint Now, const RequestPtr &Row,
-             const AttemptJudgement &Judged);
+  bool waitAgain(TimePoint Now, const RequestPtr &Row,
+                 const AttemptJudgement &Judged);
   void resume(TimePoint Now, const RequestPtr &Row);
   void endWith(TimePoint Now, const RequestPtr &Row, Outcome End, Reason Why);
 
--- a/tests/path/PathWorld.cpp
+++ b/tests/path/PathWorld.cpp
@@ -19,6 +19,7 @@
 
 std::vector<settings::ReplicaSettings> replicaSettings() {
   std::vector<settings::ReplicaSettings> Rows;
+  Rows.reserve(PathWorld::Replicas);
   for (std::size_t Number = 0; Number < PathWorld::Replicas; ++Number)
     Rows.push_back({.Id_ = {Number + 1}, .Address_ = controlAddress(Number)});
   return Rows;
@@ -114,6 +115,7 @@
 void PathWorld::startControl(std::size_t Number) {
   const Place Where{Site::Control, Number};
   std::vector<consensus::Member> Members;
+  Members.reserve(Replicas);
   for (std::size_t Other = 0; Other < Replicas; ++Other)
     Members.push_back({.Id_ = {Other + 1}, .Address_ = controlAddress(Other)});
   const settings::DeploymentSettings Deployment = pathDeployment();
