--- a/include/dragonfly/base/Histogram.h
+++ b/include/dragonfly/base/Histogram.h
@@ -67,6 +67,10 @@
   std::unique_ptr<Impl> Impl_;
 };
 
+/// Returns the rows as JSON, durations in milliseconds:
+/// {"rows":[{"customer","kind","count","mean_ms","p50_ms",...}]}.
+std::string printHistograms(const HistogramTable &Table);
+
 } // namespace dragonfly
 
 #endif // DRAGONFLY_BASE_HISTOGRAM_H
--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -2,6 +2,7 @@
 
 #include "agent/HttpUpstream.h"
 #include "dragonfly/agent/AgentCore.h"
+#include "dragonfly/base/Histogram.h"
 #include "dragonfly/base/Random.h"
 #include "dragonfly/net/EventLoop.h"
 #include "dragonfly/net/FrameServer.h"
@@ -55,7 +56,10 @@
   void execute(wire::Execute Request, net::FrameReplier Reply) {
     const wire::RequestKey Key = Request.Key_;
     ExecuteHooks Hooks;
-    Hooks.OnEnd_ = [Reply](wire::ExecuteResult Result) {
+    Hooks.OnEnd_ = [this, Reply, Customer = Key.Customer_,
+                    Kind = Request.Kind_](wire::ExecuteResult Result) {
+      if (Result.Outcome_ == Outcome::Completed)
+        ServiceTimes_.record({Customer, Kind}, Result.ServiceTime_);
       Reply.answer(std::move(Result));
     };
     Hooks.OnPart_ = [this, Reply, Key](wire::ExecutePart Part) {
@@ -70,6 +74,10 @@
 
   void answerStatus(const net::HttpRequest &Request,
                     const net::HttpReplier &Reply) const {
+    if (Request.Target_ == "/v1/histograms") {
+      Reply.reply({.Body_ = printHistograms(ServiceTimes_)});
+      return;
+    }
     const bool Known =
         Request.Target_ == "/healthz" || Request.Target_ == "/readyz";
     const bool Ready =
@@ -83,6 +91,8 @@
 
   net::EventLoop &Loop_;
   Incarnation Self_;
+  /// How long the upstream took, per customer and kind.
+  HistogramTable ServiceTimes_;
   HttpUpstream Upstream_;
   AgentCore Core_;
   net::FrameServer Server_;
--- a/src/base/Histogram.cpp
+++ b/src/base/Histogram.cpp
@@ -6,6 +6,9 @@
 #include <boost/accumulators/statistics/max.hpp>
 #include <boost/accumulators/statistics/mean.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
 
 #include <algorithm>
 #include <array>
@@ -115,4 +118,20 @@
   return Result;
 }
 
+std::string printHistograms(const HistogramTable &Table) {
+  boost::json::array Printed;
+  for (const auto &[Key, Summary] : Table.rows())
+    Printed.push_back({{"customer", Key.Customer_},
+                       {"kind", Key.Kind_},
+                       {"count", Summary.Count_},
+                       {"mean_ms", toMilliseconds(Summary.Mean_)},
+                       {"p50_ms", toMilliseconds(Summary.P50_)},
+                       {"p90_ms", toMilliseconds(Summary.P90_)},
+                       {"p99_ms", toMilliseconds(Summary.P99_)},
+                       {"p999_ms", toMilliseconds(Summary.P999_)},
+                       {"max_ms", toMilliseconds(Summary.Max_)}});
+  return boost::json::serialize(
+      boost::json::object{{"rows", std::move(Printed)}});
+}
+
 } // namespace dragonfly
--- a/src/entry/Responses.cpp
+++ b/src/entry/Responses.cpp
@@ -1,7 +1,6 @@
 #include "entry/Responses.h"
 
 #include "dragonfly/base/EnumTable.h"
-#include "dragonfly/base/Histogram.h"
 #include "dragonfly/entry/CallerInterface.h"
 
 #include <boost/json/serialize.hpp>
@@ -80,20 +79,4 @@
   return Result;
 }
 
-std::string printHistograms(const HistogramTable &Table) {
-  boost::json::array Printed;
-  for (const auto &[Key, Summary] : Table.rows())
-    Printed.push_back({{"customer", Key.Customer_},
-                       {"kind", Key.Kind_},
-                       {"count", Summary.Count_},
-                       {"mean_ms", toMilliseconds(Summary.Mean_)},
-                       {"p50_ms", toMilliseconds(Summary.P50_)},
-                       {"p90_ms", toMilliseconds(Summary.P90_)},
-                       {"p99_ms", toMilliseconds(Summary.P99_)},
-                       {"p999_ms", toMilliseconds(Summary.P999_)},
-                       {"max_ms", toMilliseconds(Summary.Max_)}});
-  return boost::json::serialize(
-      boost::json::object{{"rows", std::move(Printed)}});
-}
-
 } // namespace dragonfly::entry
--- a/src/entry/Responses.h
+++ b/src/entry/Responses.h
@@ -10,19 +10,12 @@
 #include <string>
 #include <string_view>
 
-namespace dragonfly {
-class HistogramTable;
-} // namespace dragonfly
-
 namespace dragonfly::entry {
 
 /// Returns a problem+json response of \p Type.
 net::HttpResponse problem(std::uint16_t Status, std::string_view Type,
                           Outcome Value);
 
-/// Returns {"rows":[...]} with durations in milliseconds.
-std::string printHistograms(const HistogramTable &Table);
-
 } // namespace dragonfly::entry
 
 #endif // DRAGONFLY_SRC_ENTRY_RESPONSES_H
--- a/tests/base/HistogramTest.cpp
+++ b/tests/base/HistogramTest.cpp
@@ -102,3 +102,12 @@
   CHECK(Rows[2].first.Customer_ == "other");
   CHECK(Rows[2].second.Count_ == 2);
 }
+
+TEST_CASE("a table is printed as rows of JSON", "[base][histogram]") {
+  HistogramTable Table;
+  Table.record({"alnarp", "belt-check"}, std::chrono::milliseconds(4));
+  const std::string Text = printHistograms(Table);
+  REQUIRE(Text.find(R"("customer":"alnarp","kind":"belt-check","count":1)") !=
+          std::string::npos);
+  REQUIRE(Text.find(R"("max_ms":4E0)") != std::string::npos);
+}
