Hash with a library, in one place; name messages by the field's words

Cause: the read-through found FNV-1a written out by hand in control and in entry, though hashing is to be a library's, and fakes whose messages were called letters and parcels. Ruled out: std::hash (not the same in every build, yet it stands in replicated state). Change: base/Hash.h, a CRC-64 by Boost.CRC; Boost's hash_combine for the table's keys; RoutedMessage and RoutedBytes in the tests.

--- a/bench/support/DirectGroup.cpp
+++ b/bench/support/DirectGroup.cpp
@@ -49,7 +49,7 @@
 void DirectGroup::settle() {
   do {
     while (!UnderWay_.empty()) {
-      const Parcel Value = std::move(UnderWay_.front());
+      const RoutedBytes Value = std::move(UnderWay_.front());
       UnderWay_.pop_front();
       if (Reachable_[Value.From_] && Reachable_[Value.To_])
         Logs_[Value.To_]->receive(Now_, {Value.From_ + 1}, Value.Bytes_);
--- a/bench/support/DirectGroup.h
+++ b/bench/support/DirectGroup.h
@@ -46,7 +46,7 @@
   std::uint64_t sentMessages() const { return SentMessages_; }
 
 private:
-  struct Parcel {
+  struct RoutedBytes {
     std::size_t From_;
     std::size_t To_;
     std::string Bytes_;
@@ -58,7 +58,7 @@
   TimePoint Now_{std::chrono::seconds(1)};
   std::vector<std::unique_ptr<consensus::ReplicatedLog>> Logs_;
   std::vector<bool> Reachable_;
-  std::deque<Parcel> UnderWay_;
+  std::deque<RoutedBytes> UnderWay_;
   std::uint64_t SentBytes_ = 0;
   std::uint64_t SentMessages_ = 0;
 };
--- a/bench/support/LogCluster.cpp
+++ b/bench/support/LogCluster.cpp
@@ -162,7 +162,7 @@
   return Best;
 }
 
-void LogCluster::send(Parcel Value) {
+void LogCluster::send(RoutedBytes Value) {
   if (Cut_.contains({Value.From_, Value.To_}))
     return;
   const std::vector<Duration> Delays =
@@ -184,7 +184,7 @@
 void LogCluster::step() {
   while (!UnderWay_.empty() && UnderWay_.begin()->first <= Now_) {
     const auto First = UnderWay_.begin();
-    const Parcel Value = std::move(First->second);
+    const RoutedBytes Value = std::move(First->second);
     UnderWay_.erase(First);
     Replica &Target = replica(Value.To_);
     if (Target.Frozen_) {
--- a/bench/support/LogCluster.h
+++ b/bench/support/LogCluster.h
@@ -41,7 +41,7 @@
 };
 
 /// A message under way.
-struct Parcel {
+struct RoutedBytes {
   ReplicaId From_;
   ReplicaId To_;
   std::string Bytes_;
@@ -90,9 +90,9 @@
 
   /// Returns the delays after which a message arrives, one per copy; the
   /// default is one copy after the latency.
-  std::function<std::vector<Duration>(const Parcel &)> Route_;
+  std::function<std::vector<Duration>(const RoutedBytes &)> Route_;
   /// Called before a message is handed over and after it.
-  std::function<void(const Parcel &, bool After)> OnReceive_;
+  std::function<void(const RoutedBytes &, bool After)> OnReceive_;
   /// Called before a command is applied and after it.
   std::function<void(ReplicaId, std::string_view Command, bool After)> OnApply_;
   /// Called when a snapshot has been restored by a running process.
@@ -104,13 +104,13 @@
 private:
   consensus::ReplicatedLogOptions logOptions(Replica &Target);
   consensus::StateMachineHooks machine(Replica &Target);
-  void send(Parcel Value);
+  void send(RoutedBytes Value);
   void step();
 
   LogClusterOptions Options_;
   TimePoint Now_{std::chrono::seconds(1000)};
   std::vector<Replica> Replicas_;
-  std::multimap<TimePoint, Parcel> UnderWay_;
+  std::multimap<TimePoint, RoutedBytes> UnderWay_;
   std::set<std::pair<ReplicaId, ReplicaId>> Cut_;
   std::uint64_t NextStore_ = 1;
 };
--- a/src/control/ListTable.cpp
+++ b/src/control/ListTable.cpp
@@ -1,6 +1,6 @@
 #include "dragonfly/control/ListTable.h"
 
-#include "control/Hash.h"
+#include "dragonfly/base/Hash.h"
 
 #include <utility>
 
@@ -13,7 +13,7 @@
 
 /// Hash of what a change asks for, so that a reused change id is noticed.
 std::uint64_t hashOf(const PutList &Change) {
-  return stableHash(Change.Content_) + 2 * Change.Expected_.Value_ +
+  return stableHash({Change.Content_}) + 2 * Change.Expected_.Value_ +
          indexOf(Change.List_);
 }
 
--- a/src/control/TaskTable.cpp
+++ b/src/control/TaskTable.cpp
@@ -1,6 +1,6 @@
 #include "dragonfly/control/TaskTable.h"
 
-#include "control/Hash.h"
+#include "dragonfly/base/Hash.h"
 
 #include <algorithm>
 
@@ -29,7 +29,7 @@
 }
 
 AcceptOutcome TaskTable::accept(Duration At, const TaskRequest &Request) {
-  const std::uint64_t Hash = stableHash(Request.Body_);
+  const std::uint64_t Hash = stableHash({Request.Body_});
   if (const TaskRecord *First = find(Request.Key_)) {
     const bool Same = First->BodyHash_ == Hash && First->Kind_ == Request.Kind_;
     return {.Status_ =
--- a/src/entry/AnswerWindow.cpp
+++ b/src/entry/AnswerWindow.cpp
@@ -1,31 +1,22 @@
 #include "dragonfly/entry/AnswerWindow.h"
 
-#include <functional>
-#include <utility>
-
-namespace dragonfly::entry {
-namespace {
+#include "dragonfly/base/Hash.h"
 
-constexpr std::uint64_t FnvOffset = 14695981039346656037ULL;
-constexpr std::uint64_t FnvPrime = 1099511628211ULL;
+#include <boost/container_hash/hash.hpp>
 
-std::uint64_t mix(std::uint64_t Hash, std::string_view Text) {
-  for (const char Letter : Text)
-    Hash = (Hash ^ static_cast<unsigned char>(Letter)) * FnvPrime;
-  return Hash;
-}
-
-} // namespace
+#include <utility>
 
+namespace dragonfly::entry {
 std::uint64_t hashBody(std::string_view Kind, std::string_view Body) {
-  constexpr std::string_view Separator("\0", 1);
-  return mix(mix(mix(FnvOffset, Kind), Separator), Body);
+  return stableHash({Kind, Body});
 }
 
 std::size_t
 RequestKeyHash::operator()(const wire::RequestKey &Key) const noexcept {
-  const std::size_t Customer = std::hash<std::string>{}(Key.Customer_);
-  return std::hash<std::string>{}(Key.RequestId_) ^ (Customer * FnvPrime);
+  std::size_t Hash = 0;
+  boost::hash_combine(Hash, Key.Customer_);
+  boost::hash_combine(Hash, Key.RequestId_);
+  return Hash;
 }
 
 AnswerWindow::AnswerWindow(AnswerWindowOptions Options) : Options_(Options) {}
--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -21,7 +21,7 @@
 /// in force, but not longer than this; then it answers that it is not ready.
 constexpr Duration MaxAcceptDelay = std::chrono::seconds(5);
 /// How long a stopping entry still accepts, so that the balancer notices.
-constexpr Duration LameDuckTime = std::chrono::seconds(1);
+constexpr Duration AcceptAfterStop = std::chrono::seconds(1);
 constexpr Duration StopCheckPeriod = std::chrono::milliseconds(10);
 
 } // namespace
@@ -104,7 +104,7 @@
                 {"receipts", Core_.pendingReceipts()}});
       stopped(StopResult::BoundReached);
     });
-    StopStep_ = Loop_.after(LameDuckTime, [this] { finishRequests(); });
+    StopStep_ = Loop_.after(AcceptAfterStop, [this] { finishRequests(); });
   }
 
   /// Waits until each answer has left, then until control has each receipt.
--- a/tests/control/ServiceCluster.h
+++ b/tests/control/ServiceCluster.h
@@ -140,7 +140,7 @@
     std::shared_ptr<bench::MemoryDisk> Disk_;
     std::unique_ptr<ControlService> Service_;
   };
-  struct Parcel {
+  struct RoutedBytes {
     std::size_t From_;
     std::size_t To_;
     std::string Bytes_;
@@ -168,7 +168,7 @@
   }
 
   void deliver() {
-    for (const Parcel &Each : std::exchange(UnderWay_, {}))
+    for (const RoutedBytes &Each : std::exchange(UnderWay_, {}))
       if (!Cut_.contains({Each.From_, Each.To_}) && Nodes_[Each.To_].Service_)
         node(Each.To_).receivePeer(Now_, {Each.From_ + 1}, Each.Bytes_);
   }
@@ -176,7 +176,7 @@
   TimePoint Now_{std::chrono::seconds(1000)};
   ListValidator Validator_ = checkWords;
   std::vector<Node> Nodes_;
-  std::vector<Parcel> UnderWay_;
+  std::vector<RoutedBytes> UnderWay_;
   std::set<std::pair<std::size_t, std::size_t>> Cut_;
   std::uint64_t Stores_ = 0;
   std::uint64_t Beats_ = 0;
--- a/tests/faults/ConsensusScenario.cpp
+++ b/tests/faults/ConsensusScenario.cpp
@@ -102,11 +102,11 @@
       History_.applied(I, Applied[I]);
     onStep(Id, Step::Install, After);
   };
-  Group_.OnReceive_ = [this](const Parcel &Value, bool After) {
+  Group_.OnReceive_ = [this](const RoutedBytes &Value, bool After) {
     if (Group_.replica(Value.To_).Log_->role() == RaftRole::Leader)
       onStep(Value.To_, Step::Commit, After);
   };
-  Group_.Route_ = [this](const Parcel &Value) { return route(Value); };
+  Group_.Route_ = [this](const RoutedBytes &Value) { return route(Value); };
   Group_.OnTime_ = [this] { onTime(); };
 }
 
@@ -192,7 +192,7 @@
 }
 
 /// Messages take 1 to 5 ms and so overtake each other.
-std::vector<Duration> ConsensusScenario::route(const Parcel &Value) {
+std::vector<Duration> ConsensusScenario::route(const RoutedBytes &Value) {
   const auto Delay = [this] {
     constexpr std::uint64_t Spread = 5;
     return Duration(1ms) * static_cast<std::int64_t>(1 + Random_() % Spread);
--- a/tests/faults/ConsensusScenario.h
+++ b/tests/faults/ConsensusScenario.h
@@ -44,7 +44,7 @@
   void strike(ReplicaId Id, bool After);
   void strikeLater(ReplicaId Id);
   void cutFor(ReplicaId Id, bool Outgoing, bool Incoming);
-  std::vector<Duration> route(const bench::Parcel &Value);
+  std::vector<Duration> route(const bench::RoutedBytes &Value);
   void provoke();
   void onTime();
   void load();
--- a/tests/path/PathNetwork.cpp
+++ b/tests/path/PathNetwork.cpp
@@ -84,20 +84,20 @@
   });
 }
 
-void PathNetwork::post(Letter Value,
-                       std::function<void(const Letter &)> Deliver) {
+void PathNetwork::post(RoutedMessage Value,
+                       std::function<void(const RoutedMessage &)> Deliver) {
   if (!runs(Value.From_) || isCut(Value.From_, Value.To_))
     return;
   const auto Delays =
       Route_ ? Route_(Value) : std::vector<Duration>{Duration::zero()};
-  const auto Shared = std::make_shared<const Letter>(std::move(Value));
+  const auto Shared = std::make_shared<const RoutedMessage>(std::move(Value));
   for (const Duration Delay : Delays)
     at(Now_ + Latency + Delay, [Shared, Deliver] { Deliver(*Shared); });
 }
 
 void PathNetwork::send(const Place &From, const Place &To,
                        wire::Message Value) {
-  post({From, To, std::move(Value)}, [this](const Letter &Arrived) {
+  post({From, To, std::move(Value)}, [this](const RoutedMessage &Arrived) {
     handOver(Arrived, [this, Arrived] {
       OnArrival_(
           Arrived, [](const wire::Message &) {}, [](const wire::Message &) {});
@@ -120,11 +120,13 @@
   at(Now_ + Timeout,
      [this, Pending] { end(Pending, {.Status_ = net::CallStatus::TimedOut}); });
   post({From, To, std::move(Request)},
-       [this, Pending](const Letter &Arrived) { arrive(Pending, Arrived); });
+       [this, Pending](const RoutedMessage &Arrived) {
+         arrive(Pending, Arrived);
+       });
 }
 
 void PathNetwork::arrive(const std::shared_ptr<Call> &Pending,
-                         const Letter &Request) {
+                         const RoutedMessage &Request) {
   // A connection carries each request once, and none after it has broken.
   if (Pending->Done_ || Pending->ToLife_)
     return;
@@ -147,7 +149,8 @@
 
 /// A receiver that is killed before it takes a message never does; one that is
 /// frozen takes it once it thaws.
-void PathNetwork::handOver(const Letter &Value, std::function<void()> Work) {
+void PathNetwork::handOver(const RoutedMessage &Value,
+                           std::function<void()> Work) {
   within(Value.To_, Duration::zero(), [this, Value, Work = std::move(Work)] {
     if (OnDelivery_)
       OnDelivery_(Value, false);
@@ -164,7 +167,7 @@
   if (Pending->Done_ || Processes_[Pending->To_].Life_ != Pending->ToLife_)
     return;
   post({Pending->To_, Pending->From_, std::move(Value)},
-       [this, Pending, Last](const Letter &Arrived) {
+       [this, Pending, Last](const RoutedMessage &Arrived) {
          if (Last) {
            end(Pending, {.Status_ = net::CallStatus::Answered,
                          .Answer_ = Arrived.Message_});
--- a/tests/path/PathNetwork.h
+++ b/tests/path/PathNetwork.h
@@ -38,7 +38,7 @@
 };
 
 /// A message under way.
-struct Letter {
+struct RoutedMessage {
   Place From_;
   Place To_;
   wire::Message Message_;
@@ -82,22 +82,25 @@
   void step(Duration By);
 
   /// Takes each message as it arrives; set by the owner.
-  std::function<void(const Letter &, const Replier &, const Replier &OnPart)>
+  std::function<void(const RoutedMessage &, const Replier &,
+                     const Replier &OnPart)>
       OnArrival_;
   /// Returns the delays after which a message arrives, one per copy.
-  std::function<std::vector<Duration>(const Letter &)> Route_;
+  std::function<std::vector<Duration>(const RoutedMessage &)> Route_;
   /// Called before a message is handed over and after it.
-  std::function<void(const Letter &, bool After)> OnDelivery_;
+  std::function<void(const RoutedMessage &, bool After)> OnDelivery_;
 
 private:
   struct Call;
 
-  void post(Letter Value, std::function<void(const Letter &)> Deliver);
-  void arrive(const std::shared_ptr<Call> &Pending, const Letter &Request);
+  void post(RoutedMessage Value,
+            std::function<void(const RoutedMessage &)> Deliver);
+  void arrive(const std::shared_ptr<Call> &Pending,
+              const RoutedMessage &Request);
   void answer(const std::shared_ptr<Call> &Pending, wire::Message Value,
               bool Last);
   void end(const std::shared_ptr<Call> &Pending, const net::CallResult &Result);
-  void handOver(const Letter &Value, std::function<void()> Work);
+  void handOver(const RoutedMessage &Value, std::function<void()> Work);
 
   TimePoint Now_{std::chrono::seconds(1000)};
   std::map<Place, ProcessState> Processes_;
--- a/tests/path/PathScenario.cpp
+++ b/tests/path/PathScenario.cpp
@@ -45,10 +45,11 @@
 PathScenario::PathScenario(PathSettings Settings)
     : Settings_(Settings), Random_(Settings.Seed_), World_(Settings.Seed_) {
   Skip_ = std::uniform_int_distribution<std::uint64_t>(0, 5)(Random_);
-  World_.network().Route_ = [this](const Letter &Value) {
+  World_.network().Route_ = [this](const RoutedMessage &Value) {
     return route(Value);
   };
-  World_.network().OnDelivery_ = [this](const Letter &Value, bool After) {
+  World_.network().OnDelivery_ = [this](const RoutedMessage &Value,
+                                        bool After) {
     delivered(Value, After);
   };
 }
@@ -57,12 +58,12 @@
   Broken_.push_back(Detail);
 }
 
-bool PathScenario::matches(const Letter &Value) const {
+bool PathScenario::matches(const RoutedMessage &Value) const {
   return Armed_ && Value.Message_.index() == Settings_.Step_.Type_ &&
          Value.To_.Site_ == Settings_.Step_.Receiver_;
 }
 
-std::vector<Duration> PathScenario::route(const Letter &Value) {
+std::vector<Duration> PathScenario::route(const RoutedMessage &Value) {
   if (!matches(Value))
     return {Duration::zero()};
   const PathFault Fault = Settings_.Fault_;
@@ -88,7 +89,7 @@
   }
 }
 
-void PathScenario::delivered(const Letter &Value, bool After) {
+void PathScenario::delivered(const RoutedMessage &Value, bool After) {
   const PathFault Fault = Settings_.Fault_;
   const bool Wanted = Fault == PathFault::ReceiverKilledAfter
                           ? After
@@ -104,7 +105,7 @@
   strike(Value);
 }
 
-void PathScenario::strike(const Letter &Value) {
+void PathScenario::strike(const RoutedMessage &Value) {
   ++Strikes_;
   PathNetwork &Network = World_.network();
   const auto KillLeader = [this](Duration Down, bool WithDisk) {
--- a/tests/path/PathScenario.h
+++ b/tests/path/PathScenario.h
@@ -74,10 +74,10 @@
     ListVersion Version_;
   };
 
-  bool matches(const Letter &Value) const;
-  std::vector<Duration> route(const Letter &Value);
-  void delivered(const Letter &Value, bool After);
-  void strike(const Letter &Value);
+  bool matches(const RoutedMessage &Value) const;
+  std::vector<Duration> route(const RoutedMessage &Value);
+  void delivered(const RoutedMessage &Value, bool After);
+  void strike(const RoutedMessage &Value);
   void killFor(const Place &Where, Duration Down);
   void healLater();
   bool atRest();
--- a/tests/path/PathWorld.cpp
+++ b/tests/path/PathWorld.cpp
@@ -60,7 +60,7 @@
 PathWorld::PathWorld(std::uint64_t Seed)
     : Seed_(Seed), Controls_(Replicas), Agents_(Agents), Entries_(Entries) {
   Clock::pause(Network_.now());
-  Network_.OnArrival_ = [this](const Letter &Value, const Replier &Reply,
+  Network_.OnArrival_ = [this](const RoutedMessage &Value, const Replier &Reply,
                                const Replier &OnPart) {
     arrived(Value, Reply, OnPart);
   };
@@ -246,7 +246,7 @@
   Network_.process(Where).FrozenUntil_ = Network_.now() + For;
 }
 
-void PathWorld::arrived(const Letter &Value, const Replier &Reply,
+void PathWorld::arrived(const RoutedMessage &Value, const Replier &Reply,
                         const Replier &OnPart) {
   if (std::holds_alternative<wire::HeartbeatAck>(Value.Message_))
     acknowledged(Value);
@@ -256,7 +256,8 @@
     arrivedAtAgent(Value, Reply, OnPart);
 }
 
-void PathWorld::arrivedAtControl(const Letter &Value, const Replier &Reply) {
+void PathWorld::arrivedAtControl(const RoutedMessage &Value,
+                                 const Replier &Reply) {
   control::ControlService &Service = *Controls_[Value.To_.Number_];
   const TimePoint Now = Network_.localNow(Value.To_);
   if (const auto *Peer = std::get_if<wire::ReplicaTraffic>(&Value.Message_)) {
@@ -269,14 +270,14 @@
   }
 }
 
-void PathWorld::arrivedAtAgent(const Letter &Value, const Replier &Reply,
+void PathWorld::arrivedAtAgent(const RoutedMessage &Value, const Replier &Reply,
                                const Replier &OnPart) {
   if (const auto *Request = std::get_if<wire::Execute>(&Value.Message_))
     Agents_[Value.To_.Number_]->Core_->execute(
         *Request, {.OnEnd_ = Reply, .OnPart_ = OnPart});
 }
 
-void PathWorld::acknowledged(const Letter &Value) {
+void PathWorld::acknowledged(const RoutedMessage &Value) {
   const auto &Ack = std::get<wire::HeartbeatAck>(Value.Message_);
   if (Value.To_.Site_ == Site::Agent)
     Agents_[Value.To_.Number_]->Core_->link().acknowledged(Value.From_.Number_,
--- a/tests/path/PathWorld.h
+++ b/tests/path/PathWorld.h
@@ -73,12 +73,12 @@
   settings::ProcessSettings process(const std::string &Name,
                                     std::size_t Zone) const;
   void callAgent(const Place &From, entry::AgentCall Call);
-  void arrived(const Letter &Value, const Replier &Reply,
+  void arrived(const RoutedMessage &Value, const Replier &Reply,
                const Replier &OnPart);
-  void arrivedAtControl(const Letter &Value, const Replier &Reply);
-  void arrivedAtAgent(const Letter &Value, const Replier &Reply,
+  void arrivedAtControl(const RoutedMessage &Value, const Replier &Reply);
+  void arrivedAtAgent(const RoutedMessage &Value, const Replier &Reply,
                       const Replier &OnPart);
-  void acknowledged(const Letter &Value);
+  void acknowledged(const RoutedMessage &Value);
   Incarnation freshIncarnation() { return {++LastIncarnation_}; }
 
   std::uint64_t Seed_;
