--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,7 @@
 faults: build
 	tools/rolling-restart.sh $(BUILD)
 	tools/process-faults.sh $(BUILD)
+	tools/all-faults.sh $(BUILD)
 
 mutations:
 	tools/mutations.sh
