Ask again for checkpoints while an agent stops

Cause: a graceful stop asked each task for its checkpoint once; an order without an answer, or a task whose start was under way, held the stop until its bound. Ruled out: a longer bound. Change: while draining, each poll asks the tasks that still run. Conclusion: a lost order no longer delays a stop to its bound.

--- a/src/agent/AgentCore.cpp
+++ b/src/agent/AgentCore.cpp
@@ -156,6 +156,9 @@
   }
 
   void poll() {
+    // A checkpoint that went unanswered, or a start that was under way.
+    if (Draining_)
+      Tasks_.checkpointAll();
     Hooks_.Health_([this](bool Healthy) { Healthy_ = Healthy; });
     Hooks_.Usage_([this](std::optional<Resources> Usage) {
       Usage_ = Usage.value_or(Usage_);
