--- a/src/ctl/ListCommands.cpp
+++ b/src/ctl/ListCommands.cpp
@@ -25,6 +25,12 @@
   std::optional<std::uint64_t> Version_;
 };
 
+/// A list that was named and read from a file.
+struct GivenList {
+  ListName List_ = ListName::Plans;
+  ListDocument Document_;
+};
+
 /// Rows by the name that stands once in a list.
 using NamedRows = std::map<std::string, json::value>;
 
@@ -89,6 +95,20 @@
   }
 }
 
+/// Reads the operands "NAME FILE"; reports what is wrong with them.
+std::optional<GivenList> openOperands(const Context &With, const Operands &Rest,
+                                      CtlExit &Exit) {
+  const auto List = parseName(With, Rest, 2);
+  if (!List) {
+    Exit = CtlExit::BadUsage;
+    return std::nullopt;
+  }
+  auto Document = openFile(With, *List, Rest[1], Exit);
+  if (!Document)
+    return std::nullopt;
+  return GivenList{.List_ = *List, .Document_ = std::move(*Document)};
+}
+
 NamedRows rowsOf(ListName List, const json::value &Content) {
   NamedRows Rows;
   const auto *Object = Content.if_object();
@@ -147,15 +167,12 @@
 }
 
 CtlExit putList(const Context &With, const Operands &Rest) {
-  const auto List = parseName(With, Rest, 2);
-  if (!List)
-    return CtlExit::BadUsage;
   CtlExit Exit = CtlExit::Ok;
-  const auto Document = openFile(With, *List, Rest[1], Exit);
-  if (!Document)
+  const auto Given = openOperands(With, Rest, Exit);
+  if (!Given)
     return Exit;
-  const auto Version =
-      With.Options_.Version_ ? With.Options_.Version_ : Document->Version_;
+  const auto Version = With.Options_.Version_ ? With.Options_.Version_
+                                              : Given->Document_.Version_;
   if (!Version) {
     With.Err_ << "bad-usage: name the version that was read, --version=N\n";
     return CtlExit::BadUsage;
@@ -166,12 +183,12 @@
   With.Err_ << "change id: " << ChangeId << "\n";
   const ControlAnswer Answer =
       With.Control_.call({.Method_ = "PUT",
-                          .Target_ = targetOf(*List),
+                          .Target_ = targetOf(Given->List_),
                           .Headers_ = {{"Content-Type", "application/json"}},
-                          .Body_ = json::serialize(
-                              json::object{{"expected_version", *Version},
-                                           {"change_id", ChangeId},
-                                           {"content", Document->Content_}})});
+                          .Body_ = json::serialize(json::object{
+                              {"expected_version", *Version},
+                              {"change_id", ChangeId},
+                              {"content", Given->Document_.Content_}})});
   if (Answer.End_ != CallEnd::Answered || Answer.Response_.Status_ != Ok)
     return reportFailure(With, Answer);
   print(With, parseJson(Answer.Response_.Body_));
@@ -179,40 +196,36 @@
 }
 
 CtlExit diffList(const Context &With, const Operands &Rest) {
-  const auto List = parseName(With, Rest, 2);
-  if (!List)
-    return CtlExit::BadUsage;
   CtlExit Exit = CtlExit::Ok;
-  const auto Document = openFile(With, *List, Rest[1], Exit);
-  if (!Document)
+  const auto Given = openOperands(With, Rest, Exit);
+  if (!Given)
     return Exit;
-  const auto Answer = readControl(With, targetOf(*List), Exit);
+  const auto Answer = readControl(With, targetOf(Given->List_), Exit);
   if (!Answer)
     return Exit;
   const ListDocument Present = openDocument(*Answer);
-  const json::array Changes = compare(rowsOf(*List, Present.Content_),
-                                      rowsOf(*List, Document->Content_));
+  const json::array Changes =
+      compare(rowsOf(Given->List_, Present.Content_),
+              rowsOf(Given->List_, Given->Document_.Content_));
   print(With, json::object{{"version", Present.Version_.value_or(0)},
                            {"changes", Changes}});
   return Changes.empty() ? CtlExit::Ok : CtlExit::Differs;
 }
 
 CtlExit checkList(const Context &With, const Operands &Rest) {
-  const auto List = parseName(With, Rest, 2);
-  if (!List)
-    return CtlExit::BadUsage;
   CtlExit Exit = CtlExit::Ok;
-  const auto Document = openFile(With, *List, Rest[1], Exit);
-  if (!Document)
+  const auto Given = openOperands(With, Rest, Exit);
+  if (!Given)
     return Exit;
-  if (*List == ListName::Purchases && !With.Options_.PlansFile_.empty()) {
+  if (Given->List_ == ListName::Purchases &&
+      !With.Options_.PlansFile_.empty()) {
     const auto Plans =
         openFile(With, ListName::Plans, With.Options_.PlansFile_, Exit);
     if (!Plans)
       return Exit;
     try {
       settings::checkPurchases(
-          settings::parsePurchases(json::serialize(Document->Content_)),
+          settings::parsePurchases(json::serialize(Given->Document_.Content_)),
           settings::parsePlans(json::serialize(Plans->Content_)));
     } catch (const settings::SettingsError &Failure) {
       return reportFaults(With, Failure.faults());
