--- /dev/null
+++ b/daemons/dragonfly-platform.cpp
@@ -0,0 +1,134 @@
+/// Runs an entry, a control replica or an agent on the users' platform, whose
+/// settings file the environment names.
+
+#include "dragonfly/agent/WorkerAgent.h"
+#include "dragonfly/base/Log.h"
+#include "dragonfly/base/Random.h"
+#include "dragonfly/control/Control.h"
+#include "dragonfly/entry/JobGateway.h"
+#include "dragonfly/link/LeaderClient.h"
+#include "dragonfly/net/EventLoop.h"
+#include "dragonfly/settings/CommandLine.h"
+#include "dragonfly/settings/Program.h"
+#include "dragonfly/settings/ReadSettings.h"
+#include "platform/CallerServer.h"
+#include "platform/OperatorServer.h"
+#include "platform/Settings.h"
+#include "platform/WorkerClient.h"
+#include "platform/WorkerServer.h"
+
+#include <absl/flags/flag.h>
+
+#include <iostream>
+#include <map>
+#include <string>
+
+ABSL_FLAG(std::string, role, "", "entry, control or agent");
+
+namespace {
+
+using namespace dragonfly;
+
+/// How often the settings file is looked at; a change need not be signalled.
+constexpr Duration SettingsPeriod = std::chrono::seconds(1);
+
+/// Puts new seeds in use whenever the settings file names others.
+class SeedWatch {
+public:
+  SeedWatch(net::EventLoop &Loop, link::LeaderClient &Leader,
+            const platform::SiteSettings &Site)
+      : Leader_(Leader), Seeds_(Site.seedAddresses()),
+        Checks_(Loop.every(SettingsPeriod, [this] { check(); })) {
+    Loop.onReload([this] { check(); });
+  }
+
+private:
+  void check() {
+    try {
+      const auto Seeds = platform::readSettingsFile().seedAddresses();
+      if (Seeds == Seeds_)
+        return;
+      Seeds_ = Seeds;
+      Leader_.setSeeds(Seeds);
+      logEvent(Event::SettingsChanged, {{"seeds", Seeds.size()}});
+    } catch (const Error &Fault) {
+      // The file may be half written; the next look finds it whole.
+      logEvent(Event::SettingsRejected, {{"detail", Fault.what()}});
+    }
+  }
+
+  link::LeaderClient &Leader_;
+  std::vector<std::string> Seeds_;
+  net::Timer Checks_;
+};
+
+link::LeaderClientOptions leaderOptions(const platform::SiteSettings &Site) {
+  return {.Self_ = makeFreshId<Incarnation>(), .Seeds_ = Site.seedAddresses()};
+}
+
+void runEntry(net::EventLoop &Loop, const platform::SiteSettings &Site) {
+  link::LeaderClient Leader(Loop, leaderOptions(Site));
+  const SeedWatch Watch(Loop, Leader, Site);
+  entry::JobGateway Jobs(Leader, {});
+  platform::CallerServer Server(Loop, Jobs, Site);
+  Loop.onTerminate([&] { Server.stop([&] { Loop.stop(); }); });
+  Loop.run();
+}
+
+void runControl(net::EventLoop &Loop, const platform::SiteSettings &Site) {
+  control::Control Replica(Loop, platform::toControlSettings(Site));
+  const SeedWatch Watch(Loop, *Replica.leader(), Site);
+  platform::OperatorServer Server(Loop, *Replica.leader(), Site);
+  Loop.onTerminate([&] {
+    Server.stopAccepting();
+    Replica.stop([&](bool) { Loop.stop(); });
+  });
+  Loop.run();
+}
+
+void runAgent(net::EventLoop &Loop, const platform::SiteSettings &Site) {
+  link::LeaderClient Leader(Loop, leaderOptions(Site));
+  const SeedWatch Watch(Loop, Leader, Site);
+  platform::WorkerClient Worker(Loop, Site.WorkerAddress_);
+  agent::WorkerAgent Agent(Loop, Leader, {.Calls_ = Worker.calls()});
+  const platform::WorkerServer Server(Loop, Agent, Worker, Site);
+  Loop.onTerminate([&] { Agent.stop([&] { Loop.stop(); }); });
+  Loop.run();
+}
+
+const std::map<std::string,
+               void (*)(net::EventLoop &, const platform::SiteSettings &)>
+    Roles{{"entry", runEntry}, {"control", runControl}, {"agent", runAgent}};
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  const auto Rest = settings::parseCommandLine(Argc, Argv, "--role=ROLE");
+  const auto Role = Roles.find(absl::GetFlag(FLAGS_role));
+  if (!Rest.empty() || Role == Roles.end()) {
+    std::cerr << "usage: --role=entry|control|agent\n";
+    return static_cast<int>(settings::ExitCode::BadUsage);
+  }
+  try {
+    const platform::SiteSettings Site = platform::readSettingsFile();
+    configureLog({.Process_ = Role->first + "@" + Site.Vm_});
+    logEvent(Event::ProcessStarted,
+             {{"availability_zone", Site.AvailabilityZone_},
+              {"first_start", Site.FirstStart_ ? "yes" : "no"}});
+    net::EventLoop Loop;
+    Role->second(Loop, Site);
+    logEvent(Event::ProcessStopped);
+    return static_cast<int>(settings::ExitCode::Ok);
+  } catch (const settings::SettingsError &Fault) {
+    std::cerr << Fault.type() << ": " << Fault.what() << "\n";
+    return static_cast<int>(settings::ExitCode::BadSettings);
+  } catch (const Error &Fault) {
+    logEvent(Event::ProcessFailed,
+             {{"type", Fault.type()}, {"detail", Fault.what()}});
+    return static_cast<int>(settings::ExitCode::CannotStart);
+  } catch (const std::exception &Fault) {
+    logEvent(Event::ProcessFailed,
+             {{"type", "unexpected"}, {"detail", Fault.what()}});
+    return static_cast<int>(settings::ExitCode::CannotStart);
+  }
+}
--- /dev/null
+++ b/include/dragonfly/agent/RunBook.h
@@ -0,0 +1,114 @@
+/// What an agent knows about the runs on its worker: which were ordered, which
+/// are confirmed, and which calls are due. It has no sockets and no clock.
+#ifndef DRAGONFLY_AGENT_RUNBOOK_H
+#define DRAGONFLY_AGENT_RUNBOOK_H
+
+#include "dragonfly/agent/WorkerCalls.h"
+#include "dragonfly/base/Clock.h"
+#include "dragonfly/jobs/Job.h"
+#include "dragonfly/wire/Messages.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace dragonfly::agent {
+
+struct RunBookOptions {
+  /// Tries of a start before the run is stopped instead, to settle it.
+  std::uint32_t MaxStartTries_ = 3;
+  /// Pause between tries of a start or a stop; the worker answers within
+  /// milliseconds where it answers at all.
+  Duration RetryDelay_ = std::chrono::milliseconds(150);
+};
+
+/// A call to the worker that is due.
+struct DueCall {
+  enum class Kind : std::uint8_t { Start, Stop };
+  Kind Kind_ = Kind::Start;
+  jobs::RunName Run_;
+};
+
+class RunBook {
+public:
+  struct Row {
+    wire::StartOrder Order_;
+    wire::RunPhase Phase_ = wire::RunPhase::Starting;
+    bool CallOpen_ = false;
+    /// A start was not answered: it may be carried out at any time.
+    bool MayAppear_ = false;
+    std::uint32_t Tries_ = 0;
+    TimePoint NextCallAt_;
+    /// The worker has confirmed that the run is there, or that it is stopped.
+    std::optional<TimePoint> ConfirmedAt_;
+    ListedRun Listed_;
+    /// Share of full speed that the worker was last told, in percent.
+    std::uint32_t SpeedPercent_ = 100;
+  };
+
+  /// Stands for the speed of a run that another process had ordered.
+  static constexpr std::uint32_t UnknownSpeed = 1000;
+
+  explicit RunBook(RunBookOptions Options = {}) : Options_(Options) {}
+
+  /// Takes an order to start a run; one that is known already has no effect.
+  void order(TimePoint Now, wire::StartOrder Order);
+  /// Takes an order to stop a run, known or not: it must not appear later.
+  void stop(TimePoint Now, const jobs::RunName &Run);
+  /// Adds to a listed run what its order would have told.
+  void describe(const wire::StartOrder &Order);
+  /// Ends a run that was never ordered from the worker.
+  void refuse(const jobs::RunName &Run);
+
+  /// Returns the calls that are due and marks them as open.
+  std::vector<DueCall> takeDueCalls(TimePoint Now);
+  /// When the next call is due, or nothing.
+  std::optional<TimePoint> nextCallAt() const;
+  void startAnswered(TimePoint Now, const jobs::RunName &Run,
+                     StartStatus Status);
+  void stopAnswered(TimePoint Now, const jobs::RunName &Run, bool Confirmed);
+
+  /// Drops ends that the agent concluded itself and that \p Answer disproves:
+  /// an order of an earlier life can reach the next one. Only for ends that
+  /// have not been reported yet.
+  void retractEnds(const HoldAnswer &Answer);
+  /// Takes both lists, as answered to a call that was made at \p SentAt.
+  void listed(TimePoint Now, TimePoint SentAt, const HoldAnswer &Answer);
+  /// Nothing can run on the worker any more: every run has ended.
+  void lapse();
+  /// The worker has begun another life, whose ends are numbered anew.
+  void beginLife();
+
+  const std::map<jobs::RunName, Row> &rows() const { return Rows_; }
+  void setSpeed(const jobs::RunName &Run, std::uint32_t SpeedPercent);
+  std::vector<wire::RunReport> runReports() const;
+
+  /// Ends that are not durable yet, oldest first.
+  std::vector<wire::EndReport> endReports() const;
+  /// The first \p Count ends are durable.
+  void endsDurable(std::size_t Count);
+  std::size_t pendingEnds() const { return Ends_.size(); }
+  std::uint64_t lastDurableEnd() const { return LastDurableEnd_; }
+
+private:
+  struct End {
+    /// The worker's number, or 0 where the agent concluded the end itself.
+    std::uint64_t Number_ = 0;
+    wire::EndReport Report_;
+  };
+
+  void endRun(const jobs::RunName &Run, jobs::RunEnd How);
+  void beginStop(TimePoint Now, Row &Each);
+
+  RunBookOptions Options_;
+  std::map<jobs::RunName, Row> Rows_;
+  std::vector<End> Ends_;
+  std::uint64_t LastListedEnd_ = 0;
+  std::uint64_t LastDurableEnd_ = 0;
+};
+
+} // namespace dragonfly::agent
+
+#endif // DRAGONFLY_AGENT_RUNBOOK_H
--- /dev/null
+++ b/include/dragonfly/agent/WorkerAgent.h
@@ -0,0 +1,74 @@
+/// Runs the tasks of jobs on the worker beside an agent: takes orders from the
+/// leader of control, carries them out, and tells what runs and what ended.
+#ifndef DRAGONFLY_AGENT_WORKERAGENT_H
+#define DRAGONFLY_AGENT_WORKERAGENT_H
+
+#include "dragonfly/agent/RunBook.h"
+#include "dragonfly/agent/WorkerCalls.h"
+#include "dragonfly/base/Clock.h"
+#include "dragonfly/wire/Messages.h"
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace dragonfly::net {
+class EventLoop;
+} // namespace dragonfly::net
+
+namespace dragonfly::link {
+class LeaderClient;
+} // namespace dragonfly::link
+
+namespace dragonfly::agent {
+
+struct WorkerAgentOptions {
+  WorkerCalls Calls_;
+  /// Between reports where nothing has ended; a tenth of the lease.
+  Duration ReportPeriod_ = std::chrono::milliseconds(400);
+  Duration ReportTimeout_ = std::chrono::milliseconds(1200);
+  /// A session whose stream is silent for so long is given up; several of the
+  /// leader's keep-alive periods.
+  Duration SessionTimeout_ = std::chrono::milliseconds(2000);
+  Duration ReattachDelay_ = std::chrono::milliseconds(60);
+  /// How long the worker may hold back its lists until a run ends, while runs
+  /// are there and while none is.
+  Duration BusyWait_ = std::chrono::milliseconds(400);
+  Duration IdleWait_ = std::chrono::milliseconds(1000);
+  /// Pause before the lists are read again while ends are not durable yet, and
+  /// after a call that got no answer.
+  Duration RereadDelay_ = std::chrono::milliseconds(100);
+  Duration SilentDelay_ = std::chrono::milliseconds(250);
+  /// Starts are refused where less of the lease is left.
+  Duration LeastLease_ = std::chrono::milliseconds(300);
+  /// Bound on how much slower the worker's clock may run, in thousandths. The
+  /// platform allows 2%.
+  std::uint32_t DriftPermille_ = 25;
+  RunBookOptions Runs_;
+};
+
+class WorkerAgent {
+public:
+  WorkerAgent(net::EventLoop &Loop, link::LeaderClient &Leader,
+              WorkerAgentOptions Options);
+  ~WorkerAgent();
+
+  /// Takes what the worker tells about itself; what is older than what is
+  /// known has no effect. Returns whether it had one.
+  bool announced(const WorkerAnnouncement &Value);
+  /// The worker says that it ends now.
+  void departed(const std::string &Worker);
+
+  /// Tells control the newest state, then calls \p OnStopped. Runs go on under
+  /// their lease.
+  void stop(std::function<void()> OnStopped);
+
+private:
+  struct Impl;
+  std::shared_ptr<Impl> Impl_;
+};
+
+} // namespace dragonfly::agent
+
+#endif // DRAGONFLY_AGENT_WORKERAGENT_H
--- a/include/dragonfly/base/Clock.h
+++ b/include/dragonfly/base/Clock.h
@@ -18,7 +18,8 @@
   using time_point = std::chrono::time_point<Clock>;
   static constexpr bool is_steady = true;
 
-  /// Returns the steady time, or the paused time while the clock is paused.
+  /// Returns the steady time, time spent suspended included, or the paused time
+  /// while the clock is paused.
   static time_point now() noexcept;
 
   /// Stops the clock at \p At. Until `resume()` only `advance()` moves it.
--- a/include/dragonfly/base/Event.h
+++ b/include/dragonfly/base/Event.h
@@ -21,10 +21,13 @@
   StopBoundReached = 1004,
   SettingsRejected = 1005,
   ProcessFailed = 1006,
+  SettingsChanged = 1007,
   // entry
   EntryReady = 2001,
   EntryNotReady = 2002,
   ConfigurationApplied = 2003,
+  JobAnswered = 2004,
+  JobUnanswered = 2005,
   // control
   ListAccepted = 3001,
   ListRejected = 3002,
@@ -34,6 +37,17 @@
   UpstreamContested = 3006,
   LeaseRanOut = 3007,
   MemberChanged = 3008,
+  QueuesChanged = 3009,
+  JobAccepted = 3010,
+  JobRejected = 3011,
+  JobCancelled = 3012,
+  JobEnded = 3013,
+  TaskPlaced = 3014,
+  RunEnded = 3015,
+  WorkerAttached = 3016,
+  WorkerDetached = 3017,
+  WorkerLeaseExpired = 3018,
+  WorkerLeft = 3019,
   // consensus
   LeaderElected = 4001,
   LeaderLost = 4002,
@@ -46,10 +60,20 @@
   AgentReady = 5001,
   AgentDraining = 5002,
   LeaseExpired = 5003,
+  WorkerAnnounced = 5004,
+  WorkerSilent = 5005,
+  WorkerAnswers = 5006,
+  StartRefused = 5007,
+  StartUnanswered = 5008,
+  RunsLapsed = 5009,
+  SpeedChanged = 5010,
+  WorkerDraining = 5011,
   // net
   ConnectionOpened = 6001,
   ConnectionClosed = 6002,
   FrameRejected = 6003,
+  LeaderFollowed = 6004,
+  MessageRejected = 6005,
 };
 
 /// One row of the catalogue.
--- a/include/dragonfly/control/Command.h
+++ b/include/dragonfly/control/Command.h
@@ -8,6 +8,7 @@
 #include "dragonfly/base/Ids.h"
 #include "dragonfly/base/Outcome.h"
 #include "dragonfly/base/Resources.h"
+#include "dragonfly/jobs/JobTable.h"
 #include "dragonfly/settings/Lists.h"
 #include "dragonfly/settings/ReadSettings.h"
 #include "dragonfly/wire/Messages.h"
@@ -191,10 +192,38 @@
   template <typename Archive> void serialize(Archive &Ar) { Ar(Rows_); }
 };
 
+/// Replaces the configuration of queues where its version is the highest one.
+struct PutQueues {
+  jobs::Configuration Value_;
+
+  template <typename Archive> void serialize(Archive &Ar) { Ar(Value_); }
+};
+
+/// What changed about jobs within a tick; the parts apply in this order.
+struct UpdateJobs {
+  std::vector<jobs::WorkerLife> Workers_;
+  std::vector<jobs::SubmitRow> Submits_;
+  std::vector<std::string> Cancels_;
+  std::vector<jobs::EndRow> Ends_;
+  std::vector<jobs::StartRow> Starts_;
+  /// Workers without runs to forget.
+  std::vector<std::string> Departed_;
+
+  bool empty() const {
+    return Workers_.empty() && Submits_.empty() && Cancels_.empty() &&
+           Ends_.empty() && Starts_.empty() && Departed_.empty();
+  }
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(Workers_, Submits_, Cancels_, Ends_, Starts_, Departed_);
+  }
+};
+
 /// The position of a type is its number in the log: new types go at the end.
 using CommandBody =
     std::variant<PutList, ClaimRequests, MergeReceipts, AcceptTasks, PlaceTasks,
-                 ReportTasks, LoseTasks, CancelTasks, ParkTasks>;
+                 ReportTasks, LoseTasks, CancelTasks, ParkTasks, PutQueues,
+                 UpdateJobs>;
 
 /// One record of the log.
 struct Command {
@@ -263,8 +292,31 @@
   template <typename Archive> void serialize(Archive &Ar) { Ar(Count_); }
 };
 
-using CommandOutput =
-    std::variant<RowsApplied, PutOutcome, ClaimOutcomes, AcceptOutcomes>;
+/// One row for each row of an UpdateJobs.
+struct JobOutcomes {
+  /// Fences of the workers.
+  std::vector<std::uint64_t> Fences_;
+  std::vector<jobs::SubmitStatus> Submits_;
+  /// Whether there was such a job.
+  std::vector<std::uint8_t> Cancels_;
+  /// Whether the row had an effect.
+  std::vector<std::uint8_t> Ends_;
+  std::vector<std::uint8_t> Starts_;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(Fences_, Submits_, Cancels_, Ends_, Starts_);
+  }
+};
+
+/// The version of the queues' configuration that is in force.
+struct QueuesOutcome {
+  std::uint64_t Version_ = 0;
+
+  template <typename Archive> void serialize(Archive &Ar) { Ar(Version_); }
+};
+
+using CommandOutput = std::variant<RowsApplied, PutOutcome, ClaimOutcomes,
+                                   AcceptOutcomes, JobOutcomes, QueuesOutcome>;
 
 enum class CodecFault : std::uint8_t { BadCommand, BadSnapshot, WrongFormat };
 
--- a/include/dragonfly/control/Control.h
+++ b/include/dragonfly/control/Control.h
@@ -11,6 +11,10 @@
 class EventLoop;
 } // namespace dragonfly::net
 
+namespace dragonfly::link {
+class LeaderClient;
+} // namespace dragonfly::link
+
 namespace dragonfly::control {
 
 class Control {
@@ -26,6 +30,10 @@
   /// bound of the settings was reached first.
   void stop(std::function<void(bool Clean)> OnStopped);
 
+  /// Reaches the leader, which may be this replica. Null unless the settings
+  /// let the group repair itself.
+  link::LeaderClient *leader();
+
 private:
   struct Impl;
   std::unique_ptr<Impl> Impl_;
--- a/include/dragonfly/control/ControlService.h
+++ b/include/dragonfly/control/ControlService.h
@@ -7,6 +7,8 @@
 #include "dragonfly/consensus/ReplicatedLog.h"
 #include "dragonfly/consensus/Storage.h"
 #include "dragonfly/control/Command.h"
+#include "dragonfly/control/GroupPlan.h"
+#include "dragonfly/control/JobService.h"
 #include "dragonfly/control/StateMachine.h"
 #include "dragonfly/control/TaskScheduler.h"
 #include "dragonfly/control/UpstreamTable.h"
@@ -36,6 +38,12 @@
   Duration ExpiryPeriod_ = std::chrono::milliseconds(100);
   decide::PlacementOptions Placement_;
   std::function<bool(const std::string &Kind)> Evictable_;
+  /// How long a worker's runs go on without a renewal.
+  Duration WorkerLeaseTerm_ = JobServiceOptions().WorkerLeaseTerm_;
+  /// True where the leader repairs the group by itself. `Self_` is set by the
+  /// service.
+  bool RepairsGroup_ = false;
+  GroupPlanOptions Group_;
 };
 
 /// One replica. Every answer that states something durable leaves only after
@@ -65,6 +73,15 @@
   /// Answers a request of an entry or an agent, now or within a later tick.
   void handle(TimePoint Now, wire::Message Request, Reply Answer);
 
+  /// Opens a worker's session, whose orders go to \p Stream.
+  void attachWorker(TimePoint Now, wire::WorkerHello Hello,
+                    WorkerStream Stream);
+
+  /// The members and the leader as far as this replica knows.
+  wire::Group group() const;
+  /// Where \p Id is reached, or empty.
+  std::string addressOf(ReplicaId Id) const;
+
   /// Proposes a change of a list. \p Done gets the outcome only where it was
   /// committed.
   void putList(PutList Change,
--- a/include/dragonfly/control/StateMachine.h
+++ b/include/dragonfly/control/StateMachine.h
@@ -8,6 +8,7 @@
 #include "dragonfly/control/CountTable.h"
 #include "dragonfly/control/ListTable.h"
 #include "dragonfly/control/TaskTable.h"
+#include "dragonfly/jobs/JobTable.h"
 
 #include <cstdint>
 #include <functional>
@@ -30,7 +31,9 @@
 /// states on every replica; nothing here reads a clock.
 class StateMachine {
 public:
-  static constexpr std::uint32_t SnapshotFormat = 1;
+  static constexpr std::uint32_t SnapshotFormat = 2;
+  /// Snapshots from before there were jobs.
+  static constexpr std::uint32_t SnapshotFormatWithoutJobs = 1;
 
   explicit StateMachine(StateMachineOptions Options);
 
@@ -50,6 +53,7 @@
   const ClaimTable &claims() const { return Claims_; }
   const CountTable &counts() const { return Counts_; }
   const TaskTable &tasks() const { return Tasks_; }
+  const jobs::JobTable &jobs() const { return Jobs_; }
   /// The newest stamp that was applied.
   Duration logTime() const { return LogTime_; }
 
@@ -63,6 +67,8 @@
   CommandOutput run(const LoseTasks &Body);
   CommandOutput run(const CancelTasks &Body);
   CommandOutput run(const ParkTasks &Body);
+  CommandOutput run(const PutQueues &Body);
+  CommandOutput run(const UpdateJobs &Body);
   void countEnded(const TaskRecord &Task);
 
   StateMachineOptions Options_;
@@ -71,6 +77,7 @@
   ClaimTable Claims_;
   CountTable Counts_;
   TaskTable Tasks_;
+  jobs::JobTable Jobs_;
 };
 
 } // namespace dragonfly::control
--- /dev/null
+++ b/include/dragonfly/jobs/JobTable.h
@@ -0,0 +1,200 @@
+/// The replicated state of queues, jobs, runs and workers: a pure function of
+/// the commands in the log.
+#ifndef DRAGONFLY_JOBS_JOBTABLE_H
+#define DRAGONFLY_JOBS_JOBTABLE_H
+
+#include "dragonfly/base/Ids.h"
+#include "dragonfly/jobs/Configuration.h"
+#include "dragonfly/jobs/Job.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dragonfly::jobs {
+
+/// Submits one job to the queue that host and path select when it is applied.
+struct SubmitRow {
+  std::string Job_;
+  std::string Host_;
+  std::string Path_;
+  JobSpec Spec_;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(Job_, Host_, Path_, Spec_);
+  }
+};
+
+enum class SubmitStatus : std::uint8_t { Accepted, NoQueue };
+
+/// Starts a waiting task on a worker. The run number is the task's next one.
+struct StartRow {
+  RunName Run_;
+  std::string Worker_;
+  /// The worker's fence that the start was decided under.
+  std::uint64_t Fence_ = 0;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(Run_, Worker_, Fence_);
+  }
+};
+
+/// Ends a run. Has no effect unless it is the task's current one.
+struct EndRow {
+  RunName Run_;
+  std::string Worker_;
+  RunEnd How_ = RunEnd::Finished;
+  std::string Checkpoint_;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(Run_, Worker_, How_, Checkpoint_);
+  }
+};
+
+/// One life of a worker and the agent process that speaks for it.
+struct WorkerLife {
+  std::string Worker_;
+  /// Tells lives of one worker apart.
+  std::uint64_t Born_ = 0;
+  Incarnation Agent_;
+
+  bool operator==(const WorkerLife &) const = default;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(Worker_, Born_, Agent_);
+  }
+};
+
+enum class TaskPhase : std::uint8_t { Waiting, OnWorker, Finished };
+
+struct TaskRow {
+  TaskPhase Phase_ = TaskPhase::Waiting;
+  /// Number of the newest run; 0 before the first.
+  std::uint32_t Run_ = 0;
+  std::uint32_t Failures_ = 0;
+  /// Where the newest run is or was.
+  std::string Worker_;
+  std::string Checkpoint_;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(Phase_, Run_, Failures_, Worker_, Checkpoint_);
+  }
+};
+
+struct StepRow {
+  std::vector<TaskRow> Tasks_;
+  std::uint32_t Finished_ = 0;
+  std::uint32_t Waiting_ = 0;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(Tasks_, Finished_, Waiting_);
+  }
+};
+
+struct JobRow {
+  std::string Id_;
+  /// The queue as it was when the job was accepted.
+  Queue Queue_;
+  JobSpec Spec_;
+  JobState State_ = JobState::Queued;
+  /// Order of acceptance.
+  std::uint64_t Sequence_ = 0;
+  /// Log time.
+  Duration AcceptedAt_{};
+  Duration EndedAt_{};
+  std::vector<StepRow> Steps_;
+
+  bool active() const {
+    return State_ == JobState::Queued || State_ == JobState::Running;
+  }
+  /// True once every step that \p Step depends on has finished.
+  bool isStepDue(std::uint32_t Step) const;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(Id_, Queue_, Spec_, State_, Sequence_, AcceptedAt_, EndedAt_, Steps_);
+  }
+};
+
+/// A worker that has registered or still has runs.
+struct WorkerRow {
+  WorkerLife Life_;
+  /// Grows with each life and each agent process; orders carry it.
+  std::uint64_t Fence_ = 0;
+  /// Runs that may be on the worker. Derived from the jobs.
+  std::set<RunName> Runs_;
+  /// What these runs reserve. Derived.
+  Resources Reserved_;
+  /// Processors of runs that use spare ones. Derived.
+  std::int64_t SpareMilliProcessors_ = 0;
+
+  template <typename Archive> void serialize(Archive &Ar) { Ar(Life_, Fence_); }
+};
+
+/// A step with tasks that may start now.
+struct ReadyStep {
+  std::uint64_t Sequence_ = 0;
+  std::string Job_;
+  std::uint32_t Step_ = 0;
+
+  auto operator<=>(const ReadyStep &) const = default;
+};
+
+class JobTable {
+public:
+  /// How long an ended job's state can be read, in log time; the platform asks
+  /// for two minutes.
+  static constexpr Duration EndedJobRetention = std::chrono::seconds(150);
+
+  /// Takes \p Value where its version is the highest one; returns whether.
+  bool putConfiguration(Configuration Value);
+  SubmitStatus submit(Duration At, SubmitRow Row);
+  /// Returns false where the row has no effect.
+  bool start(const StartRow &Row);
+  bool end(Duration At, const EndRow &Row);
+  /// Returns false where there is no such job.
+  bool cancel(Duration At, const std::string &Job);
+  /// Returns the fence of \p Life, which is a new one unless it is registered.
+  std::uint64_t registerWorker(const WorkerLife &Life);
+  /// Forgets a worker that has no runs.
+  bool forgetWorker(const std::string &Worker);
+
+  const Configuration &configuration() const { return Configuration_; }
+  const JobRow *find(const std::string &Job) const;
+  const WorkerRow *findWorker(const std::string &Worker) const;
+  const std::map<std::string, WorkerRow> &workers() const { return Workers_; }
+  const std::set<ReadyStep> &readySteps() const { return Ready_; }
+  const std::map<std::string, JobRow> &jobs() const { return Jobs_; }
+  /// Accepted jobs of the queue for which no task has started.
+  std::uint64_t countQueued(std::string_view Host,
+                            std::string_view PathPrefix) const;
+
+  /// Makes the derived parts anew, after the rows were read.
+  void rebuild();
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(Configuration_, Jobs_, Workers_, LastSequence_, LastFence_);
+  }
+
+private:
+  void forgetEnded(Duration At);
+  void setReady(const JobRow &Job);
+  void clearReady(const JobRow &Job);
+  void finish(Duration At, JobRow &Job, JobState State);
+  void addRun(const JobRow &Job, const RunName &Run, const std::string &Worker);
+  void removeRun(const JobRow &Job, const RunName &Run,
+                 const std::string &Worker);
+
+  Configuration Configuration_;
+  std::map<std::string, JobRow> Jobs_;
+  std::map<std::string, WorkerRow> Workers_;
+  std::uint64_t LastSequence_ = 0;
+  std::uint64_t LastFence_ = 0;
+  std::set<ReadyStep> Ready_;
+};
+
+} // namespace dragonfly::jobs
+
+#endif // DRAGONFLY_JOBS_JOBTABLE_H
--- a/include/dragonfly/net/EventLoop.h
+++ b/include/dragonfly/net/EventLoop.h
@@ -51,6 +51,8 @@
   /// Calls \p Work on the first SIGTERM or SIGINT; a second one stops the
   /// loop.
   void onTerminate(std::function<void()> Work);
+  /// Calls \p Work on each SIGHUP.
+  void onReload(std::function<void()> Work);
 
   boost::asio::io_context &context();
 
--- a/include/dragonfly/settings/Settings.h
+++ b/include/dragonfly/settings/Settings.h
@@ -107,6 +107,11 @@
   bool FirstMember_ = true;
   Duration ElectionTimeout_ = std::chrono::milliseconds(500);
   std::size_t SnapshotEveryRecords_ = 10000;
+  /// True where replicas find each other from the rows of `Control_`, which
+  /// need not name all of them, and the leader repairs the group by itself.
+  bool RepairsGroup_ = false;
+  /// Voters that such a group keeps.
+  std::size_t Voters_ = 3;
 };
 
 struct AgentSettings {
--- /dev/null
+++ b/src/agent/RunBook.cpp
@@ -0,0 +1,235 @@
+#include "dragonfly/agent/RunBook.h"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <utility>
+
+namespace dragonfly::agent {
+
+using jobs::RunEnd;
+using jobs::RunName;
+using wire::RunPhase;
+
+void RunBook::order(TimePoint Now, wire::StartOrder Order) {
+  const auto [It, IsNew] = Rows_.try_emplace(Order.Run_);
+  if (!IsNew)
+    return;
+  It->second.Listed_.Run_ = Order.Run_;
+  It->second.Order_ = std::move(Order);
+  It->second.NextCallAt_ = Now;
+}
+
+void RunBook::stop(TimePoint Now, const RunName &Run) {
+  Row &Each = Rows_[Run];
+  Each.Order_.Run_ = Run;
+  Each.Listed_.Run_ = Run;
+  if (Each.Phase_ != RunPhase::Stopping)
+    beginStop(Now, Each);
+}
+
+void RunBook::describe(const wire::StartOrder &Order) {
+  const auto It = Rows_.find(Order.Run_);
+  if (It == Rows_.end())
+    return;
+  It->second.Order_.TailTarget_ = Order.TailTarget_;
+  It->second.Order_.UsesSpareProcessors_ = Order.UsesSpareProcessors_;
+}
+
+void RunBook::refuse(const RunName &Run) {
+  if (!Rows_.contains(Run))
+    Ends_.push_back(
+        {.Number_ = 0, .Report_ = {.Run_ = Run, .How_ = RunEnd::NotStarted}});
+}
+
+void RunBook::beginStop(TimePoint Now, Row &Each) {
+  Each.Phase_ = RunPhase::Stopping;
+  Each.Tries_ = 0;
+  Each.ConfirmedAt_.reset();
+  Each.NextCallAt_ = Now;
+}
+
+std::vector<DueCall> RunBook::takeDueCalls(TimePoint Now) {
+  std::vector<DueCall> Due;
+  for (auto &[Run, Each] : Rows_) {
+    if (Each.CallOpen_ || Each.ConfirmedAt_ || Each.NextCallAt_ > Now)
+      continue;
+    Each.CallOpen_ = true;
+    ++Each.Tries_;
+    Due.push_back({.Kind_ = Each.Phase_ == RunPhase::Stopping
+                                ? DueCall::Kind::Stop
+                                : DueCall::Kind::Start,
+                   .Run_ = Run});
+  }
+  return Due;
+}
+
+std::optional<TimePoint> RunBook::nextCallAt() const {
+  std::optional<TimePoint> Earliest;
+  for (const auto &[Run, Each] : Rows_)
+    if (!Each.CallOpen_ && !Each.ConfirmedAt_ &&
+        (!Earliest || Each.NextCallAt_ < *Earliest))
+      Earliest = Each.NextCallAt_;
+  return Earliest;
+}
+
+void RunBook::startAnswered(TimePoint Now, const RunName &Run,
+                            StartStatus Status) {
+  const auto It = Rows_.find(Run);
+  if (It == Rows_.end())
+    return;
+  Row &Each = It->second;
+  Each.CallOpen_ = false;
+  if (Status == StartStatus::NoAnswer)
+    Each.MayAppear_ = true;
+  // A list has confirmed it in the meantime, or it is being stopped.
+  if (Each.Phase_ == RunPhase::Stopping || Each.ConfirmedAt_)
+    return;
+  switch (Status) {
+  case StartStatus::Started:
+    Each.Phase_ = RunPhase::Running;
+    Each.ConfirmedAt_ = Now;
+    return;
+  case StartStatus::NoAnswer:
+    Each.NextCallAt_ = Now + Options_.RetryDelay_;
+    if (Each.Tries_ >= Options_.MaxStartTries_)
+      beginStop(Now, Each);
+    return;
+  case StartStatus::Ended:
+    // Its end is listed, unless a stop came first.
+    beginStop(Now, Each);
+    return;
+  default:
+    if (Each.MayAppear_)
+      beginStop(Now, Each);
+    else
+      endRun(Run, RunEnd::NotStarted);
+  }
+}
+
+void RunBook::stopAnswered(TimePoint Now, const RunName &Run, bool Confirmed) {
+  const auto It = Rows_.find(Run);
+  if (It == Rows_.end())
+    return;
+  Row &Each = It->second;
+  Each.CallOpen_ = false;
+  if (Confirmed && Each.Phase_ == RunPhase::Stopping)
+    Each.ConfirmedAt_ = Now;
+  else
+    Each.NextCallAt_ = Now + Options_.RetryDelay_;
+}
+
+void RunBook::retractEnds(const HoldAnswer &Answer) {
+  std::erase_if(Ends_, [&Answer](const End &Each) {
+    return Each.Number_ == 0 &&
+           std::ranges::find(Answer.Runs_, Each.Report_.Run_,
+                             &ListedRun::Run_) != Answer.Runs_.end();
+  });
+}
+
+void RunBook::listed(TimePoint Now, TimePoint SentAt,
+                     const HoldAnswer &Answer) {
+  for (const ListedEnd &End : Answer.Ends_) {
+    if (End.Number_ <= LastListedEnd_)
+      continue;
+    LastListedEnd_ = End.Number_;
+    Rows_.erase(End.Run_);
+    Ends_.push_back({.Number_ = End.Number_,
+                     .Report_ = {.Run_ = End.Run_,
+                                 .How_ = End.How_,
+                                 .Checkpoint_ = End.Checkpoint_}});
+  }
+  std::set<RunName> Present;
+  for (const ListedRun &Run : Answer.Runs_) {
+    Present.insert(Run.Run_);
+    // An end that is listed is newer than a list of runs that came late.
+    if (std::ranges::find(Ends_, Run.Run_, [](const End &Each) {
+          return Each.Report_.Run_;
+        }) != Ends_.end())
+      continue;
+    const auto [It, IsNew] = Rows_.try_emplace(Run.Run_);
+    Row &Each = It->second;
+    Each.Order_.Run_ = Run.Run_;
+    Each.Listed_ = Run;
+    if (IsNew) {
+      Each.ConfirmedAt_ = Now;
+      Each.SpeedPercent_ = UnknownSpeed;
+    }
+    if (Each.Phase_ == RunPhase::Starting)
+      Each.Phase_ = RunPhase::Running;
+    if (Each.Phase_ == RunPhase::Running && !Each.ConfirmedAt_)
+      Each.ConfirmedAt_ = Now;
+  }
+  if (Answer.Truncated_)
+    return;
+  std::vector<RunName> Absent;
+  for (auto &[Run, Each] : Rows_)
+    if (!Present.contains(Run) && Each.ConfirmedAt_ &&
+        *Each.ConfirmedAt_ < SentAt)
+      Absent.push_back(Run);
+  for (const RunName &Run : Absent) {
+    Row &Each = Rows_.at(Run);
+    if (Each.Phase_ == RunPhase::Stopping)
+      endRun(Run, RunEnd::NotStarted);
+    else
+      // Neither running nor ended: make sure before the task runs elsewhere.
+      beginStop(Now, Each);
+  }
+}
+
+void RunBook::lapse() {
+  while (!Rows_.empty())
+    endRun(Rows_.begin()->first, RunEnd::LeaseExpired);
+}
+
+void RunBook::beginLife() {
+  lapse();
+  std::ranges::for_each(Ends_, [](End &Each) { Each.Number_ = 0; });
+  LastListedEnd_ = 0;
+  LastDurableEnd_ = 0;
+}
+
+void RunBook::endRun(const RunName &Run, RunEnd How) {
+  const auto It = Rows_.find(Run);
+  std::string Checkpoint = std::move(It->second.Listed_.Checkpoint_);
+  Rows_.erase(It);
+  Ends_.push_back({.Number_ = 0,
+                   .Report_ = {.Run_ = Run,
+                               .How_ = How,
+                               .Checkpoint_ = std::move(Checkpoint)}});
+}
+
+void RunBook::setSpeed(const RunName &Run, std::uint32_t SpeedPercent) {
+  if (const auto It = Rows_.find(Run); It != Rows_.end())
+    It->second.SpeedPercent_ = SpeedPercent;
+}
+
+std::vector<wire::RunReport> RunBook::runReports() const {
+  std::vector<wire::RunReport> Reports;
+  std::ranges::transform(
+      Rows_, std::back_inserter(Reports), [](const auto &Each) {
+        const Row &Run = Each.second;
+        return wire::RunReport{.Run_ = Each.first,
+                               .Phase_ = Run.Phase_,
+                               .ProgressPercent_ = Run.Listed_.ProgressPercent_,
+                               .Checkpoint_ = Run.Listed_.Checkpoint_,
+                               .Load_ = Run.Listed_.Load_};
+      });
+  return Reports;
+}
+
+std::vector<wire::EndReport> RunBook::endReports() const {
+  std::vector<wire::EndReport> Reports;
+  std::ranges::transform(Ends_, std::back_inserter(Reports), &End::Report_);
+  return Reports;
+}
+
+void RunBook::endsDurable(std::size_t Count) {
+  const auto Last = Ends_.begin() +
+                    static_cast<std::ptrdiff_t>(std::min(Count, Ends_.size()));
+  for (auto It = Ends_.begin(); It != Last; ++It)
+    LastDurableEnd_ = std::max(LastDurableEnd_, It->Number_);
+  Ends_.erase(Ends_.begin(), Last);
+}
+
+} // namespace dragonfly::agent
--- a/src/base/Clock.cpp
+++ b/src/base/Clock.cpp
@@ -1,6 +1,7 @@
 #include "dragonfly/base/Clock.h"
 
 #include <atomic>
+#include <ctime>
 
 namespace dragonfly {
 namespace {
@@ -13,8 +14,11 @@
 Clock::time_point Clock::now() noexcept {
   if (paused())
     return time_point(duration(PausedAt.load(std::memory_order_relaxed)));
-  return time_point(std::chrono::duration_cast<duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
+  // The steady clock stops while a VM is suspended; leases must not.
+  timespec Time{};
+  clock_gettime(CLOCK_BOOTTIME, &Time);
+  return time_point(std::chrono::seconds(Time.tv_sec) +
+                    std::chrono::nanoseconds(Time.tv_nsec));
 }
 
 void Clock::pause(time_point At) noexcept {
--- a/src/control/Control.cpp
+++ b/src/control/Control.cpp
@@ -4,6 +4,7 @@
 #include "dragonfly/base/Random.h"
 #include "dragonfly/control/ControlService.h"
 #include "dragonfly/control/OperatorInterface.h"
+#include "dragonfly/link/LeaderClient.h"
 #include "dragonfly/net/DatagramSocket.h"
 #include "dragonfly/net/EventLoop.h"
 #include "dragonfly/net/FrameClient.h"
@@ -12,6 +13,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -20,6 +22,9 @@
 
 /// Between ticks: how long requests are gathered into one record.
 constexpr Duration TickPeriod = std::chrono::milliseconds(2);
+/// How often a replica makes itself known to the leader; a third of the time
+/// after which it would no longer count as present.
+constexpr Duration JoinPeriod = std::chrono::milliseconds(500);
 
 const settings::ReplicaSettings &
 selfOf(const settings::ControlSettings &Settings) {
@@ -34,6 +39,14 @@
   return *Found;
 }
 
+std::vector<std::string>
+addressesOf(const std::vector<settings::ReplicaSettings> &Rows) {
+  std::vector<std::string> Addresses;
+  std::ranges::transform(Rows, std::back_inserter(Addresses),
+                         &settings::ReplicaSettings::Address_);
+  return Addresses;
+}
+
 std::function<bool(const std::string &)>
 evictableBy(const std::vector<settings::KindSettings> &Kinds) {
   return [Kinds](const std::string &Kind) {
@@ -75,6 +88,8 @@
   Options.Placement_.EvictionsPermille_ = Shared.Weights_.Evictions_;
   Options.Placement_.Seed_ = freshRandom();
   Options.Evictable_ = evictableBy(Shared.Kinds_);
+  Options.RepairsGroup_ = Settings.RepairsGroup_;
+  Options.Group_.Voters_ = Settings.Voters_;
   return Options;
 }
 
@@ -108,7 +123,25 @@
                                 const net::HttpReplier &To) {
                            takeOperator(Request, To);
                          }}),
-        Ticks_(Loop.every(TickPeriod, [this] { tick(); })) {}
+        Ticks_(Loop.every(TickPeriod, [this] { tick(); })) {
+    if (!Settings.RepairsGroup_)
+      return;
+    Leader_.emplace(Loop, link::LeaderClientOptions{
+                              .Self_ = Self_,
+                              .Seeds_ = addressesOf(Settings.Process_.Control_),
+                              .OnGroup_ = [this](const wire::Group &Known) {
+                                for (const wire::GroupRow &Row : Known.Rows_)
+                                  Known_[Row.Id_] = Row.Address_;
+                              }});
+    Joins_ = Loop.every(JoinPeriod, [this] { join(); });
+  }
+
+  void join() {
+    Leader_->call(wire::JoinGroup{.Id_ = Settings_.Replica_,
+                                  .Store_ = Service_.log().store(),
+                                  .Address_ = Listen_.text()},
+                  JoinPeriod, [](const link::LeaderResult &) {});
+  }
 
   ControlServiceOptions serviceOptions() {
     ControlServiceOptions Options = optionsOf(Settings_);
@@ -121,14 +154,14 @@
   void sendToPeer(ReplicaId To, std::string Bytes) {
     std::unique_ptr<net::FrameClient> &Peer = Peers_[To];
     if (!Peer) {
-      const auto Row = std::ranges::find(Settings_.Process_.Control_, To,
-                                         &settings::ReplicaSettings::Id_);
-      if (Row == Settings_.Process_.Control_.end())
+      std::string Address = Service_.addressOf(To);
+      if (Address.empty())
+        Address = Known_[To];
+      if (Address.empty())
         return;
       Peer = std::make_unique<net::FrameClient>(
-          Loop_,
-          net::FrameClientOptions{.Peer_ = net::Endpoint::make(Row->Address_),
-                                  .Self_ = Self_});
+          Loop_, net::FrameClientOptions{.Peer_ = net::Endpoint::make(Address),
+                                         .Self_ = Self_});
     }
     Peer->send(wire::ReplicaTraffic{.From_ = Settings_.Replica_,
                                     .Bytes_ = std::move(Bytes)});
@@ -152,6 +185,14 @@
       To.answer(wire::Refusal{.Reason_ = Reason::Draining});
       return;
     }
+    if (auto *Hello = std::get_if<wire::WorkerHello>(&Value)) {
+      Service_.attachWorker(
+          Clock::now(), std::move(*Hello),
+          {.Part_ = [To](const wire::Message &Part) { To.part(Part); },
+           .End_ = [To](const wire::Message &End) { To.answer(End); },
+           .Connected_ = [To] { return To.connected(); }});
+      return;
+    }
     ++OpenRequests_;
     Service_.handle(Clock::now(), std::move(Value),
                     [this, To = std::move(To)](const wire::Message &Answer) {
@@ -210,6 +251,8 @@
   Incarnation Self_;
   net::Endpoint Listen_;
   std::map<ReplicaId, std::unique_ptr<net::FrameClient>> Peers_;
+  /// Addresses that other replicas told.
+  std::map<ReplicaId, std::string> Known_;
   std::size_t OperatorCalls_ = 0;
   std::size_t OpenRequests_ = 0;
   bool TickPosted_ = false;
@@ -223,6 +266,8 @@
   net::FrameServer Frames_;
   net::HttpServer Http_;
   net::Timer Ticks_;
+  std::optional<link::LeaderClient> Leader_;
+  net::Timer Joins_;
   net::Timer Stops_;
 };
 
@@ -232,6 +277,10 @@
 
 Control::~Control() = default;
 
+link::LeaderClient *Control::leader() {
+  return Impl_->Leader_ ? &*Impl_->Leader_ : nullptr;
+}
+
 void Control::stop(std::function<void(bool)> OnStopped) {
   Impl_->stop(std::move(OnStopped));
 }
--- a/src/control/ControlService.cpp
+++ b/src/control/ControlService.cpp
@@ -4,6 +4,7 @@
 #include "dragonfly/base/Log.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace dragonfly::control {
@@ -44,7 +45,23 @@
              .OnReported_ =
                  [this](const wire::TaskReports &Batch) { reported(Batch); }},
             Machine_),
-        Log_(logOptions(), std::move(Disk), Now) {}
+        Jobs_(jobOptions(), Machine_.jobs()),
+        Log_(logOptions(), std::move(Disk), Now) {
+    Options_.Group_.Self_ = Options_.Log_.Self_;
+  }
+
+  JobServiceOptions jobOptions() {
+    JobServiceOptions Result;
+    Result.Propose_ = [this](CommandBody Body, ProposeDone Done) {
+      propose(std::move(Body), std::move(Done));
+    };
+    Result.HoldsLeaderLease_ = [this] {
+      return Serving_ && Log_.holdsLeaderLease(Now_);
+    };
+    Result.Refuse_ = [this] { return refusal(); };
+    Result.WorkerLeaseTerm_ = Options_.WorkerLeaseTerm_;
+    return Result;
+  }
 
   StateMachineOptions machineOptions() {
     StateMachineOptions Result = Options_.Machine_;
@@ -72,6 +89,8 @@
     Now_ = Now;
     NamedStale_ = true;
     Batcher_.flush();
+    if (Serving_)
+      Jobs_.tick(Now);
     Log_.tick(Now);
     if (std::exchange(BarrierDue_, false))
       Log_.readBarrier([this, Led = Log_.term()](bool Passed) {
@@ -87,18 +106,72 @@
     ScheduleAt_ = Now + Options_.SchedulePeriod_;
     if (Serving_ && Log_.holdsLeaderLease(Now))
       schedule();
+    if (Serving_ && Options_.RepairsGroup_ && !ChangingGroup_)
+      repairGroup(Now);
+  }
+
+  void repairGroup(TimePoint Now) {
+    if (Now >= RefusedUntil_)
+      Refused_.clear();
+    const auto Change = planGroupChange(Options_.Group_, Log_.members(), Seen_,
+                                        ServingSince_, Now, Refused_);
+    if (!Change)
+      return;
+    ChangingGroup_ = true;
+    Log_.changeMember(
+        Change->Target_, Change->Remove_,
+        [this, Change = *Change](const consensus::ProposeResult &Result) {
+          ChangingGroup_ = false;
+          if (Result.Status_ != ProposeStatus::Committed) {
+            // It has not caught up yet; another one may have.
+            Refused_.push_back(Change.Target_.Id_);
+            RefusedUntil_ = Now_ + Options_.Group_.PresentTime_;
+            return;
+          }
+          logEvent(Event::MemberChanged,
+                   {{"replica", Change.Target_.Id_.Value_},
+                    {"store", Change.Target_.Store_.Value_},
+                    {"role", Change.Remove_          ? "none"
+                             : Change.Target_.Voter_ ? "voter"
+                                                     : "learner"},
+                    {"address", Change.Target_.Address_}});
+        });
+  }
+
+  std::string addressOf(ReplicaId Id) const {
+    const auto Row =
+        std::ranges::find(Log_.members(), Id, &consensus::Member::Id_);
+    if (Row != Log_.members().end() && !Row->Address_.empty())
+      return Row->Address_;
+    const auto Found = std::ranges::find(Options_.Replicas_, Id,
+                                         &settings::ReplicaSettings::Id_);
+    return Found != Options_.Replicas_.end() ? Found->Address_ : std::string();
+  }
+
+  wire::Group group() const {
+    wire::Group Known;
+    for (const consensus::Member &Row : Log_.members())
+      Known.Rows_.push_back({.Id_ = Row.Id_, .Address_ = Row.Address_});
+    if (Log_.leader())
+      Known.Leader_ = addressOf(Log_.leader());
+    return Known;
   }
 
   void serve() {
     Upstreams_.lead(Now_, Log_.term());
     Scheduler_.lead(Now_, logNow());
+    Jobs_.lead(Now_, Log_.term());
     Serving_ = true;
+    ServingSince_ = Now_;
+    Seen_.clear();
   }
 
   void stopServing() {
     Serving_ = false;
+    ChangingGroup_ = false;
     Scheduler_.stop();
     Batcher_.refuseAll();
+    Jobs_.stop();
   }
 
   void schedule() {
@@ -133,9 +206,9 @@
   }
 
   wire::Refusal refusal() const {
-    const settings::ReplicaSettings *Row = leader();
     return {.Reason_ = Reason::NoQuorum,
-            .Leader_ = Row != nullptr ? Row->Address_ : std::string()};
+            .Leader_ =
+                Log_.leader() ? addressOf(Log_.leader()) : std::string()};
   }
 
   const settings::ReplicaSettings *leader() const {
@@ -195,6 +268,10 @@
   }
 
   void handle(wire::Message Request, Reply Answer) {
+    if (std::holds_alternative<wire::FetchGroup>(Request)) {
+      Answer(group());
+      return;
+    }
     if (!Serving_) {
       Answer(refusal());
       return;
@@ -251,6 +328,60 @@
   void serveRequest(wire::TaskReports Request, Reply Answer) {
     Batcher_.add(std::move(Request), std::move(Answer));
   }
+  void serveRequest(wire::SubmitJob Request, Reply Answer) {
+    whenCurrent(std::move(Answer),
+                [this, Request = std::move(Request)](const Reply &To) {
+                  Jobs_.submit(Now_, Request, To);
+                });
+  }
+  void serveRequest(const wire::JobRequest &Request, Reply Answer) {
+    whenCurrent(std::move(Answer), [this, Request](const Reply &To) {
+      Jobs_.request(Now_, Request, To);
+    });
+  }
+  void serveRequest(const wire::QueueDepthRequest &Request, Reply Answer) {
+    whenCurrent(std::move(Answer), [this, Request](const Reply &To) {
+      Jobs_.queueDepth(Request, To);
+    });
+  }
+  void serveRequest(wire::PutConfiguration Request, Reply Answer) {
+    whenCurrent(std::move(Answer),
+                [this, Request = std::move(Request)](const Reply &To) {
+                  Jobs_.putConfiguration(Request, To);
+                });
+  }
+  void serveRequest(const wire::FetchConfiguration &, Reply Answer) {
+    whenCurrent(std::move(Answer),
+                [this](const Reply &To) { Jobs_.fetchConfiguration(To); });
+  }
+  void serveRequest(wire::WorkerReport Request, Reply Answer) {
+    Jobs_.report(Now_, std::move(Request), std::move(Answer));
+  }
+  void serveRequest(const wire::WorkerGone &Request, Reply Answer) {
+    Jobs_.workerGone(Now_, Request, std::move(Answer));
+  }
+  void serveRequest(const wire::JoinGroup &Request, Reply Answer) {
+    Seen_[Request.Id_] = {.Store_ = Request.Store_,
+                          .Address_ = Request.Address_,
+                          .SeenAt_ = Now_};
+    Answer(group());
+  }
+
+  /// Runs \p Serve once it is certain that this replica's state is the newest.
+  void whenCurrent(Reply Answer, std::function<void(const Reply &)> Serve) {
+    if (Log_.holdsLeaderLease(Now_)) {
+      Serve(Answer);
+      return;
+    }
+    Log_.readBarrier([this, Answer = std::move(Answer),
+                      Serve = std::move(Serve)](bool Passed) {
+      if (Passed && Serving_)
+        Serve(Answer);
+      else
+        Answer(refusal());
+    });
+  }
+
   template <typename Other> void serveRequest(const Other &, Reply Answer) {
     Answer(wire::Refusal{});
   }
@@ -282,6 +413,12 @@
   UpstreamTable Upstreams_;
   TaskScheduler Scheduler_;
   RecordBatcher Batcher_;
+  JobService Jobs_;
+  TimePoint ServingSince_;
+  std::map<ReplicaId, ReplicaSighting> Seen_;
+  std::vector<ReplicaId> Refused_;
+  TimePoint RefusedUntil_;
+  bool ChangingGroup_ = false;
   consensus::ReplicatedLog Log_;
 };
 
@@ -312,6 +449,21 @@
   Impl_->handle(std::move(Request), std::move(Answer));
 }
 
+void ControlService::attachWorker(TimePoint Now, wire::WorkerHello Hello,
+                                  WorkerStream Stream) {
+  Impl_->Now_ = Now;
+  if (Impl_->Serving_)
+    Impl_->Jobs_.attachWorker(Now, std::move(Hello), std::move(Stream));
+  else
+    Stream.End_(Impl_->refusal());
+}
+
+wire::Group ControlService::group() const { return Impl_->group(); }
+
+std::string ControlService::addressOf(ReplicaId Id) const {
+  return Impl_->addressOf(Id);
+}
+
 void ControlService::putList(
     PutList Change, std::function<void(ProposeStatus, PutOutcome)> Done) {
   const ListName List = Change.List_;
--- /dev/null
+++ b/src/control/JobDispatcher.cpp
@@ -0,0 +1,225 @@
+#include "control/JobDispatcher.h"
+
+#include "dragonfly/base/Log.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace dragonfly::control {
+
+using jobs::JobRow;
+using jobs::RunName;
+using jobs::StepSpec;
+using jobs::TaskPhase;
+using jobs::TaskRow;
+
+namespace {
+
+/// How often runs are compared with the state of their jobs.
+constexpr Duration StopCheckPeriod = std::chrono::milliseconds(100);
+/// Placement runs this often even where nothing is known to have changed.
+constexpr Duration PlacePeriod = std::chrono::milliseconds(200);
+/// Starts of one tick; bounds how long a tick can take.
+constexpr std::size_t MaxStartsPerTick = 256;
+
+wire::StartOrder orderOf(const JobRow &Job, const RunName &Run) {
+  const StepSpec &Step = Job.Spec_.Steps_[Run.Task_.Step_];
+  return {.Run_ = Run,
+          .Payload_ = Job.Spec_.Payload_,
+          .Checkpoint_ =
+              Job.Steps_[Run.Task_.Step_].Tasks_[Run.Task_.Index_].Checkpoint_,
+          .TailTarget_ = Step.TailTarget_,
+          .UsesSpareProcessors_ = Step.UsesSpareProcessors_};
+}
+
+} // namespace
+
+void JobDispatcher::tick(TimePoint Now) {
+  if (Now >= StopCheckAt_) {
+    StopCheckAt_ = Now + StopCheckPeriod;
+    stopUnwanted(Now);
+  }
+  const bool Changed =
+      Sessions_.takeChanged() || std::exchange(Changed_, false);
+  if (!Changed && Now < PlaceAgainAt_)
+    return;
+  PlaceAgainAt_ = Now + PlacePeriod;
+  place(Now);
+}
+
+std::vector<decide::PlacementWorker> JobDispatcher::openWorkers() const {
+  std::vector<decide::PlacementWorker> Workers;
+  for (const auto &[Name, Session] : Sessions_.rows()) {
+    const jobs::WorkerRow *Row = Table_.findWorker(Name);
+    if (!Session.open() || Row == nullptr)
+      continue;
+    Workers.push_back({.Name_ = Name,
+                       .Service_ = Session.Hello_.Service_,
+                       .Labels_ = Session.Hello_.Labels_,
+                       .Capacity_ = Session.Hello_.Capacity_,
+                       .Reserved_ = Row->Reserved_,
+                       .SpareMilliProcessors_ = Row->SpareMilliProcessors_});
+  }
+  for (const auto &[Run, Proposed] : Proposed_) {
+    const auto It = std::ranges::find(Workers, Proposed.Worker_,
+                                      &decide::PlacementWorker::Name_);
+    const JobRow *Job = Table_.find(Run.Task_.Job_);
+    if (It == Workers.end() || Job == nullptr)
+      continue;
+    const StepSpec &Step = Job->Spec_.Steps_[Run.Task_.Step_];
+    Resources Need = Step.Need_;
+    if (Step.UsesSpareProcessors_) {
+      It->SpareMilliProcessors_ += Need.MilliProcessors_;
+      Need.MilliProcessors_ = 0;
+    }
+    It->Reserved_ += Need;
+  }
+  return Workers;
+}
+
+std::vector<jobs::ReadyStep> JobDispatcher::stepsInOrder() const {
+  std::vector<jobs::ReadyStep> Steps(Table_.readySteps().begin(),
+                                     Table_.readySteps().end());
+  const auto Rank = [this](const jobs::ReadyStep &Row) {
+    const JobRow &Job = *Table_.find(Row.Job_);
+    return std::tuple(Job.Queue_.Priority_,
+                      !Job.Spec_.Steps_[Row.Step_].LongRunning_, Row.Sequence_,
+                      Row.Step_);
+  };
+  std::ranges::sort(Steps, {}, Rank);
+  return Steps;
+}
+
+void JobDispatcher::place(TimePoint Now) {
+  if (Table_.readySteps().empty())
+    return;
+  decide::JobPlacement Placement(openWorkers());
+  for (const jobs::ReadyStep &Ready : stepsInOrder()) {
+    if (Batch_.rows().Starts_.size() >= MaxStartsPerTick) {
+      Changed_ = true;
+      return;
+    }
+    placeStep(Now, Ready, Placement);
+  }
+}
+
+void JobDispatcher::placeStep(TimePoint Now, const jobs::ReadyStep &Ready,
+                              decide::JobPlacement &Placement) {
+  const JobRow &Job = *Table_.find(Ready.Job_);
+  const StepSpec &Step = Job.Spec_.Steps_[Ready.Step_];
+  const std::vector<TaskRow> &Tasks = Job.Steps_[Ready.Step_].Tasks_;
+  decide::PlacementNeed Need{.Service_ = Job.Queue_.Service_,
+                             .RequiredLabel_ = Step.RequiredLabel_,
+                             .DataRack_ = Step.DataRack_,
+                             .Need_ = Step.Need_,
+                             .UsesSpareProcessors_ = Step.UsesSpareProcessors_,
+                             .StepRuns_ = {},
+                             .MaxPerWorker_ = Step.MaxPerWorker_,
+                             .Avoid_ = {}};
+  const auto workerIndex = [&Placement](const std::string &Worker) {
+    const auto It = std::ranges::find(Placement.workers(), Worker,
+                                      &decide::PlacementWorker::Name_);
+    return static_cast<std::size_t>(It - Placement.workers().begin());
+  };
+  if (Step.MaxPerWorker_ > 0) {
+    // One more row for workers that are not open.
+    Need.StepRuns_.resize(Placement.workers().size() + 1);
+    for (std::uint32_t Index = 0; Index < Tasks.size(); ++Index) {
+      const RunName Next{{Job.Id_, Ready.Step_, Index}, Tasks[Index].Run_ + 1};
+      if (Tasks[Index].Phase_ == TaskPhase::OnWorker)
+        ++Need.StepRuns_[workerIndex(Tasks[Index].Worker_)];
+      else if (const auto It = Proposed_.find(Next); It != Proposed_.end())
+        ++Need.StepRuns_[workerIndex(It->second.Worker_)];
+    }
+  }
+  for (std::uint32_t Index = 0; Index < Tasks.size(); ++Index) {
+    const TaskRow &Task = Tasks[Index];
+    RunName Next{{Job.Id_, Ready.Step_, Index}, Task.Run_ + 1};
+    if (Task.Phase_ != TaskPhase::Waiting || Proposed_.contains(Next))
+      continue;
+    Need.Avoid_ = Task.Failures_ > 0 ? Task.Worker_ : std::string_view();
+    const auto Chosen = Placement.place(Need);
+    if (!Chosen)
+      return;
+    if (!Need.StepRuns_.empty())
+      ++Need.StepRuns_[*Chosen];
+    propose(Now, Job, std::move(Next), Placement.workers()[*Chosen].Name_);
+    if (Batch_.rows().Starts_.size() >= MaxStartsPerTick)
+      return;
+  }
+}
+
+void JobDispatcher::propose(TimePoint Now, const JobRow &Job, RunName Run,
+                            const std::string &Worker) {
+  const WorkerSession &Session = Sessions_.rows().at(Worker);
+  Proposed_[Run] = {.Worker_ = Worker, .Session_ = Session.Number_};
+  const std::size_t Index = Batch_.rows().Starts_.size();
+  const jobs::StartRow Row{
+      .Run_ = std::move(Run), .Worker_ = Worker, .Fence_ = Session.Fence_};
+  Batch_.rows().Starts_.push_back(Row);
+  logEvent(Event::TaskPlaced, {{"job", Job.Id_},
+                               {"step", Row.Run_.Task_.Step_},
+                               {"index", Row.Run_.Task_.Index_},
+                               {"run", Row.Run_.Run_},
+                               {"worker", Worker},
+                               {"fence", Session.Fence_}});
+  Batch_.whenDone([this, Now, Row, Index, Number = Session.Number_](
+                      JobBatch::Status, const JobOutcomes *Outcomes) {
+    Proposed_.erase(Row.Run_);
+    Changed_ = true;
+    if (Outcomes != nullptr)
+      started(Now, Row, Number, Outcomes->Starts_.at(Index) != 0);
+  });
+}
+
+void JobDispatcher::started(TimePoint Now, const jobs::StartRow &Row,
+                            std::uint64_t Session, bool Applied) {
+  const JobRow *Job = Table_.find(Row.Run_.Task_.Job_);
+  if (!Applied || Job == nullptr)
+    return;
+  const bool Ordered = Sessions_.order(Now, Row.Worker_, Session,
+                                       {.Starts_ = {orderOf(*Job, Row.Run_)}});
+  // The order never left, and no later session can learn of it.
+  if (!Ordered)
+    Batch_.rows().Ends_.push_back({.Run_ = Row.Run_,
+                                   .Worker_ = Row.Worker_,
+                                   .How_ = jobs::RunEnd::NotStarted,
+                                   .Checkpoint_ = {}});
+}
+
+void JobDispatcher::stopUnwanted(TimePoint Now) {
+  for (const auto &[Name, Session] : Sessions_.rows()) {
+    const jobs::WorkerRow *Row = Table_.findWorker(Name);
+    if (!Session.attached() || Row == nullptr)
+      continue;
+    std::vector<RunName> Unwanted;
+    std::ranges::copy_if(Row->Runs_, std::back_inserter(Unwanted),
+                         [this](const RunName &Run) {
+                           const JobRow *Job = Table_.find(Run.Task_.Job_);
+                           return Job == nullptr || !Job->active();
+                         });
+    for (const RunName &Run : Unwanted)
+      Sessions_.stopRun(Now, Name, Run);
+    if (Session.Draining_)
+      stopWhereDraining(Now, Name, Session);
+  }
+}
+
+/// Moves what can resume elsewhere off a worker that leaves.
+void JobDispatcher::stopWhereDraining(TimePoint Now, const std::string &Worker,
+                                      const WorkerSession &Session) {
+  std::vector<RunName> Movable;
+  for (const auto &[Run, Info] : Session.Runs_) {
+    const JobRow *Job = Table_.find(Run.Task_.Job_);
+    if (Job == nullptr || Run.Task_.Step_ >= Job->Spec_.Steps_.size())
+      continue;
+    const StepSpec &Step = Job->Spec_.Steps_[Run.Task_.Step_];
+    if (Step.LongRunning_ || Step.Checkpointing_)
+      Movable.push_back(Run);
+  }
+  for (const RunName &Run : Movable)
+    Sessions_.stopRun(Now, Worker, Run);
+}
+
+} // namespace dragonfly::control
--- /dev/null
+++ b/src/control/JobService.cpp
@@ -0,0 +1,204 @@
+#include "dragonfly/control/JobService.h"
+
+#include "control/JobBatch.h"
+#include "control/JobDispatcher.h"
+#include "control/WorkerSessions.h"
+#include "dragonfly/base/Log.h"
+
+#include <string_view>
+#include <utility>
+
+namespace dragonfly::control {
+
+using consensus::ProposeStatus;
+using wire::JobStatus;
+
+struct JobService::Impl {
+  Impl(JobServiceOptions Options, const jobs::JobTable &Table)
+      : Options_(std::move(Options)), Table_(Table), Batch_(Options_),
+        Sessions_(Options_, Table_, Batch_),
+        Dispatcher_(Table_, Sessions_, Batch_) {}
+
+  /// Answers with nothing done, or not at all where that is not certain.
+  void refuse(ProposeStatus Status, const Reply &Answer) const {
+    if (Status == ProposeStatus::NotLeader)
+      Answer(Options_.Refuse_());
+  }
+
+  /// The queue whose prefix, followed by \p Job, is \p Path; or null.
+  const jobs::Queue *findQueue(const std::string &Host, const std::string &Path,
+                               std::string_view Job = {}) const {
+    const jobs::Queue *Found = Table_.configuration().findQueue(Host, Path);
+    const bool Exact = Found != nullptr &&
+                       Path.size() == Found->PathPrefix_.size() + Job.size();
+    return Exact ? Found : nullptr;
+  }
+
+  /// Why no queue was found.
+  JobStatus missingQueue() const {
+    return Table_.configuration().Version_ == 0 ? JobStatus::NoConfiguration
+                                                : JobStatus::NoQueue;
+  }
+
+  void submit(wire::SubmitJob Request, Reply Answer) {
+    if (findQueue(Request.Host_, Request.Path_, Request.Job_) == nullptr) {
+      Answer(wire::JobReply{.Status_ = missingQueue(),
+                            .RetryAfter_ = Options_.RetryAfter_});
+      return;
+    }
+    if (Table_.find(Request.Job_) != nullptr) {
+      Answer(wire::JobReply{.Status_ = JobStatus::Accepted});
+      return;
+    }
+    const std::size_t Index = Batch_.rows().Submits_.size();
+    Batch_.rows().Submits_.push_back({.Job_ = Request.Job_,
+                                      .Host_ = std::move(Request.Host_),
+                                      .Path_ = std::move(Request.Path_),
+                                      .Spec_ = std::move(Request.Spec_)});
+    Batch_.whenDone([this, Index, Job = std::move(Request.Job_),
+                     Answer = std::move(Answer)](ProposeStatus Status,
+                                                 const JobOutcomes *Outcomes) {
+      if (Outcomes == nullptr) {
+        refuse(Status, Answer);
+        return;
+      }
+      const bool Accepted =
+          Outcomes->Submits_.at(Index) == jobs::SubmitStatus::Accepted;
+      logEvent(
+          Accepted ? Event::JobAccepted : Event::JobRejected,
+          {{"job", Job}, {"configuration", Table_.configuration().Version_}});
+      Dispatcher_.noteChange();
+      Answer(wire::JobReply{.Status_ = Accepted ? JobStatus::Accepted
+                                                : JobStatus::NoQueue});
+    });
+  }
+
+  void request(const wire::JobRequest &Request, Reply Answer) {
+    if (findQueue(Request.Host_, Request.Path_, Request.Job_) == nullptr) {
+      Answer(wire::JobReply{.Status_ = missingQueue(),
+                            .RetryAfter_ = Options_.RetryAfter_});
+      return;
+    }
+    const jobs::JobRow *Job = Table_.find(Request.Job_);
+    if (Job == nullptr) {
+      Answer(wire::JobReply{.Status_ = JobStatus::UnknownJob});
+      return;
+    }
+    if (Request.Action_ == wire::JobAction::Query || !Job->active()) {
+      Answer(
+          wire::JobReply{.Status_ = JobStatus::Known, .State_ = Job->State_});
+      return;
+    }
+    Batch_.rows().Cancels_.push_back(Request.Job_);
+    Batch_.whenDone([this, Id = Request.Job_, Answer = std::move(Answer)](
+                        ProposeStatus Status, const JobOutcomes *Outcomes) {
+      if (Outcomes == nullptr) {
+        refuse(Status, Answer);
+        return;
+      }
+      logEvent(Event::JobCancelled, {{"job", Id}});
+      Dispatcher_.noteChange();
+      Answer(wire::JobReply{.Status_ = JobStatus::Known,
+                            .State_ = jobs::JobState::Cancelled});
+    });
+  }
+
+  void queueDepth(const wire::QueueDepthRequest &Request, const Reply &Answer) {
+    const jobs::Queue *Queue = findQueue(Request.Host_, Request.Path_);
+    if (Queue == nullptr)
+      Answer(wire::QueueDepth{.Status_ = missingQueue()});
+    else
+      Answer(wire::QueueDepth{
+          .Status_ = JobStatus::Known,
+          .Queued_ = Table_.countQueued(Queue->Host_, Queue->PathPrefix_)});
+  }
+
+  void putConfiguration(wire::PutConfiguration Request, Reply Answer) {
+    if (Request.Value_.Version_ <= Table_.configuration().Version_) {
+      Answer(wire::PutConfigurationAck{Table_.configuration().Version_});
+      return;
+    }
+    Options_.Propose_(PutQueues{std::move(Request.Value_)},
+                      [this, Answer = std::move(Answer)](
+                          ProposeStatus Status, const CommandOutput &Output) {
+                        if (Status != ProposeStatus::Committed) {
+                          refuse(Status, Answer);
+                          return;
+                        }
+                        const std::uint64_t Version =
+                            std::get<QueuesOutcome>(Output).Version_;
+                        logEvent(Event::QueuesChanged, {{"version", Version}});
+                        Dispatcher_.noteChange();
+                        Answer(wire::PutConfigurationAck{Version});
+                      });
+  }
+
+  JobServiceOptions Options_;
+  const jobs::JobTable &Table_;
+  JobBatch Batch_;
+  WorkerSessions Sessions_;
+  JobDispatcher Dispatcher_;
+};
+
+JobService::JobService(JobServiceOptions Options, const jobs::JobTable &Table)
+    : Impl_(std::make_unique<Impl>(std::move(Options), Table)) {}
+
+JobService::~JobService() = default;
+
+void JobService::lead(TimePoint Now, Term Led) {
+  Impl_->Sessions_.lead(Now, Led);
+  Impl_->Dispatcher_.lead();
+}
+
+void JobService::stop() {
+  Impl_->Batch_.refuseAll();
+  Impl_->Sessions_.stop();
+}
+
+void JobService::tick(TimePoint Now) {
+  Impl_->Sessions_.tick(Now);
+  Impl_->Dispatcher_.tick(Now);
+  Impl_->Batch_.flush();
+}
+
+void JobService::submit(TimePoint, wire::SubmitJob Request, Reply Answer) {
+  Impl_->submit(std::move(Request), std::move(Answer));
+}
+
+void JobService::request(TimePoint, const wire::JobRequest &Request,
+                         Reply Answer) {
+  Impl_->request(Request, std::move(Answer));
+}
+
+void JobService::queueDepth(const wire::QueueDepthRequest &Request,
+                            const Reply &Answer) {
+  Impl_->queueDepth(Request, Answer);
+}
+
+void JobService::putConfiguration(wire::PutConfiguration Request,
+                                  Reply Answer) {
+  Impl_->putConfiguration(std::move(Request), std::move(Answer));
+}
+
+void JobService::fetchConfiguration(const Reply &Answer) {
+  const jobs::Configuration &Current = Impl_->Table_.configuration();
+  Answer(wire::CurrentConfiguration{.Version_ = Current.Version_,
+                                    .Document_ = Current.Document_});
+}
+
+void JobService::attachWorker(TimePoint Now, wire::WorkerHello Hello,
+                              WorkerStream Stream) {
+  Impl_->Sessions_.attach(Now, std::move(Hello), std::move(Stream));
+}
+
+void JobService::report(TimePoint Now, wire::WorkerReport Report,
+                        Reply Answer) {
+  Impl_->Sessions_.report(Now, std::move(Report), std::move(Answer));
+}
+
+void JobService::workerGone(TimePoint, const wire::WorkerGone &Notice,
+                            Reply Answer) {
+  Impl_->Sessions_.gone(Notice, std::move(Answer));
+}
+
+} // namespace dragonfly::control
--- a/src/control/StateMachine.cpp
+++ b/src/control/StateMachine.cpp
@@ -90,6 +90,28 @@
   });
 }
 
+CommandOutput StateMachine::run(const PutQueues &Body) {
+  Jobs_.putConfiguration(Body.Value_);
+  return QueuesOutcome{Jobs_.configuration().Version_};
+}
+
+CommandOutput StateMachine::run(const UpdateJobs &Body) {
+  JobOutcomes Result;
+  for (const jobs::WorkerLife &Row : Body.Workers_)
+    Result.Fences_.push_back(Jobs_.registerWorker(Row));
+  for (const jobs::SubmitRow &Row : Body.Submits_)
+    Result.Submits_.push_back(Jobs_.submit(LogTime_, Row));
+  for (const std::string &Job : Body.Cancels_)
+    Result.Cancels_.push_back(Jobs_.cancel(LogTime_, Job) ? 1 : 0);
+  for (const jobs::EndRow &Row : Body.Ends_)
+    Result.Ends_.push_back(Jobs_.end(LogTime_, Row) ? 1 : 0);
+  for (const jobs::StartRow &Row : Body.Starts_)
+    Result.Starts_.push_back(Jobs_.start(Row) ? 1 : 0);
+  for (const std::string &Worker : Body.Departed_)
+    Jobs_.forgetWorker(Worker);
+  return Result;
+}
+
 /// A task counts like a request, under the id that its caller gave it.
 void StateMachine::countEnded(const TaskRecord &Task) {
   ReceiptRow Row;
@@ -102,7 +124,7 @@
 
 std::string StateMachine::snapshot() const {
   return encodeValues(SnapshotFormat, LogTime_, Lists_, Claims_, Counts_,
-                      Tasks_);
+                      Tasks_, Jobs_);
 }
 
 void StateMachine::restore(std::string_view Bytes) {
@@ -111,23 +133,28 @@
   ClaimTable Claims = Claims_;
   CountTable Counts = Counts_;
   TaskTable Tasks = Tasks_;
+  jobs::JobTable Jobs;
   std::uint32_t Format = 0;
   try {
     decodeValues(Bytes, Format);
     if (Format == SnapshotFormat)
+      decodeValues(Bytes, Format, At, Lists, Claims, Counts, Tasks, Jobs);
+    else if (Format == SnapshotFormatWithoutJobs)
       decodeValues(Bytes, Format, At, Lists, Claims, Counts, Tasks);
   } catch (const std::exception &Cause) {
     throw CodecError(CodecFault::BadSnapshot, Cause.what());
   }
-  if (Format != SnapshotFormat)
+  if (Format != SnapshotFormat && Format != SnapshotFormatWithoutJobs)
     throw CodecError(CodecFault::WrongFormat,
                      "snapshot format " + std::to_string(Format));
   Tasks.rebuild();
+  Jobs.rebuild();
   LogTime_ = At;
   Lists_ = std::move(Lists);
   Claims_ = std::move(Claims);
   Counts_ = std::move(Counts);
   Tasks_ = std::move(Tasks);
+  Jobs_ = std::move(Jobs);
   if (Options_.OnRestore_)
     Options_.OnRestore_();
 }
--- /dev/null
+++ b/src/jobs/JobTable.cpp
@@ -0,0 +1,239 @@
+#include "dragonfly/jobs/JobTable.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonfly::jobs {
+namespace {
+
+/// Adds what a run of \p Step holds, \p Sign times, to \p Worker.
+void reserve(WorkerRow &Worker, const StepSpec &Step, std::int64_t Sign) {
+  Resources Need = Step.Need_;
+  if (Step.UsesSpareProcessors_) {
+    Worker.SpareMilliProcessors_ += Sign * Need.MilliProcessors_;
+    Need.MilliProcessors_ = 0;
+  }
+  if (Sign > 0)
+    Worker.Reserved_ += Need;
+  else
+    Worker.Reserved_ -= Need;
+}
+
+} // namespace
+
+bool JobRow::isStepDue(std::uint32_t Step) const {
+  return std::ranges::all_of(
+      Spec_.Steps_[Step].DependsOn_, [this](std::uint32_t Earlier) {
+        return Steps_[Earlier].Finished_ == Spec_.Steps_[Earlier].Count_;
+      });
+}
+
+bool JobTable::putConfiguration(Configuration Value) {
+  if (Value.Version_ <= Configuration_.Version_)
+    return false;
+  Configuration_ = std::move(Value);
+  return true;
+}
+
+SubmitStatus JobTable::submit(Duration At, SubmitRow Row) {
+  const Queue *Place = Configuration_.findQueue(Row.Host_, Row.Path_);
+  if (Place == nullptr)
+    return SubmitStatus::NoQueue;
+  if (Jobs_.contains(Row.Job_))
+    return SubmitStatus::Accepted;
+  forgetEnded(At);
+  JobRow &Job = Jobs_[Row.Job_];
+  Job.Id_ = Row.Job_;
+  Job.Queue_ = *Place;
+  Job.Spec_ = std::move(Row.Spec_);
+  Job.Sequence_ = ++LastSequence_;
+  Job.AcceptedAt_ = At;
+  for (const StepSpec &Step : Job.Spec_.Steps_)
+    Job.Steps_.push_back({.Tasks_ = std::vector<TaskRow>(Step.Count_),
+                          .Finished_ = 0,
+                          .Waiting_ = Step.Count_});
+  setReady(Job);
+  return SubmitStatus::Accepted;
+}
+
+bool JobTable::start(const StartRow &Row) {
+  const TaskName &Name = Row.Run_.Task_;
+  const auto It = Jobs_.find(Name.Job_);
+  const auto Host = Workers_.find(Row.Worker_);
+  if (It == Jobs_.end() || Host == Workers_.end() ||
+      Host->second.Fence_ != Row.Fence_)
+    return false;
+  JobRow &Job = It->second;
+  if (!Job.active() || Name.Step_ >= Job.Steps_.size() ||
+      Name.Index_ >= Job.Steps_[Name.Step_].Tasks_.size() ||
+      !Job.isStepDue(Name.Step_))
+    return false;
+  StepRow &Step = Job.Steps_[Name.Step_];
+  TaskRow &Task = Step.Tasks_[Name.Index_];
+  if (Task.Phase_ != TaskPhase::Waiting || Row.Run_.Run_ != Task.Run_ + 1)
+    return false;
+  Task.Phase_ = TaskPhase::OnWorker;
+  Task.Run_ = Row.Run_.Run_;
+  Task.Worker_ = Row.Worker_;
+  Job.State_ = JobState::Running;
+  addRun(Job, Row.Run_, Row.Worker_);
+  if (--Step.Waiting_ == 0)
+    Ready_.erase({Job.Sequence_, Job.Id_, Name.Step_});
+  return true;
+}
+
+bool JobTable::end(Duration At, const EndRow &Row) {
+  const TaskName &Name = Row.Run_.Task_;
+  const auto It = Jobs_.find(Name.Job_);
+  if (It == Jobs_.end())
+    return false;
+  JobRow &Job = It->second;
+  if (Name.Step_ >= Job.Steps_.size() ||
+      Name.Index_ >= Job.Steps_[Name.Step_].Tasks_.size())
+    return false;
+  StepRow &Step = Job.Steps_[Name.Step_];
+  TaskRow &Task = Step.Tasks_[Name.Index_];
+  if (Task.Phase_ != TaskPhase::OnWorker || Task.Run_ != Row.Run_.Run_ ||
+      Task.Worker_ != Row.Worker_)
+    return false;
+  removeRun(Job, Row.Run_, Row.Worker_);
+  if (!Row.Checkpoint_.empty())
+    Task.Checkpoint_ = Row.Checkpoint_;
+  const StepSpec &Spec = Job.Spec_.Steps_[Name.Step_];
+  if (Row.How_ == RunEnd::Finished && !Spec.LongRunning_) {
+    Task.Phase_ = TaskPhase::Finished;
+    ++Step.Finished_;
+  } else {
+    Task.Phase_ = TaskPhase::Waiting;
+    ++Step.Waiting_;
+  }
+  if (!Job.active())
+    return true;
+  if (Row.How_ == RunEnd::Failed && !Spec.LongRunning_ &&
+      ++Task.Failures_ >= Job.Queue_.MaxAttempts_)
+    finish(At, Job, JobState::Failed);
+  else if (Job.Steps_.size() == static_cast<std::size_t>(std::ranges::count_if(
+                                    Job.Steps_, [](const StepRow &Each) {
+                                      return Each.Finished_ ==
+                                             Each.Tasks_.size();
+                                    })))
+    finish(At, Job, JobState::Completed);
+  else
+    setReady(Job);
+  return true;
+}
+
+bool JobTable::cancel(Duration At, const std::string &Job) {
+  const auto It = Jobs_.find(Job);
+  if (It == Jobs_.end())
+    return false;
+  if (It->second.active())
+    finish(At, It->second, JobState::Cancelled);
+  return true;
+}
+
+std::uint64_t JobTable::registerWorker(const WorkerLife &Life) {
+  WorkerRow &Row = Workers_[Life.Worker_];
+  if (Row.Fence_ == 0 || Row.Life_ != Life) {
+    Row.Life_ = Life;
+    Row.Fence_ = ++LastFence_;
+  }
+  return Row.Fence_;
+}
+
+bool JobTable::forgetWorker(const std::string &Worker) {
+  const auto It = Workers_.find(Worker);
+  if (It == Workers_.end() || !It->second.Runs_.empty())
+    return false;
+  Workers_.erase(It);
+  return true;
+}
+
+const JobRow *JobTable::find(const std::string &Job) const {
+  const auto It = Jobs_.find(Job);
+  return It == Jobs_.end() ? nullptr : &It->second;
+}
+
+const WorkerRow *JobTable::findWorker(const std::string &Worker) const {
+  const auto It = Workers_.find(Worker);
+  return It == Workers_.end() ? nullptr : &It->second;
+}
+
+std::uint64_t JobTable::countQueued(std::string_view Host,
+                                    std::string_view PathPrefix) const {
+  return static_cast<std::uint64_t>(
+      std::ranges::count_if(Jobs_, [&](const auto &Each) {
+        const JobRow &Job = Each.second;
+        return Job.State_ == JobState::Queued && Job.Queue_.Host_ == Host &&
+               Job.Queue_.PathPrefix_ == PathPrefix;
+      }));
+}
+
+void JobTable::rebuild() {
+  Ready_.clear();
+  for (auto &[Id, Worker] : Workers_) {
+    Worker.Runs_.clear();
+    Worker.Reserved_ = {};
+    Worker.SpareMilliProcessors_ = 0;
+  }
+  for (const auto &[Id, Job] : Jobs_) {
+    for (std::uint32_t Step = 0; Step < Job.Steps_.size(); ++Step)
+      for (std::uint32_t Index = 0; Index < Job.Steps_[Step].Tasks_.size();
+           ++Index) {
+        const TaskRow &Task = Job.Steps_[Step].Tasks_[Index];
+        if (Task.Phase_ == TaskPhase::OnWorker)
+          addRun(Job, {{Id, Step, Index}, Task.Run_}, Task.Worker_);
+      }
+    if (Job.active())
+      setReady(Job);
+  }
+}
+
+void JobTable::forgetEnded(Duration At) {
+  std::erase_if(Jobs_, [At](const auto &Each) {
+    const JobRow &Job = Each.second;
+    return !Job.active() && Job.EndedAt_ + EndedJobRetention < At &&
+           std::ranges::none_of(
+               Job.Steps_,
+               [](const StepRow &Step) {
+                 return std::ranges::any_of(
+                     Step.Tasks_, [](const TaskRow &Task) {
+                       return Task.Phase_ == TaskPhase::OnWorker;
+                     });
+               });
+  });
+}
+
+void JobTable::setReady(const JobRow &Job) {
+  for (std::uint32_t Step = 0; Step < Job.Steps_.size(); ++Step)
+    if (Job.Steps_[Step].Waiting_ > 0 && Job.isStepDue(Step))
+      Ready_.insert({Job.Sequence_, Job.Id_, Step});
+}
+
+void JobTable::clearReady(const JobRow &Job) {
+  for (std::uint32_t Step = 0; Step < Job.Steps_.size(); ++Step)
+    Ready_.erase({Job.Sequence_, Job.Id_, Step});
+}
+
+void JobTable::finish(Duration At, JobRow &Job, JobState State) {
+  Job.State_ = State;
+  Job.EndedAt_ = At;
+  clearReady(Job);
+}
+
+void JobTable::addRun(const JobRow &Job, const RunName &Run,
+                      const std::string &Worker) {
+  WorkerRow &Row = Workers_[Worker];
+  Row.Life_.Worker_ = Worker;
+  if (Row.Runs_.insert(Run).second)
+    reserve(Row, Job.Spec_.Steps_[Run.Task_.Step_], 1);
+}
+
+void JobTable::removeRun(const JobRow &Job, const RunName &Run,
+                         const std::string &Worker) {
+  WorkerRow &Row = Workers_[Worker];
+  if (Row.Runs_.erase(Run) > 0)
+    reserve(Row, Job.Spec_.Steps_[Run.Task_.Step_], -1);
+}
+
+} // namespace dragonfly::jobs
--- a/src/net/EventLoop.cpp
+++ b/src/net/EventLoop.cpp
@@ -63,8 +63,18 @@
 struct EventLoop::Impl {
   boost::asio::io_context Context_{1};
   boost::asio::signal_set Signals_{Context_};
+  boost::asio::signal_set Reloads_{Context_};
   std::function<void()> OnTerminate_;
 
+  void awaitReload(const std::function<void()> &Work) {
+    Reloads_.async_wait([this, Work](const auto &Fault, int) {
+      if (Fault)
+        return;
+      awaitReload(Work);
+      Work();
+    });
+  }
+
   void awaitSignal() {
     Signals_.async_wait([this](const auto &Fault, int) {
       if (Fault)
@@ -120,6 +130,11 @@
   Impl_->awaitSignal();
 }
 
+void EventLoop::onReload(std::function<void()> Work) {
+  Impl_->Reloads_.add(SIGHUP);
+  Impl_->awaitReload(Work);
+}
+
 boost::asio::io_context &EventLoop::context() { return Impl_->Context_; }
 
 } // namespace dragonfly::net
--- a/src/net/FrameClient.cpp
+++ b/src/net/FrameClient.cpp
@@ -25,6 +25,7 @@
     Handler OnEnd_;
     PartHandler OnPart_;
     Duration Timeout_{};
+    /// When it was made, or its newest part arrived.
     TimePoint StartedAt_;
     TimePoint Expiry_;
     bool Sent_ = false;
@@ -134,7 +135,8 @@
 
   void takePart(std::uint64_t Sequence, Call &Pending, wire::Message Part) {
     Expiries_.erase({Pending.Expiry_, Sequence});
-    Pending.Expiry_ = Clock::now() + Pending.Timeout_;
+    Pending.StartedAt_ = Clock::now();
+    Pending.Expiry_ = Pending.StartedAt_ + Pending.Timeout_;
     Expiries_.insert({Pending.Expiry_, Sequence});
     if (const PartHandler OnPart = Pending.OnPart_)
       OnPart(std::move(Part));
@@ -204,7 +206,7 @@
     while (!Expiries_.empty() && Expiries_.begin()->first <= Now) {
       const std::uint64_t Sequence = Expiries_.begin()->second;
       const Call &Late = Calls_.at(Sequence);
-      Silent = Silent || (Late.Sent_ && LastHeard_ < Late.StartedAt_);
+      Silent = Silent || (Late.Sent_ && LastHeard_ <= Late.StartedAt_);
       // Bytes queued on an open connection leave once the peer takes them.
       const bool MayLeave = Late.Sent_ || Link_ == Link::Open;
       finish(Sequence, {.Status_ = MayLeave ? CallStatus::TimedOut
--- a/src/settings/Describe.cpp
+++ b/src/settings/Describe.cpp
@@ -168,6 +168,9 @@
   describeInteger(Visitor, "snapshot_every_records",
                   Value.SnapshotEveryRecords_, Presence::Optional,
                   {.Least_ = 1});
+  Visitor.flag("repairs_group", Value.RepairsGroup_);
+  describeInteger(Visitor, "voters", Value.Voters_, Presence::Optional,
+                  {.Least_ = 1, .Most_ = MaxControlReplicas});
 }
 
 void describeAgent(Fields &Visitor, AgentSettings &Value) {
--- a/src/wire/Serialize.h
+++ b/src/wire/Serialize.h
@@ -162,6 +162,92 @@
   Ar(Row.Reason_, Row.Leader_);
 }
 
+template <typename Archive> void serialize(Archive &Ar, SubmitJob &Row) {
+  Ar(Row.Job_, Row.Host_, Row.Path_, Row.Spec_);
+}
+
+template <typename Archive> void serialize(Archive &Ar, JobRequest &Row) {
+  Ar(Row.Action_, Row.Job_, Row.Host_, Row.Path_);
+}
+
+template <typename Archive> void serialize(Archive &Ar, JobReply &Row) {
+  Ar(Row.Status_, Row.State_, Row.RetryAfter_);
+}
+
+template <typename Archive>
+void serialize(Archive &Ar, QueueDepthRequest &Row) {
+  Ar(Row.Host_, Row.Path_);
+}
+
+template <typename Archive> void serialize(Archive &Ar, QueueDepth &Row) {
+  Ar(Row.Status_, Row.Queued_);
+}
+
+template <typename Archive> void serialize(Archive &Ar, PutConfiguration &Row) {
+  Ar(Row.Value_);
+}
+
+template <typename Archive>
+void serialize(Archive &Ar, PutConfigurationAck &Row) {
+  Ar(Row.Version_);
+}
+
+template <typename Archive> void serialize(Archive &, FetchConfiguration &) {}
+
+template <typename Archive>
+void serialize(Archive &Ar, CurrentConfiguration &Row) {
+  Ar(Row.Version_, Row.Document_);
+}
+
+template <typename Archive> void serialize(Archive &Ar, WorkerHello &Row) {
+  Ar(Row.Worker_, Row.Born_, Row.Agent_, Row.Service_, Row.AvailabilityZone_,
+     Row.Labels_, Row.Capacity_);
+}
+
+template <typename Archive> void serialize(Archive &Ar, StartOrder &Row) {
+  Ar(Row.Run_, Row.Payload_, Row.Checkpoint_, Row.TailTarget_,
+     Row.UsesSpareProcessors_);
+}
+
+template <typename Archive> void serialize(Archive &Ar, WorkerOrders &Row) {
+  Ar(Row.Session_, Row.Fence_, Row.Starts_, Row.Stops_, Row.Known_);
+}
+
+template <typename Archive> void serialize(Archive &Ar, RunReport &Row) {
+  Ar(Row.Run_, Row.Phase_, Row.ProgressPercent_, Row.Checkpoint_, Row.Load_);
+}
+
+template <typename Archive> void serialize(Archive &Ar, EndReport &Row) {
+  Ar(Row.Run_, Row.How_, Row.Checkpoint_);
+}
+
+template <typename Archive> void serialize(Archive &Ar, WorkerReport &Row) {
+  Ar(Row.Worker_, Row.Session_, Row.Draining_, Row.DrainTimeLeft_,
+     Row.Complete_, Row.Silent_, Row.SpeedPercent_, Row.Runs_, Row.Ends_);
+}
+
+template <typename Archive> void serialize(Archive &Ar, WorkerReportAck &Row) {
+  Ar(Row.LeaseTerm_, Row.SessionEnded_);
+}
+
+template <typename Archive> void serialize(Archive &Ar, WorkerGone &Row) {
+  Ar(Row.Worker_, Row.Born_);
+}
+
+template <typename Archive> void serialize(Archive &Ar, JoinGroup &Row) {
+  Ar(Row.Id_, Row.Store_, Row.Address_);
+}
+
+template <typename Archive> void serialize(Archive &, FetchGroup &) {}
+
+template <typename Archive> void serialize(Archive &Ar, GroupRow &Row) {
+  Ar(Row.Id_, Row.Address_);
+}
+
+template <typename Archive> void serialize(Archive &Ar, Group &Row) {
+  Ar(Row.Rows_, Row.Leader_);
+}
+
 } // namespace dragonfly::wire
 
 #endif // DRAGONFLY_SRC_WIRE_SERIALIZE_H
--- a/tools/check-layers.sh
+++ b/tools/check-layers.sh
@@ -18,14 +18,15 @@
 check base
 check decide base
 check consensus base
-check wire base
+check jobs base
+check wire base jobs
 check settings base
-check net base wire
-check link base settings wire net decide
-check entry base settings wire net decide link
-check control base settings wire net decide consensus
+check net base wire jobs
+check link base settings wire net decide jobs
+check entry base settings wire net decide link jobs
+check control base settings wire net decide consensus jobs link
 check ctl base settings net
-check agent base settings wire net decide link
+check agent base settings wire net decide link jobs
 heavy=$(grep -rnE '#include [<"](boost/(asio|beast)|spdlog|cereal|absl)' include)
 if [ -n "$heavy" ]; then echo "heavy include in a public header:"; echo "$heavy"; bad=1; fi
 pure=$(grep -rnE '#include [<"]boost/(asio|beast)' src/decide src/consensus 2>/dev/null)
