Keep tasks that serve and tasks on spare processors on different workers

Ruled out: too slow pacing, which reacted within one reading. Change: serving tasks are packed, tasks on spare processors prefer workers without them.

--- a/include/dragonfly/decide/JobPlacement.h
+++ b/include/dragonfly/decide/JobPlacement.h
@@ -24,6 +24,8 @@
   Resources Reserved_;
   /// Processors wanted by runs that use spare ones, in thousandths.
   std::int64_t SpareMilliProcessors_ = 0;
+  /// Runs with a bound on their tail latency.
+  std::int64_t ServingRuns_ = 0;
   /// Takes new runs.
   bool Open_ = true;
   /// Runs fail or stand still there more than elsewhere; used last.
@@ -37,6 +39,8 @@
   std::string_view DataRack_;
   Resources Need_;
   bool UsesSpareProcessors_ = false;
+  /// The task has a bound on its tail latency.
+  bool Serves_ = false;
   /// Runs of the task's step that each worker has; empty where it doesn't
   /// matter.
   std::vector<std::uint32_t> StepRuns_;
--- a/include/dragonfly/jobs/JobTable.h
+++ b/include/dragonfly/jobs/JobTable.h
@@ -129,6 +129,8 @@
   Resources Reserved_;
   /// Processors of runs that use spare ones. Derived.
   std::int64_t SpareMilliProcessors_ = 0;
+  /// Runs with a bound on their tail latency. Derived.
+  std::int64_t ServingRuns_ = 0;
 
   template <typename Archive> void serialize(Archive &Ar) { Ar(Life_, Fence_); }
 };
--- a/src/control/JobDispatcher.cpp
+++ b/src/control/JobDispatcher.cpp
@@ -59,7 +59,8 @@
                        .Labels_ = Session.Hello_.Labels_,
                        .Capacity_ = Session.Hello_.Capacity_,
                        .Reserved_ = Row->Reserved_,
-                       .SpareMilliProcessors_ = Row->SpareMilliProcessors_});
+                       .SpareMilliProcessors_ = Row->SpareMilliProcessors_,
+                       .ServingRuns_ = Row->ServingRuns_});
   }
   for (const auto &[Run, Proposed] : Proposed_) {
     const auto It = std::ranges::find(Workers, Proposed.Worker_,
@@ -74,6 +75,8 @@
       Need.MilliProcessors_ = 0;
     }
     It->Reserved_ += Need;
+    if (Step.TailTarget_ > Duration::zero())
+      ++It->ServingRuns_;
   }
   return Workers;
 }
@@ -114,6 +117,7 @@
                              .DataRack_ = Step.DataRack_,
                              .Need_ = Step.Need_,
                              .UsesSpareProcessors_ = Step.UsesSpareProcessors_,
+                             .Serves_ = Step.TailTarget_ > Duration::zero(),
                              .StepRuns_ = {},
                              .MaxPerWorker_ = Step.MaxPerWorker_,
                              .Avoid_ = {}};
--- a/src/decide/JobPlacement.cpp
+++ b/src/decide/JobPlacement.cpp
@@ -32,24 +32,39 @@
          Task.StepRuns_[Index] < Task.MaxPerWorker_;
 }
 
-/// Orders workers: sound ones first, then near the data, then the one with the
-/// most idle processors.
+/// Orders workers: sound ones first, then near the data, then by what keeps
+/// tasks that serve and tasks on spare processors apart, since these disturb
+/// the others' tail latency.
 struct Rank {
   bool Avoided_ = false;
   bool Suspect_ = false;
   bool FarFromData_ = false;
-  std::int64_t Busy_ = 0;
+  bool OtherCompany_ = false;
+  std::int64_t Fit_ = 0;
 
   auto operator<=>(const Rank &) const = default;
 };
 
 Rank rankOf(const PlacementWorker &Row, const PlacementNeed &Task) {
-  return {.Avoided_ = Row.Name_ == Task.Avoid_,
-          .Suspect_ = Row.Suspect_,
-          .FarFromData_ = !Task.DataRack_.empty() &&
-                          std::ranges::find(Row.Labels_, Task.DataRack_) ==
-                              Row.Labels_.end(),
-          .Busy_ = -spareOf(Row)};
+  Rank Result{.Avoided_ = Row.Name_ == Task.Avoid_,
+              .Suspect_ = Row.Suspect_,
+              .FarFromData_ = !Task.DataRack_.empty() &&
+                              std::ranges::find(Row.Labels_, Task.DataRack_) ==
+                                  Row.Labels_.end()};
+  const bool Serving = Row.ServingRuns_ > 0;
+  if (Task.Serves_) {
+    // Packed on few workers, so that the others are free of them.
+    Result.OtherCompany_ = !Serving;
+    Result.Fit_ = Row.Capacity_.MilliProcessors_ - Row.Reserved_.MilliProcessors_;
+  } else if (Task.UsesSpareProcessors_) {
+    Result.OtherCompany_ = Serving;
+    Result.Fit_ = -spareOf(Row);
+  } else {
+    // Short tasks take what tasks on spare processors shall not use.
+    Result.OtherCompany_ = !Serving;
+    Result.Fit_ = -spareOf(Row);
+  }
+  return Result;
 }
 
 } // namespace
@@ -76,6 +91,8 @@
     Reserve.MilliProcessors_ = 0;
   }
   Chosen.Reserved_ += Reserve;
+  if (Task.Serves_)
+    ++Chosen.ServingRuns_;
   return Best;
 }
 
--- a/src/jobs/JobTable.cpp
+++ b/src/jobs/JobTable.cpp
@@ -13,6 +13,8 @@
     Worker.SpareMilliProcessors_ += Sign * Need.MilliProcessors_;
     Need.MilliProcessors_ = 0;
   }
+  if (Step.TailTarget_ > Duration::zero())
+    Worker.ServingRuns_ += Sign;
   if (Sign > 0)
     Worker.Reserved_ += Need;
   else
@@ -175,6 +177,7 @@
     Worker.Runs_.clear();
     Worker.Reserved_ = {};
     Worker.SpareMilliProcessors_ = 0;
+    Worker.ServingRuns_ = 0;
   }
   for (const auto &[Id, Job] : Jobs_) {
     for (std::uint32_t Step = 0; Step < Job.Steps_.size(); ++Step)
