--- a/include/dragonfly/base/Event.h
+++ b/include/dragonfly/base/Event.h
@@ -48,6 +48,7 @@
   WorkerDetached = 3017,
   WorkerLeaseExpired = 3018,
   WorkerLeft = 3019,
+  DispatchSummary = 3020,
   // consensus
   LeaderElected = 4001,
   LeaderLost = 4002,
--- a/src/agent/WorkerAgent.cpp
+++ b/src/agent/WorkerAgent.cpp
@@ -317,6 +317,7 @@
                        1 + 1000.0 * static_cast<double>(Row.Listed_.Load_) /
                                toMilliseconds(Row.Order_.TailTarget_)));
     const std::uint32_t Percent = Speed_.update(Now, Worst);
+    SpeedPercent_ = Percent;
     std::vector<jobs::RunName> Changed;
     for (const auto &[Run, Row] : Book_.rows()) {
       const std::uint32_t Change = std::max(Row.SpeedPercent_, Percent) -
@@ -360,6 +361,7 @@
                               .DrainTimeLeft_ = Worker_.DrainTimeLeft_,
                               .Complete_ = !Complete_,
                               .Silent_ = Silent_,
+                              .SpeedPercent_ = SpeedPercent_,
                               .Runs_ = Book_.runReports(),
                               .Ends_ = Book_.endReports()};
     const std::size_t Ends = Report.Ends_.size();
@@ -455,6 +457,8 @@
   std::uint64_t Life_ = 0;
   RunBook Book_;
   decide::SpeedControl Speed_;
+  /// Share of full speed that runs on spare processors have, in percent.
+  std::uint32_t SpeedPercent_ = 100;
 
   bool Opening_ = false;
   /// 0 while no session is open.
--- a/src/base/Event.cpp
+++ b/src/base/Event.cpp
@@ -72,6 +72,9 @@
      "No lease of the worker can run any more; its runs are lost."},
     {Event::WorkerLeft, Severity::Info, "worker-left",
      "A worker has left for good."},
+    {Event::DispatchSummary, Severity::Info, "dispatch-summary",
+     "Once a second while tasks wait: what workers have, hold and are wanted "
+     "for, in thousandths of processors and in MiB."},
     {Event::LeaderElected, Severity::Info, "leader-elected",
      "This replica leads the replicated log in a new term."},
     {Event::LeaderLost, Severity::Warning, "leader-lost",
--- a/src/control/JobDispatcher.cpp
+++ b/src/control/JobDispatcher.cpp
@@ -20,6 +20,7 @@
 constexpr Duration StopCheckPeriod = std::chrono::milliseconds(100);
 /// Placement runs this often even where nothing is known to have changed.
 constexpr Duration PlacePeriod = std::chrono::milliseconds(200);
+constexpr Duration SummaryPeriod = std::chrono::seconds(1);
 /// Starts of one tick; bounds how long a tick can take.
 constexpr std::size_t MaxStartsPerTick = 256;
 
@@ -105,6 +106,40 @@
     }
     placeStep(Now, Ready, Placement);
   }
+  logSummary(Now, Placement);
+}
+
+void JobDispatcher::logSummary(TimePoint Now,
+                               const decide::JobPlacement &Placement) {
+  if (Now < SummaryAt_)
+    return;
+  SummaryAt_ = Now + SummaryPeriod;
+  Resources Capacity;
+  Resources Reserved;
+  std::int64_t Spare = 0;
+  std::uint64_t Serving = 0;
+  for (const decide::PlacementWorker &Row : Placement.workers()) {
+    Capacity += Row.Capacity_;
+    Reserved += Row.Reserved_;
+    Spare += Row.SpareMilliProcessors_;
+    Serving += Row.ServingRuns_ > 0 ? 1 : 0;
+  }
+  std::uint64_t Waiting = 0;
+  for (const jobs::ReadyStep &Ready : Table_.readySteps())
+    Waiting += Table_.find(Ready.Job_)->Steps_[Ready.Step_].Waiting_;
+  const auto Unsigned = [](std::int64_t Value) {
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(Value, 0));
+  };
+  logEvent(Event::DispatchSummary,
+           {{"workers", Placement.workers().size()},
+            {"workers_that_serve", Serving},
+            {"processors", Unsigned(Capacity.MilliProcessors_)},
+            {"processors_reserved", Unsigned(Reserved.MilliProcessors_)},
+            {"processors_spare_used", Unsigned(Spare)},
+            {"memory", Unsigned(Capacity.MemoryMib_)},
+            {"memory_reserved", Unsigned(Reserved.MemoryMib_)},
+            {"steps_ready", Table_.readySteps().size()},
+            {"tasks_waiting", Waiting}});
 }
 
 void JobDispatcher::placeStep(TimePoint Now, const jobs::ReadyStep &Ready,
--- a/src/control/JobDispatcher.h
+++ b/src/control/JobDispatcher.h
@@ -44,6 +44,7 @@
   void stopUnwanted(TimePoint Now);
   void stopWhereDraining(TimePoint Now, const std::string &Worker,
                          const WorkerSession &Session);
+  void logSummary(TimePoint Now, const decide::JobPlacement &Placement);
   std::vector<decide::PlacementWorker> openWorkers() const;
   std::vector<jobs::ReadyStep> stepsInOrder() const;
 
@@ -54,6 +55,7 @@
   bool Changed_ = true;
   TimePoint StopCheckAt_;
   TimePoint PlaceAgainAt_;
+  TimePoint SummaryAt_;
 };
 
 } // namespace dragonfly::control
