--- a/include/dragonfly/decide/JobPlacement.h
+++ b/include/dragonfly/decide/JobPlacement.h
@@ -4,9 +4,9 @@
 
 #include "dragonfly/base/Resources.h"
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -14,6 +14,14 @@
 
 namespace dragonfly::decide {
 
+/// Runs of one image on a worker that serve under a tail latency target.
+struct ServingImage {
+  std::string Image_;
+  /// Tail latency over target that is to be expected with all runs that are
+  /// placed there.
+  double ExpectedRatio_ = 0;
+};
+
 /// One worker as placement sees it.
 struct PlacementWorker {
   std::string Name_;
@@ -22,12 +30,11 @@
   Resources Capacity_;
   /// Reserved by runs that count against the capacity.
   Resources Reserved_;
+  /// The part of the reserved processors that runs which serve hold.
+  std::int64_t ServingMilliProcessors_ = 0;
   /// Processors wanted by runs that use spare ones, in thousandths.
   std::int64_t SpareMilliProcessors_ = 0;
-  /// Runs with a bound on their tail latency.
-  std::int64_t ServingRuns_ = 0;
-  /// Takes new runs.
-  bool Open_ = true;
+  std::vector<ServingImage> Serving_;
   /// Runs fail or stand still there more than elsewhere; used last.
   bool Suspect_ = false;
 };
@@ -37,10 +44,14 @@
   std::string_view Service_;
   std::string_view RequiredLabel_;
   std::string_view DataRack_;
+  std::string_view Image_;
   Resources Need_;
   bool UsesSpareProcessors_ = false;
   /// The task has a bound on its tail latency.
   bool Serves_ = false;
+  /// The task may share spare processors that others want already: its job
+  /// would stand still otherwise.
+  bool MayCrowd_ = false;
   /// Runs of the task's step that each worker has; empty where it doesn't
   /// matter.
   std::vector<std::uint32_t> StepRuns_;
@@ -49,11 +60,28 @@
   std::string_view Avoid_;
 };
 
+struct JobPlacementOptions {
+  /// Share of their reserved processors that runs which serve really use, at
+  /// their peaks, in thousandths.
+  std::int64_t ServingUsePermille_ = 750;
+  /// Tail latency over target that placement may lead to; what is left is for
+  /// swings of the load that pacing answers.
+  double MostTailRatio_ = 0.85;
+  /// Above it, workers are used only where others have no room.
+  double GoodTailRatio_ = 0.6;
+  /// Returns how much a run of \p Image with \p Share of a worker's processors
+  /// raises the ratio of runs of \p Serving.
+  std::function<double(std::string_view Serving, std::string_view Image,
+                       double Share)>
+      Rise_;
+};
+
 /// Workers, with what has been placed on them so far.
 class JobPlacement {
 public:
-  explicit JobPlacement(std::vector<PlacementWorker> Workers)
-      : Workers_(std::move(Workers)) {}
+  JobPlacement(std::vector<PlacementWorker> Workers,
+               JobPlacementOptions Options)
+      : Options_(std::move(Options)), Workers_(std::move(Workers)) {}
 
   /// Returns the worker for \p Task and reserves its need there, or nothing
   /// where no worker has room.
@@ -62,6 +90,16 @@
   const std::vector<PlacementWorker> &workers() const { return Workers_; }
 
 private:
+  struct Rank;
+
+  std::int64_t spareOf(const PlacementWorker &Row) const;
+  double worstRatio(const PlacementWorker &Row,
+                    const PlacementNeed &Task) const;
+  bool hasRoom(const PlacementWorker &Row, const PlacementNeed &Task) const;
+  Rank rankOf(const PlacementWorker &Row, const PlacementNeed &Task) const;
+  void commit(PlacementWorker &Row, const PlacementNeed &Task) const;
+
+  JobPlacementOptions Options_;
   std::vector<PlacementWorker> Workers_;
 };
 
--- a/include/dragonfly/jobs/JobTable.h
+++ b/include/dragonfly/jobs/JobTable.h
@@ -129,12 +129,17 @@
   Resources Reserved_;
   /// Processors of runs that use spare ones. Derived.
   std::int64_t SpareMilliProcessors_ = 0;
-  /// Runs with a bound on their tail latency. Derived.
+  /// Runs with a bound on their tail latency, and their part of `Reserved_`.
+  /// Derived.
   std::int64_t ServingRuns_ = 0;
+  std::int64_t ServingMilliProcessors_ = 0;
 
   template <typename Archive> void serialize(Archive &Ar) { Ar(Life_, Fence_); }
 };
 
+/// Adds what a run of \p Step holds, \p Sign times, to \p Worker.
+void reserve(WorkerRow &Worker, const StepSpec &Step, std::int64_t Sign);
+
 /// A step with tasks that may start now.
 struct ReadyStep {
   std::uint64_t Sequence_ = 0;
--- a/include/dragonfly/wire/Messages.h
+++ b/include/dragonfly/wire/Messages.h
@@ -423,6 +423,15 @@
   std::string Checkpoint_;
   Duration TailTarget_{};
   bool UsesSpareProcessors_ = false;
+  std::string Image_;
+};
+
+/// How much runs of one image raise the tail latency of another image's.
+struct Disturbance {
+  std::string ServingImage_;
+  std::string Image_;
+  /// Tail latency as a share of its target, per worker's processors in use.
+  double RisePerShare_ = 0;
 };
 
 /// One part of the answer to WorkerHello. The stream is the session: orders
@@ -434,6 +443,8 @@
   std::vector<jobs::RunName> Stops_;
   /// Without payloads: runs that were ordered earlier. On the first part.
   std::vector<StartOrder> Known_;
+  /// What is known of the images on the worker; empty where nothing changed.
+  std::vector<Disturbance> Disturbances_;
 };
 
 enum class RunPhase : std::uint8_t {
@@ -469,8 +480,6 @@
   bool Complete_ = false;
   /// The worker does not answer its agent.
   bool Silent_ = false;
-  /// Share of full speed that runs on spare processors are given.
-  std::uint32_t SpeedPercent_ = 100;
   std::vector<RunReport> Runs_;
   std::vector<EndReport> Ends_;
 };
--- a/src/agent/RunBook.cpp
+++ b/src/agent/RunBook.cpp
@@ -34,6 +34,7 @@
     return;
   It->second.Order_.TailTarget_ = Order.TailTarget_;
   It->second.Order_.UsesSpareProcessors_ = Order.UsesSpareProcessors_;
+  It->second.Order_.Image_ = Order.Image_;
 }
 
 void RunBook::refuse(const RunName &Run) {
--- a/src/agent/WorkerAgent.cpp
+++ b/src/agent/WorkerAgent.cpp
@@ -22,6 +22,7 @@
 constexpr Duration StopTime = std::chrono::milliseconds(500);
 /// Changes of speed smaller than this are not worth a call.
 constexpr std::uint32_t LeastSpeedChange = 3;
+constexpr std::uint32_t FullSpeed = 100;
 
 std::string nameOf(const jobs::RunName &Run) {
   return Run.Task_.Job_ + "." + std::to_string(Run.Task_.Step_) + "." +
@@ -123,6 +124,8 @@
       Known_.clear();
       NextHoldAt_ = Now;
     }
+    for (const wire::Disturbance &Row : Orders.Disturbances_)
+      Speeds_.disturbs(Row.ServingImage_, Row.Image_, Row.RisePerShare_);
     for (wire::StartOrder &Order : Orders.Known_)
       Known_[Order.Run_] = std::move(Order);
     for (wire::StartOrder &Order : Orders.Starts_)
@@ -307,34 +310,45 @@
     pump();
   }
 
-  /// Keeps runs that serve under their targets.
+  /// Keeps runs that serve under their targets, at the cost of the runs on
+  /// spare processors that disturb them.
   void controlSpeed(TimePoint Now) {
-    std::uint32_t Worst = 0;
+    for (const auto &[Run, Row] : Book_.rows()) {
+      if (!Row.Order_.UsesSpareProcessors_ ||
+          Row.Phase_ != wire::RunPhase::Running)
+        continue;
+      Speeds_.runs(Row.Order_.Image_,
+                   static_cast<double>(Row.Listed_.Load_) /
+                       static_cast<double>(std::max<std::int64_t>(
+                           Worker_.Capacity_.MilliProcessors_, 1)));
+    }
     for (const auto &[Run, Row] : Book_.rows())
-      if (Row.Order_.TailTarget_ > Duration::zero())
-        Worst = std::max(
-            Worst, static_cast<std::uint32_t>(
-                       1 + 1000.0 * static_cast<double>(Row.Listed_.Load_) /
-                               toMilliseconds(Row.Order_.TailTarget_)));
-    const std::uint32_t Percent = Speed_.update(Now, Worst);
-    SpeedPercent_ = Percent;
-    std::vector<jobs::RunName> Changed;
+      if (Row.Order_.TailTarget_ > Duration::zero() && Row.Listed_.Load_ > 0)
+        Speeds_.serves(Row.Order_.Image_,
+                       static_cast<double>(Row.Listed_.Load_) /
+                           toMilliseconds(Row.Order_.TailTarget_));
+    Speeds_.update(Now);
+    std::vector<std::pair<jobs::RunName, std::uint32_t>> Changed;
     for (const auto &[Run, Row] : Book_.rows()) {
+      if (!Row.Order_.UsesSpareProcessors_ ||
+          Row.Phase_ != wire::RunPhase::Running)
+        continue;
+      const std::uint32_t Percent = Speeds_.percentOf(Row.Order_.Image_);
       const std::uint32_t Change = std::max(Row.SpeedPercent_, Percent) -
                                    std::min(Row.SpeedPercent_, Percent);
-      const bool Matters = Change >= LeastSpeedChange ||
-                           (Change > 0 && (Percent == 0 || Percent == 100));
-      if (Row.Order_.UsesSpareProcessors_ && Matters &&
-          Row.Phase_ == wire::RunPhase::Running)
-        Changed.push_back(Run);
+      if (Change >= LeastSpeedChange ||
+          (Change > 0 && (Percent == 0 || Percent == FullSpeed)))
+        Changed.emplace_back(Run, Percent);
     }
-    if (!Changed.empty())
-      logEvent(Event::SpeedChanged, {{"worker", Worker_.Worker_},
-                                     {"percent", Percent},
-                                     {"runs", Changed.size()},
-                                     {"tail_permille_of_target", Worst}});
-    for (const jobs::RunName &Run : Changed)
+    for (const auto &[Run, Percent] : Changed) {
+      logEvent(Event::SpeedChanged,
+               {{"run", nameOf(Run)},
+                {"worker", Worker_.Worker_},
+                {"percent", Percent},
+                {"tail_permille_of_target",
+                 static_cast<std::uint64_t>(1000 * Speeds_.worstRatio())}});
       callPace(Run, Percent);
+    }
   }
 
   void callPace(const jobs::RunName &Run, std::uint32_t Percent) {
@@ -361,7 +375,6 @@
                               .DrainTimeLeft_ = Worker_.DrainTimeLeft_,
                               .Complete_ = !Complete_,
                               .Silent_ = Silent_,
-                              .SpeedPercent_ = SpeedPercent_,
                               .Runs_ = Book_.runReports(),
                               .Ends_ = Book_.endReports()};
     const std::size_t Ends = Report.Ends_.size();
@@ -456,9 +469,7 @@
   /// Counts lives, so that answers of earlier ones are told apart.
   std::uint64_t Life_ = 0;
   RunBook Book_;
-  decide::SpeedControl Speed_;
-  /// Share of full speed that runs on spare processors have, in percent.
-  std::uint32_t SpeedPercent_ = 100;
+  decide::SpeedControl Speeds_;
 
   bool Opening_ = false;
   /// 0 while no session is open.
--- a/src/control/JobDispatcher.cpp
+++ b/src/control/JobDispatcher.cpp
@@ -21,6 +21,9 @@
 /// Placement runs this often even where nothing is known to have changed.
 constexpr Duration PlacePeriod = std::chrono::milliseconds(200);
 constexpr Duration SummaryPeriod = std::chrono::seconds(1);
+/// A job whose step is due stands still no longer than this while half of the
+/// processors are not reserved; the platform allows three seconds.
+constexpr Duration MaxIdleTime = std::chrono::milliseconds(1200);
 /// Starts of one tick; bounds how long a tick can take.
 constexpr std::size_t MaxStartsPerTick = 256;
 
@@ -31,7 +34,8 @@
           .Checkpoint_ =
               Job.Steps_[Run.Task_.Step_].Tasks_[Run.Task_.Index_].Checkpoint_,
           .TailTarget_ = Step.TailTarget_,
-          .UsesSpareProcessors_ = Step.UsesSpareProcessors_};
+          .UsesSpareProcessors_ = Step.UsesSpareProcessors_,
+          .Image_ = Step.Image_};
 }
 
 } // namespace
@@ -50,38 +54,54 @@
 }
 
 std::vector<decide::PlacementWorker> JobDispatcher::openWorkers() const {
+  std::map<std::string, std::vector<RunName>> Proposed;
+  for (const auto &[Run, Start] : Proposed_)
+    Proposed[Start.Worker_].push_back(Run);
   std::vector<decide::PlacementWorker> Workers;
   for (const auto &[Name, Session] : Sessions_.rows()) {
     const jobs::WorkerRow *Row = Table_.findWorker(Name);
     if (!Session.open() || Row == nullptr)
       continue;
+    std::vector<RunName> Planned(Row->Runs_.begin(), Row->Runs_.end());
+    jobs::WorkerRow Held{.Reserved_ = Row->Reserved_,
+                         .SpareMilliProcessors_ = Row->SpareMilliProcessors_,
+                         .ServingMilliProcessors_ =
+                             Row->ServingMilliProcessors_};
+    for (const RunName &Run : Proposed[Name]) {
+      const JobRow *Job = Table_.find(Run.Task_.Job_);
+      if (Job == nullptr || Row->Runs_.contains(Run))
+        continue;
+      jobs::reserve(Held, Job->Spec_.Steps_[Run.Task_.Step_], 1);
+      Planned.push_back(Run);
+    }
     Workers.push_back({.Name_ = Name,
                        .Service_ = Session.Hello_.Service_,
                        .Labels_ = Session.Hello_.Labels_,
                        .Capacity_ = Session.Hello_.Capacity_,
-                       .Reserved_ = Row->Reserved_,
-                       .SpareMilliProcessors_ = Row->SpareMilliProcessors_,
-                       .ServingRuns_ = Row->ServingRuns_});
-  }
-  for (const auto &[Run, Proposed] : Proposed_) {
-    const auto It = std::ranges::find(Workers, Proposed.Worker_,
-                                      &decide::PlacementWorker::Name_);
-    const JobRow *Job = Table_.find(Run.Task_.Job_);
-    if (It == Workers.end() || Job == nullptr)
-      continue;
-    const StepSpec &Step = Job->Spec_.Steps_[Run.Task_.Step_];
-    Resources Need = Step.Need_;
-    if (Step.UsesSpareProcessors_) {
-      It->SpareMilliProcessors_ += Need.MilliProcessors_;
-      Need.MilliProcessors_ = 0;
-    }
-    It->Reserved_ += Need;
-    if (Step.TailTarget_ > Duration::zero())
-      ++It->ServingRuns_;
+                       .Reserved_ = Held.Reserved_,
+                       .ServingMilliProcessors_ = Held.ServingMilliProcessors_,
+                       .SpareMilliProcessors_ = Held.SpareMilliProcessors_,
+                       .Serving_ = Loads_.serving(Session, Planned)});
   }
   return Workers;
 }
 
+/// True where the job would stand still although there is room for it.
+bool JobDispatcher::isStarved(TimePoint Now, const JobRow &Job) {
+  const bool Idle =
+      std::ranges::none_of(Job.Steps_, [](const jobs::StepRow &Step) {
+        return std::ranges::any_of(Step.Tasks_, [](const TaskRow &Task) {
+          return Task.Phase_ == TaskPhase::OnWorker;
+        });
+      });
+  if (!Idle) {
+    IdleSince_.erase(Job.Id_);
+    return false;
+  }
+  const TimePoint Since = IdleSince_.try_emplace(Job.Id_, Now).first->second;
+  return HasIdleHalf_ && Now - Since >= MaxIdleTime;
+}
+
 std::vector<jobs::ReadyStep> JobDispatcher::stepsInOrder() const {
   std::vector<jobs::ReadyStep> Steps(Table_.readySteps().begin(),
                                      Table_.readySteps().end());
@@ -98,7 +118,22 @@
 void JobDispatcher::place(TimePoint Now) {
   if (Table_.readySteps().empty())
     return;
-  decide::JobPlacement Placement(openWorkers());
+  decide::JobPlacement Placement(
+      openWorkers(), {.Rise_ = [this](std::string_view Serving,
+                                      std::string_view Image, double Share) {
+        return Loads_.rise(Serving, Image, Share);
+      }});
+  Resources Capacity;
+  Resources Reserved;
+  for (const decide::PlacementWorker &Row : Placement.workers()) {
+    Capacity += Row.Capacity_;
+    Reserved += Row.Reserved_;
+  }
+  HasIdleHalf_ = Reserved.MilliProcessors_ * 2 < Capacity.MilliProcessors_;
+  std::erase_if(IdleSince_, [this](const auto &Each) {
+    const JobRow *Job = Table_.find(Each.first);
+    return Job == nullptr || !Job->active();
+  });
   for (const jobs::ReadyStep &Ready : stepsInOrder()) {
     if (Batch_.rows().Starts_.size() >= MaxStartsPerTick) {
       Changed_ = true;
@@ -122,7 +157,7 @@
     Capacity += Row.Capacity_;
     Reserved += Row.Reserved_;
     Spare += Row.SpareMilliProcessors_;
-    Serving += Row.ServingRuns_ > 0 ? 1 : 0;
+    Serving += Row.Serving_.empty() ? 0 : 1;
   }
   std::uint64_t Waiting = 0;
   for (const jobs::ReadyStep &Ready : Table_.readySteps())
@@ -150,6 +185,7 @@
   decide::PlacementNeed Need{.Service_ = Job.Queue_.Service_,
                              .RequiredLabel_ = Step.RequiredLabel_,
                              .DataRack_ = Step.DataRack_,
+                             .Image_ = Step.Image_,
                              .Need_ = Step.Need_,
                              .UsesSpareProcessors_ = Step.UsesSpareProcessors_,
                              .Serves_ = Step.TailTarget_ > Duration::zero(),
@@ -172,6 +208,7 @@
         ++Need.StepRuns_[workerIndex(It->second.Worker_)];
     }
   }
+  Need.MayCrowd_ = Step.UsesSpareProcessors_ && isStarved(Now, Job);
   for (std::uint32_t Index = 0; Index < Tasks.size(); ++Index) {
     const TaskRow &Task = Tasks[Index];
     RunName Next{{Job.Id_, Ready.Step_, Index}, Task.Run_ + 1};
@@ -184,6 +221,7 @@
     if (!Need.StepRuns_.empty())
       ++Need.StepRuns_[*Chosen];
     propose(Now, Job, std::move(Next), Placement.workers()[*Chosen].Name_);
+    Need.MayCrowd_ = false;
     if (Batch_.rows().Starts_.size() >= MaxStartsPerTick)
       return;
   }
--- a/src/control/JobDispatcher.h
+++ b/src/control/JobDispatcher.h
@@ -3,6 +3,7 @@
 #define DRAGONFLY_SRC_CONTROL_JOBDISPATCHER_H
 
 #include "control/JobBatch.h"
+#include "control/WorkerLoads.h"
 #include "control/WorkerSessions.h"
 #include "dragonfly/decide/JobPlacement.h"
 
@@ -16,11 +17,12 @@
 class JobDispatcher {
 public:
   JobDispatcher(const jobs::JobTable &Table, WorkerSessions &Sessions,
-                JobBatch &Batch)
-      : Table_(Table), Sessions_(Sessions), Batch_(Batch) {}
+                const WorkerLoads &Loads, JobBatch &Batch)
+      : Table_(Table), Sessions_(Sessions), Loads_(Loads), Batch_(Batch) {}
 
   void lead() {
     Proposed_.clear();
+    IdleSince_.clear();
     Changed_ = true;
   }
   void tick(TimePoint Now);
@@ -46,12 +48,18 @@
                          const WorkerSession &Session);
   void logSummary(TimePoint Now, const decide::JobPlacement &Placement);
   std::vector<decide::PlacementWorker> openWorkers() const;
+  bool isStarved(TimePoint Now, const jobs::JobRow &Job);
   std::vector<jobs::ReadyStep> stepsInOrder() const;
 
   const jobs::JobTable &Table_;
   WorkerSessions &Sessions_;
+  const WorkerLoads &Loads_;
   JobBatch &Batch_;
   std::map<jobs::RunName, ProposedStart> Proposed_;
+  /// Jobs with a step that is due and nothing on a worker, and since when.
+  std::map<std::string, TimePoint> IdleSince_;
+  /// Less than half of the processors of all workers are reserved.
+  bool HasIdleHalf_ = false;
   bool Changed_ = true;
   TimePoint StopCheckAt_;
   TimePoint PlaceAgainAt_;
--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -2,6 +2,7 @@
 
 #include "control/JobBatch.h"
 #include "control/JobDispatcher.h"
+#include "control/WorkerLoads.h"
 #include "control/WorkerSessions.h"
 #include "dragonfly/base/Log.h"
 
@@ -16,8 +17,11 @@
 struct JobService::Impl {
   Impl(JobServiceOptions Options, const jobs::JobTable &Table)
       : Options_(std::move(Options)), Table_(Table), Batch_(Options_),
-        Sessions_(Options_, Table_, Batch_),
-        Dispatcher_(Table_, Sessions_, Batch_) {}
+        Loads_(Table_), Sessions_(Options_, Table_, Batch_,
+                                  [this](const std::string &Worker) {
+                                    return Loads_.disturbances(Worker);
+                                  }),
+        Dispatcher_(Table_, Sessions_, Loads_, Batch_) {}
 
   /// Answers with nothing done, or not at all where that is not certain.
   void refuse(ProposeStatus Status, const Reply &Answer) const {
@@ -136,6 +140,7 @@
   JobServiceOptions Options_;
   const jobs::JobTable &Table_;
   JobBatch Batch_;
+  WorkerLoads Loads_;
   WorkerSessions Sessions_;
   JobDispatcher Dispatcher_;
 };
@@ -193,7 +198,11 @@
 
 void JobService::report(TimePoint Now, wire::WorkerReport Report,
                         Reply Answer) {
+  const std::string Worker = Report.Worker_;
   Impl_->Sessions_.report(Now, std::move(Report), std::move(Answer));
+  if (const auto It = Impl_->Sessions_.rows().find(Worker);
+      It != Impl_->Sessions_.rows().end())
+    Impl_->Loads_.observe(Now, It->second);
 }
 
 void JobService::workerGone(TimePoint, const wire::WorkerGone &Notice,
--- a/src/control/WorkerSessions.cpp
+++ b/src/control/WorkerSessions.cpp
@@ -60,7 +60,8 @@
     if (Now >= Session.LeaseUntil_)
       expire(Now, Worker, Session);
     if (Session.attached() && Now - Session.SentAt_ >= KeepAlivePeriod)
-      order(Now, Worker, Session.Number_, {});
+      order(Now, Worker, Session.Number_,
+            {.Disturbances_ = Disturbances_(Worker)});
   }
   std::erase_if(Rows_, [this](const auto &Each) {
     return !Each.second.attached() && Table_.findWorker(Each.first) == nullptr;
@@ -135,7 +136,8 @@
                      .Payload_ = {},
                      .Checkpoint_ = {},
                      .TailTarget_ = Step.TailTarget_,
-                     .UsesSpareProcessors_ = Step.UsesSpareProcessors_});
+                     .UsesSpareProcessors_ = Step.UsesSpareProcessors_,
+                     .Image_ = Step.Image_});
   }
   return Known;
 }
--- a/src/control/WorkerSessions.h
+++ b/src/control/WorkerSessions.h
@@ -49,9 +49,14 @@
 
 class WorkerSessions {
 public:
+  /// Returns what an agent should know of the images on its worker.
+  using DisturbanceHook =
+      std::function<std::vector<wire::Disturbance>(const std::string &Worker)>;
+
   WorkerSessions(const JobServiceOptions &Options, const jobs::JobTable &Table,
-                 JobBatch &Batch)
-      : Options_(Options), Table_(Table), Batch_(Batch) {}
+                 JobBatch &Batch, DisturbanceHook Disturbances)
+      : Options_(Options), Table_(Table), Batch_(Batch),
+        Disturbances_(std::move(Disturbances)) {}
 
   void lead(TimePoint Now, Term Led);
   void stop();
@@ -90,6 +95,7 @@
   const JobServiceOptions &Options_;
   const jobs::JobTable &Table_;
   JobBatch &Batch_;
+  DisturbanceHook Disturbances_;
   std::map<std::string, WorkerSession> Rows_;
   std::uint64_t LastNumber_ = 0;
   bool Changed_ = true;
--- a/src/decide/JobPlacement.cpp
+++ b/src/decide/JobPlacement.cpp
@@ -1,74 +1,101 @@
 #include "dragonfly/decide/JobPlacement.h"
 
 #include <algorithm>
+#include <compare>
 
 namespace dragonfly::decide {
 namespace {
 
-/// Processors that neither reservations nor spare users want, in thousandths.
-std::int64_t spareOf(const PlacementWorker &Row) {
-  return Row.Capacity_.MilliProcessors_ - Row.Reserved_.MilliProcessors_ -
-         Row.SpareMilliProcessors_;
+double shareOf(const PlacementWorker &Row, const PlacementNeed &Task) {
+  return static_cast<double>(Task.Need_.MilliProcessors_) /
+         static_cast<double>(
+             std::max<std::int64_t>(Row.Capacity_.MilliProcessors_, 1));
 }
 
-bool hasRoom(const PlacementWorker &Row, const PlacementNeed &Task) {
-  Resources Reserve = Task.Need_;
-  if (Task.UsesSpareProcessors_) {
-    if (spareOf(Row) < Task.Need_.MilliProcessors_)
-      return false;
-    Reserve.MilliProcessors_ = 0;
-  }
-  return (Row.Reserved_ + Reserve).fitsIn(Row.Capacity_);
+bool hasLabel(const PlacementWorker &Row, std::string_view Label) {
+  return std::ranges::find(Row.Labels_, Label) != Row.Labels_.end();
 }
 
 bool isAllowed(const PlacementWorker &Row, std::size_t Index,
                const PlacementNeed &Task) {
-  if (!Row.Open_ || Row.Service_ != Task.Service_)
+  if (Row.Service_ != Task.Service_)
     return false;
-  if (!Task.RequiredLabel_.empty() &&
-      std::ranges::find(Row.Labels_, Task.RequiredLabel_) == Row.Labels_.end())
+  if (!Task.RequiredLabel_.empty() && !hasLabel(Row, Task.RequiredLabel_))
     return false;
   return Task.MaxPerWorker_ == 0 || Task.StepRuns_.empty() ||
          Task.StepRuns_[Index] < Task.MaxPerWorker_;
 }
 
+} // namespace
+
 /// Orders workers: sound ones first, then near the data, then by what keeps
-/// tasks that serve and tasks on spare processors apart, since these disturb
-/// the others' tail latency.
-struct Rank {
+/// tasks that serve and tasks on spare processors apart where these disturb the
+/// others' tail latency.
+struct JobPlacement::Rank {
   bool Avoided_ = false;
   bool Suspect_ = false;
   bool FarFromData_ = false;
-  bool OtherCompany_ = false;
+  bool BadCompany_ = false;
   std::int64_t Fit_ = 0;
 
   auto operator<=>(const Rank &) const = default;
 };
 
-Rank rankOf(const PlacementWorker &Row, const PlacementNeed &Task) {
+/// Processors that are neither used by reservations nor wanted by others, in
+/// thousandths.
+std::int64_t JobPlacement::spareOf(const PlacementWorker &Row) const {
+  constexpr std::int64_t Whole = 1000;
+  const std::int64_t LeftByServing = Row.ServingMilliProcessors_ *
+                                     (Whole - Options_.ServingUsePermille_) /
+                                     Whole;
+  return Row.Capacity_.MilliProcessors_ - Row.Reserved_.MilliProcessors_ +
+         LeftByServing - Row.SpareMilliProcessors_;
+}
+
+double JobPlacement::worstRatio(const PlacementWorker &Row,
+                                const PlacementNeed &Task) const {
+  double Worst = 0;
+  for (const ServingImage &Serving : Row.Serving_)
+    Worst = std::max(Worst, Serving.ExpectedRatio_ +
+                                Options_.Rise_(Serving.Image_, Task.Image_,
+                                               shareOf(Row, Task)));
+  return Worst;
+}
+
+bool JobPlacement::hasRoom(const PlacementWorker &Row,
+                           const PlacementNeed &Task) const {
+  Resources Reserve = Task.Need_;
+  if (Task.UsesSpareProcessors_) {
+    if (!Task.MayCrowd_ && (spareOf(Row) < Task.Need_.MilliProcessors_ ||
+                            worstRatio(Row, Task) > Options_.MostTailRatio_))
+      return false;
+    Reserve.MilliProcessors_ = 0;
+  }
+  return (Row.Reserved_ + Reserve).fitsIn(Row.Capacity_);
+}
+
+JobPlacement::Rank JobPlacement::rankOf(const PlacementWorker &Row,
+                                        const PlacementNeed &Task) const {
   Rank Result{.Avoided_ = Row.Name_ == Task.Avoid_,
               .Suspect_ = Row.Suspect_,
-              .FarFromData_ = !Task.DataRack_.empty() &&
-                              std::ranges::find(Row.Labels_, Task.DataRack_) ==
-                                  Row.Labels_.end()};
-  const bool Serving = Row.ServingRuns_ > 0;
+              .FarFromData_ =
+                  !Task.DataRack_.empty() && !hasLabel(Row, Task.DataRack_)};
   if (Task.Serves_) {
     // Packed on few workers, so that the others are free of them.
-    Result.OtherCompany_ = !Serving;
-    Result.Fit_ = Row.Capacity_.MilliProcessors_ - Row.Reserved_.MilliProcessors_;
+    Result.BadCompany_ = Row.Serving_.empty();
+    Result.Fit_ =
+        Row.Capacity_.MilliProcessors_ - Row.Reserved_.MilliProcessors_;
   } else if (Task.UsesSpareProcessors_) {
-    Result.OtherCompany_ = Serving;
+    Result.BadCompany_ = worstRatio(Row, Task) > Options_.GoodTailRatio_;
     Result.Fit_ = -spareOf(Row);
   } else {
-    // Short tasks take what tasks on spare processors shall not use.
-    Result.OtherCompany_ = !Serving;
+    // Short tasks take what tasks on spare processors cannot use as well.
+    Result.BadCompany_ = Row.Serving_.empty();
     Result.Fit_ = -spareOf(Row);
   }
   return Result;
 }
 
-} // namespace
-
 std::optional<std::size_t> JobPlacement::place(const PlacementNeed &Task) {
   std::optional<std::size_t> Best;
   Rank BestRank;
@@ -82,18 +109,26 @@
       BestRank = Candidate;
     }
   }
-  if (!Best)
-    return std::nullopt;
-  PlacementWorker &Chosen = Workers_[*Best];
+  if (Best)
+    commit(Workers_[*Best], Task);
+  return Best;
+}
+
+void JobPlacement::commit(PlacementWorker &Row,
+                          const PlacementNeed &Task) const {
   Resources Reserve = Task.Need_;
   if (Task.UsesSpareProcessors_) {
-    Chosen.SpareMilliProcessors_ += Reserve.MilliProcessors_;
+    for (ServingImage &Serving : Row.Serving_)
+      Serving.ExpectedRatio_ +=
+          Options_.Rise_(Serving.Image_, Task.Image_, shareOf(Row, Task));
+    Row.SpareMilliProcessors_ += Reserve.MilliProcessors_;
     Reserve.MilliProcessors_ = 0;
   }
-  Chosen.Reserved_ += Reserve;
-  if (Task.Serves_)
-    ++Chosen.ServingRuns_;
-  return Best;
+  Row.Reserved_ += Reserve;
+  if (Task.Serves_) {
+    Row.ServingMilliProcessors_ += Reserve.MilliProcessors_;
+    Row.Serving_.push_back({.Image_ = std::string(Task.Image_)});
+  }
 }
 
 } // namespace dragonfly::decide
--- a/src/jobs/JobTable.cpp
+++ b/src/jobs/JobTable.cpp
@@ -4,25 +4,23 @@
 #include <utility>
 
 namespace dragonfly::jobs {
-namespace {
 
-/// Adds what a run of \p Step holds, \p Sign times, to \p Worker.
 void reserve(WorkerRow &Worker, const StepSpec &Step, std::int64_t Sign) {
   Resources Need = Step.Need_;
   if (Step.UsesSpareProcessors_) {
     Worker.SpareMilliProcessors_ += Sign * Need.MilliProcessors_;
     Need.MilliProcessors_ = 0;
   }
-  if (Step.TailTarget_ > Duration::zero())
+  if (Step.TailTarget_ > Duration::zero()) {
     Worker.ServingRuns_ += Sign;
+    Worker.ServingMilliProcessors_ += Sign * Need.MilliProcessors_;
+  }
   if (Sign > 0)
     Worker.Reserved_ += Need;
   else
     Worker.Reserved_ -= Need;
 }
 
-} // namespace
-
 bool JobRow::isStepDue(std::uint32_t Step) const {
   return std::ranges::all_of(
       Spec_.Steps_[Step].DependsOn_, [this](std::uint32_t Earlier) {
@@ -178,6 +176,7 @@
     Worker.Reserved_ = {};
     Worker.SpareMilliProcessors_ = 0;
     Worker.ServingRuns_ = 0;
+    Worker.ServingMilliProcessors_ = 0;
   }
   for (const auto &[Id, Job] : Jobs_) {
     for (std::uint32_t Step = 0; Step < Job.Steps_.size(); ++Step)
--- a/src/wire/Serialize.h
+++ b/src/wire/Serialize.h
@@ -205,12 +205,17 @@
 }
 
 template <typename Archive> void serialize(Archive &Ar, StartOrder &Row) {
-  Ar(Row.Run_, Row.Payload_, Row.Checkpoint_, Row.TailTarget_,
+  Ar(Row.Run_, Row.Payload_, Row.Checkpoint_, Row.TailTarget_, Row.Image_,
      Row.UsesSpareProcessors_);
 }
 
+template <typename Archive> void serialize(Archive &Ar, Disturbance &Row) {
+  Ar(Row.ServingImage_, Row.Image_, Row.RisePerShare_);
+}
+
 template <typename Archive> void serialize(Archive &Ar, WorkerOrders &Row) {
-  Ar(Row.Session_, Row.Fence_, Row.Starts_, Row.Stops_, Row.Known_);
+  Ar(Row.Session_, Row.Fence_, Row.Starts_, Row.Stops_, Row.Known_,
+     Row.Disturbances_);
 }
 
 template <typename Archive> void serialize(Archive &Ar, RunReport &Row) {
@@ -223,7 +228,7 @@
 
 template <typename Archive> void serialize(Archive &Ar, WorkerReport &Row) {
   Ar(Row.Worker_, Row.Session_, Row.Draining_, Row.DrainTimeLeft_,
-     Row.Complete_, Row.Silent_, Row.SpeedPercent_, Row.Runs_, Row.Ends_);
+     Row.Complete_, Row.Silent_, Row.Runs_, Row.Ends_);
 }
 
 template <typename Archive> void serialize(Archive &Ar, WorkerReportAck &Row) {
