End the runs of a silent worker, by their own names

Each unanswered call prolonged the silent worker's lease, and the names of lapsed runs were read after their rows had been freed. Ruled out: room and spread limits (task-waits now tells them; the tasks were not waiting). Change: WorkerLease grants nothing to a silent worker; RunBook takes the name out of the row. Tests: WorkerLeaseTest, RunBookTest, JobTableTest.

--- a/include/dragonfly/agent/WorkerAgent.h
+++ b/include/dragonfly/agent/WorkerAgent.h
@@ -5,6 +5,7 @@
 
 #include "dragonfly/agent/RunBook.h"
 #include "dragonfly/agent/WorkerCalls.h"
+#include "dragonfly/agent/WorkerLease.h"
 #include "dragonfly/base/Clock.h"
 #include "dragonfly/wire/Messages.h"
 
@@ -42,10 +43,8 @@
   Duration SilentDelay_ = std::chrono::milliseconds(250);
   /// Starts are refused where less of the lease is left.
   Duration LeastLease_ = std::chrono::milliseconds(300);
-  /// Bound on how much slower the worker's clock may run, in thousandths. The
-  /// platform allows 2%.
-  std::uint32_t DriftPermille_ = 25;
   RunBookOptions Runs_;
+  WorkerLeaseOptions Lease_;
 };
 
 class WorkerAgent {
--- a/include/dragonfly/base/Event.h
+++ b/include/dragonfly/base/Event.h
@@ -49,6 +49,7 @@
   WorkerLeaseExpired = 3018,
   WorkerLeft = 3019,
   DispatchSummary = 3020,
+  TaskWaits = 3021,
   // consensus
   LeaderElected = 4001,
   LeaderLost = 4002,
--- a/include/dragonfly/decide/JobPlacement.h
+++ b/include/dragonfly/decide/JobPlacement.h
@@ -60,6 +60,18 @@
   std::string_view Avoid_;
 };
 
+/// How many workers a task cannot be placed on, by the first reason that
+/// applies.
+struct PlacementObstacles {
+  std::uint64_t OtherService_ = 0;
+  std::uint64_t Label_ = 0;
+  std::uint64_t TooManyOfStep_ = 0;
+  std::uint64_t Memory_ = 0;
+  std::uint64_t Processors_ = 0;
+  std::uint64_t SpareProcessors_ = 0;
+  std::uint64_t TailLatency_ = 0;
+};
+
 struct JobPlacementOptions {
   /// Share of their reserved processors that runs which serve really use, at
   /// their peaks, in thousandths.
@@ -87,6 +99,9 @@
   /// where no worker has room.
   std::optional<std::size_t> place(const PlacementNeed &Task);
 
+  /// Tells why no worker takes \p Task.
+  PlacementObstacles obstacles(const PlacementNeed &Task) const;
+
   const std::vector<PlacementWorker> &workers() const { return Workers_; }
 
 private:
@@ -96,6 +111,7 @@
   double worstRatio(const PlacementWorker &Row,
                     const PlacementNeed &Task) const;
   bool hasRoom(const PlacementWorker &Row, const PlacementNeed &Task) const;
+  bool isAllowed(std::size_t Index, const PlacementNeed &Task) const;
   Rank rankOf(const PlacementWorker &Row, const PlacementNeed &Task) const;
   void commit(PlacementWorker &Row, const PlacementNeed &Task) const;
 
--- a/src/agent/RunBook.cpp
+++ b/src/agent/RunBook.cpp
@@ -191,13 +191,13 @@
 }
 
 void RunBook::endRun(const RunName &Run, RunEnd How) {
-  const auto It = Rows_.find(Run);
-  std::string Checkpoint = std::move(It->second.Listed_.Checkpoint_);
-  Rows_.erase(It);
+  // The caller's name may be the row's own.
+  auto Ended = Rows_.extract(Run);
   Ends_.push_back({.Number_ = 0,
-                   .Report_ = {.Run_ = Run,
+                   .Report_ = {.Run_ = std::move(Ended.key()),
                                .How_ = How,
-                               .Checkpoint_ = std::move(Checkpoint)}});
+                               .Checkpoint_ = std::move(
+                                   Ended.mapped().Listed_.Checkpoint_)}});
 }
 
 void RunBook::setSpeed(const RunName &Run, std::uint32_t SpeedPercent) {
--- a/src/agent/WorkerAgent.cpp
+++ b/src/agent/WorkerAgent.cpp
@@ -15,9 +15,6 @@
 
 /// How often due calls, reports and leases are looked at.
 constexpr Duration TickPeriod = std::chrono::milliseconds(50);
-/// Added to the end of a lease before runs are taken for ended: workers look
-/// at their clock now and then.
-constexpr Duration LapseMargin = std::chrono::milliseconds(200);
 /// A stopping agent waits no longer for control.
 constexpr Duration StopTime = std::chrono::milliseconds(500);
 /// Changes of speed smaller than this are not worth a call.
@@ -35,7 +32,8 @@
   Impl(net::EventLoop &Loop, link::LeaderClient &Leader,
        WorkerAgentOptions Options)
       : Loop_(Loop), Leader_(Leader), Options_(std::move(Options)),
-        Self_(makeFreshId<Incarnation>()), Book_(Options_.Runs_) {}
+        Self_(makeFreshId<Incarnation>()), Book_(Options_.Runs_),
+        Lease_(Options_.Lease_) {}
 
   void start() {
     Ticks_ = Loop_.every(TickPeriod, [this] { tick(); });
@@ -65,7 +63,7 @@
                                       {"address", Worker_.Address_}});
     ++Life_;
     Book_.beginLife();
-    ClockKnown_ = false;
+    Lease_ = WorkerLease(Options_.Lease_);
     Silent_ = false;
     HoldOpen_ = false;
     Session_ = 0;
@@ -136,10 +134,10 @@
   }
 
   void takeStart(TimePoint Now, wire::StartOrder Order) {
-    const char *Why = Worker_.Draining_                          ? "draining"
-                      : Silent_ || !ClockKnown_                  ? "silent"
-                      : LeaseUntil_ - Now < Options_.LeastLease_ ? "lease"
-                                                                 : nullptr;
+    const char *Why = Worker_.Draining_                         ? "draining"
+                      : Silent_ || !Lease_.knowsClock()         ? "silent"
+                      : Lease_.left(Now) < Options_.LeastLease_ ? "lease"
+                                                                : nullptr;
     if (Why == nullptr) {
       Book_.order(Now, std::move(Order));
       return;
@@ -155,8 +153,7 @@
     const TimePoint Now = Clock::now();
     if (Worker_.Worker_.empty())
       return;
-    if (Silent_ && Now >= GrantedUntil_ + LapseMargin &&
-        !Book_.rows().empty()) {
+    if (Silent_ && Lease_.isOver(Now) && !Book_.rows().empty()) {
       logEvent(Event::RunsLapsed,
                {{"worker", Worker_.Worker_}, {"runs", Book_.rows().size()}});
       Book_.lapse();
@@ -169,28 +166,13 @@
     finishDeparture();
   }
 
-  /// The worker's clock is at or past the result when ours is at \p At.
-  WorkerTime workerTime(TimePoint At) const {
-    const Duration Left = At - ClockReadAt_;
-    return ClockRead_ + std::chrono::duration_cast<WorkerTime>(
-                            Left - Left * Options_.DriftPermille_ / 1000);
-  }
-
-  /// The lease to name in a call, or zero where none may be named.
-  WorkerTime leaseToGrant() {
-    if (!ClockKnown_ || Departed_ || LeaseUntil_ <= Clock::now())
-      return WorkerTime::zero();
-    GrantedUntil_ = std::max(GrantedUntil_, LeaseUntil_);
-    return workerTime(LeaseUntil_);
-  }
-
   void hold() {
     HoldOpen_ = true;
     const TimePoint SentAt = Clock::now();
     const bool Prompt = Book_.pendingEnds() > 0 || !ListedUnderFence_;
     const HoldCall Call{.Fence_ = Fence_,
                         .LastDurableEnd_ = Book_.lastDurableEnd(),
-                        .LeaseUntil_ = leaseToGrant(),
+                        .LeaseUntil_ = Lease_.grant(Clock::now()),
                         .Wait_ = Prompt                 ? Duration::zero()
                                  : Book_.rows().empty() ? Options_.IdleWait_
                                                         : Options_.BusyWait_};
@@ -227,9 +209,7 @@
       NextHoldAt_ = Now + Options_.SilentDelay_;
       return;
     }
-    ClockRead_ = Answer.Clock_;
-    ClockReadAt_ = Now;
-    ClockKnown_ = true;
+    Lease_.clockRead(Now, Answer.Clock_);
     if (!ReportOpen_)
       Book_.retractEnds(Answer);
     Book_.listed(Now, SentAt, Answer);
@@ -250,6 +230,7 @@
   bool mayCall() const { return Fence_ != 0; }
 
   void noteSilence(bool Silent) {
+    Lease_.setSilent(Silent);
     if (std::exchange(Silent_, Silent) == Silent)
       return;
     logEvent(Silent ? Event::WorkerSilent : Event::WorkerAnswers,
@@ -259,7 +240,7 @@
 
   /// Carries out the calls that are due.
   void pump() {
-    if (!mayCall() || !ClockKnown_)
+    if (!mayCall() || !Lease_.knowsClock())
       return;
     for (const DueCall &Due : Book_.takeDueCalls(Clock::now()))
       if (Due.Kind_ == DueCall::Kind::Start)
@@ -275,7 +256,7 @@
         {.Run_ = Run,
          .Payload_ = Order.Payload_,
          .Checkpoint_ = Order.Checkpoint_,
-         .LeaseUntil_ = leaseToGrant(),
+         .LeaseUntil_ = Lease_.grant(Clock::now()),
          .Fence_ = Fence_},
         [Self = weak_from_this(), Run, Life = Life_](StartStatus Status) {
           const auto Agent = Self.lock();
@@ -399,7 +380,7 @@
       return;
     }
     if (Ack->LeaseTerm_ > Duration::zero())
-      LeaseUntil_ = std::max(LeaseUntil_, SentAt + Ack->LeaseTerm_);
+      Lease_.renewed(SentAt + Ack->LeaseTerm_);
     if (Session == Session_)
       Complete_ = true;
     Book_.endsDurable(Ends);
@@ -419,6 +400,7 @@
     if (Worker != Worker_.Worker_ || std::exchange(Departed_, true))
       return;
     Worker_.Draining_ = true;
+    Lease_.close();
     const TimePoint Now = Clock::now();
     for (const wire::RunReport &Run : Book_.runReports())
       Book_.stop(Now, Run.Run_);
@@ -486,13 +468,7 @@
   bool Silent_ = false;
   /// The worker has said that it ends.
   bool Departed_ = false;
-  bool ClockKnown_ = false;
-  WorkerTime ClockRead_{};
-  TimePoint ClockReadAt_;
-  /// Until when control lets the worker's runs go on.
-  TimePoint LeaseUntil_;
-  /// No lease that the worker was given runs past this.
-  TimePoint GrantedUntil_;
+  WorkerLease Lease_;
 
   bool ReportOpen_ = false;
   TimePoint ReportedAt_;
--- a/src/base/Event.cpp
+++ b/src/base/Event.cpp
@@ -75,6 +75,9 @@
     {Event::DispatchSummary, Severity::Info, "dispatch-summary",
      "Once a second while tasks wait: what workers have, hold and are wanted "
      "for, in thousandths of processors and in MiB."},
+    {Event::TaskWaits, Severity::Info, "task-waits",
+     "No worker has room for the next task of a step; counts of workers by the "
+     "reason are given. At most some lines a second."},
     {Event::LeaderElected, Severity::Info, "leader-elected",
      "This replica leads the replicated log in a new term."},
     {Event::LeaderLost, Severity::Warning, "leader-lost",
--- a/src/control/JobDispatcher.cpp
+++ b/src/control/JobDispatcher.cpp
@@ -21,6 +21,8 @@
 /// Placement runs this often even where nothing is known to have changed.
 constexpr Duration PlacePeriod = std::chrono::milliseconds(200);
 constexpr Duration SummaryPeriod = std::chrono::seconds(1);
+/// Lines about waiting tasks between two summaries.
+constexpr std::size_t MaxWaitLines = 8;
 /// A job whose step is due stands still no longer than this while half of the
 /// processors are not reserved; the platform allows three seconds.
 constexpr Duration MaxIdleTime = std::chrono::milliseconds(1200);
@@ -144,11 +146,30 @@
   logSummary(Now, Placement);
 }
 
+void JobDispatcher::logWaiting(const jobs::ReadyStep &Ready,
+                               const decide::JobPlacement &Placement,
+                               const decide::PlacementNeed &Need) {
+  if (WaitLinesLeft_ == 0)
+    return;
+  --WaitLinesLeft_;
+  const decide::PlacementObstacles Count = Placement.obstacles(Need);
+  logEvent(Event::TaskWaits, {{"job", Ready.Job_},
+                              {"step", Ready.Step_},
+                              {"other_service", Count.OtherService_},
+                              {"label", Count.Label_},
+                              {"too_many_of_step", Count.TooManyOfStep_},
+                              {"memory", Count.Memory_},
+                              {"processors", Count.Processors_},
+                              {"spare_processors", Count.SpareProcessors_},
+                              {"tail_latency", Count.TailLatency_}});
+}
+
 void JobDispatcher::logSummary(TimePoint Now,
                                const decide::JobPlacement &Placement) {
   if (Now < SummaryAt_)
     return;
   SummaryAt_ = Now + SummaryPeriod;
+  WaitLinesLeft_ = MaxWaitLines;
   Resources Capacity;
   Resources Reserved;
   std::int64_t Spare = 0;
@@ -216,8 +237,10 @@
       continue;
     Need.Avoid_ = Task.Failures_ > 0 ? Task.Worker_ : std::string_view();
     const auto Chosen = Placement.place(Need);
-    if (!Chosen)
+    if (!Chosen) {
+      logWaiting(Ready, Placement, Need);
       return;
+    }
     if (!Need.StepRuns_.empty())
       ++Need.StepRuns_[*Chosen];
     propose(Now, Job, std::move(Next), Placement.workers()[*Chosen].Name_);
--- a/src/control/JobDispatcher.h
+++ b/src/control/JobDispatcher.h
@@ -46,6 +46,9 @@
   void stopUnwanted(TimePoint Now);
   void stopWhereDraining(TimePoint Now, const std::string &Worker,
                          const WorkerSession &Session);
+  void logWaiting(const jobs::ReadyStep &Ready,
+                  const decide::JobPlacement &Placement,
+                  const decide::PlacementNeed &Need);
   void logSummary(TimePoint Now, const decide::JobPlacement &Placement);
   std::vector<decide::PlacementWorker> openWorkers() const;
   bool isStarved(TimePoint Now, const jobs::JobRow &Job);
@@ -64,6 +67,9 @@
   TimePoint StopCheckAt_;
   TimePoint PlaceAgainAt_;
   TimePoint SummaryAt_;
+  /// Lines about waiting tasks that may still be written before the next
+  /// summary.
+  std::size_t WaitLinesLeft_ = 0;
 };
 
 } // namespace dragonfly::control
--- a/src/decide/JobPlacement.cpp
+++ b/src/decide/JobPlacement.cpp
@@ -16,16 +16,15 @@
   return std::ranges::find(Row.Labels_, Label) != Row.Labels_.end();
 }
 
-bool isAllowed(const PlacementWorker &Row, std::size_t Index,
-               const PlacementNeed &Task) {
-  if (Row.Service_ != Task.Service_)
-    return false;
-  if (!Task.RequiredLabel_.empty() && !hasLabel(Row, Task.RequiredLabel_))
-    return false;
+bool hasSpreadLeft(std::size_t Index, const PlacementNeed &Task) {
   return Task.MaxPerWorker_ == 0 || Task.StepRuns_.empty() ||
          Task.StepRuns_[Index] < Task.MaxPerWorker_;
 }
 
+bool hasRequiredLabel(const PlacementWorker &Row, const PlacementNeed &Task) {
+  return Task.RequiredLabel_.empty() || hasLabel(Row, Task.RequiredLabel_);
+}
+
 } // namespace
 
 /// Orders workers: sound ones first, then near the data, then by what keeps
@@ -74,6 +73,37 @@
   return (Row.Reserved_ + Reserve).fitsIn(Row.Capacity_);
 }
 
+bool JobPlacement::isAllowed(std::size_t Index,
+                             const PlacementNeed &Task) const {
+  const PlacementWorker &Row = Workers_[Index];
+  return Row.Service_ == Task.Service_ && hasRequiredLabel(Row, Task) &&
+         hasSpreadLeft(Index, Task);
+}
+
+PlacementObstacles JobPlacement::obstacles(const PlacementNeed &Task) const {
+  PlacementObstacles Count;
+  for (std::size_t Index = 0; Index < Workers_.size(); ++Index) {
+    const PlacementWorker &Row = Workers_[Index];
+    const bool NeedsReserve = !Task.UsesSpareProcessors_;
+    if (Row.Service_ != Task.Service_)
+      ++Count.OtherService_;
+    else if (!hasRequiredLabel(Row, Task))
+      ++Count.Label_;
+    else if (!hasSpreadLeft(Index, Task))
+      ++Count.TooManyOfStep_;
+    else if (Row.Reserved_.MemoryMib_ + Task.Need_.MemoryMib_ >
+             Row.Capacity_.MemoryMib_)
+      ++Count.Memory_;
+    else if (NeedsReserve)
+      ++Count.Processors_;
+    else if (spareOf(Row) < Task.Need_.MilliProcessors_)
+      ++Count.SpareProcessors_;
+    else
+      ++Count.TailLatency_;
+  }
+  return Count;
+}
+
 JobPlacement::Rank JobPlacement::rankOf(const PlacementWorker &Row,
                                         const PlacementNeed &Task) const {
   Rank Result{.Avoided_ = Row.Name_ == Task.Avoid_,
@@ -101,7 +131,7 @@
   Rank BestRank;
   for (std::size_t Index = 0; Index < Workers_.size(); ++Index) {
     const PlacementWorker &Row = Workers_[Index];
-    if (!isAllowed(Row, Index, Task) || !hasRoom(Row, Task))
+    if (!isAllowed(Index, Task) || !hasRoom(Row, Task))
       continue;
     const Rank Candidate = rankOf(Row, Task);
     if (!Best || Candidate < BestRank) {
--- /dev/null
+++ b/tests/agent/RunBookTest.cpp
@@ -0,0 +1,220 @@
+#include "dragonfly/agent/RunBook.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+namespace dragonfly::agent {
+namespace {
+
+using jobs::RunEnd;
+using jobs::RunName;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using wire::RunPhase;
+
+constexpr TimePoint Start{seconds(100)};
+
+RunName run(std::uint32_t Index, std::uint32_t Run = 1) {
+  return {.Task_ = {.Job_ = "5c0e7a21d94b36f8", .Step_ = 0, .Index_ = Index},
+          .Run_ = Run};
+}
+
+wire::StartOrder order(const RunName &Run) { return {.Run_ = Run}; }
+
+HoldAnswer lists(std::vector<ListedRun> Runs,
+                 std::vector<ListedEnd> Ends = {}) {
+  return {.Status_ = HoldStatus::Listed,
+          .Runs_ = std::move(Runs),
+          .Ends_ = std::move(Ends)};
+}
+
+/// A book with one run that was ordered and whose first call is open.
+RunBook ordered(const RunName &Run) {
+  RunBook Book;
+  Book.order(Start, order(Run));
+  REQUIRE(Book.takeDueCalls(Start).size() == 1);
+  return Book;
+}
+
+} // namespace
+
+TEST_CASE("an order is called once and reported until it ends",
+          "[agent][runs]") {
+  RunBook Book = ordered(run(1));
+  CHECK(Book.takeDueCalls(Start + seconds(1)).empty());
+  CHECK(Book.runReports().front().Phase_ == RunPhase::Starting);
+  Book.startAnswered(Start, run(1), StartStatus::Started);
+  CHECK(Book.runReports().front().Phase_ == RunPhase::Running);
+  CHECK_FALSE(Book.nextCallAt());
+
+  Book.listed(Start + seconds(1), Start + seconds(1),
+              lists({}, {{.Number_ = 1, .Run_ = run(1), .Checkpoint_ = "c"}}));
+  REQUIRE(Book.pendingEnds() == 1);
+  CHECK(Book.endReports().front().Run_ == run(1));
+  CHECK(Book.endReports().front().Checkpoint_ == "c");
+  CHECK(Book.rows().empty());
+  CHECK(Book.lastDurableEnd() == 0);
+  Book.endsDurable(1);
+  CHECK(Book.lastDurableEnd() == 1);
+}
+
+TEST_CASE("an end that is listed again counts once", "[agent][runs]") {
+  RunBook Book = ordered(run(1));
+  Book.startAnswered(Start, run(1), StartStatus::Started);
+  const HoldAnswer Answer = lists({}, {{.Number_ = 1, .Run_ = run(1)}});
+  Book.listed(Start, Start, Answer);
+  Book.listed(Start, Start, Answer);
+  CHECK(Book.pendingEnds() == 1);
+  Book.endsDurable(1);
+  Book.listed(Start, Start, Answer);
+  CHECK(Book.pendingEnds() == 0);
+}
+
+TEST_CASE("a start that was refused without doubt ends at once",
+          "[agent][runs]") {
+  RunBook Book = ordered(run(1));
+  Book.startAnswered(Start, run(1), StartStatus::NoRoom);
+  REQUIRE(Book.pendingEnds() == 1);
+  CHECK(Book.endReports().front().How_ == RunEnd::NotStarted);
+}
+
+// An order without an answer may be carried out seconds later.
+TEST_CASE("a start that got no answer is settled by a stop, not by a refusal",
+          "[agent][runs]") {
+  RunBook Book = ordered(run(1));
+  Book.startAnswered(Start, run(1), StartStatus::NoAnswer);
+  const TimePoint Again = Start + milliseconds(200);
+  REQUIRE(Book.takeDueCalls(Again).size() == 1);
+  Book.startAnswered(Again, run(1), StartStatus::NoRoom);
+  CHECK(Book.pendingEnds() == 0);
+
+  const auto Due = Book.takeDueCalls(Again);
+  REQUIRE(Due.size() == 1);
+  CHECK(Due.front().Kind_ == DueCall::Kind::Stop);
+  Book.stopAnswered(Again, run(1), true);
+  // A list that was asked for before the stop tells nothing.
+  Book.listed(Again, Start, lists({}));
+  CHECK(Book.pendingEnds() == 0);
+  Book.listed(Again + seconds(1), Again + milliseconds(1), lists({}));
+  REQUIRE(Book.pendingEnds() == 1);
+  CHECK(Book.endReports().front().How_ == RunEnd::NotStarted);
+}
+
+TEST_CASE(
+    "a start that never gets an answer is tried a few times, then stopped",
+    "[agent][runs]") {
+  RunBook Book = ordered(run(1));
+  TimePoint Now = Start;
+  for (int Try = 0; Try < 2; ++Try) {
+    Book.startAnswered(Now, run(1), StartStatus::NoAnswer);
+    Now += milliseconds(200);
+    REQUIRE(Book.takeDueCalls(Now).front().Kind_ == DueCall::Kind::Start);
+  }
+  Book.startAnswered(Now, run(1), StartStatus::NoAnswer);
+  CHECK(Book.takeDueCalls(Now + seconds(1)).front().Kind_ ==
+        DueCall::Kind::Stop);
+}
+
+TEST_CASE("a list that shows the run confirms a start without an answer",
+          "[agent][runs]") {
+  RunBook Book = ordered(run(1));
+  Book.listed(Start, Start, lists({{.Run_ = run(1)}}));
+  Book.startAnswered(Start, run(1), StartStatus::NoAnswer);
+  CHECK(Book.runReports().front().Phase_ == RunPhase::Running);
+  CHECK(Book.takeDueCalls(Start + seconds(1)).empty());
+}
+
+TEST_CASE("a stop is repeated until the worker confirms it", "[agent][runs]") {
+  RunBook Book = ordered(run(1));
+  Book.startAnswered(Start, run(1), StartStatus::Started);
+  Book.stop(Start, run(1));
+  REQUIRE(Book.takeDueCalls(Start).size() == 1);
+  Book.stopAnswered(Start, run(1), false);
+  CHECK(Book.takeDueCalls(Start).empty());
+  REQUIRE(Book.takeDueCalls(Start + milliseconds(200)).size() == 1);
+  Book.stopAnswered(Start + milliseconds(200), run(1), true);
+  CHECK(Book.takeDueCalls(Start + seconds(2)).empty());
+}
+
+TEST_CASE("a stop of a run that is not there keeps it from appearing",
+          "[agent][runs]") {
+  RunBook Book;
+  Book.stop(Start, run(7));
+  REQUIRE(Book.takeDueCalls(Start).front().Kind_ == DueCall::Kind::Stop);
+  Book.stopAnswered(Start, run(7), true);
+  Book.listed(Start + seconds(1), Start + milliseconds(1), lists({}));
+  CHECK(Book.endReports().front().Run_ == run(7));
+}
+
+// The names of lapsed runs were read after their rows had been freed; control
+// never learnt that they had ended.
+TEST_CASE("runs that lapse are reported by name, with their checkpoints",
+          "[agent][runs]") {
+  RunBook Book;
+  Book.listed(Start, Start,
+              lists({{.Run_ = run(1), .Checkpoint_ = "one"},
+                     {.Run_ = run(2), .Checkpoint_ = "two"}}));
+  Book.lapse();
+  CHECK(Book.rows().empty());
+  const auto Ends = Book.endReports();
+  REQUIRE(Ends.size() == 2);
+  CHECK(Ends[0].Run_ == run(1));
+  CHECK(Ends[0].Checkpoint_ == "one");
+  CHECK(Ends[1].Run_ == run(2));
+  CHECK(Ends[1].How_ == RunEnd::LeaseExpired);
+}
+
+TEST_CASE("ends of a new life are numbered anew", "[agent][runs]") {
+  RunBook Book = ordered(run(1));
+  Book.listed(Start, Start, lists({}, {{.Number_ = 9, .Run_ = run(1)}}));
+  Book.endsDurable(1);
+  CHECK(Book.lastDurableEnd() == 9);
+  Book.beginLife();
+  CHECK(Book.lastDurableEnd() == 0);
+  Book.listed(Start, Start, lists({}, {{.Number_ = 1, .Run_ = run(2)}}));
+  CHECK(Book.pendingEnds() == 1);
+}
+
+// An order of the life before can reach the next one under the same id.
+TEST_CASE("an end that the next life's list disproves is taken back",
+          "[agent][runs]") {
+  RunBook Book = ordered(run(1));
+  Book.startAnswered(Start, run(1), StartStatus::Started);
+  Book.beginLife();
+  REQUIRE(Book.pendingEnds() == 1);
+  const HoldAnswer Answer = lists({{.Run_ = run(1)}});
+  Book.retractEnds(Answer);
+  Book.listed(Start, Start, Answer);
+  CHECK(Book.pendingEnds() == 0);
+  CHECK(Book.rows().contains(run(1)));
+}
+
+TEST_CASE("a run that vanishes is stopped before its task may run elsewhere",
+          "[agent][runs]") {
+  RunBook Book = ordered(run(1));
+  Book.startAnswered(Start, run(1), StartStatus::Started);
+  Book.listed(Start + seconds(2), Start + seconds(1), lists({}));
+  CHECK(Book.pendingEnds() == 0);
+  REQUIRE(Book.takeDueCalls(Start + seconds(2)).front().Kind_ ==
+          DueCall::Kind::Stop);
+}
+
+TEST_CASE("what is missing from a truncated list may still be there",
+          "[agent][runs]") {
+  RunBook Book = ordered(run(1));
+  Book.startAnswered(Start, run(1), StartStatus::Started);
+  HoldAnswer Answer = lists({});
+  Answer.Truncated_ = true;
+  Book.listed(Start + seconds(2), Start + seconds(1), Answer);
+  CHECK(Book.runReports().front().Phase_ == RunPhase::Running);
+}
+
+TEST_CASE("an order that comes twice is one run", "[agent][runs]") {
+  RunBook Book = ordered(run(1));
+  Book.order(Start, order(run(1)));
+  CHECK(Book.takeDueCalls(Start).empty());
+  CHECK(Book.rows().size() == 1);
+}
+
+} // namespace dragonfly::agent
--- /dev/null
+++ b/tests/agent/WorkerLeaseTest.cpp
@@ -0,0 +1,75 @@
+#include "dragonfly/agent/WorkerLease.h"
+
+#include <catch2/catch.hpp>
+
+namespace dragonfly::agent {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint Start{seconds(100)};
+
+} // namespace
+
+TEST_CASE("nothing is granted before the worker's clock is known",
+          "[agent][lease]") {
+  WorkerLease Lease;
+  Lease.renewed(Start + seconds(4));
+  CHECK(Lease.grant(Start) == WorkerTime::zero());
+  Lease.clockRead(Start, WorkerTime(7000));
+  CHECK(Lease.grant(Start) > WorkerTime(7000));
+}
+
+TEST_CASE("a lease ends on the worker's slow clock by the time that control "
+          "allows",
+          "[agent][lease]") {
+  WorkerLease Lease;
+  Lease.renewed(Start + seconds(4));
+  Lease.clockRead(Start, WorkerTime(7000));
+  const WorkerTime Granted = Lease.grant(Start + milliseconds(100));
+  // A clock that is 2% slow shows 3920 ms more after 4 s.
+  CHECK(Granted <= WorkerTime(7000 + 3920));
+  CHECK(Granted > WorkerTime(7000 + 3800));
+}
+
+TEST_CASE("a lease that control does not renew is not granted again",
+          "[agent][lease]") {
+  WorkerLease Lease;
+  Lease.renewed(Start + seconds(4));
+  Lease.clockRead(Start, WorkerTime(7000));
+  Lease.grant(Start);
+  CHECK(Lease.grant(Start + seconds(4)) == WorkerTime::zero());
+  CHECK_FALSE(Lease.isOver(Start + seconds(4)));
+  CHECK(Lease.isOver(Start + milliseconds(4200)));
+}
+
+// A worker that had crashed for good kept its runs on the books for as long as
+// its agent lived: each unanswered call prolonged the lease.
+TEST_CASE("the lease of a silent worker runs out although control renews it",
+          "[agent][lease]") {
+  WorkerLease Lease;
+  Lease.renewed(Start + seconds(4));
+  Lease.clockRead(Start, WorkerTime(7000));
+  Lease.grant(Start);
+  Lease.setSilent(true);
+  Lease.renewed(Start + seconds(8));
+  CHECK(Lease.grant(Start + seconds(1)) == WorkerTime::zero());
+  CHECK(Lease.isOver(Start + milliseconds(4200)));
+
+  SECTION("and is granted again once it answers") {
+    Lease.setSilent(false);
+    CHECK(Lease.grant(Start + seconds(5)) > WorkerTime::zero());
+    CHECK_FALSE(Lease.isOver(Start + seconds(8)));
+  }
+}
+
+TEST_CASE("a worker that ends is granted nothing more", "[agent][lease]") {
+  WorkerLease Lease;
+  Lease.renewed(Start + seconds(4));
+  Lease.clockRead(Start, WorkerTime(7000));
+  Lease.close();
+  CHECK(Lease.grant(Start) == WorkerTime::zero());
+}
+
+} // namespace dragonfly::agent
--- /dev/null
+++ b/tests/jobs/JobTableTest.cpp
@@ -0,0 +1,222 @@
+#include "dragonfly/jobs/JobTable.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+namespace dragonfly::jobs {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr const char *JobId = "5c0e7a21d94b36f8";
+
+Configuration configuration(std::uint64_t Version = 1) {
+  return {.Version_ = Version,
+          .Queues_ = {{.Name_ = "checks",
+                       .Host_ = "a.example",
+                       .PathPrefix_ = "/checks/",
+                       .Service_ = "sorting",
+                       .MaxAttempts_ = 2}},
+          .Services_ = {{.Name_ = "sorting"}}};
+}
+
+StepSpec step(std::uint32_t Count, std::vector<std::uint32_t> DependsOn = {}) {
+  return {.Count_ = Count,
+          .Need_ = {.MilliProcessors_ = 500, .MemoryMib_ = 100},
+          .DependsOn_ = std::move(DependsOn)};
+}
+
+/// A table with one queue, one worker under fence 1 and one job.
+struct Fixture {
+  explicit Fixture(std::vector<StepSpec> Steps) {
+    Table_.putConfiguration(configuration());
+    Fence_ =
+        Table_.registerWorker({.Worker_ = "w1", .Born_ = 10, .Agent_ = {1}});
+    REQUIRE(submit(std::move(Steps)) == SubmitStatus::Accepted);
+  }
+
+  SubmitStatus submit(std::vector<StepSpec> Steps) {
+    return Table_.submit(seconds(1), {.Job_ = JobId,
+                                      .Host_ = "a.example",
+                                      .Path_ = std::string("/checks/") + JobId,
+                                      .Spec_ = {.Steps_ = std::move(Steps)}});
+  }
+
+  RunName run(std::uint32_t Step, std::uint32_t Index, std::uint32_t Run = 1) {
+    return {.Task_ = {.Job_ = JobId, .Step_ = Step, .Index_ = Index},
+            .Run_ = Run};
+  }
+  bool start(const RunName &Run) {
+    return Table_.start({.Run_ = Run, .Worker_ = "w1", .Fence_ = Fence_});
+  }
+  bool end(const RunName &Run, RunEnd How, std::string Checkpoint = {}) {
+    return Table_.end(seconds(2), {.Run_ = Run,
+                                   .Worker_ = "w1",
+                                   .How_ = How,
+                                   .Checkpoint_ = std::move(Checkpoint)});
+  }
+  const JobRow &job() { return *Table_.find(JobId); }
+  const TaskRow &task(std::uint32_t Step, std::uint32_t Index) {
+    return job().Steps_[Step].Tasks_[Index];
+  }
+
+  JobTable Table_;
+  std::uint64_t Fence_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("a job completes once every task has finished", "[jobs]") {
+  Fixture On({step(2), step(1, {0})});
+  CHECK(On.job().State_ == JobState::Queued);
+  REQUIRE(On.start(On.run(0, 0)));
+  REQUIRE(On.start(On.run(0, 1)));
+  CHECK(On.job().State_ == JobState::Running);
+  CHECK_FALSE(On.start(On.run(1, 0)));
+  On.end(On.run(0, 0), RunEnd::Finished);
+  CHECK_FALSE(On.start(On.run(1, 0)));
+  On.end(On.run(0, 1), RunEnd::Finished);
+  REQUIRE(On.start(On.run(1, 0)));
+  CHECK(On.job().State_ == JobState::Running);
+  On.end(On.run(1, 0), RunEnd::Finished);
+  CHECK(On.job().State_ == JobState::Completed);
+  CHECK(On.Table_.readySteps().empty());
+}
+
+TEST_CASE("a resend of a job is one job, also after it has ended", "[jobs]") {
+  Fixture On({step(1)});
+  On.start(On.run(0, 0));
+  CHECK(On.submit({step(5)}) == SubmitStatus::Accepted);
+  CHECK(On.job().Steps_[0].Tasks_.size() == 1);
+  On.Table_.cancel(seconds(2), JobId);
+  CHECK(On.submit({step(1)}) == SubmitStatus::Accepted);
+  CHECK(On.job().State_ == JobState::Cancelled);
+}
+
+TEST_CASE("a job to a queue that does not exist is not accepted", "[jobs]") {
+  JobTable Table;
+  CHECK(Table.submit(seconds(1), {.Job_ = JobId,
+                                  .Host_ = "a.example",
+                                  .Path_ = "/none/"}) == SubmitStatus::NoQueue);
+}
+
+TEST_CASE("a task has one run at a time", "[jobs]") {
+  Fixture On({step(1)});
+  REQUIRE(On.start(On.run(0, 0)));
+  CHECK_FALSE(On.start(On.run(0, 0)));
+  CHECK_FALSE(On.start(On.run(0, 0, 2)));
+  CHECK_FALSE(On.end(On.run(0, 0, 2), RunEnd::Finished));
+  REQUIRE(On.end(On.run(0, 0), RunEnd::Stopped, "half"));
+  CHECK(On.task(0, 0).Checkpoint_ == "half");
+  CHECK_FALSE(On.start(On.run(0, 0)));
+  CHECK(On.start(On.run(0, 0, 2)));
+}
+
+TEST_CASE("an end that comes twice, or of an earlier run, has no effect",
+          "[jobs]") {
+  Fixture On({step(1)});
+  On.start(On.run(0, 0));
+  CHECK(On.end(On.run(0, 0), RunEnd::LeaseExpired));
+  CHECK_FALSE(On.end(On.run(0, 0), RunEnd::Finished));
+  On.start(On.run(0, 0, 2));
+  CHECK_FALSE(On.end(On.run(0, 0), RunEnd::Finished));
+  CHECK(On.job().State_ == JobState::Running);
+}
+
+TEST_CASE("only failures count as attempts", "[jobs]") {
+  Fixture On({step(2)});
+  std::uint32_t Run = 0;
+  for (const RunEnd How : {RunEnd::Stopped, RunEnd::LeaseExpired,
+                           RunEnd::NotStarted, RunEnd::Failed}) {
+    REQUIRE(On.start(On.run(0, 0, ++Run)));
+    REQUIRE(On.end(On.run(0, 0, Run), How));
+    CHECK(On.job().active());
+  }
+  REQUIRE(On.start(On.run(0, 0, ++Run)));
+  On.end(On.run(0, 0, Run), RunEnd::Failed);
+  CHECK(On.job().State_ == JobState::Failed);
+  CHECK_FALSE(On.start(On.run(0, 1)));
+}
+
+TEST_CASE("long-running tasks wait again however they end", "[jobs]") {
+  StepSpec Watch = step(1);
+  Watch.LongRunning_ = true;
+  Fixture On({Watch});
+  std::uint32_t Run = 0;
+  for (const RunEnd How : {RunEnd::Failed, RunEnd::Failed, RunEnd::Failed,
+                           RunEnd::Finished, RunEnd::Stopped}) {
+    REQUIRE(On.start(On.run(0, 0, ++Run)));
+    REQUIRE(On.end(On.run(0, 0, Run), How));
+    CHECK(On.job().State_ == JobState::Running);
+    CHECK(On.Table_.readySteps().size() == 1);
+  }
+}
+
+TEST_CASE("a start under an old fence has no effect", "[jobs]") {
+  Fixture On({step(1)});
+  const std::uint64_t Old = On.Fence_;
+  CHECK(On.Table_.registerWorker(
+            {.Worker_ = "w1", .Born_ = 10, .Agent_ = {1}}) == Old);
+  CHECK(On.Table_.registerWorker(
+            {.Worker_ = "w1", .Born_ = 10, .Agent_ = {2}}) > Old);
+  CHECK_FALSE(On.start(On.run(0, 0)));
+}
+
+TEST_CASE("a cancelled job starts nothing and keeps its runs until they end",
+          "[jobs]") {
+  Fixture On({step(2)});
+  On.start(On.run(0, 0));
+  REQUIRE(On.Table_.cancel(seconds(2), JobId));
+  CHECK_FALSE(On.start(On.run(0, 1)));
+  CHECK(On.Table_.findWorker("w1")->Runs_.size() == 1);
+  On.end(On.run(0, 0), RunEnd::Finished);
+  CHECK(On.job().State_ == JobState::Cancelled);
+  CHECK(On.Table_.findWorker("w1")->Runs_.empty());
+  CHECK(On.Table_.findWorker("w1")->Reserved_ == Resources{});
+}
+
+TEST_CASE("the highest version of the configuration takes effect", "[jobs]") {
+  JobTable Table;
+  CHECK(Table.putConfiguration(configuration(7)));
+  CHECK_FALSE(Table.putConfiguration(configuration(7)));
+  CHECK_FALSE(Table.putConfiguration(configuration(3)));
+  CHECK(Table.putConfiguration(configuration(20)));
+  CHECK(Table.configuration().Version_ == 20);
+}
+
+TEST_CASE("reservations can be made anew from the rows", "[jobs]") {
+  StepSpec Spare = step(2);
+  Spare.UsesSpareProcessors_ = true;
+  Fixture On({step(1), Spare});
+  On.start(On.run(0, 0));
+  On.start(On.run(1, 1));
+  const WorkerRow Before = *On.Table_.findWorker("w1");
+  CHECK(Before.Reserved_ ==
+        Resources{.MilliProcessors_ = 500, .MemoryMib_ = 200});
+  CHECK(Before.SpareMilliProcessors_ == 500);
+  On.Table_.rebuild();
+  const WorkerRow &After = *On.Table_.findWorker("w1");
+  CHECK(After.Runs_ == Before.Runs_);
+  CHECK(After.Reserved_ == Before.Reserved_);
+  CHECK(After.SpareMilliProcessors_ == Before.SpareMilliProcessors_);
+  CHECK(On.Table_.readySteps().size() == 1);
+}
+
+TEST_CASE("the longest prefix selects the queue", "[jobs]") {
+  Configuration Value = configuration();
+  Value.Queues_.push_back({.Name_ = "inner",
+                           .Host_ = "a.example",
+                           .PathPrefix_ = "/checks/deep/",
+                           .Service_ = "sorting"});
+  CHECK(Value.findQueue("a.example", "/checks/x")->Name_ == "checks");
+  CHECK(Value.findQueue("a.example", "/checks/deep/x")->Name_ == "inner");
+  CHECK(Value.findQueue("b.example", "/checks/x") == nullptr);
+  CHECK_NOTHROW(validate(Value));
+  Value.Queues_.push_back(Value.Queues_.front());
+  CHECK_THROWS_AS(validate(Value), ConfigurationError);
+  Value.Queues_.back() = {.Host_ = "c", .Service_ = "none"};
+  CHECK_THROWS_AS(validate(Value), ConfigurationError);
+}
+
+} // namespace dragonfly::jobs
