--- a/include/dragonfly/control/JobService.h
+++ b/include/dragonfly/control/JobService.h
@@ -55,8 +55,9 @@
   void lead(TimePoint Now, Term Led);
   /// Ends all sessions.
   void stop();
-  /// Proposes what has been gathered and places tasks.
-  void tick(TimePoint Now);
+  /// Proposes what has been gathered and places tasks. \p LogTime is the clock
+  /// of the records.
+  void tick(TimePoint Now, Duration LogTime);
 
   /// Each answers within this or a later tick, or never where the outcome is
   /// unknown.
--- a/src/control/ControlService.cpp
+++ b/src/control/ControlService.cpp
@@ -90,7 +90,7 @@
     NamedStale_ = true;
     Batcher_.flush();
     if (Serving_)
-      Jobs_.tick(Now);
+      Jobs_.tick(Now, logNow());
     Log_.tick(Now);
     if (std::exchange(BarrierDue_, false))
       Log_.readBarrier([this, Led = Log_.term()](bool Passed) {
--- a/src/control/JobDispatcher.cpp
+++ b/src/control/JobDispatcher.cpp
@@ -1,9 +1,9 @@
 #include "control/JobDispatcher.h"
 
 #include "dragonfly/base/Log.h"
+#include "dragonfly/decide/JobOrder.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace dragonfly::control {
@@ -42,7 +42,7 @@
 
 } // namespace
 
-void JobDispatcher::tick(TimePoint Now) {
+void JobDispatcher::tick(TimePoint Now, Duration LogTime) {
   if (Now >= StopCheckAt_) {
     StopCheckAt_ = Now + StopCheckPeriod;
     stopUnwanted(Now);
@@ -52,7 +52,7 @@
   if (!Changed && Now < PlaceAgainAt_)
     return;
   PlaceAgainAt_ = Now + PlacePeriod;
-  place(Now);
+  place(Now, LogTime);
 }
 
 std::vector<decide::PlacementWorker> JobDispatcher::openWorkers() const {
@@ -104,20 +104,22 @@
   return HasIdleHalf_ && Now - Since >= MaxIdleTime;
 }
 
-std::vector<jobs::ReadyStep> JobDispatcher::stepsInOrder() const {
+std::vector<jobs::ReadyStep>
+JobDispatcher::stepsInOrder(Duration LogTime) const {
+  std::map<std::string, decide::JobRank> Ranks;
+  for (const jobs::ReadyStep &Row : Table_.readySteps())
+    if (!Ranks.contains(Row.Job_))
+      Ranks[Row.Job_] =
+          decide::rankOf(Times_.outlook(*Table_.find(Row.Job_), LogTime));
   std::vector<jobs::ReadyStep> Steps(Table_.readySteps().begin(),
                                      Table_.readySteps().end());
-  const auto Rank = [this](const jobs::ReadyStep &Row) {
-    const JobRow &Job = *Table_.find(Row.Job_);
-    return std::tuple(Job.Queue_.Priority_,
-                      !Job.Spec_.Steps_[Row.Step_].LongRunning_, Row.Sequence_,
-                      Row.Step_);
-  };
-  std::ranges::sort(Steps, {}, Rank);
+  std::ranges::sort(Steps, {}, [&Ranks](const jobs::ReadyStep &Row) {
+    return std::pair(Ranks.at(Row.Job_), Row.Step_);
+  });
   return Steps;
 }
 
-void JobDispatcher::place(TimePoint Now) {
+void JobDispatcher::place(TimePoint Now, Duration LogTime) {
   if (Table_.readySteps().empty())
     return;
   decide::JobPlacement Placement(
@@ -136,7 +138,7 @@
     const JobRow *Job = Table_.find(Each.first);
     return Job == nullptr || !Job->active();
   });
-  for (const jobs::ReadyStep &Ready : stepsInOrder()) {
+  for (const jobs::ReadyStep &Ready : stepsInOrder(LogTime)) {
     if (Batch_.rows().Starts_.size() >= MaxStartsPerTick) {
       Changed_ = true;
       return;
--- a/src/control/JobDispatcher.h
+++ b/src/control/JobDispatcher.h
@@ -3,6 +3,7 @@
 #define DRAGONFLY_SRC_CONTROL_JOBDISPATCHER_H
 
 #include "control/JobBatch.h"
+#include "control/RunTimes.h"
 #include "control/WorkerLoads.h"
 #include "control/WorkerSessions.h"
 #include "dragonfly/decide/JobPlacement.h"
@@ -17,15 +18,18 @@
 class JobDispatcher {
 public:
   JobDispatcher(const jobs::JobTable &Table, WorkerSessions &Sessions,
-                const WorkerLoads &Loads, JobBatch &Batch)
-      : Table_(Table), Sessions_(Sessions), Loads_(Loads), Batch_(Batch) {}
+                const WorkerLoads &Loads, const RunTimes &Times,
+                JobBatch &Batch)
+      : Table_(Table), Sessions_(Sessions), Loads_(Loads), Times_(Times),
+        Batch_(Batch) {}
 
   void lead() {
     Proposed_.clear();
     IdleSince_.clear();
     Changed_ = true;
   }
-  void tick(TimePoint Now);
+  /// \p LogTime is the clock that acceptance is told in.
+  void tick(TimePoint Now, Duration LogTime);
   /// The jobs have changed.
   void noteChange() { Changed_ = true; }
 
@@ -36,7 +40,7 @@
     std::uint64_t Session_ = 0;
   };
 
-  void place(TimePoint Now);
+  void place(TimePoint Now, Duration LogTime);
   void placeStep(TimePoint Now, const jobs::ReadyStep &Ready,
                  decide::JobPlacement &Placement);
   void propose(TimePoint Now, const jobs::JobRow &Job, jobs::RunName Run,
@@ -52,11 +56,12 @@
   void logSummary(TimePoint Now, const decide::JobPlacement &Placement);
   std::vector<decide::PlacementWorker> openWorkers() const;
   bool isStarved(TimePoint Now, const jobs::JobRow &Job);
-  std::vector<jobs::ReadyStep> stepsInOrder() const;
+  std::vector<jobs::ReadyStep> stepsInOrder(Duration LogTime) const;
 
   const jobs::JobTable &Table_;
   WorkerSessions &Sessions_;
   const WorkerLoads &Loads_;
+  const RunTimes &Times_;
   JobBatch &Batch_;
   std::map<jobs::RunName, ProposedStart> Proposed_;
   /// Jobs with a step that is due and nothing on a worker, and since when.
--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -2,6 +2,7 @@
 
 #include "control/JobBatch.h"
 #include "control/JobDispatcher.h"
+#include "control/RunTimes.h"
 #include "control/WorkerLoads.h"
 #include "control/WorkerSessions.h"
 #include "dragonfly/base/Log.h"
@@ -21,7 +22,8 @@
                                   [this](const std::string &Worker) {
                                     return Loads_.disturbances(Worker);
                                   }),
-        Dispatcher_(Table_, Sessions_, Loads_, Batch_) {}
+        Times_(Table_), Dispatcher_(Table_, Sessions_, Loads_, Times_, Batch_) {
+  }
 
   /// Answers with nothing done, or not at all where that is not certain.
   void refuse(ProposeStatus Status, const Reply &Answer) const {
@@ -142,6 +144,7 @@
   JobBatch Batch_;
   WorkerLoads Loads_;
   WorkerSessions Sessions_;
+  RunTimes Times_;
   JobDispatcher Dispatcher_;
 };
 
@@ -160,9 +163,9 @@
   Impl_->Sessions_.stop();
 }
 
-void JobService::tick(TimePoint Now) {
+void JobService::tick(TimePoint Now, Duration LogTime) {
   Impl_->Sessions_.tick(Now);
-  Impl_->Dispatcher_.tick(Now);
+  Impl_->Dispatcher_.tick(Now, LogTime);
   Impl_->Batch_.flush();
 }
 
@@ -199,6 +202,9 @@
 void JobService::report(TimePoint Now, wire::WorkerReport Report,
                         Reply Answer) {
   const std::string Worker = Report.Worker_;
+  const auto Before = Impl_->Sessions_.rows().find(Worker);
+  if (Before != Impl_->Sessions_.rows().end())
+    Impl_->Times_.observe(Now, Before->second, Report);
   Impl_->Sessions_.report(Now, std::move(Report), std::move(Answer));
   if (const auto It = Impl_->Sessions_.rows().find(Worker);
       It != Impl_->Sessions_.rows().end())
--- /dev/null
+++ b/src/decide/JobOrder.cpp
@@ -0,0 +1,43 @@
+#include "dragonfly/decide/JobOrder.h"
+
+#include <algorithm>
+
+namespace dragonfly::decide {
+namespace {
+
+/// A job is worth something up to this many times its objective.
+constexpr std::int64_t LateFactor = 3;
+
+} // namespace
+
+JobRank rankOf(const JobOutlook &Job) {
+  JobRank Rank{.Priority_ = Job.Priority_,
+               .Ends_ = !Job.LongRunning_,
+               .WorkLeft_ = Job.WorkLeft_,
+               .Sequence_ = Job.Sequence_};
+  if (Job.LongRunning_) {
+    Rank.WorkLeft_ = 0;
+    return Rank;
+  }
+  const Duration EndsAt = Job.Age_ + Job.ChainLeft_;
+  if (EndsAt > LateFactor * Job.Objective_)
+    Rank.Group_ = JobRank::Group::Lost;
+  else if (EndsAt > Job.Objective_)
+    Rank.Group_ = JobRank::Group::Late;
+  return Rank;
+}
+
+Duration longestChain(std::span<const ChainStep> Steps) {
+  std::vector<Duration> EndsAt(Steps.size());
+  Duration Longest{};
+  for (std::size_t Index = 0; Index < Steps.size(); ++Index) {
+    Duration Begin{};
+    for (const std::uint32_t Earlier : Steps[Index].DependsOn_)
+      Begin = std::max(Begin, EndsAt[Earlier]);
+    EndsAt[Index] = Begin + Steps[Index].Left_;
+    Longest = std::max(Longest, EndsAt[Index]);
+  }
+  return Longest;
+}
+
+} // namespace dragonfly::decide
