--- a/tools/check-layers.sh
+++ b/tools/check-layers.sh
@@ -32,7 +32,7 @@
 pure=$(grep -rnE '#include [<"]boost/(asio|beast)' src/decide src/consensus 2>/dev/null)
 if [ -n "$pure" ]; then echo "sockets in pure code:"; echo "$pure"; bad=1; fi
 # Only daemons, tests and the folder itself know the users' platform.
-outside=$(grep -rnE '#include "platform/' include src bench tools 2>/dev/null)
+outside=$(grep -rnE --include='*.h' --include='*.cpp' '#include "platform/' include src bench tools 2>/dev/null)
 if [ -n "$outside" ]; then echo "platform included outside daemons and tests:"; echo "$outside"; bad=1; fi
 words=$(grep -rnE '"(FencingToken|DeadlineMs|LastSeen|PathPrefix|DependsOn|Checkpointing|LongRunning|EstimateMs|TargetMs|AntiAffinity|MayMiss|SlackFactor|HeartbeatAddr|Bind\.[A-Z][a-z]*)"' include src daemons bench 2>/dev/null)
 if [ -n "$words" ]; then echo "field names of the platform outside platform/:"; echo "$words"; bad=1; fi
