--- a/daemons/dragonfly-platform.cpp
+++ b/daemons/dragonfly-platform.cpp
@@ -5,6 +5,8 @@
 #include "dragonfly/base/Log.h"
 #include "dragonfly/base/Random.h"
 #include "dragonfly/control/Control.h"
+#include "dragonfly/control/GroupDirectory.h"
+#include "dragonfly/control/GroupFounding.h"
 #include "dragonfly/entry/JobGateway.h"
 #include "dragonfly/link/LeaderClient.h"
 #include "dragonfly/net/EventLoop.h"
@@ -19,9 +21,12 @@
 
 #include <absl/flags/flag.h>
 
+#include <functional>
 #include <iostream>
 #include <map>
+#include <optional>
 #include <string>
+#include <vector>
 
 ABSL_FLAG(std::string, role, "", "entry, control or agent");
 
@@ -75,13 +80,77 @@
   Loop.run();
 }
 
+/// A VM with a disk serves as a replica.
+class Replica {
+public:
+  Replica(net::EventLoop &Loop, const platform::SiteSettings &Site,
+          const std::vector<wire::GroupRow> &FirstMembers)
+      : Control_(Loop, platform::toControlSettings(Site, FirstMembers)),
+        Watch_(Loop, *Control_.leader(), Site),
+        Server_(Loop, *Control_.leader(), Site) {}
+
+  void stop(std::function<void()> OnStopped) {
+    Server_.stopAccepting();
+    Control_.stop([OnStopped = std::move(OnStopped)](bool) { OnStopped(); });
+  }
+
+private:
+  control::Control Control_;
+  SeedWatch Watch_;
+  platform::OperatorServer Server_;
+};
+
+/// A VM without a disk passes operators' calls on and tells where the group is.
+class Relay {
+public:
+  Relay(net::EventLoop &Loop, const platform::SiteSettings &Site,
+        const std::vector<wire::GroupRow> &FirstMembers)
+      : Directory_(Loop, Site.controlAddress()), Leader_(Loop, options(Site)),
+        Watch_(Loop, Leader_, Site), Server_(Loop, Leader_, Site) {
+    Directory_.learn({.Rows_ = FirstMembers});
+  }
+
+private:
+  link::LeaderClientOptions options(const platform::SiteSettings &Site) {
+    link::LeaderClientOptions Result = leaderOptions(Site);
+    Result.OnGroup_ = [this](const wire::Group &Known) {
+      Directory_.learn(Known);
+    };
+    return Result;
+  }
+
+  control::GroupDirectory Directory_;
+  link::LeaderClient Leader_;
+  SeedWatch Watch_;
+  platform::OperatorServer Server_;
+};
+
 void runControl(net::EventLoop &Loop, const platform::SiteSettings &Site) {
-  control::Control Replica(Loop, platform::toControlSettings(Site));
-  const SeedWatch Watch(Loop, *Replica.leader(), Site);
-  platform::OperatorServer Server(Loop, *Replica.leader(), Site);
+  std::optional<control::GroupFounding> Founding;
+  std::optional<Replica> Member;
+  std::optional<Relay> Other;
+  const auto Serve = [&](const std::vector<wire::GroupRow> &FirstMembers) {
+    Founding.reset();
+    if (Site.hasDisk())
+      Member.emplace(Loop, Site, FirstMembers);
+    else
+      Other.emplace(Loop, Site, FirstMembers);
+  };
+  if (Site.FirstStart_)
+    Founding.emplace(Loop,
+                     control::GroupFoundingOptions{
+                         .Self_ = platform::toGroupRow(Site),
+                         .IsCandidate_ = Site.hasDisk(),
+                         .Seeds_ = Site.seedAddresses(),
+                         .Choice_ = {.Wanted_ = 2 * Site.LossesToBear_ + 1},
+                         .OnFounded_ = Serve});
+  else
+    Serve({});
   Loop.onTerminate([&] {
-    Server.stopAccepting();
-    Replica.stop([&](bool) { Loop.stop(); });
+    if (Member)
+      Member->stop([&] { Loop.stop(); });
+    else
+      Loop.stop();
   });
   Loop.run();
 }
--- a/include/dragonfly/link/LeaderClient.h
+++ b/include/dragonfly/link/LeaderClient.h
@@ -71,6 +71,9 @@
   /// stream has ended or has been silent for \p IdleTimeout.
   void stream(wire::Message Request, Duration IdleTimeout, PartHandler OnPart,
               Handler OnEnd);
+  /// Sends \p Notice to every first address, whoever leads; answers are
+  /// ignored.
+  void announce(const wire::Message &Notice);
   /// Replaces the first addresses; learnt ones stay.
   void setSeeds(std::vector<std::string> Seeds);
 
--- a/src/control/Control.cpp
+++ b/src/control/Control.cpp
@@ -25,6 +25,8 @@
 /// How often a replica makes itself known to the leader; a third of the time
 /// after which it would no longer count as present.
 constexpr Duration JoinPeriod = std::chrono::milliseconds(500);
+/// The seeds, which may be no replicas, are told less often.
+constexpr std::uint64_t JoinsPerAnnouncement = 4;
 
 const settings::ReplicaSettings &
 selfOf(const settings::ControlSettings &Settings) {
@@ -137,10 +139,12 @@
   }
 
   void join() {
-    Leader_->call(wire::JoinGroup{.Id_ = Settings_.Replica_,
-                                  .Store_ = Service_.log().store(),
-                                  .Address_ = Listen_.text()},
-                  JoinPeriod, [](const link::LeaderResult &) {});
+    const wire::JoinGroup Notice{.Id_ = Settings_.Replica_,
+                                 .Store_ = Service_.log().store(),
+                                 .Address_ = Listen_.text()};
+    Leader_->call(Notice, JoinPeriod, [](const link::LeaderResult &) {});
+    if (++Joined_ % JoinsPerAnnouncement == 0)
+      Leader_->announce(Notice);
   }
 
   ControlServiceOptions serviceOptions() {
@@ -268,6 +272,7 @@
   net::Timer Ticks_;
   std::optional<link::LeaderClient> Leader_;
   net::Timer Joins_;
+  std::uint64_t Joined_ = 0;
   net::Timer Stops_;
 };
 
--- a/src/link/LeaderClient.cpp
+++ b/src/link/LeaderClient.cpp
@@ -256,6 +256,12 @@
                 std::move(OnEnd));
 }
 
+void LeaderClient::announce(const wire::Message &Notice) {
+  for (const std::string &Address : Impl_->Options_.Seeds_)
+    Impl_->clientOf(Address).call(Notice, Impl_->Options_.ReplicaTimeout_,
+                                  [](const net::CallResult &) {});
+}
+
 void LeaderClient::setSeeds(std::vector<std::string> Seeds) {
   Impl_->Options_.Seeds_ = std::move(Seeds);
 }
--- /dev/null
+++ b/tests/control/GroupPlanTest.cpp
@@ -0,0 +1,155 @@
+#include "dragonfly/control/GroupPlan.h"
+#include "dragonfly/control/GroupFounding.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace dragonfly::control {
+namespace {
+
+using consensus::Member;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint Start{seconds(1000)};
+constexpr ReplicaId Self{1};
+
+Member member(std::uint64_t Id, bool Voter = true, std::uint64_t Store = 0) {
+  return {.Id_ = {Id},
+          .Store_ = {Store == 0 ? Id * 10 : Store},
+          .Voter_ = Voter,
+          .Address_ = "a" + std::to_string(Id)};
+}
+
+/// Replicas 2 to 4, seen just now with the stores that `member()` gives.
+std::map<ReplicaId, ReplicaSighting> allSeen(TimePoint At) {
+  std::map<ReplicaId, ReplicaSighting> Seen;
+  for (std::uint64_t Id = 2; Id <= 4; ++Id)
+    Seen[{Id}] = {.Store_ = {Id * 10},
+                  .Address_ = "a" + std::to_string(Id),
+                  .SeenAt_ = At};
+  return Seen;
+}
+
+std::optional<GroupChange>
+plan(const std::vector<Member> &Members,
+     const std::map<ReplicaId, ReplicaSighting> &Seen, TimePoint Now,
+     const std::vector<ReplicaId> &Refused = {}) {
+  return planGroupChange({.Self_ = Self}, Members, Seen, Start, Now, Refused);
+}
+
+const std::vector<Member> Whole{member(1), member(2), member(3),
+                                member(4, false)};
+
+} // namespace
+
+TEST_CASE("a whole group is left as it is", "[control][group]") {
+  const TimePoint Now = Start + seconds(100);
+  CHECK_FALSE(plan(Whole, allSeen(Now), Now));
+}
+
+TEST_CASE("a replica that is no member joins as a learner",
+          "[control][group]") {
+  const auto Change =
+      plan({member(1), member(2), member(3)}, allSeen(Start), Start);
+  REQUIRE(Change);
+  CHECK(Change->Target_ == member(4, false));
+}
+
+TEST_CASE("a replica that has lost its disk joins anew, as a learner",
+          "[control][group]") {
+  auto Seen = allSeen(Start);
+  Seen[{2}].Store_ = {77};
+  const auto Change = plan(Whole, Seen, Start);
+  REQUIRE(Change);
+  CHECK(Change->Target_ == member(2, false, 77));
+
+  SECTION("and a learner takes its place") {
+    const auto Next =
+        plan({member(1), member(2, false, 77), member(3), member(4, false)},
+             Seen, Start, {{2}});
+    REQUIRE(Next);
+    CHECK(Next->Target_ == member(4));
+  }
+}
+
+TEST_CASE("a voter that stays away is replaced, promotion first",
+          "[control][group]") {
+  const TimePoint Now = Start + seconds(3);
+  auto Seen = allSeen(Now);
+  Seen[{3}].SeenAt_ = Start;
+  const auto First = plan(Whole, Seen, Now);
+  REQUIRE(First);
+  CHECK(First->Target_ == member(4));
+  const auto Second =
+      plan({member(1), member(2), member(3), member(4)}, Seen, Now);
+  REQUIRE(Second);
+  CHECK(Second->Target_ == member(3, false));
+}
+
+TEST_CASE("a new leader gives every voter time to be seen",
+          "[control][group]") {
+  CHECK_FALSE(plan(Whole, {}, Start + milliseconds(2000)));
+  // Nobody is there to take a place.
+  CHECK_FALSE(plan(Whole, {}, Start + seconds(10)));
+}
+
+TEST_CASE("a learner that could not be promoted is passed over",
+          "[control][group]") {
+  const TimePoint Now = Start + seconds(3);
+  auto Seen = allSeen(Now);
+  Seen[{3}].SeenAt_ = Start;
+  CHECK_FALSE(plan(Whole, Seen, Now, {{4}}));
+}
+
+TEST_CASE("a learner that is gone for long is removed", "[control][group]") {
+  const TimePoint Now = Start + seconds(70);
+  auto Seen = allSeen(Now);
+  Seen.erase({4});
+  const auto Change = plan(Whole, Seen, Now);
+  REQUIRE(Change);
+  CHECK(Change->Remove_);
+  CHECK(Change->Target_.Id_ == ReplicaId{4});
+}
+
+TEST_CASE("the leader never demotes itself", "[control][group]") {
+  const TimePoint Now = Start + seconds(5);
+  const auto Change =
+      plan({member(1), member(2), member(3), member(4)}, allSeen(Now), Now);
+  REQUIRE(Change);
+  CHECK(Change->Target_.Id_ != Self);
+  CHECK_FALSE(Change->Target_.Voter_);
+}
+
+TEST_CASE("founders are chosen once enough candidates are known",
+          "[control][group]") {
+  FounderChoice Choice({.Wanted_ = 3});
+  for (const std::uint64_t Id : {9, 4, 9})
+    Choice.sighted(Start, {.Id_ = {Id}, .Address_ = std::to_string(Id)});
+  CHECK(Choice.decide(Start).empty());
+  Choice.sighted(Start, {.Id_ = {7}, .Address_ = "7"});
+  const auto Chosen = Choice.decide(Start);
+  REQUIRE(Chosen.size() == 3);
+  CHECK(Chosen.front().Id_ == ReplicaId{4});
+
+  SECTION("and the choice stays") {
+    Choice.sighted(Start, {.Id_ = {1}, .Address_ = "1"});
+    CHECK(Choice.decide(Start + seconds(9)).size() == 3);
+    CHECK(Choice.decide(Start + seconds(9)).front().Id_ == ReplicaId{4});
+  }
+}
+
+TEST_CASE("fewer founders are taken where no more candidates come",
+          "[control][group]") {
+  FounderChoice Choice({.Wanted_ = 5, .Patience_ = milliseconds(1500)});
+  CHECK(Choice.decide(Start).empty());
+  Choice.sighted(Start, {.Id_ = {1}, .Address_ = "1"});
+  Choice.sighted(Start + seconds(1), {.Id_ = {2}, .Address_ = "2"});
+  CHECK(Choice.decide(Start + seconds(2)).empty());
+  CHECK(Choice.decide(Start + milliseconds(2500)).size() == 2);
+}
+
+} // namespace dragonfly::control
--- /dev/null
+++ b/tests/decide/JobPlacementTest.cpp
@@ -0,0 +1,261 @@
+/// Loads of the users' heaviest days, each with the pattern that it stands for.
+#include "dragonfly/decide/JobPlacement.h"
+#include "dragonfly/decide/JobOrder.h"
+#include "dragonfly/decide/SpeedControl.h"
+#include "dragonfly/decide/TailInterference.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace dragonfly::decide {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint Start{seconds(100)};
+
+PlacementWorker worker(std::string Name) {
+  return {.Name_ = std::move(Name),
+          .Service_ = "s",
+          .Labels_ = {"a"},
+          .Capacity_ = {.MilliProcessors_ = 64000, .MemoryMib_ = 256000}};
+}
+
+PlacementNeed batch(std::int64_t MilliProcessors,
+                    std::string_view Image = "calm") {
+  return {.Service_ = "s",
+          .Image_ = Image,
+          .Need_ = {.MilliProcessors_ = MilliProcessors, .MemoryMib_ = 1000},
+          .UsesSpareProcessors_ = true};
+}
+
+PlacementNeed serving() {
+  return {.Service_ = "s",
+          .Image_ = "watch",
+          .Need_ = {.MilliProcessors_ = 13000, .MemoryMib_ = 20000},
+          .Serves_ = true};
+}
+
+/// "noisy" raises the ratio of what serves by six times its share.
+JobPlacementOptions options() {
+  return {.Rise_ = [](std::string_view, std::string_view Image, double Share) {
+    return Image == "noisy" ? 6 * Share : 0.0;
+  }};
+}
+
+std::size_t placedAll(JobPlacement &Placement, const PlacementNeed &Task) {
+  std::size_t Count = 0;
+  while (Placement.place(Task))
+    ++Count;
+  return Count;
+}
+
+} // namespace
+
+TEST_CASE("no worker is reserved beyond its capacity", "[decide][jobs]") {
+  JobPlacement Placement({worker("w1"), worker("w2")}, options());
+  CHECK(placedAll(Placement, serving()) == 8);
+  for (const PlacementWorker &Row : Placement.workers())
+    CHECK(Row.Reserved_.fitsIn(Row.Capacity_));
+}
+
+TEST_CASE(
+    "tasks that serve are packed, so that whole workers stay free of them",
+    "[decide][jobs]") {
+  JobPlacement Placement({worker("w1"), worker("w2"), worker("w3")}, options());
+  for (int I = 0; I < 4; ++I)
+    Placement.place(serving());
+  const auto Free = std::ranges::count_if(
+      Placement.workers(),
+      [](const PlacementWorker &Row) { return Row.Serving_.empty(); });
+  CHECK(Free == 2);
+}
+
+// Pattern: batch jobs flood in beside watches that must keep their targets.
+TEST_CASE("a flood of batch work keeps away where its image disturbs what "
+          "serves, and uses the rest",
+          "[decide][jobs]") {
+  PlacementWorker Busy = worker("busy");
+  Busy.Serving_ = {{.Image_ = "watch", .ExpectedRatio_ = 0.4}};
+  JobPlacement Placement({Busy, worker("free")}, options());
+  CHECK(placedAll(Placement, batch(8000, "noisy")) == 8);
+  CHECK(Placement.workers()[0].SpareMilliProcessors_ == 0);
+  CHECK(placedAll(Placement, batch(8000, "calm")) == 8);
+  CHECK(Placement.workers()[0].SpareMilliProcessors_ == 64000);
+}
+
+TEST_CASE("what serving tasks reserve and do not use is spare",
+          "[decide][jobs]") {
+  PlacementWorker Row = worker("w1");
+  Row.Reserved_.MilliProcessors_ = 64000;
+  Row.ServingMilliProcessors_ = 64000;
+  JobPlacement Placement({Row}, options());
+  CHECK(placedAll(Placement, batch(8000)) == 2);
+}
+
+TEST_CASE("one task of a job that would stand still may crowd in",
+          "[decide][jobs]") {
+  PlacementWorker Row = worker("w1");
+  Row.SpareMilliProcessors_ = 64000;
+  JobPlacement Placement({Row}, options());
+  PlacementNeed Task = batch(8000);
+  CHECK_FALSE(Placement.place(Task));
+  CHECK(Placement.obstacles(Task).SpareProcessors_ == 1);
+  Task.MayCrowd_ = true;
+  CHECK(Placement.place(Task));
+}
+
+TEST_CASE("a step is spread as widely as it asks for", "[decide][jobs]") {
+  JobPlacement Placement({worker("w1"), worker("w2")}, options());
+  PlacementNeed Task = serving();
+  Task.MaxPerWorker_ = 1;
+  Task.StepRuns_ = {0, 0};
+  const auto First = Placement.place(Task);
+  REQUIRE(First);
+  ++Task.StepRuns_[*First];
+  const auto Second = Placement.place(Task);
+  REQUIRE(Second);
+  CHECK(*First != *Second);
+  ++Task.StepRuns_[*Second];
+  CHECK_FALSE(Placement.place(Task));
+  CHECK(Placement.obstacles(Task).TooManyOfStep_ == 2);
+}
+
+TEST_CASE("a task avoids the worker it failed on, and suspects come last",
+          "[decide][jobs]") {
+  PlacementWorker Suspect = worker("w1");
+  Suspect.Suspect_ = true;
+  JobPlacement Placement({Suspect, worker("w2")}, options());
+  PlacementNeed Task = batch(1000);
+  CHECK(Placement.place(Task) == 1U);
+  Task.Avoid_ = "w2";
+  CHECK(Placement.place(Task) == 0U);
+}
+
+TEST_CASE("labels and services are musts, a data rack is a wish",
+          "[decide][jobs]") {
+  PlacementWorker Near = worker("w2");
+  Near.Labels_ = {"a", "r1"};
+  JobPlacement Placement({worker("w1"), Near}, options());
+  PlacementNeed Task = batch(1000);
+  Task.DataRack_ = "r1";
+  CHECK(Placement.place(Task) == 1U);
+  Task.DataRack_ = "r9";
+  CHECK(Placement.place(Task));
+  Task.RequiredLabel_ = "b";
+  CHECK_FALSE(Placement.place(Task));
+  CHECK(Placement.obstacles(Task).Label_ == 2);
+  Task.RequiredLabel_ = {};
+  Task.Service_ = "other";
+  CHECK_FALSE(Placement.place(Task));
+}
+
+// Pattern: a burst of large jobs before small ones, more than can be on time.
+TEST_CASE("in a burst, jobs that can be on time come first, the small before "
+          "the large",
+          "[decide][jobs]") {
+  const JobOutlook Small{.Sequence_ = 9,
+                         .Age_ = seconds(1),
+                         .Objective_ = seconds(10),
+                         .ChainLeft_ = seconds(5),
+                         .WorkLeft_ = 50};
+  JobOutlook Large = Small;
+  Large.Sequence_ = 1;
+  Large.WorkLeft_ = 500;
+  JobOutlook Late = Small;
+  Late.Age_ = seconds(8);
+  JobOutlook Lost = Small;
+  Lost.Age_ = seconds(40);
+  JobOutlook Urgent = Lost;
+  Urgent.Priority_ = 0;
+  for (JobOutlook *Each : {&Large, &Late, &Lost})
+    Each->Priority_ = 2;
+  JobOutlook Batch = Small;
+  Batch.Priority_ = 2;
+  CHECK(rankOf(Batch) < rankOf(Large));
+  CHECK(rankOf(Large) < rankOf(Late));
+  CHECK(rankOf(Late) < rankOf(Lost));
+  CHECK(rankOf(Urgent) < rankOf(Batch));
+  JobOutlook Watch = Lost;
+  Watch.Priority_ = 0;
+  Watch.LongRunning_ = true;
+  CHECK(rankOf(Watch) < rankOf(Small));
+}
+
+TEST_CASE("a chain is as long as its longest path", "[decide][jobs]") {
+  const std::vector<std::uint32_t> First{0};
+  const std::vector<std::uint32_t> Both{0, 1};
+  const std::vector<ChainStep> Steps{{.Left_ = seconds(2)},
+                                     {.Left_ = seconds(5)},
+                                     {.DependsOn_ = First, .Left_ = seconds(1)},
+                                     {.DependsOn_ = Both, .Left_ = seconds(3)}};
+  CHECK(longestChain(Steps) == seconds(8));
+}
+
+// Pattern: one image of nine disturbs one image that serves, the others don't.
+TEST_CASE("the pair that disturbs is learnt among others", "[decide][jobs]") {
+  TailInterference Tails;
+  for (int I = 0; I < 60; ++I) {
+    Tails.observe("watch", 0.4, {});
+    const std::vector<ImageLoad> Alone{{.Image_ = "calm", .Share_ = 0.1}};
+    Tails.observe("watch", 0.4, Alone);
+    const std::vector<ImageLoad> Mixed{{.Image_ = "calm", .Share_ = 0.1},
+                                       {.Image_ = "noisy", .Share_ = 0.1}};
+    Tails.observe("watch", 1.2, Mixed);
+  }
+  CHECK(Tails.rise("watch", {.Image_ = "noisy", .Share_ = 0.1}) > 0.5);
+  CHECK(Tails.rise("watch", {.Image_ = "calm", .Share_ = 0.1}) < 0.25);
+  CHECK(Tails.quietRatio("watch") == Approx(0.4).margin(0.05));
+}
+
+TEST_CASE("an unknown pair is expected to disturb a little", "[decide][jobs]") {
+  const TailInterference Tails;
+  const double Rise = Tails.rise("watch", {.Image_ = "new", .Share_ = 0.1});
+  CHECK(Rise > 0.05);
+  CHECK(Rise < 0.5);
+}
+
+TEST_CASE("a missed target slows down who disturbs, and only then the others",
+          "[decide][jobs]") {
+  SpeedControl Speeds;
+  Speeds.disturbs("watch", "noisy", 8);
+  Speeds.disturbs("watch", "calm", 0.2);
+  TimePoint Now = Start;
+  const auto Read = [&](double Ratio) {
+    Speeds.runs("noisy", 0.1);
+    Speeds.runs("calm", 0.1);
+    Speeds.serves("watch", Ratio);
+    Speeds.update(Now);
+    Now += milliseconds(400);
+  };
+  Read(0.6);
+  CHECK(Speeds.percentOf("noisy") == 100);
+  Read(1.1);
+  CHECK(Speeds.percentOf("noisy") == 50);
+  CHECK(Speeds.percentOf("calm") == 100);
+  for (int I = 0; I < 4; ++I)
+    Read(1.1);
+  CHECK(Speeds.percentOf("noisy") == 0);
+  CHECK(Speeds.percentOf("calm") < 100);
+  for (int I = 0; I < 12; ++I)
+    Read(0.4);
+  CHECK(Speeds.percentOf("noisy") == 100);
+}
+
+TEST_CASE("without anything that serves, runs have full speed",
+          "[decide][jobs]") {
+  SpeedControl Speeds;
+  Speeds.runs("noisy", 0.1);
+  Speeds.serves("watch", 2.0);
+  Speeds.update(Start);
+  CHECK(Speeds.percentOf("noisy") == 50);
+  Speeds.runs("noisy", 0.1);
+  Speeds.update(Start + seconds(1));
+  CHECK(Speeds.percentOf("noisy") == 100);
+}
+
+} // namespace dragonfly::decide
