Log to standard output without waiting; metrics as text on a port of each role

Cause: the users' on-call engineers have logs and metrics only. The log went to standard error and could wait for its reader. Change: a sink that polls, drops and counts; run-ended and job-ended lines; counters and histograms on 9464 to 9466. Tests: LogSinkTest (a pipe that nobody reads), MetricsTest.

--- a/daemons/dragonfly-platform.cpp
+++ b/daemons/dragonfly-platform.cpp
@@ -3,6 +3,7 @@
 
 #include "dragonfly/agent/WorkerAgent.h"
 #include "dragonfly/base/Log.h"
+#include "dragonfly/base/Metrics.h"
 #include "dragonfly/base/Random.h"
 #include "dragonfly/control/Control.h"
 #include "dragonfly/control/GroupDirectory.h"
@@ -10,6 +11,7 @@
 #include "dragonfly/entry/JobGateway.h"
 #include "dragonfly/link/LeaderClient.h"
 #include "dragonfly/net/EventLoop.h"
+#include "dragonfly/net/HttpServer.h"
 #include "dragonfly/settings/CommandLine.h"
 #include "dragonfly/settings/Program.h"
 #include "dragonfly/settings/ReadSettings.h"
@@ -24,6 +26,7 @@
 #include <functional>
 #include <iostream>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -67,6 +70,28 @@
   net::Timer Checks_;
 };
 
+/// Serves a process's metrics as text.
+class MetricsServer {
+public:
+  MetricsServer(net::EventLoop &Loop, const platform::SiteSettings &Site,
+                std::uint16_t Port, std::shared_ptr<Metrics> Counts)
+      : Server_(Loop, {.Listen_ = {.Address_ = Site.Ip_, .Port_ = Port},
+                       .OnRequest_ = [Counts](const net::HttpRequest &,
+                                              const net::HttpReplier &To) {
+                         To.reply({.ContentType_ = "text/plain",
+                                   .Body_ = Counts->text()});
+                       }}) {}
+
+private:
+  net::HttpServer Server_;
+};
+
+/// Named in deploy/system.toml too. The internal ports cannot be named there,
+/// since they are drawn anew each day.
+constexpr std::uint16_t ControlMetricsPort = 9464;
+constexpr std::uint16_t EntryMetricsPort = 9465;
+constexpr std::uint16_t AgentMetricsPort = 9466;
+
 link::LeaderClientOptions leaderOptions(const platform::SiteSettings &Site) {
   return {.Self_ = makeFreshId<Incarnation>(), .Seeds_ = Site.seedAddresses()};
 }
@@ -74,7 +99,9 @@
 void runEntry(net::EventLoop &Loop, const platform::SiteSettings &Site) {
   link::LeaderClient Leader(Loop, leaderOptions(Site));
   const SeedWatch Watch(Loop, Leader, Site);
-  entry::JobGateway Jobs(Leader, {});
+  const auto Counts = std::make_shared<Metrics>();
+  const MetricsServer Numbers(Loop, Site, EntryMetricsPort, Counts);
+  entry::JobGateway Jobs(Leader, *Counts, {});
   platform::CallerServer Server(Loop, Jobs, Site);
   Loop.onTerminate([&] { Server.stop([&] { Loop.stop(); }); });
   Loop.run();
@@ -84,8 +111,10 @@
 class Replica {
 public:
   Replica(net::EventLoop &Loop, const platform::SiteSettings &Site,
-          const std::vector<wire::GroupRow> &FirstMembers)
-      : Control_(Loop, platform::toControlSettings(Site, FirstMembers)),
+          const std::vector<wire::GroupRow> &FirstMembers,
+          std::shared_ptr<Metrics> Counts)
+      : Control_(Loop, platform::toControlSettings(Site, FirstMembers),
+                 std::move(Counts)),
         Watch_(Loop, *Control_.leader(), Site),
         Server_(Loop, *Control_.leader(), Site) {}
 
@@ -126,13 +155,15 @@
 };
 
 void runControl(net::EventLoop &Loop, const platform::SiteSettings &Site) {
+  const auto Counts = std::make_shared<Metrics>();
+  const MetricsServer Numbers(Loop, Site, ControlMetricsPort, Counts);
   std::optional<control::GroupFounding> Founding;
   std::optional<Replica> Member;
   std::optional<Relay> Other;
   const auto Serve = [&](const std::vector<wire::GroupRow> &FirstMembers) {
     Founding.reset();
     if (Site.hasDisk())
-      Member.emplace(Loop, Site, FirstMembers);
+      Member.emplace(Loop, Site, FirstMembers, Counts);
     else
       Other.emplace(Loop, Site, FirstMembers);
   };
@@ -159,7 +190,10 @@
   link::LeaderClient Leader(Loop, leaderOptions(Site));
   const SeedWatch Watch(Loop, Leader, Site);
   platform::WorkerClient Worker(Loop, Site.WorkerAddress_);
-  agent::WorkerAgent Agent(Loop, Leader, {.Calls_ = Worker.calls()});
+  const auto Counts = std::make_shared<Metrics>();
+  const MetricsServer Numbers(Loop, Site, AgentMetricsPort, Counts);
+  agent::WorkerAgent Agent(Loop, Leader,
+                           {.Calls_ = Worker.calls(), .Metrics_ = Counts});
   const platform::WorkerServer Server(Loop, Agent, Worker, Site);
   Loop.onTerminate([&] { Agent.stop([&] { Loop.stop(); }); });
   Loop.run();
--- a/include/dragonfly/agent/WorkerAgent.h
+++ b/include/dragonfly/agent/WorkerAgent.h
@@ -7,6 +7,7 @@
 #include "dragonfly/agent/WorkerCalls.h"
 #include "dragonfly/agent/WorkerLease.h"
 #include "dragonfly/base/Clock.h"
+#include "dragonfly/base/Metrics.h"
 #include "dragonfly/wire/Messages.h"
 
 #include <chrono>
@@ -26,6 +27,7 @@
 
 struct WorkerAgentOptions {
   WorkerCalls Calls_;
+  std::shared_ptr<Metrics> Metrics_ = std::make_shared<Metrics>();
   /// Between reports where nothing has ended; a tenth of the lease.
   Duration ReportPeriod_ = std::chrono::milliseconds(400);
   Duration ReportTimeout_ = std::chrono::milliseconds(1200);
--- a/include/dragonfly/base/Event.h
+++ b/include/dragonfly/base/Event.h
@@ -22,6 +22,7 @@
   SettingsRejected = 1005,
   ProcessFailed = 1006,
   SettingsChanged = 1007,
+  LogLinesDropped = 1008,
   // entry
   EntryReady = 2001,
   EntryNotReady = 2002,
--- a/include/dragonfly/base/Log.h
+++ b/include/dragonfly/base/Log.h
@@ -25,7 +25,7 @@
   std::string Value_;
 };
 
-/// How lines are written to standard error.
+/// How lines are written to standard output.
 enum class LogFormat : std::uint8_t { Text, Json };
 
 /// Options of the process-wide log.
@@ -34,14 +34,16 @@
   Severity Least_ = Severity::Info;
   /// Name of this process, written on each line.
   std::string Process_;
-  /// Called with each line in place of standard error, where set.
+  /// Called with each line in place of standard output, where set.
   std::function<void(std::string_view)> Sink_;
 };
 
 /// Sets up the log of this process; may be called again.
 void configureLog(LogOptions Options);
 
-/// Logs \p Value with its fields, unless it is below the least severity.
+/// Logs \p Value with its fields, unless it is below the least severity. Never
+/// waits: a line that standard output does not take at once is dropped, and the
+/// next one that it takes is preceded by a count of those.
 void logEvent(Event Value, std::initializer_list<LogField> Fields = {});
 
 } // namespace dragonfly
--- a/include/dragonfly/control/Control.h
+++ b/include/dragonfly/control/Control.h
@@ -2,6 +2,7 @@
 #ifndef DRAGONFLY_CONTROL_CONTROL_H
 #define DRAGONFLY_CONTROL_CONTROL_H
 
+#include "dragonfly/base/Metrics.h"
 #include "dragonfly/settings/Settings.h"
 
 #include <functional>
@@ -22,7 +23,8 @@
   /// Recovers the data folder and starts to listen. Throws StorageError or
   /// NetError. Later failures of the log or its storage leave
   /// `EventLoop::run()` as exceptions; the process must end then.
-  Control(net::EventLoop &Loop, const settings::ControlSettings &Settings);
+  Control(net::EventLoop &Loop, const settings::ControlSettings &Settings,
+          std::shared_ptr<Metrics> Counts = std::make_shared<Metrics>());
   ~Control();
 
   /// Accepts no more connections and takes no more requests; calls \p OnStopped
--- a/include/dragonfly/control/JobService.h
+++ b/include/dragonfly/control/JobService.h
@@ -4,6 +4,7 @@
 #define DRAGONFLY_CONTROL_JOBSERVICE_H
 
 #include "dragonfly/base/Clock.h"
+#include "dragonfly/base/Metrics.h"
 #include "dragonfly/consensus/ReplicatedLog.h"
 #include "dragonfly/control/Command.h"
 #include "dragonfly/jobs/JobTable.h"
@@ -39,6 +40,7 @@
   std::uint32_t DriftPermille_ = 30;
   /// Added to the lease before runs are taken for lost.
   Duration LeaseMargin_ = std::chrono::milliseconds(300);
+  std::shared_ptr<Metrics> Metrics_ = std::make_shared<Metrics>();
   /// How long a rejected submitter should wait.
   Duration RetryAfter_ = std::chrono::seconds(1);
 };
--- a/include/dragonfly/entry/JobGateway.h
+++ b/include/dragonfly/entry/JobGateway.h
@@ -5,6 +5,7 @@
 
 #include "dragonfly/base/Clock.h"
 #include "dragonfly/base/EnumTable.h"
+#include "dragonfly/base/Metrics.h"
 #include "dragonfly/link/LeaderClient.h"
 #include "dragonfly/wire/Messages.h"
 
@@ -13,6 +14,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 
 namespace dragonfly::entry {
 
@@ -54,8 +56,9 @@
 public:
   using Handler = std::function<void(JobResult)>;
 
-  JobGateway(link::LeaderClient &Leader, JobGatewayOptions Options)
-      : Leader_(Leader), Options_(Options) {}
+  JobGateway(link::LeaderClient &Leader, Metrics &Counts,
+             JobGatewayOptions Options)
+      : Leader_(Leader), Counts_(Counts), Options_(Options) {}
 
   /// \p TimeLeft is the time until the caller's deadline, or zero.
   void submit(wire::SubmitJob Request, Duration TimeLeft, Handler OnEnd);
@@ -69,11 +72,13 @@
   std::size_t inProgress() const { return InProgress_; }
 
 private:
-  void call(const std::string &Job, wire::Message Request, Duration TimeLeft,
-            Handler OnEnd);
+  /// \p Action is the name that metrics count the call under.
+  void call(std::string_view Action, const std::string &Job,
+            wire::Message Request, Duration TimeLeft, Handler OnEnd);
   JobResult resultOf(const link::LeaderResult &Result) const;
 
   link::LeaderClient &Leader_;
+  Metrics &Counts_;
   JobGatewayOptions Options_;
   std::size_t InProgress_ = 0;
 };
--- a/src/agent/WorkerAgent.cpp
+++ b/src/agent/WorkerAgent.cpp
@@ -190,6 +190,8 @@
                     std::uint64_t Session, const HoldAnswer &Answer) {
     HoldOpen_ = false;
     const TimePoint Now = Clock::now();
+    Options_.Metrics_->count(
+        "lists", Answer.Status_ == HoldStatus::Listed ? "read" : "failed");
     if (Answer.Status_ == HoldStatus::Fenced) {
       // Another process of this agent spoke for the worker: register anew.
       Self_ = makeFreshId<Incarnation>();
@@ -262,6 +264,7 @@
           const auto Agent = Self.lock();
           if (!Agent || Agent->Life_ != Life)
             return;
+          Agent->Options_.Metrics_->count("starts", enumName(Status));
           if (Status != StartStatus::Started)
             logEvent(Status == StartStatus::NoAnswer ? Event::StartUnanswered
                                                      : Event::StartRefused,
--- a/src/base/Event.cpp
+++ b/src/base/Event.cpp
@@ -22,6 +22,10 @@
      "The program ends because of the failure whose type is given."},
     {Event::SettingsChanged, Severity::Info, "settings-changed",
      "The settings file has changed; the new addresses are in use."},
+    {Event::LogLinesDropped, Severity::Warning, "log-lines-dropped",
+     "Lines were dropped since the last one: standard output did not take "
+     "them, "
+     "or there were too many in a second."},
     {Event::EntryReady, Severity::Info, "entry-ready",
      "The entry holds a fresh configuration and takes requests."},
     {Event::EntryNotReady, Severity::Warning, "entry-not-ready",
--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -1,9 +1,10 @@
 #include "dragonfly/base/Log.h"
 
+#include "base/LogSink.h"
+
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <spdlog/sinks/base_sink.h>
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
 #include <array>
@@ -63,6 +64,16 @@
   return Line;
 }
 
+/// The line itself, as the sink writes it past the logger.
+std::string dropNotice(std::uint64_t Count) {
+  const EventRow &Row = eventRow(Event::LogLinesDropped);
+  const LogOptions &Options = state().Options_;
+  const auto Fields = {LogField("lines", Count)};
+  return Options.Format_ == LogFormat::Json
+             ? formatJson(Row, Options.Process_, Fields)
+             : formatText(Row, Options.Process_, Fields);
+}
+
 } // namespace
 
 void configureLog(LogOptions Options) {
@@ -73,13 +84,15 @@
         "dragonfly", std::make_shared<HookSink>());
   } else {
     State.Logger_ = std::make_shared<spdlog::logger>(
-        "dragonfly", std::make_shared<spdlog::sinks::stderr_sink_mt>());
+        "dragonfly", std::make_shared<LogSink>(
+                         LogSinkOptions{.DropNotice_ = [](std::uint64_t Count) {
+                           return dropNotice(Count);
+                         }}));
   }
   const bool Json = State.Options_.Format_ == LogFormat::Json;
   State.Logger_->set_pattern(Json ? R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z",%v)"
                                   : "%Y-%m-%dT%H:%M:%S.%e%z %l %v");
   State.Logger_->set_level(toLevel(State.Options_.Least_));
-  State.Logger_->flush_on(spdlog::level::info);
 }
 
 void logEvent(Event Value, std::initializer_list<LogField> Fields) {
--- a/src/control/Control.cpp
+++ b/src/control/Control.cpp
@@ -98,8 +98,10 @@
 } // namespace
 
 struct Control::Impl {
-  Impl(net::EventLoop &Loop, const settings::ControlSettings &Settings)
-      : Loop_(Loop), Settings_(Settings), Self_(makeFreshId<Incarnation>()),
+  Impl(net::EventLoop &Loop, const settings::ControlSettings &Settings,
+       std::shared_ptr<Metrics> Counts)
+      : Loop_(Loop), Settings_(Settings), Counts_(std::move(Counts)),
+        Self_(makeFreshId<Incarnation>()),
         Listen_(net::Endpoint::make(selfOf(Settings).Address_)),
         Service_(serviceOptions(),
                  consensus::openFileStorage(Settings.DataFolder_),
@@ -149,6 +151,7 @@
 
   ControlServiceOptions serviceOptions() {
     ControlServiceOptions Options = optionsOf(Settings_);
+    Options.Metrics_ = Counts_;
     Options.Log_.Send_ = [this](ReplicaId To, std::string Bytes) {
       sendToPeer(To, std::move(Bytes));
     };
@@ -252,6 +255,7 @@
 
   net::EventLoop &Loop_;
   settings::ControlSettings Settings_;
+  std::shared_ptr<Metrics> Counts_;
   Incarnation Self_;
   net::Endpoint Listen_;
   std::map<ReplicaId, std::unique_ptr<net::FrameClient>> Peers_;
@@ -277,8 +281,9 @@
 };
 
 Control::Control(net::EventLoop &Loop,
-                 const settings::ControlSettings &Settings)
-    : Impl_(std::make_unique<Impl>(Loop, Settings)) {}
+                 const settings::ControlSettings &Settings,
+                 std::shared_ptr<Metrics> Counts)
+    : Impl_(std::make_unique<Impl>(Loop, Settings, std::move(Counts))) {}
 
 Control::~Control() = default;
 
--- a/src/control/ControlService.cpp
+++ b/src/control/ControlService.cpp
@@ -60,6 +60,7 @@
     };
     Result.Refuse_ = [this] { return refusal(); };
     Result.WorkerLeaseTerm_ = Options_.WorkerLeaseTerm_;
+    Result.Metrics_ = Options_.Metrics_;
     return Result;
   }
 
@@ -158,6 +159,7 @@
   }
 
   void serve() {
+    Options_.Metrics_->count("terms_led");
     Upstreams_.lead(Now_, Log_.term());
     Scheduler_.lead(Now_, logNow());
     Jobs_.lead(Now_, Log_.term());
--- a/src/control/JobBatch.h
+++ b/src/control/JobBatch.h
@@ -20,7 +20,10 @@
   /// \p Outcomes is null unless the status is Committed.
   using Done = std::function<void(Status, const JobOutcomes *Outcomes)>;
 
-  explicit JobBatch(const JobServiceOptions &Options) : Options_(Options) {}
+  /// \p OnEnd is called with each end that had an effect.
+  JobBatch(const JobServiceOptions &Options,
+           std::function<void(const jobs::EndRow &)> OnEnd)
+      : Options_(Options), OnEnd_(std::move(OnEnd)) {}
 
   /// The rows of the record that is being gathered.
   UpdateJobs &rows() { return Rows_; }
@@ -30,16 +33,20 @@
   void flush() {
     if (Rows_.empty())
       return;
-    Options_.Propose_(std::exchange(Rows_, {}),
-                      [Handlers = std::exchange(Handlers_, {})](
-                          Status Result, const CommandOutput &Output) {
-                        const auto *Outcomes =
-                            Result == Status::Committed
-                                ? std::get_if<JobOutcomes>(&Output)
-                                : nullptr;
-                        for (const Done &Handler : Handlers)
-                          Handler(Result, Outcomes);
-                      });
+    std::vector<jobs::EndRow> Ends = Rows_.Ends_;
+    Options_.Propose_(
+        std::exchange(Rows_, {}),
+        [this, Ends = std::move(Ends), Handlers = std::exchange(Handlers_, {})](
+            Status Result, const CommandOutput &Output) {
+          const auto *Outcomes = Result == Status::Committed
+                                     ? std::get_if<JobOutcomes>(&Output)
+                                     : nullptr;
+          for (std::size_t I = 0; Outcomes != nullptr && I < Ends.size(); ++I)
+            if (Outcomes->Ends_.at(I) != 0)
+              OnEnd_(Ends[I]);
+          for (const Done &Handler : Handlers)
+            Handler(Result, Outcomes);
+        });
   }
 
   /// Fails what has been gathered; none of it was proposed.
@@ -51,6 +58,7 @@
 
 private:
   const JobServiceOptions &Options_;
+  std::function<void(const jobs::EndRow &)> OnEnd_;
   UpdateJobs Rows_;
   std::vector<Done> Handlers_;
 };
--- a/src/control/JobDispatcher.cpp
+++ b/src/control/JobDispatcher.cpp
@@ -188,6 +188,12 @@
   const auto Unsigned = [](std::int64_t Value) {
     return static_cast<std::uint64_t>(std::max<std::int64_t>(Value, 0));
   };
+  Counts_.set("workers", "open",
+              static_cast<double>(Placement.workers().size()));
+  Counts_.set("tasks", "waiting", static_cast<double>(Waiting));
+  Counts_.set("processors", "reserved",
+              static_cast<double>(Reserved.MilliProcessors_));
+  Counts_.set("processors", "spare_used", static_cast<double>(Spare));
   logEvent(Event::DispatchSummary,
            {{"workers", Placement.workers().size()},
             {"workers_that_serve", Serving},
@@ -283,6 +289,7 @@
   const bool Ordered = Sessions_.order(Now, Row.Worker_, Session,
                                        {.Starts_ = {orderOf(*Job, Row.Run_)}});
   // The order never left, and no later session can learn of it.
+  Counts_.count("runs_placed", Ordered ? "ordered" : "session-ended");
   if (!Ordered)
     Batch_.rows().Ends_.push_back({.Run_ = Row.Run_,
                                    .Worker_ = Row.Worker_,
--- a/src/control/JobDispatcher.h
+++ b/src/control/JobDispatcher.h
@@ -19,9 +19,9 @@
 public:
   JobDispatcher(const jobs::JobTable &Table, WorkerSessions &Sessions,
                 const WorkerLoads &Loads, const RunTimes &Times,
-                JobBatch &Batch)
+                JobBatch &Batch, Metrics &Counts)
       : Table_(Table), Sessions_(Sessions), Loads_(Loads), Times_(Times),
-        Batch_(Batch) {}
+        Batch_(Batch), Counts_(Counts) {}
 
   void lead() {
     Proposed_.clear();
@@ -63,6 +63,7 @@
   const WorkerLoads &Loads_;
   const RunTimes &Times_;
   JobBatch &Batch_;
+  Metrics &Counts_;
   std::map<jobs::RunName, ProposedStart> Proposed_;
   /// Jobs with a step that is due and nothing on a worker, and since when.
   std::map<std::string, TimePoint> IdleSince_;
--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -7,6 +7,8 @@
 #include "control/WorkerSessions.h"
 #include "dragonfly/base/Log.h"
 
+#include <deque>
+#include <set>
 #include <string_view>
 #include <utility>
 
@@ -15,14 +17,63 @@
 using consensus::ProposeStatus;
 using wire::JobStatus;
 
+namespace {
+
+/// Names that were seen lately, in bounded memory.
+class RecentNames {
+public:
+  /// Returns false where \p Name is among them already.
+  bool insert(const std::string &Name) {
+    if (!Known_.insert(Name).second)
+      return false;
+    Order_.push_back(Name);
+    if (Order_.size() > MaxNames) {
+      Known_.erase(Order_.front());
+      Order_.pop_front();
+    }
+    return true;
+  }
+
+private:
+  static constexpr std::size_t MaxNames = 4096;
+  std::set<std::string> Known_;
+  std::deque<std::string> Order_;
+};
+
+} // namespace
+
 struct JobService::Impl {
   Impl(JobServiceOptions Options, const jobs::JobTable &Table)
-      : Options_(std::move(Options)), Table_(Table), Batch_(Options_),
+      : Options_(std::move(Options)), Table_(Table),
+        Batch_(Options_, [this](const jobs::EndRow &Row) { ended(Row); }),
         Loads_(Table_), Sessions_(Options_, Table_, Batch_,
                                   [this](const std::string &Worker) {
                                     return Loads_.disturbances(Worker);
                                   }),
-        Times_(Table_), Dispatcher_(Table_, Sessions_, Loads_, Times_, Batch_) {
+        Times_(Table_), Dispatcher_(Table_, Sessions_, Loads_, Times_, Batch_,
+                                    *Options_.Metrics_) {}
+
+  void ended(const jobs::EndRow &Row) {
+    const jobs::TaskName &Task = Row.Run_.Task_;
+    Options_.Metrics_->count("runs_ended", enumName(Row.How_));
+    logEvent(Event::RunEnded, {{"job", Task.Job_},
+                               {"step", Task.Step_},
+                               {"index", Task.Index_},
+                               {"run", Row.Run_.Run_},
+                               {"worker", Row.Worker_},
+                               {"how", enumName(Row.How_)}});
+    const jobs::JobRow *Job = Table_.find(Task.Job_);
+    if (Job == nullptr || Job->active() ||
+        Job->State_ == jobs::JobState::Cancelled || !Ended_.insert(Job->Id_))
+      return;
+    const Duration Time = Job->EndedAt_ - Job->AcceptedAt_;
+    Options_.Metrics_->count("jobs", enumName(Job->State_));
+    Options_.Metrics_->record("job_time", Job->Queue_.Name_, Time);
+    logEvent(Event::JobEnded,
+             {{"job", Job->Id_},
+              {"queue", Job->Queue_.Name_},
+              {"state", enumName(Job->State_)},
+              {"ms", static_cast<std::uint64_t>(toMilliseconds(Time))}});
   }
 
   /// Answers with nothing done, or not at all where that is not certain.
@@ -73,6 +124,7 @@
       logEvent(
           Accepted ? Event::JobAccepted : Event::JobRejected,
           {{"job", Job}, {"configuration", Table_.configuration().Version_}});
+      Options_.Metrics_->count("jobs", Accepted ? "accepted" : "no-queue");
       Dispatcher_.noteChange();
       Answer(wire::JobReply{.Status_ = Accepted ? JobStatus::Accepted
                                                 : JobStatus::NoQueue});
@@ -103,6 +155,7 @@
         return;
       }
       logEvent(Event::JobCancelled, {{"job", Id}});
+      Options_.Metrics_->count("jobs", "cancelled");
       Dispatcher_.noteChange();
       Answer(wire::JobReply{.Status_ = JobStatus::Known,
                             .State_ = jobs::JobState::Cancelled});
@@ -142,6 +195,7 @@
   JobServiceOptions Options_;
   const jobs::JobTable &Table_;
   JobBatch Batch_;
+  RecentNames Ended_;
   WorkerLoads Loads_;
   WorkerSessions Sessions_;
   RunTimes Times_;
--- a/src/entry/JobGateway.cpp
+++ b/src/entry/JobGateway.cpp
@@ -34,45 +34,49 @@
 void JobGateway::submit(wire::SubmitJob Request, Duration TimeLeft,
                         Handler OnEnd) {
   const std::string Job = Request.Job_;
-  call(Job, std::move(Request), TimeLeft, std::move(OnEnd));
+  call("submit", Job, std::move(Request), TimeLeft, std::move(OnEnd));
 }
 
 void JobGateway::request(const wire::JobRequest &Request, Duration TimeLeft,
                          Handler OnEnd) {
-  call(Request.Job_, Request, TimeLeft, std::move(OnEnd));
+  call(Request.Action_ == wire::JobAction::Query ? "query" : "cancel",
+       Request.Job_, Request, TimeLeft, std::move(OnEnd));
 }
 
 void JobGateway::queueDepth(const wire::QueueDepthRequest &Request,
                             Duration TimeLeft, Handler OnEnd) {
-  call({}, Request, TimeLeft, std::move(OnEnd));
+  call("depth", {}, Request, TimeLeft, std::move(OnEnd));
 }
 
 bool JobGateway::ready() const {
   return Clock::now() - Leader_.lastAnswer() < Options_.ReadyTime_;
 }
 
-void JobGateway::call(const std::string &Job, wire::Message Request,
-                      Duration TimeLeft, Handler OnEnd) {
+void JobGateway::call(std::string_view Action, const std::string &Job,
+                      wire::Message Request, Duration TimeLeft, Handler OnEnd) {
   const Duration Whole =
       TimeLeft > Duration::zero() ? TimeLeft : Options_.DefaultTimeout_;
   ++InProgress_;
-  Leader_.call(std::move(Request),
-               {.Timeout_ = Whole * Options_.TimeSharePermille_ / 1000,
-                .LeaderWait_ = Options_.LeaderWait_},
-               [this, Job, Began = Clock::now(),
-                OnEnd = std::move(OnEnd)](const link::LeaderResult &Result) {
-                 --InProgress_;
-                 const JobResult Told = resultOf(Result);
-                 logEvent(Told.Answer_ == JobAnswer::Unknown
-                              ? Event::JobUnanswered
-                              : Event::JobAnswered,
-                          {{"job", Job},
-                           {"outcome", enumName(Told.Answer_)},
-                           {"retried", Result.Retried_ ? "yes" : "no"},
-                           {"ms", static_cast<std::uint64_t>(
-                                      toMilliseconds(Clock::now() - Began))}});
-                 OnEnd(Told);
-               });
+  Leader_.call(
+      std::move(Request),
+      {.Timeout_ = Whole * Options_.TimeSharePermille_ / 1000,
+       .LeaderWait_ = Options_.LeaderWait_},
+      [this, Action, Job, Began = Clock::now(),
+       OnEnd = std::move(OnEnd)](const link::LeaderResult &Result) {
+        --InProgress_;
+        const JobResult Told = resultOf(Result);
+        const Duration Took = Clock::now() - Began;
+        Counts_.count("answers", enumName(Told.Answer_));
+        Counts_.record("answer_time", Action, Took);
+        logEvent(Told.Answer_ == JobAnswer::Unknown ? Event::JobUnanswered
+                                                    : Event::JobAnswered,
+                 {{"job", Job},
+                  {"outcome", enumName(Told.Answer_)},
+                  {"action", Action},
+                  {"retried", Result.Retried_ ? "yes" : "no"},
+                  {"ms", static_cast<std::uint64_t>(toMilliseconds(Took))}});
+        OnEnd(Told);
+      });
 }
 
 JobResult JobGateway::resultOf(const link::LeaderResult &Result) const {
--- a/tools/deployment.sh
+++ b/tools/deployment.sh
@@ -66,7 +66,7 @@
     "--seed=${name#upstream-}" "--service_ms=${SERVICE_MS:-5}" "--task_ms=$TASK_MS") ;;
   *) command=("$BUILD/dragonfly-${name%-*}" "--settings=$RUN/$name.json") ;;
   esac
-  (cd "$RUN" && exec "${command[@]}" >>"$RUN/$name.out" 2>>"$RUN/$name.log") &
+  (cd "$RUN" && exec "${command[@]}" >>"$RUN/$name.log" 2>&1) &
   PIDS[$name]=$!
 }
 
