Give runs on spare processors their speed back in steps of a quarter

Cause: paced runs crept back by 10 points a reading and finished late. Change: thresholds 1.0, 0.92, 0.85 and steps of 25 points.

--- a/include/dragonfly/decide/SpeedControl.h
+++ b/include/dragonfly/decide/SpeedControl.h
@@ -20,11 +20,11 @@
   /// Above these the speed is halved, or lowered by a fifth; below the third it
   /// is raised.
   double HalveAbove_ = 1.0;
-  double LowerAbove_ = 0.85;
-  double RaiseBelow_ = 0.7;
+  double LowerAbove_ = 0.92;
+  double RaiseBelow_ = 0.85;
   /// Percentage points by which it is raised: back to full speed within the
   /// few seconds in which interference is known to change.
-  std::uint32_t RaiseStep_ = 10;
+  std::uint32_t RaiseStep_ = 25;
   /// Below this the runs are paused.
   std::uint32_t LeastPercent_ = 8;
   /// Images that cause at least this share of the largest image's part of a
