Agents open another session as soon as another replica answers

Cause: a stream to a frozen leader hung for two seconds after its successor had answered the agent's report.

--- a/src/agent/WorkerAgent.cpp
+++ b/src/agent/WorkerAgent.cpp
@@ -79,10 +79,9 @@
   }
 
   void openSession() {
-    if (Opening_ || Worker_.Worker_.empty() || Stopping_ || Departed_)
+    if (Worker_.Worker_.empty() || Stopping_ || Departed_)
       return;
-    Opening_ = true;
-    const std::uint64_t Opened = Life_;
+    const std::uint64_t Opened = ++Stream_;
     Leader_.stream(
         wire::WorkerHello{.Worker_ = Worker_.Worker_,
                           .Born_ = Worker_.Born_,
@@ -95,17 +94,17 @@
         [Self = weak_from_this(), Opened](wire::Message Part) {
           const auto Agent = Self.lock();
           auto *Orders = std::get_if<wire::WorkerOrders>(&Part);
-          if (Agent && Orders != nullptr && Agent->Life_ == Opened)
+          if (Agent && Orders != nullptr && Agent->Stream_ == Opened)
             Agent->takeOrders(std::move(*Orders));
         },
-        [Self = weak_from_this()](const link::LeaderResult &) {
-          if (const auto Agent = Self.lock())
+        [Self = weak_from_this(), Opened](const link::LeaderResult &) {
+          const auto Agent = Self.lock();
+          if (Agent && Agent->Stream_ == Opened)
             Agent->sessionEnded();
         });
   }
 
   void sessionEnded() {
-    Opening_ = false;
     Session_ = 0;
     Complete_ = false;
     Reattach_ = Loop_.after(Options_.ReattachDelay_, [this] { openSession(); });
@@ -378,8 +377,12 @@
     if (Life != Life_ || Ack == nullptr)
       return;
     if (Ack->SessionEnded_) {
-      if (Session == Session_)
+      // Another replica leads; the old stream may hang for seconds.
+      if (Session == Session_) {
         Session_ = 0;
+        Complete_ = false;
+        openSession();
+      }
       return;
     }
     if (Ack->LeaseTerm_ > Duration::zero())
@@ -456,7 +459,8 @@
   RunBook Book_;
   decide::SpeedControl Speeds_;
 
-  bool Opening_ = false;
+  /// Counts streams; parts of earlier ones have no effect.
+  std::uint64_t Stream_ = 0;
   /// 0 while no session is open.
   std::uint64_t Session_ = 0;
   std::uint64_t Fence_ = 0;
