Stop runs that stand still and use failing workers last

Change: decide/WorkerSuspicion, fed by first failures and by runs without progress for 2.5 s at half speed or more.

--- a/include/dragonfly/base/Event.h
+++ b/include/dragonfly/base/Event.h
@@ -51,6 +51,8 @@
   WorkerLeft = 3019,
   DispatchSummary = 3020,
   TaskWaits = 3021,
+  RunStalled = 3022,
+  WorkerSuspected = 3023,
   // consensus
   LeaderElected = 4001,
   LeaderLost = 4002,
--- a/include/dragonfly/wire/Messages.h
+++ b/include/dragonfly/wire/Messages.h
@@ -461,6 +461,8 @@
   /// Tail latency in milliseconds of a run with a target, else the processors
   /// in use, in thousandths.
   std::uint64_t Load_ = 0;
+  /// Share of full speed that the run was given, in percent.
+  std::uint32_t SpeedPercent_ = 100;
 };
 
 struct EndReport {
--- a/src/agent/RunBook.cpp
+++ b/src/agent/RunBook.cpp
@@ -214,7 +214,8 @@
                                .Phase_ = Run.Phase_,
                                .ProgressPercent_ = Run.Listed_.ProgressPercent_,
                                .Checkpoint_ = Run.Listed_.Checkpoint_,
-                               .Load_ = Run.Listed_.Load_};
+                               .Load_ = Run.Listed_.Load_,
+                               .SpeedPercent_ = Run.SpeedPercent_};
       });
   return Reports;
 }
--- a/src/control/JobDispatcher.cpp
+++ b/src/control/JobDispatcher.cpp
@@ -20,6 +20,10 @@
 constexpr Duration StopCheckPeriod = std::chrono::milliseconds(100);
 /// Placement runs this often even where nothing is known to have changed.
 constexpr Duration PlacePeriod = std::chrono::milliseconds(200);
+/// A run without progress for so long stands still: on a worker that is six
+/// times too slow the longest tasks still show a percent a second.
+constexpr Duration StallTime = std::chrono::milliseconds(2500);
+constexpr std::uint32_t FullProgress = 100;
 constexpr Duration SummaryPeriod = std::chrono::seconds(1);
 /// Lines about waiting tasks between two summaries.
 constexpr std::size_t MaxWaitLines = 8;
@@ -55,7 +59,7 @@
   place(Now, LogTime);
 }
 
-std::vector<decide::PlacementWorker> JobDispatcher::openWorkers() const {
+std::vector<decide::PlacementWorker> JobDispatcher::openWorkers(TimePoint Now) {
   std::map<std::string, std::vector<RunName>> Proposed;
   for (const auto &[Run, Start] : Proposed_)
     Proposed[Start.Worker_].push_back(Run);
@@ -83,7 +87,8 @@
                        .Reserved_ = Held.Reserved_,
                        .ServingMilliProcessors_ = Held.ServingMilliProcessors_,
                        .SpareMilliProcessors_ = Held.SpareMilliProcessors_,
-                       .Serving_ = Loads_.serving(Session, Planned)});
+                       .Serving_ = Loads_.serving(Session, Planned),
+                       .Suspect_ = Suspicion_.isSuspect(Now, Name)});
   }
   return Workers;
 }
@@ -123,8 +128,8 @@
   if (Table_.readySteps().empty())
     return;
   decide::JobPlacement Placement(
-      openWorkers(), {.Rise_ = [this](std::string_view Serving,
-                                      std::string_view Image, double Share) {
+      openWorkers(Now), {.Rise_ = [this](std::string_view Serving,
+                                         std::string_view Image, double Share) {
         return Loads_.rise(Serving, Image, Share);
       }});
   Resources Capacity;
@@ -243,7 +248,7 @@
     RunName Next{{Job.Id_, Ready.Step_, Index}, Task.Run_ + 1};
     if (Task.Phase_ != TaskPhase::Waiting || Proposed_.contains(Next))
       continue;
-    Need.Avoid_ = Task.Failures_ > 0 ? Task.Worker_ : std::string_view();
+    Need.Avoid_ = Task.Worker_;
     const auto Chosen = Placement.place(Need);
     if (!Chosen) {
       logWaiting(Ready, Placement, Need);
@@ -312,6 +317,53 @@
       Sessions_.stopRun(Now, Name, Run);
     if (Session.Draining_)
       stopWhereDraining(Now, Name, Session);
+    stopStalled(Now, Name, Session);
+  }
+}
+
+void JobDispatcher::ended(TimePoint Now, const jobs::EndRow &Row) {
+  const JobRow *Job = Table_.find(Row.Run_.Task_.Job_);
+  if (Row.How_ == jobs::RunEnd::Finished)
+    Suspicion_.finished(Now, Row.Worker_);
+  // A task that fails again elsewhere is to blame itself.
+  else if (Row.How_ == jobs::RunEnd::Failed && Row.Run_.Run_ == 1 &&
+           Job != nullptr)
+    blame(Now, Row.Worker_);
+}
+
+void JobDispatcher::blame(TimePoint Now, const std::string &Worker) {
+  const bool Before = Suspicion_.isSuspect(Now, Worker);
+  Suspicion_.failed(Now, Worker);
+  if (!Before && Suspicion_.isSuspect(Now, Worker))
+    logEvent(Event::WorkerSuspected, {{"worker", Worker}});
+}
+
+/// Stops runs that stand still, so that they are run elsewhere.
+void JobDispatcher::stopStalled(TimePoint Now, const std::string &Worker,
+                                const WorkerSession &Session) {
+  std::vector<RunName> Stalled;
+  for (const auto &[Run, Info] : Session.Runs_) {
+    const JobRow *Job = Table_.find(Run.Task_.Job_);
+    if (Job == nullptr || !Job->active() || Session.Silent_ ||
+        Info.Report_.Phase_ != wire::RunPhase::Running ||
+        Now - Info.ProgressAt_ < StallTime ||
+        Session.HeardAt_ - Info.ProgressAt_ < StallTime)
+      continue;
+    const StepSpec &Step = Job->Spec_.Steps_[Run.Task_.Step_];
+    // Long-running tasks show 100 percent while they are at work.
+    if (!Step.LongRunning_ || Info.Report_.ProgressPercent_ < FullProgress)
+      Stalled.push_back(Run);
+  }
+  for (const RunName &Run : Stalled) {
+    if (Session.Runs_.at(Run).StopSentAt_ == TimePoint()) {
+      logEvent(Event::RunStalled, {{"job", Run.Task_.Job_},
+                                   {"step", Run.Task_.Step_},
+                                   {"index", Run.Task_.Index_},
+                                   {"run", Run.Run_},
+                                   {"worker", Worker}});
+      blame(Now, Worker);
+    }
+    Sessions_.stopRun(Now, Worker, Run);
   }
 }
 
--- a/src/control/JobDispatcher.h
+++ b/src/control/JobDispatcher.h
@@ -7,6 +7,7 @@
 #include "control/WorkerLoads.h"
 #include "control/WorkerSessions.h"
 #include "dragonfly/decide/JobPlacement.h"
+#include "dragonfly/decide/WorkerSuspicion.h"
 
 #include <cstdint>
 #include <map>
@@ -32,6 +33,8 @@
   void tick(TimePoint Now, Duration LogTime);
   /// The jobs have changed.
   void noteChange() { Changed_ = true; }
+  /// A run's end is durable.
+  void ended(TimePoint Now, const jobs::EndRow &Row);
 
 private:
   /// A start that has been proposed and whose outcome is not known yet.
@@ -48,13 +51,16 @@
   void started(TimePoint Now, const jobs::StartRow &Row, std::uint64_t Session,
                bool Applied);
   void stopUnwanted(TimePoint Now);
+  void stopStalled(TimePoint Now, const std::string &Worker,
+                   const WorkerSession &Session);
+  void blame(TimePoint Now, const std::string &Worker);
   void stopWhereDraining(TimePoint Now, const std::string &Worker,
                          const WorkerSession &Session);
   void logWaiting(const jobs::ReadyStep &Ready,
                   const decide::JobPlacement &Placement,
                   const decide::PlacementNeed &Need);
   void logSummary(TimePoint Now, const decide::JobPlacement &Placement);
-  std::vector<decide::PlacementWorker> openWorkers() const;
+  std::vector<decide::PlacementWorker> openWorkers(TimePoint Now);
   bool isStarved(TimePoint Now, const jobs::JobRow &Job);
   std::vector<jobs::ReadyStep> stepsInOrder(Duration LogTime) const;
 
@@ -65,6 +71,7 @@
   JobBatch &Batch_;
   Metrics &Counts_;
   std::map<jobs::RunName, ProposedStart> Proposed_;
+  decide::WorkerSuspicion Suspicion_;
   /// Jobs with a step that is due and nothing on a worker, and since when.
   std::map<std::string, TimePoint> IdleSince_;
   /// Less than half of the processors of all workers are reserved.
--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -56,6 +56,7 @@
   void ended(const jobs::EndRow &Row) {
     const jobs::TaskName &Task = Row.Run_.Task_;
     Options_.Metrics_->count("runs_ended", enumName(Row.How_));
+    Dispatcher_.ended(Now_, Row);
     logEvent(Event::RunEnded, {{"job", Task.Job_},
                                {"step", Task.Step_},
                                {"index", Task.Index_},
@@ -194,6 +195,7 @@
 
   JobServiceOptions Options_;
   const jobs::JobTable &Table_;
+  TimePoint Now_;
   JobBatch Batch_;
   RecentNames Ended_;
   WorkerLoads Loads_;
@@ -218,6 +220,7 @@
 }
 
 void JobService::tick(TimePoint Now, Duration LogTime) {
+  Impl_->Now_ = Now;
   Impl_->Sessions_.tick(Now);
   Impl_->Dispatcher_.tick(Now, LogTime);
   Impl_->Batch_.flush();
--- a/src/control/WorkerSessions.cpp
+++ b/src/control/WorkerSessions.cpp
@@ -14,6 +14,9 @@
 /// Between two orders to stop the same run; the agent repeats its own call to
 /// the worker more often than this.
 constexpr Duration StopResendPeriod = std::chrono::milliseconds(1000);
+/// Runs slower than this share of full speed, in percent, may show no progress
+/// for long.
+constexpr std::uint32_t LeastProgressSpeed = 50;
 /// Sessions of one term are numbered below this.
 constexpr std::uint64_t SessionsPerTerm = 1ULL << 32U;
 
@@ -247,7 +250,9 @@
     RunInfo &Info = It->second;
     if (IsNew)
       Info.OrderedAt_ = Now;
-    if (IsNew || Run.ProgressPercent_ != Info.Report_.ProgressPercent_ ||
+    const bool Slowed = Run.SpeedPercent_ < LeastProgressSpeed;
+    if (IsNew || Slowed || Run.Phase_ != wire::RunPhase::Running ||
+        Run.ProgressPercent_ != Info.Report_.ProgressPercent_ ||
         Run.Checkpoint_ != Info.Report_.Checkpoint_)
       Info.ProgressAt_ = Now;
     std::string Checkpoint = std::move(Info.Report_.Checkpoint_);
--- a/src/wire/Serialize.h
+++ b/src/wire/Serialize.h
@@ -219,7 +219,8 @@
 }
 
 template <typename Archive> void serialize(Archive &Ar, RunReport &Row) {
-  Ar(Row.Run_, Row.Phase_, Row.ProgressPercent_, Row.Checkpoint_, Row.Load_);
+  Ar(Row.Run_, Row.Phase_, Row.ProgressPercent_, Row.Checkpoint_, Row.Load_,
+     Row.SpeedPercent_);
 }
 
 template <typename Archive> void serialize(Archive &Ar, EndReport &Row) {
--- /dev/null
+++ b/tests/decide/WorkerSuspicionTest.cpp
@@ -0,0 +1,50 @@
+#include "dragonfly/decide/WorkerSuspicion.h"
+
+#include <catch2/catch.hpp>
+
+namespace dragonfly::decide {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint Start{seconds(100)};
+
+} // namespace
+
+// Pattern: a worker whose health check is good fails all that it starts.
+TEST_CASE("a worker that fails three runs in a row is suspect",
+          "[decide][jobs]") {
+  WorkerSuspicion Workers;
+  for (int I = 0; I < 3; ++I)
+    Workers.failed(Start + milliseconds(100 * I), "w1");
+  CHECK(Workers.isSuspect(Start + milliseconds(300), "w1"));
+  CHECK_FALSE(Workers.isSuspect(Start, "w2"));
+
+  SECTION("until it has been left alone for some seconds") {
+    CHECK(Workers.isSuspect(Start + seconds(3), "w1"));
+    CHECK_FALSE(Workers.isSuspect(Start + seconds(7), "w1"));
+  }
+  SECTION("and again at its next failures") {
+    CHECK_FALSE(Workers.isSuspect(Start + seconds(7), "w1"));
+    for (int I = 0; I < 2; ++I)
+      Workers.failed(Start + seconds(7), "w1");
+    CHECK(Workers.isSuspect(Start + seconds(7), "w1"));
+  }
+}
+
+// Pattern: a fifth of a queue's jobs can never be done.
+TEST_CASE("failures among many finished runs make nobody suspect",
+          "[decide][jobs]") {
+  WorkerSuspicion Workers;
+  for (int I = 0; I < 200; ++I) {
+    const TimePoint Now = Start + milliseconds(50 * I);
+    if (I % 5 == 0)
+      Workers.failed(Now, "w1");
+    else
+      Workers.finished(Now, "w1");
+    CHECK_FALSE(Workers.isSuspect(Now, "w1"));
+  }
+}
+
+} // namespace dragonfly::decide
