--- a/daemons/dragonfly-platform.cpp
+++ b/daemons/dragonfly-platform.cpp
@@ -192,8 +192,9 @@
   platform::WorkerClient Worker(Loop, Site.WorkerAddress_);
   const auto Counts = std::make_shared<Metrics>();
   const MetricsServer Numbers(Loop, Site, AgentMetricsPort, Counts);
-  agent::WorkerAgent Agent(Loop, Leader,
-                           {.Calls_ = Worker.calls(), .Metrics_ = Counts});
+  agent::WorkerAgent Agent(
+      Loop, Leader,
+      {.Calls_ = Worker.calls(), .Vm_ = Site.Vm_, .Metrics_ = Counts});
   const platform::WorkerServer Server(Loop, Agent, Worker, Site);
   Loop.onTerminate([&] { Agent.stop([&] { Loop.stop(); }); });
   Loop.run();
--- a/include/dragonfly/agent/WorkerAgent.h
+++ b/include/dragonfly/agent/WorkerAgent.h
@@ -27,6 +27,8 @@
 
 struct WorkerAgentOptions {
   WorkerCalls Calls_;
+  /// Name of the VM that agent and worker share.
+  std::string Vm_;
   std::shared_ptr<Metrics> Metrics_ = std::make_shared<Metrics>();
   /// Between reports where nothing has ended; a tenth of the lease.
   Duration ReportPeriod_ = std::chrono::milliseconds(400);
--- a/include/dragonfly/jobs/JobTable.h
+++ b/include/dragonfly/jobs/JobTable.h
@@ -60,11 +60,14 @@
   /// Tells lives of one worker apart.
   std::uint64_t Born_ = 0;
   Incarnation Agent_;
+  /// Where it runs. A VM has one worker: another one there means that this one
+  /// is gone.
+  std::string Vm_;
 
   bool operator==(const WorkerLife &) const = default;
 
   template <typename Archive> void serialize(Archive &Ar) {
-    Ar(Worker_, Born_, Agent_);
+    Ar(Worker_, Born_, Agent_, Vm_);
   }
 };
 
--- a/include/dragonfly/wire/Messages.h
+++ b/include/dragonfly/wire/Messages.h
@@ -410,6 +410,8 @@
   /// Unix time of the worker's start, in milliseconds; tells lives apart.
   std::uint64_t Born_ = 0;
   Incarnation Agent_;
+  /// The VM that agent and worker share.
+  std::string Vm_;
   std::string Service_;
   std::string AvailabilityZone_;
   std::vector<std::string> Labels_;
--- a/src/agent/WorkerAgent.cpp
+++ b/src/agent/WorkerAgent.cpp
@@ -86,6 +86,7 @@
         wire::WorkerHello{.Worker_ = Worker_.Worker_,
                           .Born_ = Worker_.Born_,
                           .Agent_ = Self_,
+                          .Vm_ = Options_.Vm_,
                           .Service_ = Worker_.Service_,
                           .AvailabilityZone_ = Worker_.AvailabilityZone_,
                           .Labels_ = Worker_.Labels_,
--- a/src/control/WorkerSessions.cpp
+++ b/src/control/WorkerSessions.cpp
@@ -101,8 +101,10 @@
 void WorkerSessions::attach(TimePoint Now, wire::WorkerHello Hello,
                             WorkerStream Stream) {
   const std::size_t Index = Batch_.rows().Workers_.size();
-  Batch_.rows().Workers_.push_back(
-      {.Worker_ = Hello.Worker_, .Born_ = Hello.Born_, .Agent_ = Hello.Agent_});
+  Batch_.rows().Workers_.push_back({.Worker_ = Hello.Worker_,
+                                    .Born_ = Hello.Born_,
+                                    .Agent_ = Hello.Agent_,
+                                    .Vm_ = Hello.Vm_});
   Batch_.whenDone([this, Now, Index, Hello = std::move(Hello),
                    Stream = std::move(Stream)](JobBatch::Status,
                                                const JobOutcomes *Outcomes) {
@@ -124,9 +126,25 @@
                                      {"fence", Session.Fence_}});
     order(Now, Hello.Worker_, Session.Number_,
           {.Known_ = knownRuns(Hello.Worker_)});
+    endReplaced(Hello);
   });
 }
 
+void WorkerSessions::endReplaced(const wire::WorkerHello &Hello) {
+  for (const auto &[Worker, Row] : Table_.workers()) {
+    if (Worker == Hello.Worker_ || Hello.Vm_.empty() ||
+        Row.Life_.Vm_ != Hello.Vm_ || Row.Life_.Born_ > Hello.Born_)
+      continue;
+    logEvent(Event::WorkerLeft, {{"worker", Worker},
+                                 {"runs", Row.Runs_.size()},
+                                 {"replaced_by", Hello.Worker_}});
+    endRuns(Worker, jobs::RunEnd::LeaseExpired, {});
+    Batch_.rows().Departed_.push_back(Worker);
+    if (const auto It = Rows_.find(Worker); It != Rows_.end())
+      detach(It->second);
+  }
+}
+
 std::vector<wire::StartOrder>
 WorkerSessions::knownRuns(const std::string &Worker) const {
   std::vector<wire::StartOrder> Known;
--- a/src/control/WorkerSessions.h
+++ b/src/control/WorkerSessions.h
@@ -86,6 +86,8 @@
   Duration longestLease() const;
   std::vector<wire::StartOrder> knownRuns(const std::string &Worker) const;
   void detach(WorkerSession &Session);
+  /// Ends the runs of workers that \p Hello has replaced on its VM.
+  void endReplaced(const wire::WorkerHello &Hello);
   void expire(TimePoint Now, const std::string &Worker, WorkerSession &Session);
   void endRuns(const std::string &Worker, jobs::RunEnd How,
                const std::set<jobs::RunName> &Except);
--- a/src/wire/Serialize.h
+++ b/src/wire/Serialize.h
@@ -200,8 +200,8 @@
 }
 
 template <typename Archive> void serialize(Archive &Ar, WorkerHello &Row) {
-  Ar(Row.Worker_, Row.Born_, Row.Agent_, Row.Service_, Row.AvailabilityZone_,
-     Row.Labels_, Row.Capacity_);
+  Ar(Row.Worker_, Row.Born_, Row.Agent_, Row.Vm_, Row.Service_,
+     Row.AvailabilityZone_, Row.Labels_, Row.Capacity_);
 }
 
 template <typename Archive> void serialize(Archive &Ar, StartOrder &Row) {
--- /dev/null
+++ b/tests/control/JobServiceTest.cpp
@@ -0,0 +1,411 @@
+/// Jobs from submission to completion on replicas without a network, with
+/// workers that the tests play.
+#include "control/Archive.h"
+#include "control/ServiceCluster.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace dragonfly::control {
+namespace {
+
+using jobs::JobState;
+using jobs::RunEnd;
+using jobs::RunName;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using wire::JobStatus;
+
+const std::string JobId = "5c0e7a21d94b36f8";
+const std::string Path = "/checks/" + JobId;
+
+jobs::Configuration configuration(std::uint64_t Version) {
+  return {.Version_ = Version,
+          .Queues_ = {{.Name_ = "checks",
+                       .Host_ = "a.example",
+                       .PathPrefix_ = "/checks/",
+                       .Service_ = "sorting",
+                       .MaxAttempts_ = 3}},
+          .Services_ = {{.Name_ = "sorting"}},
+          .Document_ = "version " + std::to_string(Version)};
+}
+
+/// The agent of one worker, as far as control sees it.
+class TestAgent {
+public:
+  TestAgent(ServiceCluster &Cluster, std::string Worker)
+      : Cluster_(Cluster), Worker_(std::move(Worker)) {}
+
+  void attach(std::uint64_t Born = 10, std::uint64_t Process = 1,
+              const std::string &Vm = {}) {
+    const auto Mine = std::make_shared<Stream>();
+    Stream_ = Mine;
+    Cluster_.node(Cluster_.leader())
+        .attachWorker(
+            Cluster_.now(),
+            {.Worker_ = Worker_,
+             .Born_ = Born,
+             .Agent_ = {Process},
+             .Vm_ = Vm,
+             .Service_ = "sorting",
+             .Capacity_ = {.MilliProcessors_ = 4000, .MemoryMib_ = 4096}},
+            {.Part_ =
+                 [Mine](const wire::Message &Part) {
+                   Mine->take(std::get<wire::WorkerOrders>(Part));
+                 },
+             .End_ = [Mine](const wire::Message &) { Mine->Ended_ = true; },
+             .Connected_ = [Mine] { return Mine->Connected_; }});
+    Cluster_.run(milliseconds(200));
+  }
+
+  /// Reports \p Runs as running, and \p Ends.
+  std::optional<wire::WorkerReportAck>
+  report(bool Complete, std::vector<RunName> Runs = {},
+         std::vector<wire::EndReport> Ends = {}) {
+    wire::WorkerReport Report{.Worker_ = Worker_,
+                              .Session_ = Stream_->Session_,
+                              .Draining_ = Draining_,
+                              .Complete_ = Complete,
+                              .Ends_ = std::move(Ends)};
+    for (const RunName &Run : Runs)
+      Report.Runs_.push_back({.Run_ = Run, .Phase_ = wire::RunPhase::Running});
+    const auto Answer =
+        std::make_shared<std::optional<wire::WorkerReportAck>>();
+    Cluster_.node(Cluster_.leader())
+        .handle(Cluster_.now(), Report, [Answer](const wire::Message &Value) {
+          if (const auto *Ack = std::get_if<wire::WorkerReportAck>(&Value))
+            *Answer = *Ack;
+        });
+    Cluster_.run(milliseconds(200));
+    return *Answer;
+  }
+
+  /// Attaches and tells that nothing runs.
+  void join() {
+    attach();
+    REQUIRE(report(true));
+  }
+
+  std::vector<RunName> takeStarts() {
+    return std::exchange(Stream_->Starts_, {});
+  }
+  const std::vector<RunName> &stops() const { return Stream_->Stops_; }
+  std::uint64_t session() const { return Stream_->Session_; }
+  std::uint64_t fence() const { return Stream_->Fence_; }
+  bool ended() const { return Stream_->Ended_; }
+  void disconnect() { Stream_->Connected_ = false; }
+  void drain() { Draining_ = true; }
+
+private:
+  struct Stream {
+    void take(const wire::WorkerOrders &Orders) {
+      Session_ = Orders.Session_;
+      Fence_ = Orders.Fence_;
+      for (const wire::StartOrder &Row : Orders.Starts_)
+        Starts_.push_back(Row.Run_);
+      Stops_.insert(Stops_.end(), Orders.Stops_.begin(), Orders.Stops_.end());
+    }
+    std::uint64_t Session_ = 0;
+    std::uint64_t Fence_ = 0;
+    std::vector<RunName> Starts_;
+    std::vector<RunName> Stops_;
+    bool Ended_ = false;
+    bool Connected_ = true;
+  };
+
+  ServiceCluster &Cluster_;
+  std::string Worker_;
+  std::shared_ptr<Stream> Stream_ = std::make_shared<Stream>();
+  bool Draining_ = false;
+};
+
+struct JobCluster : ServiceCluster {
+  JobCluster() {
+    askLeader<wire::PutConfigurationAck>(
+        wire::PutConfiguration{configuration(7)});
+  }
+
+  JobStatus submit(std::vector<jobs::StepSpec> Steps) {
+    return askLeader<wire::JobReply>(
+               wire::SubmitJob{.Job_ = JobId,
+                               .Host_ = "a.example",
+                               .Path_ = Path,
+                               .Spec_ = {.Steps_ = Steps}})
+        .Status_;
+  }
+
+  wire::JobReply ask(wire::JobAction Action) {
+    return askLeader<wire::JobReply>(wire::JobRequest{
+        .Action_ = Action, .Job_ = JobId, .Host_ = "a.example", .Path_ = Path});
+  }
+  JobState state() { return ask(wire::JobAction::Query).State_; }
+  using ServiceCluster::ask;
+};
+
+jobs::StepSpec step(std::uint32_t Count = 1) {
+  return {.Count_ = Count,
+          .Need_ = {.MilliProcessors_ = 1000, .MemoryMib_ = 100}};
+}
+
+RunName run(std::uint32_t Run = 1, std::uint32_t Index = 0) {
+  return {.Task_ = {.Job_ = JobId, .Step_ = 0, .Index_ = Index}, .Run_ = Run};
+}
+
+wire::EndReport end(const RunName &Run, RunEnd How = RunEnd::Finished) {
+  return {.Run_ = Run, .How_ = How};
+}
+
+} // namespace
+
+TEST_CASE("a job is accepted, started, and completed by its last end",
+          "[control][jobs]") {
+  JobCluster On;
+  TestAgent Agent(On, "w1");
+  Agent.join();
+  REQUIRE(On.submit({step()}) == JobStatus::Accepted);
+  CHECK(Agent.takeStarts() == std::vector<RunName>{run()});
+  CHECK(On.state() == JobState::Running);
+  REQUIRE(Agent.report(false, {}, {end(run())}));
+  CHECK(On.state() == JobState::Completed);
+}
+
+TEST_CASE("a job that is sent again is one job", "[control][jobs]") {
+  JobCluster On;
+  TestAgent Agent(On, "w1");
+  Agent.join();
+  On.submit({step()});
+  CHECK(On.submit({step()}) == JobStatus::Accepted);
+  CHECK(Agent.takeStarts().size() == 1);
+  On.ask(wire::JobAction::Cancel);
+  CHECK(On.submit({step()}) == JobStatus::Accepted);
+  CHECK(On.state() == JobState::Cancelled);
+}
+
+TEST_CASE("unknown queues and jobs are told apart", "[control][jobs]") {
+  JobCluster On;
+  CHECK(On.ask(wire::JobAction::Query).Status_ == JobStatus::UnknownJob);
+  CHECK(On.askLeader<wire::JobReply>(wire::SubmitJob{.Job_ = JobId,
+                                                     .Host_ = "a.example",
+                                                     .Path_ = "/none/" + JobId,
+                                                     .Spec_ = {}})
+            .Status_ == JobStatus::NoQueue);
+  CHECK(On.askLeader<wire::QueueDepth>(
+              wire::QueueDepthRequest{"a.example", "/checks/"})
+            .Queued_ == 0);
+  On.submit({step()});
+  CHECK(On.askLeader<wire::QueueDepth>(
+              wire::QueueDepthRequest{"a.example", "/checks/"})
+            .Queued_ == 1);
+}
+
+TEST_CASE(
+    "a configuration that is not newer is acknowledged and changes nothing",
+    "[control][jobs]") {
+  JobCluster On;
+  for (const std::uint64_t Version : {7, 3})
+    CHECK(On.askLeader<wire::PutConfigurationAck>(
+                wire::PutConfiguration{configuration(Version)})
+              .Version_ == 7);
+  CHECK(On.askLeader<wire::CurrentConfiguration>(wire::FetchConfiguration{})
+            .Document_ == "version 7");
+}
+
+TEST_CASE("a worker gets nothing before it has told what it runs",
+          "[control][jobs]") {
+  JobCluster On;
+  TestAgent Agent(On, "w1");
+  Agent.attach();
+  On.submit({step()});
+  CHECK(Agent.takeStarts().empty());
+  Agent.report(true);
+  CHECK(Agent.takeStarts().size() == 1);
+}
+
+TEST_CASE("a worker that drains gets nothing more", "[control][jobs]") {
+  JobCluster On;
+  TestAgent Agent(On, "w1");
+  Agent.join();
+  Agent.drain();
+  Agent.report(false);
+  On.submit({step()});
+  CHECK(Agent.takeStarts().empty());
+}
+
+TEST_CASE("a run goes on through a change of leader", "[control][jobs]") {
+  JobCluster On;
+  TestAgent Agent(On, "w1");
+  Agent.join();
+  On.submit({step()});
+  REQUIRE(Agent.takeStarts().size() == 1);
+  On.isolate(On.leader());
+  On.run(seconds(2));
+  const std::uint64_t Before = Agent.fence();
+  Agent.attach();
+  REQUIRE(Agent.report(true, {run()}));
+  On.run(seconds(1));
+  CHECK(Agent.takeStarts().empty());
+  CHECK(Agent.fence() == Before);
+  REQUIRE(Agent.report(false, {}, {end(run())}));
+  CHECK(On.state() == JobState::Completed);
+}
+
+TEST_CASE("a start that never reached the agent is made again",
+          "[control][jobs]") {
+  JobCluster On;
+  TestAgent Agent(On, "w1");
+  Agent.join();
+  On.submit({step()});
+  REQUIRE(Agent.takeStarts().size() == 1);
+  Agent.attach();
+  REQUIRE(Agent.report(true));
+  CHECK(Agent.takeStarts() == std::vector<RunName>{run(2)});
+}
+
+TEST_CASE(
+    "a lost worker's task runs elsewhere, but not before its lease is over",
+    "[control][jobs]") {
+  JobCluster On;
+  TestAgent First(On, "w1");
+  First.join();
+  On.submit({step()});
+  REQUIRE(First.takeStarts().size() == 1);
+  First.report(false, {run()});
+  First.disconnect();
+  TestAgent Second(On, "w2");
+  Second.join();
+  On.run(seconds(3));
+  CHECK(Second.takeStarts().empty());
+  for (int I = 0; I < 10; ++I)
+    Second.report(false);
+  CHECK(Second.takeStarts() == std::vector<RunName>{run(2)});
+}
+
+// After a loss of power every worker comes back under another id; control
+// waited for the leases of the old ones (incident inc-a17a).
+TEST_CASE("another worker on a VM ends the runs of the one before it",
+          "[control][jobs]") {
+  JobCluster On;
+  TestAgent Old(On, "w1");
+  Old.attach(10, 1, "vm-1");
+  Old.report(true);
+  On.submit({step()});
+  REQUIRE(Old.takeStarts().size() == 1);
+  Old.disconnect();
+  TestAgent Delayed(On, "w0");
+  Delayed.attach(9, 1, "vm-1");
+  Delayed.report(true);
+  CHECK(Delayed.takeStarts().empty());
+  TestAgent New(On, "w2");
+  New.attach(20, 2, "vm-1");
+  New.report(true);
+  CHECK(New.takeStarts() == std::vector<RunName>{run(2)});
+}
+
+TEST_CASE("a new process of an agent gets a higher fence", "[control][jobs]") {
+  JobCluster On;
+  TestAgent Agent(On, "w1");
+  Agent.attach(10, 1);
+  const std::uint64_t Before = Agent.fence();
+  Agent.attach(10, 1);
+  CHECK(Agent.fence() == Before);
+  Agent.attach(10, 2);
+  CHECK(Agent.fence() > Before);
+  const std::uint64_t Second = Agent.fence();
+  Agent.attach(11, 2);
+  CHECK(Agent.fence() > Second);
+}
+
+TEST_CASE("a report under an earlier session does nothing", "[control][jobs]") {
+  JobCluster On;
+  TestAgent Old(On, "w1");
+  Old.join();
+  TestAgent New(On, "w1");
+  New.join();
+  CHECK(Old.ended());
+  const auto Ack = Old.report(false);
+  REQUIRE(Ack);
+  CHECK(Ack->SessionEnded_);
+  CHECK(Ack->LeaseTerm_ == Duration::zero());
+}
+
+TEST_CASE("a cancelled job's runs are stopped and its tasks not started",
+          "[control][jobs]") {
+  JobCluster On;
+  TestAgent Agent(On, "w1");
+  Agent.join();
+  On.submit({step(6)});
+  REQUIRE(Agent.takeStarts().size() == 4);
+  CHECK(On.ask(wire::JobAction::Cancel).State_ == JobState::Cancelled);
+  CHECK(Agent.stops().size() >= 4);
+  Agent.report(false, {}, {end(run(), RunEnd::Stopped)});
+  CHECK(Agent.takeStarts().empty());
+}
+
+TEST_CASE("a run that control has given up is stopped when it shows up",
+          "[control][jobs]") {
+  JobCluster On;
+  TestAgent Agent(On, "w1");
+  Agent.join();
+  Agent.report(false, {run(9)});
+  CHECK(std::ranges::find(Agent.stops(), run(9)) != Agent.stops().end());
+}
+
+TEST_CASE("no worker is given more than its capacity", "[control][jobs]") {
+  JobCluster On;
+  TestAgent Agent(On, "w1");
+  Agent.join();
+  On.submit({step(9)});
+  CHECK(Agent.takeStarts().size() == 4);
+  Agent.report(false, {}, {end(run(1, 0)), end(run(1, 1))});
+  CHECK(Agent.takeStarts().size() == 2);
+}
+
+// Pattern: a worker hangs what it runs while its health check is good.
+TEST_CASE("a run that stands still is stopped and runs elsewhere",
+          "[control][jobs]") {
+  JobCluster On;
+  TestAgent Hung(On, "w1");
+  Hung.join();
+  On.submit({step()});
+  REQUIRE(Hung.takeStarts().size() == 1);
+  TestAgent Sound(On, "w2");
+  Sound.join();
+  for (int I = 0; I < 20; ++I)
+    Hung.report(false, {run()});
+  REQUIRE(std::ranges::find(Hung.stops(), run()) != Hung.stops().end());
+  Hung.report(false, {}, {end(run(), RunEnd::Stopped)});
+  Sound.report(false);
+  CHECK(Sound.takeStarts() == std::vector<RunName>{run(2)});
+}
+
+TEST_CASE("jobs survive the loss of every process", "[control][jobs]") {
+  JobCluster On;
+  On.submit({step()});
+  for (std::size_t I = 0; I < 3; ++I) {
+    On.kill(I);
+    On.start(I);
+  }
+  On.run(seconds(3));
+  CHECK(On.state() == JobState::Queued);
+  TestAgent Agent(On, "w1");
+  Agent.join();
+  CHECK(Agent.takeStarts().size() == 1);
+}
+
+TEST_CASE("snapshots from before there were jobs can be read",
+          "[control][jobs]") {
+  const StateMachine Machine({.Validator_ = checkWords});
+  const std::string Old = encodeValues(
+      StateMachine::SnapshotFormatWithoutJobs, Duration(5), Machine.lists(),
+      Machine.claims(), Machine.counts(), Machine.tasks());
+  StateMachine Other({.Validator_ = checkWords});
+  Other.restore(Old);
+  CHECK(Other.logTime() == Duration(5));
+  CHECK(Other.jobs().jobs().empty());
+}
+
+} // namespace dragonfly::control
