--- a/src/base/Event.cpp
+++ b/src/base/Event.cpp
@@ -83,7 +83,8 @@
      "No worker has room for the next task of a step; counts of workers by the "
      "reason are given. At most some lines a second."},
     {Event::RunStalled, Severity::Warning, "run-stalled",
-     "A run makes no progress at a speed that lets it; it is stopped, to be run "
+     "A run makes no progress at a speed that lets it; it is stopped, to be "
+     "run "
      "elsewhere."},
     {Event::WorkerSuspected, Severity::Warning, "worker-suspected",
      "A worker fails or stalls what it runs; others are used first."},
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -8,7 +8,7 @@
 mkdir -p "$build/lint"
 lint_one() {
   local file=$1 key
-  key=$({ cat .clang-tidy; g++ -std=c++20 -Iinclude -Isrc -Itests -Ibench -DDRAGONFLY_SOURCE_DIR='""' -DDRAGONFLY_BINARY_DIR='""' -E -C "$file"; } 2>/dev/null | sha256sum | cut -c1-40)
+  key=$({ cat .clang-tidy; g++ -std=c++20 -Iinclude -Isrc -Itests -Ibench -I. -DDRAGONFLY_SOURCE_DIR='""' -DDRAGONFLY_BINARY_DIR='""' -E -C "$file"; } 2>/dev/null | sha256sum | cut -c1-40)
   [ -e "$build/lint/$key" ] && return 0
   if output=$(clang-tidy-19 -p "$build" --quiet "$file" 2>&1); then
     touch "$build/lint/$key"
