--- a/src/control/JobDispatcher.cpp
+++ b/src/control/JobDispatcher.cpp
@@ -226,7 +226,7 @@
                              .StepRuns_ = {},
                              .MaxPerWorker_ = Step.MaxPerWorker_,
                              .Avoid_ = {}};
-  const auto workerIndex = [&Placement](const std::string &Worker) {
+  const auto WorkerIndex = [&Placement](const std::string &Worker) {
     const auto It = std::ranges::find(Placement.workers(), Worker,
                                       &decide::PlacementWorker::Name_);
     return static_cast<std::size_t>(It - Placement.workers().begin());
@@ -237,9 +237,9 @@
     for (std::uint32_t Index = 0; Index < Tasks.size(); ++Index) {
       const RunName Next{{Job.Id_, Ready.Step_, Index}, Tasks[Index].Run_ + 1};
       if (Tasks[Index].Phase_ == TaskPhase::OnWorker)
-        ++Need.StepRuns_[workerIndex(Tasks[Index].Worker_)];
+        ++Need.StepRuns_[WorkerIndex(Tasks[Index].Worker_)];
       else if (const auto It = Proposed_.find(Next); It != Proposed_.end())
-        ++Need.StepRuns_[workerIndex(It->second.Worker_)];
+        ++Need.StepRuns_[WorkerIndex(It->second.Worker_)];
     }
   }
   Need.MayCrowd_ = Step.UsesSpareProcessors_ && isStarved(Now, Job);
--- a/tests/jobs/JobTableTest.cpp
+++ b/tests/jobs/JobTableTest.cpp
@@ -33,7 +33,8 @@
     Table_.putConfiguration(configuration());
     Fence_ =
         Table_.registerWorker({.Worker_ = "w1", .Born_ = 10, .Agent_ = {1}});
-    REQUIRE(submit(std::move(Steps)) == SubmitStatus::Accepted);
+    const SubmitStatus Status = submit(std::move(Steps));
+    REQUIRE(Status == SubmitStatus::Accepted);
   }
 
   SubmitStatus submit(std::vector<StepSpec> Steps) {
