Split the long files of the platform work

Cause: wire/Messages.h (551 lines), agent/WorkerAgent.cpp (515) and control/ControlService.cpp (520) held several matters each; a newcomer had to read all of them to find one. Ruled out: splitting Serialize.h too; it is one list.

--- a/include/dragonfly/jobs/Job.h
+++ b/include/dragonfly/jobs/Job.h
@@ -84,6 +84,9 @@
   template <typename Archive> void serialize(Archive &Ar) { Ar(Task_, Run_); }
 };
 
+/// Returns the run as log lines name it, such as "5c0e7a21d94b36f8.0.17#2".
+std::string printRun(const RunName &Run);
+
 enum class JobState : std::uint8_t {
   Queued,    ///< No task has started.
   Running,   ///< A task has started.
--- /dev/null
+++ b/src/agent/WorkerAgentCalls.cpp
@@ -0,0 +1,194 @@
+#include "agent/WorkerAgentImpl.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace dragonfly::agent {
+namespace {
+
+/// Changes of speed smaller than this are not worth a call.
+constexpr std::uint32_t LeastSpeedChange = 3;
+constexpr std::uint32_t FullSpeed = 100;
+
+} // namespace
+
+void WorkerAgent::Impl::hold() {
+  HoldOpen_ = true;
+  const TimePoint SentAt = Clock::now();
+  const bool Prompt = Book_.pendingEnds() > 0 || !ListedUnderFence_;
+  const HoldCall Call{.Fence_ = Fence_,
+                      .LastDurableEnd_ = Book_.lastDurableEnd(),
+                      .LeaseUntil_ = Lease_.grant(Clock::now()),
+                      .Wait_ = Prompt                 ? Duration::zero()
+                               : Book_.rows().empty() ? Options_.IdleWait_
+                                                      : Options_.BusyWait_};
+  Options_.Calls_.Hold_(Worker_.Address_, Call,
+                        [Self = weak_from_this(), SentAt, Life = Life_,
+                         Fence = Fence_,
+                         Session = Session_](const HoldAnswer &Answer) {
+                          const auto Agent = Self.lock();
+                          if (Agent && Agent->Life_ == Life)
+                            Agent->holdAnswered(SentAt, Fence, Session, Answer);
+                        });
+}
+
+void WorkerAgent::Impl::holdAnswered(TimePoint SentAt, std::uint64_t Fence,
+                                     std::uint64_t Session,
+                                     const HoldAnswer &Answer) {
+  HoldOpen_ = false;
+  const TimePoint Now = Clock::now();
+  Options_.Metrics_->count(
+      "lists", Answer.Status_ == HoldStatus::Listed ? "read" : "failed");
+  if (Answer.Status_ == HoldStatus::Fenced) {
+    // Another process of this agent spoke for the worker: register anew.
+    Self_ = makeFreshId<Incarnation>();
+    NextHoldAt_ = Now + Options_.SilentDelay_;
+    Session_ = 0;
+    Fence_ = 0;
+    Complete_ = false;
+    logEvent(
+        Event::StartRefused,
+        {{"worker", Worker_.Worker_}, {"reason", "fenced"}, {"fence", Fence}});
+    return;
+  }
+  const bool Listed =
+      Answer.Status_ == HoldStatus::Listed && Answer.Born_ == Worker_.Born_;
+  noteSilence(!Listed);
+  if (!Listed) {
+    NextHoldAt_ = Now + Options_.SilentDelay_;
+    return;
+  }
+  Lease_.clockRead(Now, Answer.Clock_);
+  if (!ReportOpen_)
+    Book_.retractEnds(Answer);
+  Book_.listed(Now, SentAt, Answer);
+  for (const auto &[Run, Order] : Known_)
+    Book_.describe(Order);
+  if (Fence == Fence_ && Session == Session_ && !Answer.Truncated_)
+    ListedUnderFence_ = true;
+  NextHoldAt_ = Book_.pendingEnds() > 0 ? Now + Options_.RereadDelay_ : Now;
+  if (Book_.pendingEnds() > 0 || !Complete_)
+    sendReport();
+  controlSpeed(Now);
+  pump();
+  if (mayCall() && !HoldOpen_ && NextHoldAt_ <= Now)
+    hold();
+}
+
+void WorkerAgent::Impl::noteSilence(bool Silent) {
+  Lease_.setSilent(Silent);
+  if (std::exchange(Silent_, Silent) == Silent)
+    return;
+  logEvent(Silent ? Event::WorkerSilent : Event::WorkerAnswers,
+           {{"worker", Worker_.Worker_}, {"runs", Book_.rows().size()}});
+  sendReport();
+}
+
+void WorkerAgent::Impl::pump() {
+  if (!mayCall() || !Lease_.knowsClock())
+    return;
+  for (const DueCall &Due : Book_.takeDueCalls(Clock::now()))
+    if (Due.Kind_ == DueCall::Kind::Start)
+      callStart(Due.Run_);
+    else
+      callStop(Due.Run_);
+}
+
+void WorkerAgent::Impl::callStart(const jobs::RunName &Run) {
+  const wire::StartOrder &Order = Book_.rows().at(Run).Order_;
+  Options_.Calls_.Start_(
+      Worker_.Address_,
+      {.Run_ = Run,
+       .Payload_ = Order.Payload_,
+       .Checkpoint_ = Order.Checkpoint_,
+       .LeaseUntil_ = Lease_.grant(Clock::now()),
+       .Fence_ = Fence_},
+      [Self = weak_from_this(), Run, Life = Life_](StartStatus Status) {
+        const auto Agent = Self.lock();
+        if (!Agent || Agent->Life_ != Life)
+          return;
+        Agent->Options_.Metrics_->count("starts", enumName(Status));
+        if (Status != StartStatus::Started)
+          logEvent(Status == StartStatus::NoAnswer ? Event::StartUnanswered
+                                                   : Event::StartRefused,
+                   {{"run", printRun(Run)},
+                    {"worker", Agent->Worker_.Worker_},
+                    {"reason", enumName(Status)}});
+        Agent->Book_.startAnswered(Clock::now(), Run, Status);
+        Agent->afterAnswer();
+      });
+}
+
+void WorkerAgent::Impl::callStop(const jobs::RunName &Run) {
+  Options_.Calls_.Stop_(
+      Worker_.Address_, {.Run_ = Run, .Fence_ = Fence_},
+      [Self = weak_from_this(), Run, Life = Life_](bool Confirmed) {
+        const auto Agent = Self.lock();
+        if (!Agent || Agent->Life_ != Life)
+          return;
+        Agent->Book_.stopAnswered(Clock::now(), Run, Confirmed);
+        Agent->afterAnswer();
+      });
+}
+
+void WorkerAgent::Impl::afterAnswer() {
+  if (Book_.pendingEnds() > 0)
+    sendReport();
+  pump();
+}
+
+void WorkerAgent::Impl::controlSpeed(TimePoint Now) {
+  for (const auto &[Run, Row] : Book_.rows()) {
+    if (!Row.Order_.UsesSpareProcessors_ ||
+        Row.Phase_ != wire::RunPhase::Running)
+      continue;
+    Speeds_.runs(Row.Order_.Image_,
+                 static_cast<double>(Row.Listed_.Load_) /
+                     static_cast<double>(std::max<std::int64_t>(
+                         Worker_.Capacity_.MilliProcessors_, 1)));
+  }
+  for (const auto &[Run, Row] : Book_.rows())
+    if (Row.Order_.TailTarget_ > Duration::zero() && Row.Listed_.Load_ > 0)
+      Speeds_.serves(Row.Order_.Image_,
+                     static_cast<double>(Row.Listed_.Load_) /
+                         toMilliseconds(Row.Order_.TailTarget_));
+  Speeds_.update(Now);
+  std::vector<std::pair<jobs::RunName, std::uint32_t>> Changed;
+  for (const auto &[Run, Row] : Book_.rows()) {
+    if (!Row.Order_.UsesSpareProcessors_ ||
+        Row.Phase_ != wire::RunPhase::Running)
+      continue;
+    const std::uint32_t Percent = Speeds_.percentOf(Row.Order_.Image_);
+    const std::uint32_t Change = std::max(Row.SpeedPercent_, Percent) -
+                                 std::min(Row.SpeedPercent_, Percent);
+    if (Change >= LeastSpeedChange ||
+        (Change > 0 && (Percent == 0 || Percent == FullSpeed)))
+      Changed.emplace_back(Run, Percent);
+  }
+  for (const auto &[Run, Percent] : Changed) {
+    logEvent(Event::SpeedChanged,
+             {{"run", printRun(Run)},
+              {"worker", Worker_.Worker_},
+              {"percent", Percent},
+              {"tail_permille_of_target",
+               static_cast<std::uint64_t>(1000 * Speeds_.worstRatio())}});
+    callPace(Run, Percent);
+  }
+}
+
+void WorkerAgent::Impl::callPace(const jobs::RunName &Run,
+                                 std::uint32_t Percent) {
+  const std::uint32_t Before = Book_.rows().at(Run).SpeedPercent_;
+  Book_.setSpeed(Run, Percent);
+  Options_.Calls_.Pace_(
+      Worker_.Address_,
+      {.Run_ = Run, .SpeedPercent_ = Percent, .Fence_ = Fence_},
+      [Self = weak_from_this(), Run, Before, Life = Life_](bool Confirmed) {
+        const auto Agent = Self.lock();
+        if (Agent && Agent->Life_ == Life && !Confirmed)
+          Agent->Book_.setSpeed(Run, Before);
+      });
+}
+
+} // namespace dragonfly::agent
--- /dev/null
+++ b/src/agent/WorkerAgentImpl.h
@@ -0,0 +1,110 @@
+/// What an agent holds, shared by the files that implement it.
+#ifndef DRAGONFLY_SRC_AGENT_WORKERAGENTIMPL_H
+#define DRAGONFLY_SRC_AGENT_WORKERAGENTIMPL_H
+
+#include "dragonfly/agent/WorkerAgent.h"
+#include "dragonfly/base/Log.h"
+#include "dragonfly/base/Random.h"
+#include "dragonfly/decide/SpeedControl.h"
+#include "dragonfly/link/LeaderClient.h"
+#include "dragonfly/net/EventLoop.h"
+
+#include <map>
+#include <string>
+
+namespace dragonfly::agent {
+
+/// WorkerAgent.cpp talks to control, WorkerAgentCalls.cpp to the worker.
+struct WorkerAgent::Impl : std::enable_shared_from_this<WorkerAgent::Impl> {
+  Impl(net::EventLoop &Loop, link::LeaderClient &Leader,
+       WorkerAgentOptions Options)
+      : Loop_(Loop), Leader_(Leader), Options_(std::move(Options)),
+        Self_(makeFreshId<Incarnation>()), Book_(Options_.Runs_),
+        Lease_(Options_.Lease_) {}
+
+  // Control.
+
+  void start();
+  bool announced(const WorkerAnnouncement &Value);
+  /// \p Before is the worker that was here, if any.
+  void beginLife(const std::string &Before);
+  void openSession();
+  void sessionEnded();
+  void takeOrders(wire::WorkerOrders Orders);
+  void takeStart(TimePoint Now, wire::StartOrder Order);
+  void tick();
+  void sendReport();
+  void reportAnswered(TimePoint SentAt, std::size_t Ends, std::uint64_t Life,
+                      std::uint64_t Session, const link::LeaderResult &Result);
+  /// The worker ends once it has its answer, or some seconds later: until its
+  /// lease is over, its runs may go on.
+  void departed(const std::string &Worker);
+  /// Tells control that a departed worker has no runs any more.
+  void finishDeparture();
+  void stop(std::function<void()> OnStopped);
+  /// Ends the stop after a report that left once the stop had begun.
+  void finishStop();
+  void stopped();
+
+  // The worker.
+
+  /// The worker knows, or will learn, the fence that calls carry.
+  bool mayCall() const { return Fence_ != 0; }
+
+  void hold();
+  void holdAnswered(TimePoint SentAt, std::uint64_t Fence,
+                    std::uint64_t Session, const HoldAnswer &Answer);
+  void noteSilence(bool Silent);
+  /// Carries out the calls that are due.
+  void pump();
+  void callStart(const jobs::RunName &Run);
+  void callStop(const jobs::RunName &Run);
+  void afterAnswer();
+  /// Keeps runs that serve under their targets, at the cost of the runs on
+  /// spare processors that disturb them.
+  void controlSpeed(TimePoint Now);
+  void callPace(const jobs::RunName &Run, std::uint32_t Percent);
+
+  net::EventLoop &Loop_;
+  link::LeaderClient &Leader_;
+  WorkerAgentOptions Options_;
+  /// Drawn anew where another process turns out to have spoken for the worker.
+  Incarnation Self_;
+  WorkerAnnouncement Worker_;
+  std::uint64_t BornBefore_ = 0;
+  /// Counts lives, so that answers of earlier ones are told apart.
+  std::uint64_t Life_ = 0;
+  RunBook Book_;
+  decide::SpeedControl Speeds_;
+
+  /// Counts streams; parts of earlier ones have no effect.
+  std::uint64_t Stream_ = 0;
+  /// 0 while no session is open.
+  std::uint64_t Session_ = 0;
+  std::uint64_t Fence_ = 0;
+  /// Control has heard of everything that runs here, in this session.
+  bool Complete_ = false;
+  bool ListedUnderFence_ = false;
+
+  bool HoldOpen_ = false;
+  TimePoint NextHoldAt_;
+  /// What control knows of runs that it had ordered from another process.
+  std::map<jobs::RunName, wire::StartOrder> Known_;
+  bool Silent_ = false;
+  /// The worker has said that it ends.
+  bool Departed_ = false;
+  WorkerLease Lease_;
+
+  bool ReportOpen_ = false;
+  TimePoint ReportedAt_;
+  bool Stopping_ = false;
+  bool FinalReport_ = false;
+  std::function<void()> OnStopped_;
+  net::Timer Ticks_;
+  net::Timer Reattach_;
+  net::Timer StopBy_;
+};
+
+} // namespace dragonfly::agent
+
+#endif // DRAGONFLY_SRC_AGENT_WORKERAGENTIMPL_H
--- a/src/control/ControlService.cpp
+++ b/src/control/ControlService.cpp
@@ -1,10 +1,10 @@
 #include "dragonfly/control/ControlService.h"
 
+#include "control/GroupKeeper.h"
 #include "control/RecordBatcher.h"
 #include "dragonfly/base/Log.h"
 
 #include <algorithm>
-#include <map>
 #include <utility>
 
 namespace dragonfly::control {
@@ -45,7 +45,7 @@
              .OnReported_ =
                  [this](const wire::TaskReports &Batch) { reported(Batch); }},
             Machine_),
-        Jobs_(jobOptions(), Machine_.jobs()),
+        Jobs_(jobOptions(), Machine_.jobs()), Group_(Log_),
         Log_(logOptions(), std::move(Disk), Now) {
     Options_.Group_.Self_ = Options_.Log_.Self_;
   }
@@ -107,36 +107,8 @@
     ScheduleAt_ = Now + Options_.SchedulePeriod_;
     if (Serving_ && Log_.holdsLeaderLease(Now))
       schedule();
-    if (Serving_ && Options_.RepairsGroup_ && !ChangingGroup_)
-      repairGroup(Now);
-  }
-
-  void repairGroup(TimePoint Now) {
-    if (Now >= RefusedUntil_)
-      Refused_.clear();
-    const auto Change = planGroupChange(Options_.Group_, Log_.members(), Seen_,
-                                        ServingSince_, Now, Refused_);
-    if (!Change)
-      return;
-    ChangingGroup_ = true;
-    Log_.changeMember(
-        Change->Target_, Change->Remove_,
-        [this, Change = *Change](const consensus::ProposeResult &Result) {
-          ChangingGroup_ = false;
-          if (Result.Status_ != ProposeStatus::Committed) {
-            // It has not caught up yet; another one may have.
-            Refused_.push_back(Change.Target_.Id_);
-            RefusedUntil_ = Now_ + Options_.Group_.PresentTime_;
-            return;
-          }
-          logEvent(Event::MemberChanged,
-                   {{"replica", Change.Target_.Id_.Value_},
-                    {"store", Change.Target_.Store_.Value_},
-                    {"role", Change.Remove_          ? "none"
-                             : Change.Target_.Voter_ ? "voter"
-                                                     : "learner"},
-                    {"address", Change.Target_.Address_}});
-        });
+    if (Serving_ && Options_.RepairsGroup_)
+      Group_.tick(Now, Options_.Group_);
   }
 
   std::string addressOf(ReplicaId Id) const {
@@ -164,13 +136,12 @@
     Scheduler_.lead(Now_, logNow());
     Jobs_.lead(Now_, Log_.term());
     Serving_ = true;
-    ServingSince_ = Now_;
-    Seen_.clear();
+    Group_.lead(Now_);
   }
 
   void stopServing() {
     Serving_ = false;
-    ChangingGroup_ = false;
+    Group_.stop();
     Scheduler_.stop();
     Batcher_.refuseAll();
     Jobs_.stop();
@@ -363,9 +334,7 @@
     Jobs_.workerGone(Now_, Request, std::move(Answer));
   }
   void serveRequest(const wire::JoinGroup &Request, Reply Answer) {
-    Seen_[Request.Id_] = {.Store_ = Request.Store_,
-                          .Address_ = Request.Address_,
-                          .SeenAt_ = Now_};
+    Group_.sighted(Now_, Request);
     Answer(group());
   }
 
@@ -416,11 +385,7 @@
   TaskScheduler Scheduler_;
   RecordBatcher Batcher_;
   JobService Jobs_;
-  TimePoint ServingSince_;
-  std::map<ReplicaId, ReplicaSighting> Seen_;
-  std::vector<ReplicaId> Refused_;
-  TimePoint RefusedUntil_;
-  bool ChangingGroup_ = false;
+  GroupKeeper Group_;
   consensus::ReplicatedLog Log_;
 };
 
--- /dev/null
+++ b/src/control/GroupKeeper.cpp
@@ -0,0 +1,53 @@
+#include "control/GroupKeeper.h"
+
+#include "dragonfly/base/Log.h"
+
+namespace dragonfly::control {
+
+using consensus::ProposeStatus;
+
+void GroupKeeper::lead(TimePoint Now) {
+  LeadsSince_ = Now;
+  Seen_.clear();
+}
+
+void GroupKeeper::sighted(TimePoint Now, const wire::JoinGroup &Notice) {
+  Seen_[Notice.Id_] = {
+      .Store_ = Notice.Store_, .Address_ = Notice.Address_, .SeenAt_ = Now};
+}
+
+void GroupKeeper::tick(TimePoint Now, const GroupPlanOptions &Options) {
+  if (Changing_)
+    return;
+  if (Now >= RefusedUntil_)
+    Refused_.clear();
+  const auto Change = planGroupChange(Options, Log_.members(), Seen_,
+                                      LeadsSince_, Now, Refused_);
+  if (!Change)
+    return;
+  Changing_ = true;
+  Log_.changeMember(
+      Change->Target_, Change->Remove_,
+      [this, Change = *Change, RetryAt = Now + Options.PresentTime_](
+          const consensus::ProposeResult &Result) {
+        changed(RetryAt, Change, Result.Status_);
+      });
+}
+
+void GroupKeeper::changed(TimePoint RetryAt, const GroupChange &Change,
+                          ProposeStatus Status) {
+  Changing_ = false;
+  if (Status != ProposeStatus::Committed) {
+    Refused_.push_back(Change.Target_.Id_);
+    RefusedUntil_ = RetryAt;
+    return;
+  }
+  logEvent(Event::MemberChanged, {{"replica", Change.Target_.Id_.Value_},
+                                  {"store", Change.Target_.Store_.Value_},
+                                  {"role", Change.Remove_          ? "none"
+                                           : Change.Target_.Voter_ ? "voter"
+                                                                   : "learner"},
+                                  {"address", Change.Target_.Address_}});
+}
+
+} // namespace dragonfly::control
--- a/src/control/JobDispatcher.cpp
+++ b/src/control/JobDispatcher.cpp
@@ -211,6 +211,29 @@
             {"tasks_waiting", Waiting}});
 }
 
+/// Returns how many runs of the step each worker has or is to get, with one
+/// more row for all workers that are not open.
+std::vector<std::uint32_t>
+JobDispatcher::countRuns(const jobs::ReadyStep &Ready,
+                         const std::vector<TaskRow> &Tasks,
+                         const decide::JobPlacement &Placement) const {
+  const std::vector<decide::PlacementWorker> &Workers = Placement.workers();
+  std::vector<std::uint32_t> Counts(Workers.size() + 1);
+  const auto CountAt = [&](const std::string &Worker) -> std::uint32_t & {
+    const auto It =
+        std::ranges::find(Workers, Worker, &decide::PlacementWorker::Name_);
+    return Counts[static_cast<std::size_t>(It - Workers.begin())];
+  };
+  for (std::uint32_t Index = 0; Index < Tasks.size(); ++Index) {
+    const RunName Next{{Ready.Job_, Ready.Step_, Index}, Tasks[Index].Run_ + 1};
+    if (Tasks[Index].Phase_ == TaskPhase::OnWorker)
+      ++CountAt(Tasks[Index].Worker_);
+    else if (const auto It = Proposed_.find(Next); It != Proposed_.end())
+      ++CountAt(It->second.Worker_);
+  }
+  return Counts;
+}
+
 void JobDispatcher::placeStep(TimePoint Now, const jobs::ReadyStep &Ready,
                               decide::JobPlacement &Placement) {
   const JobRow &Job = *Table_.find(Ready.Job_);
@@ -226,22 +249,8 @@
                              .StepRuns_ = {},
                              .MaxPerWorker_ = Step.MaxPerWorker_,
                              .Avoid_ = {}};
-  const auto WorkerIndex = [&Placement](const std::string &Worker) {
-    const auto It = std::ranges::find(Placement.workers(), Worker,
-                                      &decide::PlacementWorker::Name_);
-    return static_cast<std::size_t>(It - Placement.workers().begin());
-  };
-  if (Step.MaxPerWorker_ > 0) {
-    // One more row for workers that are not open.
-    Need.StepRuns_.resize(Placement.workers().size() + 1);
-    for (std::uint32_t Index = 0; Index < Tasks.size(); ++Index) {
-      const RunName Next{{Job.Id_, Ready.Step_, Index}, Tasks[Index].Run_ + 1};
-      if (Tasks[Index].Phase_ == TaskPhase::OnWorker)
-        ++Need.StepRuns_[WorkerIndex(Tasks[Index].Worker_)];
-      else if (const auto It = Proposed_.find(Next); It != Proposed_.end())
-        ++Need.StepRuns_[WorkerIndex(It->second.Worker_)];
-    }
-  }
+  if (Step.MaxPerWorker_ > 0)
+    Need.StepRuns_ = countRuns(Ready, Tasks, Placement);
   Need.MayCrowd_ = Step.UsesSpareProcessors_ && isStarved(Now, Job);
   for (std::uint32_t Index = 0; Index < Tasks.size(); ++Index) {
     const TaskRow &Task = Tasks[Index];
--- a/src/control/JobDispatcher.h
+++ b/src/control/JobDispatcher.h
@@ -46,6 +46,10 @@
   void place(TimePoint Now, Duration LogTime);
   void placeStep(TimePoint Now, const jobs::ReadyStep &Ready,
                  decide::JobPlacement &Placement);
+  std::vector<std::uint32_t>
+  countRuns(const jobs::ReadyStep &Ready,
+            const std::vector<jobs::TaskRow> &Tasks,
+            const decide::JobPlacement &Placement) const;
   void propose(TimePoint Now, const jobs::JobRow &Job, jobs::RunName Run,
                const std::string &Worker);
   void started(TimePoint Now, const jobs::StartRow &Row, std::uint64_t Session,
--- a/src/control/WorkerSessions.cpp
+++ b/src/control/WorkerSessions.cpp
@@ -203,35 +203,9 @@
     Answer(wire::WorkerReportAck{.LeaseTerm_ = {}, .SessionEnded_ = true});
     return;
   }
-  WorkerSession &Session = It->second;
-  Session.HeardAt_ = Now;
-  if (Session.Draining_ != Report.Draining_ ||
-      Session.Silent_ != Report.Silent_)
-    Changed_ = true;
-  Session.Draining_ = Report.Draining_;
-  Session.DrainBy_ = Now + Report.DrainTimeLeft_;
-  Session.Silent_ = Report.Silent_;
-  const Duration Granted = Options_.HoldsLeaderLease_()
-                               ? Options_.WorkerLeaseTerm_
-                               : Duration::zero();
-  if (Granted > Duration::zero())
-    Session.LeaseUntil_ = Now + longestLease();
-  takeRuns(Now, Report.Worker_, Session, Report);
-
-  const std::size_t EndsBefore = Batch_.rows().Ends_.size();
-  std::set<jobs::RunName> Told;
-  for (wire::EndReport &Row : Report.Ends_) {
-    Told.insert(Row.Run_);
-    Batch_.rows().Ends_.push_back({.Run_ = Row.Run_,
-                                   .Worker_ = Report.Worker_,
-                                   .How_ = Row.How_,
-                                   .Checkpoint_ = std::move(Row.Checkpoint_)});
-  }
-  if (Report.Complete_) {
-    for (const wire::RunReport &Row : Report.Runs_)
-      Told.insert(Row.Run_);
-    endRuns(Report.Worker_, jobs::RunEnd::NotStarted, Told);
-  }
+  const Duration Granted = takeState(Now, It->second, Report);
+  takeRuns(Now, Report.Worker_, It->second, Report);
+  const bool HasEnds = takeEnds(Report);
   auto Finish = [this, Answer = std::move(Answer), Granted,
                  Worker = Report.Worker_, Number = Report.Session_,
                  Complete = Report.Complete_] {
@@ -241,7 +215,7 @@
     Changed_ = Changed_ || Complete;
     Answer(wire::WorkerReportAck{.LeaseTerm_ = Granted});
   };
-  if (Batch_.rows().Ends_.size() == EndsBefore) {
+  if (!HasEnds) {
     Finish();
     return;
   }
@@ -254,6 +228,43 @@
   });
 }
 
+/// Takes what the report tells of the worker itself and renews its lease;
+/// returns for how long.
+Duration WorkerSessions::takeState(TimePoint Now, WorkerSession &Session,
+                                   const wire::WorkerReport &Report) {
+  Session.HeardAt_ = Now;
+  if (Session.Draining_ != Report.Draining_ ||
+      Session.Silent_ != Report.Silent_)
+    Changed_ = true;
+  Session.Draining_ = Report.Draining_;
+  Session.DrainBy_ = Now + Report.DrainTimeLeft_;
+  Session.Silent_ = Report.Silent_;
+  if (!Options_.HoldsLeaderLease_())
+    return Duration::zero();
+  Session.LeaseUntil_ = Now + longestLease();
+  return Options_.WorkerLeaseTerm_;
+}
+
+/// Gathers the ends that a report tells or, where it is complete, implies;
+/// returns whether there are any.
+bool WorkerSessions::takeEnds(const wire::WorkerReport &Report) {
+  const std::size_t Before = Batch_.rows().Ends_.size();
+  std::set<jobs::RunName> Told;
+  for (const wire::EndReport &Row : Report.Ends_) {
+    Told.insert(Row.Run_);
+    Batch_.rows().Ends_.push_back({.Run_ = Row.Run_,
+                                   .Worker_ = Report.Worker_,
+                                   .How_ = Row.How_,
+                                   .Checkpoint_ = Row.Checkpoint_});
+  }
+  if (Report.Complete_) {
+    for (const wire::RunReport &Row : Report.Runs_)
+      Told.insert(Row.Run_);
+    endRuns(Report.Worker_, jobs::RunEnd::NotStarted, Told);
+  }
+  return Batch_.rows().Ends_.size() != Before;
+}
+
 void WorkerSessions::takeRuns(TimePoint Now, const std::string &Worker,
                               WorkerSession &Session,
                               const wire::WorkerReport &Report) {
--- a/src/control/WorkerSessions.h
+++ b/src/control/WorkerSessions.h
@@ -91,6 +91,9 @@
   void expire(TimePoint Now, const std::string &Worker, WorkerSession &Session);
   void endRuns(const std::string &Worker, jobs::RunEnd How,
                const std::set<jobs::RunName> &Except);
+  Duration takeState(TimePoint Now, WorkerSession &Session,
+                     const wire::WorkerReport &Report);
+  bool takeEnds(const wire::WorkerReport &Report);
   void takeRuns(TimePoint Now, const std::string &Worker,
                 WorkerSession &Session, const wire::WorkerReport &Report);
 
