Learn what batch images take from the headroom of watches

The additive model blamed the swing on calm neighbours. Change: TailInterference works in headroom (target over tail latency); what a job would have undisturbed is told from its readings on other workers. Watches are placed beside their own image.

--- a/include/dragonfly/decide/JobPlacement.h
+++ b/include/dragonfly/decide/JobPlacement.h
@@ -14,12 +14,12 @@
 
 namespace dragonfly::decide {
 
-/// Runs of one image on a worker that serve under a tail latency target.
-struct ServingImage {
+/// Runs of one job on a worker that serve under a tail latency target.
+struct ServingJob {
   std::string Image_;
-  /// Tail latency over target that is to be expected with all runs that are
-  /// placed there.
-  double ExpectedRatio_ = 0;
+  /// The target over the tail latency that is to be expected with all runs that
+  /// are placed there: 1 at the target, more below it.
+  double Headroom_ = 2.5;
 };
 
 /// One worker as placement sees it.
@@ -34,7 +34,7 @@
   std::int64_t ServingMilliProcessors_ = 0;
   /// Processors wanted by runs that use spare ones, in thousandths.
   std::int64_t SpareMilliProcessors_ = 0;
-  std::vector<ServingImage> Serving_;
+  std::vector<ServingJob> Serving_;
   /// Runs fail or stand still there more than elsewhere; used last.
   bool Suspect_ = false;
 };
@@ -76,16 +76,17 @@
   /// Share of their reserved processors that runs which serve really use, at
   /// their peaks, in thousandths.
   std::int64_t ServingUsePermille_ = 750;
-  /// Tail latency over target that placement may lead to; what is left is for
-  /// swings of the load that pacing answers.
-  double MostTailRatio_ = 0.85;
-  /// Above it, workers are used only where others have no room.
-  double GoodTailRatio_ = 0.6;
-  /// Returns how much a run of \p Image with \p Share of a worker's processors
-  /// raises the ratio of runs of \p Serving.
+  /// Headroom that placement leaves, for swings of the load that pacing
+  /// answers: a tail latency of 0.85 of its target.
+  double LeastHeadroom_ = 1.18;
+  /// Where less is left, workers are used only if others have no room: 0.6 of
+  /// the target.
+  double GoodHeadroom_ = 1.67;
+  /// Returns how much headroom a run of \p Image with \p Share of a worker's
+  /// processors takes from runs of \p Serving.
   std::function<double(std::string_view Serving, std::string_view Image,
                        double Share)>
-      Rise_;
+      Loss_;
 };
 
 /// Workers, with what has been placed on them so far.
@@ -108,8 +109,9 @@
   struct Rank;
 
   std::int64_t spareOf(const PlacementWorker &Row) const;
-  double worstRatio(const PlacementWorker &Row,
-                    const PlacementNeed &Task) const;
+  /// What the run would leave to the jobs that serve there, at worst.
+  double headroomAfter(const PlacementWorker &Row,
+                       const PlacementNeed &Task) const;
   bool hasRoom(const PlacementWorker &Row, const PlacementNeed &Task) const;
   bool isAllowed(std::size_t Index, const PlacementNeed &Task) const;
   Rank rankOf(const PlacementWorker &Row, const PlacementNeed &Task) const;
--- a/include/dragonfly/decide/TailInterference.h
+++ b/include/dragonfly/decide/TailInterference.h
@@ -1,8 +1,12 @@
-/// Learns how much runs on spare processors raise the tail latency of runs that
-/// serve on the same worker, for each pair of images.
+/// Learns how much runs on spare processors disturb runs that serve on the same
+/// worker, for each pair of images.
 #ifndef DRAGONFLY_DECIDE_TAILINTERFERENCE_H
 #define DRAGONFLY_DECIDE_TAILINTERFERENCE_H
 
+#include "dragonfly/base/Clock.h"
+
+#include <chrono>
+#include <cstddef>
 #include <memory>
 #include <span>
 #include <string>
@@ -17,37 +21,66 @@
   double Share_ = 0;
 };
 
+/// The tail latency that the runs of one job have on one worker.
+struct TailReading {
+  std::string_view Worker_;
+  std::string_view Job_;
+  std::string_view Image_;
+  /// Tail latency over its target.
+  double Ratio_ = 0;
+};
+
 struct TailInterferenceOptions {
   /// How many standard deviations a pair's effect is raised by while little is
   /// known of it.
-  double Caution_ = 4;
-  /// Tail latency as a share of its target, of an image that was never seen
-  /// undisturbed.
-  double QuietRatio_ = 0.4;
-  /// Weight of the newest reading in the quiet ratio.
+  double Caution_ = 1.5;
+  /// Headroom lost per whole worker: on the users' days two pairs of images in
+  /// three cost nothing and the others 12 to 17. A pair that was never seen is
+  /// expected to cost nothing, since a job's headroom is told from readings
+  /// beside such pairs too.
+  double PriorLoss_ = 0;
+  double PriorDeviation_ = 6;
+  /// Headroom of a job of which nothing is known: a tail latency of 0.4 of its
+  /// target.
+  double QuietHeadroom_ = 2.5;
+  /// Weight of the newest undisturbed reading in an image's quiet headroom.
   double QuietWeight_ = 0.05;
   /// Loads below this share disturb nobody.
   double LeastShare_ = 0.005;
-  /// Readings above this count as this: single ones are far off.
-  double MostRatio_ = 2.5;
+  /// Standard deviation of a reading, as a share of it.
+  double ReadingNoise_ = 0.1;
+  /// Readings count for a job's headroom for so long: its load moves by a tenth
+  /// of its swing in that time.
+  Duration ReadingAge_ = std::chrono::milliseconds(1200);
 };
 
-/// All ratios are tail latency over its target.
+/// The headroom of a run that serves is its target over its tail latency: 1 at
+/// the target, more below it. Tail latency grows with 1 / (1 - utilization), so
+/// that what other runs add to the utilization takes the same from the headroom
+/// at every load.
+///
+/// The load of a job is the same on all of its workers. Its headroom there, with
+/// what neighbours take there added, therefore tells what it would be
+/// undisturbed, and what is missing elsewhere is the doing of neighbours.
 class TailInterference {
 public:
   explicit TailInterference(TailInterferenceOptions Options = {});
   ~TailInterference();
 
-  /// Takes the ratio that runs of \p Image had beside \p Loads.
-  void observe(std::string_view Image, double Ratio,
+  /// Takes a reading beside \p Loads.
+  void observe(TimePoint Now, const TailReading &Reading,
                std::span<const ImageLoad> Loads);
 
-  /// How much \p Load raises the ratio of \p Image, cautiously.
-  double rise(std::string_view Image, const ImageLoad &Load) const;
-  /// How much \p Loads are expected to raise it.
-  double expectedRise(std::string_view Image,
+  /// How much headroom \p Load takes from \p Image, cautiously.
+  double loss(std::string_view Image, const ImageLoad &Load) const;
+  /// How much headroom \p Loads are expected to take from \p Image.
+  double expectedLoss(std::string_view Image,
                       std::span<const ImageLoad> Loads) const;
-  double quietRatio(std::string_view Image) const;
+  /// The headroom that \p Job, of \p Image, has where nobody disturbs it.
+  double quietHeadroom(TimePoint Now, std::string_view Job,
+                       std::string_view Image) const;
+  /// Forgets jobs that were not read lately.
+  void forgetOld(TimePoint Now);
 
 private:
   struct Impl;
--- a/include/dragonfly/wire/JobMessages.h
+++ b/include/dragonfly/wire/JobMessages.h
@@ -106,12 +106,13 @@
   std::string Image_;
 };
 
-/// How much runs of one image raise the tail latency of another image's.
+/// How much runs of one image take from the headroom of another image's: from
+/// its target over its tail latency.
 struct Disturbance {
   std::string ServingImage_;
   std::string Image_;
-  /// Tail latency as a share of its target, per worker's processors in use.
-  double RisePerShare_ = 0;
+  /// Per whole worker's processors in use.
+  double LossPerShare_ = 0;
 };
 
 /// One part of the answer to WorkerHello. The stream is the session: orders
--- a/src/control/JobDispatcher.cpp
+++ b/src/control/JobDispatcher.cpp
@@ -87,7 +87,7 @@
                        .Reserved_ = Held.Reserved_,
                        .ServingMilliProcessors_ = Held.ServingMilliProcessors_,
                        .SpareMilliProcessors_ = Held.SpareMilliProcessors_,
-                       .Serving_ = Loads_.serving(Session, Planned),
+                       .Serving_ = Loads_.serving(Now, Session, Planned),
                        .Suspect_ = Suspicion_.isSuspect(Now, Name)});
   }
   return Workers;
@@ -128,9 +128,9 @@
   if (Table_.readySteps().empty())
     return;
   decide::JobPlacement Placement(
-      openWorkers(Now), {.Rise_ = [this](std::string_view Serving,
+      openWorkers(Now), {.Loss_ = [this](std::string_view Serving,
                                          std::string_view Image, double Share) {
-        return Loads_.rise(Serving, Image, Share);
+        return Loads_.loss(Serving, Image, Share);
       }});
   Resources Capacity;
   Resources Reserved;
--- a/src/control/WorkerLoads.cpp
+++ b/src/control/WorkerLoads.cpp
@@ -2,15 +2,15 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 
 namespace dragonfly::control {
 namespace {
 
 /// A run that serves has settled by then; its first readings are high.
 constexpr Duration SettleTime = std::chrono::milliseconds(2000);
-/// A serving image's own part of its ratio is at least this share of its quiet
-/// ratio, however much is blamed on others.
-constexpr double LeastOwnPart = 0.5;
+/// How often jobs that were not read lately are forgotten.
+constexpr Duration ForgetPeriod = std::chrono::seconds(5);
 
 std::vector<decide::ImageLoad>
 toLoads(const std::map<std::string, double> &Shares) {
@@ -45,26 +45,37 @@
       Result.Shares_[Step->Image_] += Load / std::max(Processors, 1.0);
     else if (Step->TailTarget_ > Duration::zero() && Load > 0 &&
              Session.HeardAt_ - Info.OrderedAt_ >= SettleTime) {
-      double &Worst = Result.Ratios_[Step->Image_];
-      Worst = std::max(Worst, Load / toMilliseconds(Step->TailTarget_));
+      JobTail &Tail = Result.Jobs_[Run.Task_.Job_];
+      Tail.Image_ = Step->Image_;
+      Tail.Ratio_ =
+          std::max(Tail.Ratio_, Load / toMilliseconds(Step->TailTarget_));
     }
   }
   return Result;
 }
 
-void WorkerLoads::observe(TimePoint, const WorkerSession &Session) {
-  const Reading Current = readingOf(Session);
+void WorkerLoads::observe(TimePoint Now, const WorkerSession &Session) {
+  const std::string &Worker = Session.Hello_.Worker_;
+  const Reading &Current = Newest_[Worker] = readingOf(Session);
   const std::vector<decide::ImageLoad> Loads = toLoads(Current.Shares_);
-  for (const auto &[Image, Ratio] : Current.Ratios_)
-    Tails_.observe(Image, Ratio, Loads);
-  Newest_[Session.Hello_.Worker_] = Current;
+  for (const auto &[Job, Tail] : Current.Jobs_)
+    Tails_.observe(Now,
+                   {.Worker_ = Worker,
+                    .Job_ = Job,
+                    .Image_ = Tail.Image_,
+                    .Ratio_ = Tail.Ratio_},
+                   Loads);
+  if (Now < ForgetAt_)
+    return;
+  ForgetAt_ = Now + ForgetPeriod;
+  Tails_.forgetOld(Now);
 }
 
-std::vector<decide::ServingImage>
-WorkerLoads::serving(const WorkerSession &Session,
+std::vector<decide::ServingJob>
+WorkerLoads::serving(TimePoint Now, const WorkerSession &Session,
                      const std::vector<jobs::RunName> &Planned) const {
   std::map<std::string, double> Shares;
-  std::map<std::string, double> Ratios;
+  std::map<std::string, std::string> Images;
   const auto Processors =
       static_cast<double>(Session.Hello_.Capacity_.MilliProcessors_);
   for (const jobs::RunName &Run : Planned) {
@@ -76,37 +87,55 @@
           static_cast<double>(Step->Need_.MilliProcessors_) /
           std::max(Processors, 1.0);
     else if (Step->TailTarget_ > Duration::zero())
-      Ratios[Step->Image_] = 0;
+      Images[Run.Task_.Job_] = Step->Image_;
   }
-  const auto Known = Newest_.find(Session.Hello_.Worker_);
   const std::vector<decide::ImageLoad> Loads = toLoads(Shares);
-  std::vector<decide::ServingImage> Result;
-  for (const auto &[Image, Unused] : Ratios) {
-    double Own = Tails_.quietRatio(Image);
-    if (Known != Newest_.end())
-      if (const auto It = Known->second.Ratios_.find(Image);
-          It != Known->second.Ratios_.end())
-        Own = std::max(LeastOwnPart * Own,
-                       It->second - Tails_.expectedRise(
-                                        Image, toLoads(Known->second.Shares_)));
+  std::vector<decide::ServingJob> Result;
+  for (const auto &[Job, Image] : Images)
     Result.push_back(
         {.Image_ = Image,
-         .ExpectedRatio_ = Own + Tails_.expectedRise(Image, Loads)});
-  }
+         .Headroom_ =
+             undisturbedHeadroom(Now, Session.Hello_.Worker_, Job, Image) -
+             Tails_.expectedLoss(Image, Loads)});
   return Result;
 }
 
+/// The worse of what the job has on all workers and what it has on this one, if
+/// that is known: the worker itself may be slow.
+double WorkerLoads::undisturbedHeadroom(TimePoint Now,
+                                        const std::string &Worker,
+                                        const std::string &Job,
+                                        const std::string &Image) const {
+  const double Usual = Tails_.quietHeadroom(Now, Job, Image);
+  const auto Known = Newest_.find(Worker);
+  if (Known == Newest_.end())
+    return Usual;
+  const auto It = Known->second.Jobs_.find(Job);
+  if (It == Known->second.Jobs_.end())
+    return Usual;
+  const double Here =
+      1 / It->second.Ratio_ +
+      Tails_.expectedLoss(Image, toLoads(Known->second.Shares_));
+  return std::min(Usual, Here);
+}
+
 std::vector<wire::Disturbance>
 WorkerLoads::disturbances(const std::string &Worker) const {
   std::vector<wire::Disturbance> Rows;
   const auto Known = Newest_.find(Worker);
   if (Known == Newest_.end())
     return Rows;
-  for (const auto &[Serving, Ratio] : Known->second.Ratios_)
+  std::set<std::string_view> Images;
+  for (const auto &[Job, Tail] : Known->second.Jobs_)
+    Images.insert(Tail.Image_);
+  for (const std::string_view Serving : Images)
     for (const auto &[Image, Share] : Known->second.Shares_)
-      Rows.push_back({.ServingImage_ = Serving,
-                      .Image_ = Image,
-                      .RisePerShare_ = rise(Serving, Image, 1.0)});
+      Rows.push_back(
+          {.ServingImage_ = std::string(Serving),
+           .Image_ = Image,
+           .LossPerShare_ = Tails_.expectedLoss(
+               Serving, std::vector<decide::ImageLoad>{
+                            {.Image_ = Image, .Share_ = 1.0}})});
   return Rows;
 }
 
--- a/src/control/WorkerLoads.h
+++ b/src/control/WorkerLoads.h
@@ -20,34 +20,44 @@
   /// Learns from the newest report of a worker.
   void observe(TimePoint Now, const WorkerSession &Session);
 
-  /// The images that serve on a worker, with the ratios that are to be expected
+  /// The jobs that serve on a worker, with the headroom that is to be expected
   /// once all of \p Planned run there at full speed.
-  std::vector<decide::ServingImage>
-  serving(const WorkerSession &Session,
+  std::vector<decide::ServingJob>
+  serving(TimePoint Now, const WorkerSession &Session,
           const std::vector<jobs::RunName> &Planned) const;
 
-  double rise(std::string_view Serving, std::string_view Image,
+  double loss(std::string_view Serving, std::string_view Image,
               double Share) const {
-    return Tails_.rise(Serving, {.Image_ = Image, .Share_ = Share});
+    return Tails_.loss(Serving, {.Image_ = Image, .Share_ = Share});
   }
 
   /// What the worker's agent should know to slow down the right runs.
   std::vector<wire::Disturbance> disturbances(const std::string &Worker) const;
 
 private:
-  /// By image: the worst ratio of runs that serve, and the share of the
-  /// worker's processors that runs on spare ones use.
+  struct JobTail {
+    std::string Image_;
+    /// The worst tail latency of the job's runs on the worker, over its target.
+    double Ratio_ = 0;
+  };
+
   struct Reading {
-    std::map<std::string, double> Ratios_;
+    std::map<std::string, JobTail> Jobs_;
+    /// By image: the share of the worker's processors that runs on spare ones
+    /// use.
     std::map<std::string, double> Shares_;
   };
 
   const jobs::StepSpec *stepOf(const jobs::RunName &Run) const;
   Reading readingOf(const WorkerSession &Session) const;
+  double undisturbedHeadroom(TimePoint Now, const std::string &Worker,
+                             const std::string &Job,
+                             const std::string &Image) const;
 
   const jobs::JobTable &Table_;
   decide::TailInterference Tails_;
   std::map<std::string, Reading> Newest_;
+  TimePoint ForgetAt_;
 };
 
 } // namespace dragonfly::control
--- a/src/decide/Interference.cpp
+++ b/src/decide/Interference.cpp
@@ -19,12 +19,12 @@
     Pairs_.resize(Victim + 1);
   std::vector<Pair> &Row = Pairs_[Victim];
   if (Row.size() <= Aggressor)
-    Row.resize(Aggressor + 1);
+    Row.resize(Aggressor + 1, Pair{.Mean_ = Options_.PriorMean_});
   return Row[Aggressor];
 }
 
 void Interference::observe(KindIndex Victim, std::span<const KindLoad> Loads,
-                           double Slowdown) {
+                           double Slowdown, double Noise) {
   double Expected = 0;
   double Norm = 0;
   for (const KindLoad &Load : Loads) {
@@ -33,6 +33,8 @@
   }
   if (Norm < LeastLoad * LeastLoad)
     return;
+  const double Blur = Noise / Options_.PriorDeviation_;
+  Norm += Blur * Blur;
   const double Error = Slowdown - Expected;
   for (const KindLoad &Load : Loads) {
     Pair &Row = pair(Victim, Load.Kind_);
@@ -46,7 +48,7 @@
                                     KindIndex Aggressor) const {
   if (Victim < Pairs_.size() && Aggressor < Pairs_[Victim].size())
     return Pairs_[Victim][Aggressor];
-  return {};
+  return {.Mean_ = Options_.PriorMean_};
 }
 
 double Interference::expected(KindIndex Victim,
@@ -59,7 +61,8 @@
 
 double Interference::estimate(KindIndex Victim, KindIndex Aggressor) const {
   const Pair Row = at(Victim, Aggressor);
-  return Row.Mean_ + Risk_ * PriorDeviation / std::sqrt(1 + Row.Weight_);
+  return Row.Mean_ + Options_.Risk_ * Options_.PriorDeviation_ /
+                         std::sqrt(1 + Row.Weight_);
 }
 
 double Interference::added(KindIndex Kind, double Load,
--- a/src/decide/Interference.h
+++ b/src/decide/Interference.h
@@ -18,17 +18,29 @@
   double Load_ = 0;
 };
 
+struct InterferenceOptions {
+  /// How many standard deviations an estimate is raised by while little is
+  /// known of a pair.
+  double Risk_ = 0;
+  /// What is expected of a pair that was never seen.
+  double PriorMean_ = 0.5;
+  double PriorDeviation_ = 0.5;
+};
+
 /// Slowdown per unit of load, for each pair of kinds, fitted online to the
 /// slowdown that was seen where several kinds ran together.
 class Interference {
 public:
   /// \p Risk is how many standard deviations an estimate is raised by.
-  explicit Interference(double Risk) : Risk_(Risk) {}
+  explicit Interference(double Risk)
+      : Interference(InterferenceOptions{.Risk_ = Risk}) {}
+  explicit Interference(InterferenceOptions Options) : Options_(Options) {}
 
   /// Takes how much slower than alone \p Victim ran beside \p Loads; 0 is
-  /// undisturbed, 1 is twice as long.
+  /// undisturbed, 1 is twice as long. \p Noise is the standard deviation of the
+  /// reading: small loads tell little where it is large.
   void observe(KindIndex Victim, std::span<const KindLoad> Loads,
-               double Slowdown);
+               double Slowdown, double Noise = 0);
 
   /// Returns the slowdown of \p Victim per unit of load of \p Aggressor,
   /// raised while little is known of the pair.
@@ -44,17 +56,14 @@
 
 private:
   struct Pair {
-    double Mean_ = PriorMean;
+    double Mean_ = 0;
     double Weight_ = 0;
   };
 
-  static constexpr double PriorMean = 0.5;
-  static constexpr double PriorDeviation = 0.5;
-
   Pair at(KindIndex Victim, KindIndex Aggressor) const;
   Pair &pair(KindIndex Victim, KindIndex Aggressor);
 
-  double Risk_;
+  InterferenceOptions Options_;
   std::vector<std::vector<Pair>> Pairs_;
 };
 
--- a/src/decide/JobPlacement.cpp
+++ b/src/decide/JobPlacement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <compare>
+#include <limits>
 
 namespace dragonfly::decide {
 namespace {
@@ -34,6 +35,7 @@
   bool Avoided_ = false;
   bool Suspect_ = false;
   bool FarFromData_ = false;
+  bool ForeignImages_ = false;
   bool BadCompany_ = false;
   std::int64_t Fit_ = 0;
 
@@ -51,14 +53,14 @@
          LeftByServing - Row.SpareMilliProcessors_;
 }
 
-double JobPlacement::worstRatio(const PlacementWorker &Row,
-                                const PlacementNeed &Task) const {
-  double Worst = 0;
-  for (const ServingImage &Serving : Row.Serving_)
-    Worst = std::max(Worst, Serving.ExpectedRatio_ +
-                                Options_.Rise_(Serving.Image_, Task.Image_,
+double JobPlacement::headroomAfter(const PlacementWorker &Row,
+                                   const PlacementNeed &Task) const {
+  double Least = std::numeric_limits<double>::max();
+  for (const ServingJob &Serving : Row.Serving_)
+    Least = std::min(Least, Serving.Headroom_ -
+                                Options_.Loss_(Serving.Image_, Task.Image_,
                                                shareOf(Row, Task)));
-  return Worst;
+  return Least;
 }
 
 bool JobPlacement::hasRoom(const PlacementWorker &Row,
@@ -66,7 +68,7 @@
   Resources Reserve = Task.Need_;
   if (Task.UsesSpareProcessors_) {
     if (!Task.MayCrowd_ && (spareOf(Row) < Task.Need_.MilliProcessors_ ||
-                            worstRatio(Row, Task) > Options_.MostTailRatio_))
+                            headroomAfter(Row, Task) < Options_.LeastHeadroom_))
       return false;
     Reserve.MilliProcessors_ = 0;
   }
@@ -111,12 +113,17 @@
               .FarFromData_ =
                   !Task.DataRack_.empty() && !hasLabel(Row, Task.DataRack_)};
   if (Task.Serves_) {
-    // Packed on few workers, so that the others are free of them.
+    // Beside their own image, which the same images disturb, and packed on few
+    // workers, so that the others are free of them.
+    Result.ForeignImages_ = std::ranges::any_of(
+        Row.Serving_, [&Task](const ServingJob &Serving) {
+          return Serving.Image_ != Task.Image_;
+        });
     Result.BadCompany_ = Row.Serving_.empty();
     Result.Fit_ =
         Row.Capacity_.MilliProcessors_ - Row.Reserved_.MilliProcessors_;
   } else if (Task.UsesSpareProcessors_) {
-    Result.BadCompany_ = worstRatio(Row, Task) > Options_.GoodTailRatio_;
+    Result.BadCompany_ = headroomAfter(Row, Task) < Options_.GoodHeadroom_;
     Result.Fit_ = -spareOf(Row);
   } else {
     // Short tasks take what tasks on spare processors cannot use as well.
@@ -148,9 +155,9 @@
                           const PlacementNeed &Task) const {
   Resources Reserve = Task.Need_;
   if (Task.UsesSpareProcessors_) {
-    for (ServingImage &Serving : Row.Serving_)
-      Serving.ExpectedRatio_ +=
-          Options_.Rise_(Serving.Image_, Task.Image_, shareOf(Row, Task));
+    for (ServingJob &Serving : Row.Serving_)
+      Serving.Headroom_ -=
+          Options_.Loss_(Serving.Image_, Task.Image_, shareOf(Row, Task));
     Row.SpareMilliProcessors_ += Reserve.MilliProcessors_;
     Reserve.MilliProcessors_ = 0;
   }
--- a/src/decide/TailInterference.cpp
+++ b/src/decide/TailInterference.cpp
@@ -4,13 +4,42 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace dragonfly::decide {
+namespace {
+
+/// Readings outside of these tell no more than these.
+constexpr double LeastRatio = 0.1;
+constexpr double MostRatio = 10;
+
+double headroomOf(double Ratio) {
+  return 1 / std::clamp(Ratio, LeastRatio, MostRatio);
+}
+
+double medianOf(std::vector<double> Values) {
+  const auto Middle =
+      Values.begin() + static_cast<std::ptrdiff_t>(Values.size() / 2);
+  std::ranges::nth_element(Values, Middle);
+  return *Middle;
+}
+
+} // namespace
 
 struct TailInterference::Impl {
+  /// A job's headroom on one worker, with what neighbours take added.
+  struct Witness {
+    double Headroom_ = 0;
+    TimePoint At_;
+  };
+  using Witnesses = std::map<std::string, Witness, std::less<>>;
+
   explicit Impl(TailInterferenceOptions Options)
-      : Options_(Options), Pairs_(Options.Caution_) {}
+      : Options_(Options), Pairs_({.Risk_ = Options.Caution_,
+                                   .PriorMean_ = Options.PriorLoss_,
+                                   .PriorDeviation_ =
+                                       Options.PriorDeviation_}) {}
 
   KindIndex indexOf(std::string_view Image) {
     const auto [It, IsNew] = Indexes_.try_emplace(
@@ -25,9 +54,39 @@
     return It == Indexes_.end() ? Unknown : It->second;
   }
 
+  std::vector<KindLoad> toKinds(std::span<const ImageLoad> Loads) const {
+    std::vector<KindLoad> Known;
+    for (const ImageLoad &Load : Loads)
+      if (Load.Share_ >= Options_.LeastShare_)
+        Known.push_back({.Kind_ = find(Load.Image_), .Load_ = Load.Share_});
+    return Known;
+  }
+
+  /// What the readings on workers other than \p Without tell.
+  std::optional<double> headroomOf(TimePoint Now, std::string_view Job,
+                                   std::string_view Without) const {
+    const auto Row = Jobs_.find(Job);
+    if (Row == Jobs_.end())
+      return std::nullopt;
+    std::vector<double> Values;
+    for (const auto &[Worker, Seen] : Row->second)
+      if (Worker != Without && Now - Seen.At_ <= Options_.ReadingAge_)
+        Values.push_back(Seen.Headroom_);
+    if (Values.empty())
+      return std::nullopt;
+    return medianOf(std::move(Values));
+  }
+
+  double quietHeadroom(std::string_view Image) const {
+    const auto It = Quiet_.find(Image);
+    return It == Quiet_.end() ? Options_.QuietHeadroom_ : It->second;
+  }
+
   TailInterferenceOptions Options_;
   Interference Pairs_;
   std::map<std::string, KindIndex, std::less<>> Indexes_;
+  std::map<std::string, Witnesses, std::less<>> Jobs_;
+  /// Mean headroom of undisturbed readings, by image.
   std::map<std::string, double, std::less<>> Quiet_;
 };
 
@@ -36,47 +95,56 @@
 
 TailInterference::~TailInterference() = default;
 
-void TailInterference::observe(std::string_view Image, double Ratio,
+void TailInterference::observe(TimePoint Now, const TailReading &Reading,
                                std::span<const ImageLoad> Loads) {
   const TailInterferenceOptions &Options = Impl_->Options_;
-  const double Bounded = std::min(Ratio, Options.MostRatio_);
-  std::vector<KindLoad> Known;
+  const double Headroom = headroomOf(Reading.Ratio_);
+  const KindIndex Image = Impl_->indexOf(Reading.Image_);
   for (const ImageLoad &Load : Loads)
-    if (Load.Share_ >= Options.LeastShare_)
-      Known.push_back(
-          {.Kind_ = Impl_->indexOf(Load.Image_), .Load_ = Load.Share_});
+    Impl_->indexOf(Load.Image_);
+  const std::vector<KindLoad> Known = Impl_->toKinds(Loads);
+  const std::optional<double> Elsewhere =
+      Impl_->headroomOf(Now, Reading.Job_, Reading.Worker_);
   if (Known.empty()) {
-    // Beside nobody, a missed target has another cause.
-    double &Quiet =
-        Impl_->Quiet_.try_emplace(std::string(Image), Options.QuietRatio_)
-            .first->second;
-    Quiet += Options.QuietWeight_ * (std::min(Bounded, 1.0) - Quiet);
-    return;
+    double &Quiet = Impl_->Quiet_
+                        .try_emplace(std::string(Reading.Image_),
+                                     Options.QuietHeadroom_)
+                        .first->second;
+    Quiet += Options.QuietWeight_ * (Headroom - Quiet);
+  } else {
+    const double Undisturbed =
+        Elsewhere.value_or(Impl_->quietHeadroom(Reading.Image_));
+    Impl_->Pairs_.observe(Image, Known, Undisturbed - Headroom,
+                          Options.ReadingNoise_ * Undisturbed);
   }
-  Impl_->Pairs_.observe(Impl_->indexOf(Image), Known,
-                        std::max(0.0, Bounded - quietRatio(Image)));
+  Impl_->Jobs_[std::string(Reading.Job_)][std::string(Reading.Worker_)] = {
+      .Headroom_ = Headroom + Impl_->Pairs_.expected(Image, Known), .At_ = Now};
 }
 
-double TailInterference::rise(std::string_view Image,
+double TailInterference::loss(std::string_view Image,
                               const ImageLoad &Load) const {
   return Load.Share_ *
          Impl_->Pairs_.estimate(Impl_->find(Image), Impl_->find(Load.Image_));
 }
 
-double TailInterference::expectedRise(std::string_view Image,
+double TailInterference::expectedLoss(std::string_view Image,
                                       std::span<const ImageLoad> Loads) const {
-  std::vector<KindLoad> Known;
-  std::ranges::transform(Loads, std::back_inserter(Known),
-                         [this](const ImageLoad &Load) {
-                           return KindLoad{.Kind_ = Impl_->find(Load.Image_),
-                                           .Load_ = Load.Share_};
-                         });
-  return Impl_->Pairs_.expected(Impl_->find(Image), Known);
+  return Impl_->Pairs_.expected(Impl_->find(Image), Impl_->toKinds(Loads));
+}
+
+double TailInterference::quietHeadroom(TimePoint Now, std::string_view Job,
+                                       std::string_view Image) const {
+  return Impl_->headroomOf(Now, Job, {})
+      .value_or(Impl_->quietHeadroom(Image));
 }
 
-double TailInterference::quietRatio(std::string_view Image) const {
-  const auto It = Impl_->Quiet_.find(Image);
-  return It == Impl_->Quiet_.end() ? Impl_->Options_.QuietRatio_ : It->second;
+void TailInterference::forgetOld(TimePoint Now) {
+  for (auto &[Job, Workers] : Impl_->Jobs_)
+    std::erase_if(Workers, [this, Now](const auto &Each) {
+      return Now - Each.second.At_ > Impl_->Options_.ReadingAge_;
+    });
+  std::erase_if(Impl_->Jobs_,
+                [](const auto &Each) { return Each.second.empty(); });
 }
 
 } // namespace dragonfly::decide
--- a/src/wire/Serialize.h
+++ b/src/wire/Serialize.h
@@ -210,7 +210,7 @@
 }
 
 template <typename Archive> void serialize(Archive &Ar, Disturbance &Row) {
-  Ar(Row.ServingImage_, Row.Image_, Row.RisePerShare_);
+  Ar(Row.ServingImage_, Row.Image_, Row.LossPerShare_);
 }
 
 template <typename Archive> void serialize(Archive &Ar, WorkerOrders &Row) {
