--- a/include/dragonfly/control/Command.h
+++ b/include/dragonfly/control/Command.h
@@ -8,6 +8,7 @@
 #include "dragonfly/base/Ids.h"
 #include "dragonfly/base/Outcome.h"
 #include "dragonfly/base/Resources.h"
+#include "dragonfly/jobs/ImageLosses.h"
 #include "dragonfly/jobs/JobTable.h"
 #include "dragonfly/settings/Lists.h"
 #include "dragonfly/settings/ReadSettings.h"
@@ -219,11 +220,18 @@
   }
 };
 
+/// Takes what the leader has learnt of images.
+struct NoteImageLosses {
+  std::vector<jobs::ImageLoss> Rows_;
+
+  template <typename Archive> void serialize(Archive &Ar) { Ar(Rows_); }
+};
+
 /// The position of a type is its number in the log: new types go at the end.
 using CommandBody =
     std::variant<PutList, ClaimRequests, MergeReceipts, AcceptTasks, PlaceTasks,
                  ReportTasks, LoseTasks, CancelTasks, ParkTasks, PutQueues,
-                 UpdateJobs>;
+                 UpdateJobs, NoteImageLosses>;
 
 /// One record of the log.
 struct Command {
--- a/include/dragonfly/control/JobService.h
+++ b/include/dragonfly/control/JobService.h
@@ -7,6 +7,7 @@
 #include "dragonfly/base/Metrics.h"
 #include "dragonfly/consensus/ReplicatedLog.h"
 #include "dragonfly/control/Command.h"
+#include "dragonfly/jobs/ImageLosses.h"
 #include "dragonfly/jobs/JobTable.h"
 #include "dragonfly/wire/Messages.h"
 
@@ -50,7 +51,8 @@
 public:
   using Reply = std::function<void(wire::Message)>;
 
-  JobService(JobServiceOptions Options, const jobs::JobTable &Table);
+  JobService(JobServiceOptions Options, const jobs::JobTable &Table,
+             const jobs::ImageLosses &Losses);
   ~JobService();
 
   /// This replica leads from now on and has applied what earlier leaders left.
--- a/include/dragonfly/control/StateMachine.h
+++ b/include/dragonfly/control/StateMachine.h
@@ -8,6 +8,7 @@
 #include "dragonfly/control/CountTable.h"
 #include "dragonfly/control/ListTable.h"
 #include "dragonfly/control/TaskTable.h"
+#include "dragonfly/jobs/ImageLosses.h"
 #include "dragonfly/jobs/JobTable.h"
 
 #include <cstdint>
@@ -31,7 +32,9 @@
 /// states on every replica; nothing here reads a clock.
 class StateMachine {
 public:
-  static constexpr std::uint32_t SnapshotFormat = 2;
+  static constexpr std::uint32_t SnapshotFormat = 3;
+  /// Snapshots from before what is known of images was replicated.
+  static constexpr std::uint32_t SnapshotFormatWithoutLosses = 2;
   /// Snapshots from before there were jobs.
   static constexpr std::uint32_t SnapshotFormatWithoutJobs = 1;
 
@@ -54,6 +57,7 @@
   const CountTable &counts() const { return Counts_; }
   const TaskTable &tasks() const { return Tasks_; }
   const jobs::JobTable &jobs() const { return Jobs_; }
+  const jobs::ImageLosses &imageLosses() const { return Losses_; }
   /// The newest stamp that was applied.
   Duration logTime() const { return LogTime_; }
 
@@ -69,6 +73,7 @@
   CommandOutput run(const ParkTasks &Body);
   CommandOutput run(const PutQueues &Body);
   CommandOutput run(const UpdateJobs &Body);
+  CommandOutput run(const NoteImageLosses &Body);
   void countEnded(const TaskRecord &Task);
 
   StateMachineOptions Options_;
@@ -78,6 +83,7 @@
   CountTable Counts_;
   TaskTable Tasks_;
   jobs::JobTable Jobs_;
+  jobs::ImageLosses Losses_;
 };
 
 } // namespace dragonfly::control
--- a/include/dragonfly/decide/JobPlacement.h
+++ b/include/dragonfly/decide/JobPlacement.h
@@ -74,8 +74,8 @@
 
 struct JobPlacementOptions {
   /// Share of their reserved processors that runs which serve really use, at
-  /// their peaks, in thousandths.
-  std::int64_t ServingUsePermille_ = 750;
+  /// average, in thousandths: runs on spare processors take what is left.
+  std::int64_t ServingUsePermille_ = 500;
   /// Headroom that placement leaves, for swings of the load that pacing
   /// answers: a tail latency of 0.85 of its target.
   double LeastHeadroom_ = 1.18;
--- a/include/dragonfly/decide/TailInterference.h
+++ b/include/dragonfly/decide/TailInterference.h
@@ -11,6 +11,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace dragonfly::decide {
 
@@ -30,6 +31,16 @@
   double Ratio_ = 0;
 };
 
+/// What was learnt of a pair of images.
+struct LearntLoss {
+  std::string Serving_;
+  std::string Image_;
+  /// Headroom lost per whole worker's processors.
+  double PerWorker_ = 0;
+  /// How many readings that rests on.
+  double Readings_ = 0;
+};
+
 struct TailInterferenceOptions {
   /// How many standard deviations a pair's effect is raised by while little is
   /// known of it.
@@ -43,6 +54,9 @@
   /// Headroom of a job of which nothing is known: a tail latency of 0.4 of its
   /// target.
   double QuietHeadroom_ = 2.5;
+  /// A pair is told again once its effect has moved by this much, or its
+  /// readings have doubled.
+  double ToldChange_ = 1.0;
   /// Weight of the newest undisturbed reading in an image's quiet headroom.
   double QuietWeight_ = 0.05;
   /// Loads below this share disturb nobody.
@@ -79,6 +93,11 @@
   /// The headroom that \p Job, of \p Image, has where nobody disturbs it.
   double quietHeadroom(TimePoint Now, std::string_view Job,
                        std::string_view Image) const;
+  /// Pairs whose effect has changed since the last call by as much as matters.
+  std::vector<LearntLoss> takeChanged();
+  /// Takes what another leader has learnt.
+  void restore(const LearntLoss &Row);
+
   /// Forgets jobs that were not read lately.
   void forgetOld(TimePoint Now);
 
--- a/include/dragonfly/wire/JobMessages.h
+++ b/include/dragonfly/wire/JobMessages.h
@@ -104,6 +104,8 @@
   Duration TailTarget_{};
   bool UsesSpareProcessors_ = false;
   std::string Image_;
+  /// What the run wants, in thousandths of a processor.
+  std::int64_t MilliProcessors_ = 0;
 };
 
 /// How much runs of one image take from the headroom of another image's: from
--- a/src/agent/RunBook.cpp
+++ b/src/agent/RunBook.cpp
@@ -35,6 +35,7 @@
   It->second.Order_.TailTarget_ = Order.TailTarget_;
   It->second.Order_.UsesSpareProcessors_ = Order.UsesSpareProcessors_;
   It->second.Order_.Image_ = Order.Image_;
+  It->second.Order_.MilliProcessors_ = Order.MilliProcessors_;
 }
 
 void RunBook::refuse(const RunName &Run) {
--- a/src/control/Archive.h
+++ b/src/control/Archive.h
@@ -7,6 +7,7 @@
 #include <cereal/types/array.hpp>
 #include <cereal/types/chrono.hpp>
 #include <cereal/types/map.hpp>
+#include <cereal/types/utility.hpp>
 #include <cereal/types/variant.hpp>
 
 #include <deque>
--- a/src/control/ControlService.cpp
+++ b/src/control/ControlService.cpp
@@ -45,7 +45,8 @@
              .OnReported_ =
                  [this](const wire::TaskReports &Batch) { reported(Batch); }},
             Machine_),
-        Jobs_(jobOptions(), Machine_.jobs()), Group_(Log_),
+        Jobs_(jobOptions(), Machine_.jobs(), Machine_.imageLosses()),
+        Group_(Log_),
         Log_(logOptions(), std::move(Disk), Now) {
     Options_.Group_.Self_ = Options_.Log_.Self_;
   }
--- a/src/control/JobDispatcher.cpp
+++ b/src/control/JobDispatcher.cpp
@@ -41,7 +41,8 @@
               Job.Steps_[Run.Task_.Step_].Tasks_[Run.Task_.Index_].Checkpoint_,
           .TailTarget_ = Step.TailTarget_,
           .UsesSpareProcessors_ = Step.UsesSpareProcessors_,
-          .Image_ = Step.Image_};
+          .Image_ = Step.Image_,
+          .MilliProcessors_ = Step.Need_.MilliProcessors_};
 }
 
 } // namespace
--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -19,6 +19,9 @@
 
 namespace {
 
+/// A leader that is lost has learnt no more than this that others don't know.
+constexpr Duration KeepLearntPeriod = std::chrono::seconds(1);
+
 /// Names that were seen lately, in bounded memory.
 class RecentNames {
 public:
@@ -43,8 +46,9 @@
 } // namespace
 
 struct JobService::Impl {
-  Impl(JobServiceOptions Options, const jobs::JobTable &Table)
-      : Options_(std::move(Options)), Table_(Table),
+  Impl(JobServiceOptions Options, const jobs::JobTable &Table,
+       const jobs::ImageLosses &Losses)
+      : Options_(std::move(Options)), Table_(Table), Losses_(Losses),
         Batch_(Options_, [this](const jobs::EndRow &Row) { ended(Row); }),
         Loads_(Table_), Sessions_(Options_, Table_, Batch_,
                                   [this](const std::string &Worker) {
@@ -193,9 +197,23 @@
                       });
   }
 
+  /// Replicates what was learnt of images, and forgets what has ended.
+  void keepLearnt() {
+    if (Now_ < NoteLossesAt_)
+      return;
+    NoteLossesAt_ = Now_ + KeepLearntPeriod;
+    Times_.forgetEnded();
+    std::vector<jobs::ImageLoss> Rows = Loads_.takeChangedLosses();
+    if (!Rows.empty())
+      Options_.Propose_(NoteImageLosses{std::move(Rows)},
+                        [](ProposeStatus, const CommandOutput &) {});
+  }
+
   JobServiceOptions Options_;
   const jobs::JobTable &Table_;
+  const jobs::ImageLosses &Losses_;
   TimePoint Now_;
+  TimePoint NoteLossesAt_;
   JobBatch Batch_;
   RecentNames Ended_;
   WorkerLoads Loads_;
@@ -204,12 +222,14 @@
   JobDispatcher Dispatcher_;
 };
 
-JobService::JobService(JobServiceOptions Options, const jobs::JobTable &Table)
-    : Impl_(std::make_unique<Impl>(std::move(Options), Table)) {}
+JobService::JobService(JobServiceOptions Options, const jobs::JobTable &Table,
+                       const jobs::ImageLosses &Losses)
+    : Impl_(std::make_unique<Impl>(std::move(Options), Table, Losses)) {}
 
 JobService::~JobService() = default;
 
 void JobService::lead(TimePoint Now, Term Led) {
+  Impl_->Loads_.restore(Impl_->Losses_.rows());
   Impl_->Sessions_.lead(Now, Led);
   Impl_->Dispatcher_.lead();
 }
@@ -224,6 +244,7 @@
   Impl_->Sessions_.tick(Now);
   Impl_->Dispatcher_.tick(Now, LogTime);
   Impl_->Batch_.flush();
+  Impl_->keepLearnt();
 }
 
 void JobService::submit(TimePoint, wire::SubmitJob Request, Reply Answer) {
--- a/src/control/StateMachine.cpp
+++ b/src/control/StateMachine.cpp
@@ -112,6 +112,12 @@
   return Result;
 }
 
+CommandOutput StateMachine::run(const NoteImageLosses &Body) {
+  return countApplied(Body.Rows_, [this](const jobs::ImageLoss &Row) {
+    return Losses_.note(Row);
+  });
+}
+
 /// A task counts like a request, under the id that its caller gave it.
 void StateMachine::countEnded(const TaskRecord &Task) {
   ReceiptRow Row;
@@ -124,7 +130,7 @@
 
 std::string StateMachine::snapshot() const {
   return encodeValues(SnapshotFormat, LogTime_, Lists_, Claims_, Counts_,
-                      Tasks_, Jobs_);
+                      Tasks_, Jobs_, Losses_);
 }
 
 void StateMachine::restore(std::string_view Bytes) {
@@ -134,17 +140,21 @@
   CountTable Counts = Counts_;
   TaskTable Tasks = Tasks_;
   jobs::JobTable Jobs;
+  jobs::ImageLosses Losses;
   std::uint32_t Format = 0;
   try {
     decodeValues(Bytes, Format);
     if (Format == SnapshotFormat)
+      decodeValues(Bytes, Format, At, Lists, Claims, Counts, Tasks, Jobs,
+                   Losses);
+    else if (Format == SnapshotFormatWithoutLosses)
       decodeValues(Bytes, Format, At, Lists, Claims, Counts, Tasks, Jobs);
     else if (Format == SnapshotFormatWithoutJobs)
       decodeValues(Bytes, Format, At, Lists, Claims, Counts, Tasks);
   } catch (const std::exception &Cause) {
     throw CodecError(CodecFault::BadSnapshot, Cause.what());
   }
-  if (Format != SnapshotFormat && Format != SnapshotFormatWithoutJobs)
+  if (Format < SnapshotFormatWithoutJobs || Format > SnapshotFormat)
     throw CodecError(CodecFault::WrongFormat,
                      "snapshot format " + std::to_string(Format));
   Tasks.rebuild();
@@ -155,6 +165,7 @@
   Counts_ = std::move(Counts);
   Tasks_ = std::move(Tasks);
   Jobs_ = std::move(Jobs);
+  Losses_ = std::move(Losses);
   if (Options_.OnRestore_)
     Options_.OnRestore_();
 }
--- a/src/control/WorkerLoads.cpp
+++ b/src/control/WorkerLoads.cpp
@@ -9,6 +9,7 @@
 
 /// A run that serves has settled by then; its first readings are high.
 constexpr Duration SettleTime = std::chrono::milliseconds(2000);
+constexpr double Permille = 1000;
 /// How often jobs that were not read lately are forgotten.
 constexpr Duration ForgetPeriod = std::chrono::seconds(5);
 
@@ -119,6 +120,26 @@
   return std::min(Usual, Here);
 }
 
+void WorkerLoads::restore(const std::vector<jobs::ImageLoss> &Rows) {
+  Newest_.clear();
+  for (const jobs::ImageLoss &Row : Rows)
+    Tails_.restore({.Serving_ = Row.Serving_,
+                    .Image_ = Row.Image_,
+                    .PerWorker_ = Row.PermillePerWorker_ / Permille,
+                    .Readings_ = static_cast<double>(Row.Readings_)});
+}
+
+std::vector<jobs::ImageLoss> WorkerLoads::takeChangedLosses() {
+  std::vector<jobs::ImageLoss> Rows;
+  for (const decide::LearntLoss &Row : Tails_.takeChanged())
+    Rows.push_back({.Serving_ = Row.Serving_,
+                    .Image_ = Row.Image_,
+                    .PermillePerWorker_ = static_cast<std::uint32_t>(
+                        Row.PerWorker_ * Permille),
+                    .Readings_ = static_cast<std::uint32_t>(Row.Readings_)});
+  return Rows;
+}
+
 std::vector<wire::Disturbance>
 WorkerLoads::disturbances(const std::string &Worker) const {
   std::vector<wire::Disturbance> Rows;
--- a/src/control/WorkerLoads.h
+++ b/src/control/WorkerLoads.h
@@ -5,6 +5,7 @@
 #include "control/WorkerSessions.h"
 #include "dragonfly/decide/JobPlacement.h"
 #include "dragonfly/decide/TailInterference.h"
+#include "dragonfly/jobs/ImageLosses.h"
 
 #include <map>
 #include <string>
@@ -31,6 +32,11 @@
     return Tails_.loss(Serving, {.Image_ = Image, .Share_ = Share});
   }
 
+  /// Starts from what an earlier leader has learnt.
+  void restore(const std::vector<jobs::ImageLoss> &Rows);
+  /// What should be replicated.
+  std::vector<jobs::ImageLoss> takeChangedLosses();
+
   /// What the worker's agent should know to slow down the right runs.
   std::vector<wire::Disturbance> disturbances(const std::string &Worker) const;
 
--- a/src/control/WorkerSessions.cpp
+++ b/src/control/WorkerSessions.cpp
@@ -158,7 +158,8 @@
                      .Checkpoint_ = {},
                      .TailTarget_ = Step.TailTarget_,
                      .UsesSpareProcessors_ = Step.UsesSpareProcessors_,
-                     .Image_ = Step.Image_});
+                     .Image_ = Step.Image_,
+                     .MilliProcessors_ = Step.Need_.MilliProcessors_});
   }
   return Known;
 }
--- a/src/decide/Interference.h
+++ b/src/decide/Interference.h
@@ -49,18 +49,24 @@
   /// Returns the slowdown of \p Victim beside \p Loads, not raised.
   double expected(KindIndex Victim, std::span<const KindLoad> Loads) const;
 
-  /// Returns what \p Load of \p Kind adds to the slowdown of \p Mates, and
-  /// they to it, weighted by their loads.
-  double added(KindIndex Kind, double Load,
-               std::span<const KindLoad> Mates) const;
-
-private:
+  /// What was learnt of a pair.
   struct Pair {
     double Mean_ = 0;
     double Weight_ = 0;
   };
 
   Pair at(KindIndex Victim, KindIndex Aggressor) const;
+  /// Takes what another one has learnt of a pair.
+  void restore(KindIndex Victim, KindIndex Aggressor, Pair Learnt) {
+    pair(Victim, Aggressor) = Learnt;
+  }
+
+  /// Returns what \p Load of \p Kind adds to the slowdown of \p Mates, and
+  /// they to it, weighted by their loads.
+  double added(KindIndex Kind, double Load,
+               std::span<const KindLoad> Mates) const;
+
+private:
   Pair &pair(KindIndex Victim, KindIndex Aggressor);
 
   InterferenceOptions Options_;
--- a/src/decide/SpeedControl.cpp
+++ b/src/decide/SpeedControl.cpp
@@ -1,89 +1,158 @@
 #include "dragonfly/decide/SpeedControl.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace dragonfly::decide {
+namespace {
+
+constexpr std::uint32_t FullPercent = 100;
+constexpr double HeadroomAtTarget = 1;
+/// Lower tail latencies tell no more than this one.
+constexpr double LeastRatio = 0.1;
+
+} // namespace
 
 void SpeedControl::disturbs(const std::string &Serving,
-                            const std::string &Image, double RisePerShare) {
-  Disturbances_[{Serving, Image}] = RisePerShare;
+                            const std::string &Image, double LossPerShare) {
+  Losses_[{Serving, Image}] = LossPerShare;
 }
 
-void SpeedControl::runs(const std::string &Image, double Share) {
-  Shares_[Image] += Share;
+void SpeedControl::runs(const std::string &Image, double Share,
+                        double FullShare) {
+  Load &Row = Loads_[Image];
+  Row.Share_ += Share;
+  Row.FullShare_ += FullShare;
 }
 
 void SpeedControl::serves(const std::string &Image, double Ratio) {
-  double &Worst = Ratios_[Image];
-  Worst = std::max(Worst, Ratio);
+  const double Headroom = 1 / std::max(Ratio, LeastRatio);
+  const auto [It, IsNew] = Headrooms_.try_emplace(Image, Headroom);
+  It->second = std::min(It->second, Headroom);
 }
 
-void SpeedControl::update(TimePoint Now) {
+double SpeedControl::lossOf(const std::string &Serving,
+                            const std::string &Image) const {
+  const auto It = Losses_.find({Serving, Image});
+  return It == Losses_.end() ? 0.0 : It->second;
+}
+
+void SpeedControl::noteMissed(TimePoint Now) {
   WorstRatio_ = 0;
-  for (const auto &[Image, Ratio] : Ratios_) {
-    WorstRatio_ = std::max(WorstRatio_, Ratio);
-    if (Ratio > Options_.HalveAbove_)
+  for (const auto &[Image, Headroom] : Headrooms_) {
+    WorstRatio_ = std::max(WorstRatio_, 1 / Headroom);
+    if (Headroom < HeadroomAtTarget)
       MissedSince_.try_emplace(Image, Now);
     else
       MissedSince_.erase(Image);
   }
-  for (const auto &[Image, Share] : Shares_)
-    adjust(Now, Speeds_[Image], ratioFor(Now, Image));
+  std::erase_if(MissedSince_, [this](const auto &Each) {
+    return !Headrooms_.contains(Each.first);
+  });
+}
+
+void SpeedControl::update(TimePoint Now) {
+  noteMissed(Now);
+  const std::map<std::string, double> Kept = keptSpeeds(Now);
+  std::vector<std::string> MayRise;
+  for (const auto &[Image, Unused] : Loads_)
+    if (const auto It = Kept.find(Image); It != Kept.end())
+      lower(Now, Speeds_[Image], It->second);
+    else if (Now >= Speeds_[Image].ChangeAt_)
+      MayRise.push_back(Image);
+  // Each one that is raised leaves less for the next: the calm ones go first.
+  std::ranges::sort(MayRise, {}, [this](const std::string &Image) {
+    return worstLoss(Image);
+  });
+  for (const std::string &Image : MayRise)
+    raise(Now, Image);
   std::erase_if(Speeds_, [this](const auto &Each) {
-    return !Shares_.contains(Each.first);
+    return !Loads_.contains(Each.first);
   });
-  Shares_.clear();
-  Ratios_.clear();
+  Loads_.clear();
+  Headrooms_.clear();
+}
+
+std::map<std::string, double> SpeedControl::keptSpeeds(TimePoint Now) const {
+  std::map<std::string, double> Kept;
+  for (const auto &[Serving, Headroom] : Headrooms_)
+    if (Headroom < Options_.LowerBelow_)
+      lowerFor(Now, Serving, Kept);
+  return Kept;
 }
 
-double SpeedControl::ratioFor(TimePoint Now, const std::string &Image) {
-  double Answer = 0;
-  for (const auto &[Serving, Ratio] : Ratios_) {
-    double Sum = 0;
-    double Largest = 0;
-    double Own = 0;
-    for (const auto &[Other, Share] : Shares_) {
-      const auto It = Disturbances_.find({Serving, Other});
-      const double Part = It == Disturbances_.end() ? 0.0 : It->second * Share;
-      Sum += Part;
-      Largest = std::max(Largest, Part);
-      if (Other == Image)
-        Own = Part;
-    }
-    const double Rise = Ratio - Options_.QuietRatio_;
-    const auto Missed = MissedSince_.find(Serving);
-    const bool Blamed = Own >= Options_.BlamedPart_ * Largest ||
-                        Sum < Options_.ExplainedPart_ * Rise ||
-                        (Missed != MissedSince_.end() &&
-                         Now - Missed->second >= Options_.Patience_);
-    // Who is not blamed is not slowed down, and not raised into trouble.
-    Answer = std::max(Answer,
-                      Blamed ? Ratio : std::min(Ratio, Options_.LowerAbove_));
+/// Takes the missing headroom from the images that disturb \p Serving most.
+void SpeedControl::lowerFor(TimePoint Now, const std::string &Serving,
+                            std::map<std::string, double> &Kept) const {
+  const double Headroom = Headrooms_.at(Serving);
+  const bool IsMissed = Headroom < HeadroomAtTarget;
+  const double Most =
+      IsMissed ? Options_.MostKeptWhenMissed_ : Options_.MostKept_;
+  const auto Lower = [&Kept](const std::string &Image, double Share) {
+    double &Value = Kept.try_emplace(Image, 1.0).first->second;
+    Value = std::min(Value, Share);
+  };
+  std::vector<std::pair<double, std::string>> Parts;
+  for (const auto &[Image, Row] : Loads_)
+    Parts.emplace_back(lossOf(Serving, Image) * Row.Share_, Image);
+  std::ranges::sort(Parts, std::greater{});
+  double Missing = Options_.LowerTo_ - Headroom;
+  for (const auto &[Part, Image] : Parts) {
+    if (Missing <= 0)
+      break;
+    if (Part > 0)
+      Lower(Image, std::min(Most, std::max(0.0, 1 - Missing / Part)));
+    Missing -= Part;
   }
-  return Answer;
+  const auto Since = MissedSince_.find(Serving);
+  const bool HasFailed = Since != MissedSince_.end() &&
+                         Now - Since->second >= Options_.Patience_;
+  // What is known does not explain it, or did not help.
+  if (IsMissed && (Missing > 0 || HasFailed))
+    for (const auto &[Image, Unused] : Loads_)
+      Lower(Image, Most);
 }
 
-void SpeedControl::adjust(TimePoint Now, Speed &Row, double Ratio) const {
-  constexpr std::uint32_t Full = 100;
+void SpeedControl::lower(TimePoint Now, Speed &Row, double Kept) const {
   if (Now < Row.ChangeAt_)
     return;
   Row.ChangeAt_ = Now + Options_.Period_;
-  if (Ratio <= 0)
-    Row.Percent_ = Full;
-  else if (Ratio > Options_.HalveAbove_)
-    Row.Percent_ /= 2;
-  else if (Ratio > Options_.LowerAbove_)
-    Row.Percent_ = Row.Percent_ * 4 / 5;
-  else if (Ratio < Options_.RaiseBelow_)
-    Row.Percent_ = std::min(Full, Row.Percent_ + Options_.RaiseStep_);
-  if (Ratio > Options_.LowerAbove_ && Row.Percent_ < Options_.LeastPercent_)
+  Row.Percent_ =
+      static_cast<std::uint32_t>(std::floor(Row.Percent_ * Kept));
+  if (Row.Percent_ < Options_.LeastPercent_)
     Row.Percent_ = 0;
 }
 
+double SpeedControl::worstLoss(const std::string &Image) const {
+  double Worst = 0;
+  for (const auto &[Serving, Unused] : Headrooms_)
+    Worst = std::max(Worst, lossOf(Serving, Image));
+  return Worst;
+}
+
+/// Raises the speed of \p Image if every run that serves keeps enough headroom.
+void SpeedControl::raise(TimePoint Now, const std::string &Image) {
+  Speed &Row = Speeds_[Image];
+  const std::uint32_t Next =
+      std::min(FullPercent, Row.Percent_ + Options_.RaiseStep_);
+  const double Added = Loads_.at(Image).FullShare_ * (Next - Row.Percent_) /
+                       FullPercent;
+  const bool HasRoom =
+      std::ranges::all_of(Headrooms_, [&](const auto &Each) {
+        return Each.second - lossOf(Each.first, Image) * Added >=
+               Options_.RaiseDownTo_;
+      });
+  if (!HasRoom || Next == Row.Percent_)
+    return;
+  for (auto &[Serving, Headroom] : Headrooms_)
+    Headroom -= lossOf(Serving, Image) * Added;
+  Row.ChangeAt_ = Now + Options_.Period_;
+  Row.Percent_ = Next;
+}
+
 std::uint32_t SpeedControl::percentOf(const std::string &Image) const {
-  constexpr std::uint32_t Full = 100;
   const auto It = Speeds_.find(Image);
-  return It == Speeds_.end() ? Full : It->second.Percent_;
+  return It == Speeds_.end() ? FullPercent : It->second.Percent_;
 }
 
 } // namespace dragonfly::decide
--- a/src/decide/TailInterference.cpp
+++ b/src/decide/TailInterference.cpp
@@ -3,8 +3,11 @@
 #include "decide/Interference.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <optional>
+#include <set>
+#include <utility>
 #include <vector>
 
 namespace dragonfly::decide {
@@ -86,6 +89,11 @@
   Interference Pairs_;
   std::map<std::string, KindIndex, std::less<>> Indexes_;
   std::map<std::string, Witnesses, std::less<>> Jobs_;
+  using PairName = std::pair<std::string, std::string>;
+  /// Pairs that were observed since they were last looked through.
+  std::set<PairName> Observed_;
+  /// What others have been told of each pair.
+  std::map<PairName, Interference::Pair> Told_;
   /// Mean headroom of undisturbed readings, by image.
   std::map<std::string, double, std::less<>> Quiet_;
 };
@@ -116,6 +124,9 @@
         Elsewhere.value_or(Impl_->quietHeadroom(Reading.Image_));
     Impl_->Pairs_.observe(Image, Known, Undisturbed - Headroom,
                           Options.ReadingNoise_ * Undisturbed);
+    for (const ImageLoad &Load : Loads)
+      if (Load.Share_ >= Options.LeastShare_)
+        Impl_->Observed_.emplace(Reading.Image_, Load.Image_);
   }
   Impl_->Jobs_[std::string(Reading.Job_)][std::string(Reading.Worker_)] = {
       .Headroom_ = Headroom + Impl_->Pairs_.expected(Image, Known), .At_ = Now};
@@ -138,6 +149,33 @@
       .value_or(Impl_->quietHeadroom(Image));
 }
 
+std::vector<LearntLoss> TailInterference::takeChanged() {
+  std::vector<LearntLoss> Changed;
+  for (const auto &Name : std::exchange(Impl_->Observed_, {})) {
+    const auto &[Serving, Image] = Name;
+    const Interference::Pair Now =
+        Impl_->Pairs_.at(Impl_->find(Serving), Impl_->find(Image));
+    Interference::Pair &Told = Impl_->Told_[Name];
+    if (std::abs(Now.Mean_ - Told.Mean_) < Impl_->Options_.ToldChange_ &&
+        Now.Weight_ < 1 + 2 * Told.Weight_)
+      continue;
+    Told = Now;
+    Changed.push_back({.Serving_ = Serving,
+                       .Image_ = Image,
+                       .PerWorker_ = Now.Mean_,
+                       .Readings_ = Now.Weight_});
+  }
+  return Changed;
+}
+
+void TailInterference::restore(const LearntLoss &Row) {
+  const Interference::Pair Learnt{.Mean_ = Row.PerWorker_,
+                                  .Weight_ = Row.Readings_};
+  Impl_->Pairs_.restore(Impl_->indexOf(Row.Serving_),
+                        Impl_->indexOf(Row.Image_), Learnt);
+  Impl_->Told_[{Row.Serving_, Row.Image_}] = Learnt;
+}
+
 void TailInterference::forgetOld(TimePoint Now) {
   for (auto &[Job, Workers] : Impl_->Jobs_)
     std::erase_if(Workers, [this, Now](const auto &Each) {
--- a/src/wire/Serialize.h
+++ b/src/wire/Serialize.h
@@ -206,7 +206,7 @@
 
 template <typename Archive> void serialize(Archive &Ar, StartOrder &Row) {
   Ar(Row.Run_, Row.Payload_, Row.Checkpoint_, Row.TailTarget_, Row.Image_,
-     Row.UsesSpareProcessors_);
+     Row.UsesSpareProcessors_, Row.MilliProcessors_);
 }
 
 template <typename Archive> void serialize(Archive &Ar, Disturbance &Row) {
