Place calm batch work beside watches and leave free workers to the rest

Change: watches go beside their own image, then where most images are; batch work goes where it disturbs least, beside watches before free workers. Test with the pattern of each.

--- a/include/dragonfly/decide/JobPlacement.h
+++ b/include/dragonfly/decide/JobPlacement.h
@@ -82,6 +82,9 @@
   /// Where less is left, workers are used only if others have no room: 0.6 of
   /// the target.
   double GoodHeadroom_ = 1.67;
+  /// Losses of headroom that differ by less are taken for equal: what caution
+  /// adds to a pair that costs nothing.
+  double DisturbanceStep_ = 0.3;
   /// Returns how much headroom a run of \p Image with \p Share of a worker's
   /// processors takes from runs of \p Serving.
   std::function<double(std::string_view Serving, std::string_view Image,
@@ -112,6 +115,8 @@
   /// What the run would leave to the jobs that serve there, at worst.
   double headroomAfter(const PlacementWorker &Row,
                        const PlacementNeed &Task) const;
+  std::int64_t disturbanceOf(const PlacementWorker &Row,
+                             const PlacementNeed &Task) const;
   bool hasRoom(const PlacementWorker &Row, const PlacementNeed &Task) const;
   bool isAllowed(std::size_t Index, const PlacementNeed &Task) const;
   Rank rankOf(const PlacementWorker &Row, const PlacementNeed &Task) const;
--- a/src/decide/JobPlacement.cpp
+++ b/src/decide/JobPlacement.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <compare>
 #include <limits>
+#include <numeric>
+#include <set>
 
 namespace dragonfly::decide {
 namespace {
@@ -22,6 +24,13 @@
          Task.StepRuns_[Index] < Task.MaxPerWorker_;
 }
 
+std::set<std::string_view> imagesOf(const PlacementWorker &Row) {
+  std::set<std::string_view> Images;
+  for (const ServingJob &Serving : Row.Serving_)
+    Images.insert(Serving.Image_);
+  return Images;
+}
+
 bool hasRequiredLabel(const PlacementWorker &Row, const PlacementNeed &Task) {
   return Task.RequiredLabel_.empty() || hasLabel(Row, Task.RequiredLabel_);
 }
@@ -30,13 +39,14 @@
 
 /// Orders workers: sound ones first, then near the data, then by what keeps
 /// tasks that serve and tasks on spare processors apart where these disturb the
-/// others' tail latency.
+/// others' tail latency, then by how many other tasks could use the place.
 struct JobPlacement::Rank {
   bool Avoided_ = false;
   bool Suspect_ = false;
   bool FarFromData_ = false;
-  bool ForeignImages_ = false;
   bool BadCompany_ = false;
+  std::int64_t Disturbance_ = 0;
+  std::int64_t Demand_ = 0;
   std::int64_t Fit_ = 0;
 
   auto operator<=>(const Rank &) const = default;
@@ -63,6 +73,18 @@
   return Least;
 }
 
+/// The headroom that the run takes from all jobs that serve there, in steps.
+std::int64_t JobPlacement::disturbanceOf(const PlacementWorker &Row,
+                                         const PlacementNeed &Task) const {
+  const double Lost = std::accumulate(
+      Row.Serving_.begin(), Row.Serving_.end(), 0.0,
+      [&](double Sum, const ServingJob &Serving) {
+        return Sum +
+               Options_.Loss_(Serving.Image_, Task.Image_, shareOf(Row, Task));
+      });
+  return static_cast<std::int64_t>(Lost / Options_.DisturbanceStep_);
+}
+
 bool JobPlacement::hasRoom(const PlacementWorker &Row,
                            const PlacementNeed &Task) const {
   Resources Reserve = Task.Need_;
@@ -113,17 +135,18 @@
               .FarFromData_ =
                   !Task.DataRack_.empty() && !hasLabel(Row, Task.DataRack_)};
   if (Task.Serves_) {
-    // Beside their own image, which the same images disturb, and packed on few
-    // workers, so that the others are free of them.
-    Result.ForeignImages_ = std::ranges::any_of(
-        Row.Serving_, [&Task](const ServingJob &Serving) {
-          return Serving.Image_ != Task.Image_;
-        });
-    Result.BadCompany_ = Row.Serving_.empty();
+    // Each image that serves keeps some batch images away: a place beside the
+    // same image costs none, and one beside many images fewer than a free one.
+    const std::set<std::string_view> Images = imagesOf(Row);
+    Result.BadCompany_ = !Images.contains(Task.Image_);
+    Result.Demand_ = -static_cast<std::int64_t>(Images.size());
     Result.Fit_ =
         Row.Capacity_.MilliProcessors_ - Row.Reserved_.MilliProcessors_;
   } else if (Task.UsesSpareProcessors_) {
     Result.BadCompany_ = headroomAfter(Row, Task) < Options_.GoodHeadroom_;
+    Result.Disturbance_ = disturbanceOf(Row, Task);
+    // Any image can use a worker where nothing serves.
+    Result.Demand_ = Row.Serving_.empty() ? 1 : 0;
     Result.Fit_ = -spareOf(Row);
   } else {
     // Short tasks take what tasks on spare processors cannot use as well.
