Let short urgent jobs go before watches of the same priority

Ruled out: the order by least work left alone; small jobs waited as well. Change: within a priority, jobs that can be on time or late come before those that run until cancelled; jobs that are lost come after them.

--- a/include/dragonfly/decide/JobOrder.h
+++ b/include/dragonfly/decide/JobOrder.h
@@ -27,14 +27,15 @@
   double WorkLeft_ = 0;
 };
 
-/// Jobs that can still be on time come first, then those that can be late, then
-/// the others. Inside a group the job with the least work left comes first,
+/// Jobs that can still be on time come first, then those that can be late. Jobs
+/// that run until they are cancelled take what these leave: they hold a
+/// processor for as long as a hundred short tasks, and lose little by waiting
+/// for a second. Inside a group the job with the least work left comes first,
 /// which finishes the most jobs in time where not all can be.
 struct JobRank {
-  enum class Group : std::uint8_t { OnTime, Late, Lost };
+  enum class Group : std::uint8_t { OnTime, Late, LongRunning, Lost };
 
   std::uint32_t Priority_ = 0;
-  bool Ends_ = true;
   Group Group_ = Group::OnTime;
   double WorkLeft_ = 0;
   std::uint64_t Sequence_ = 0;
--- a/src/decide/JobOrder.cpp
+++ b/src/decide/JobOrder.cpp
@@ -12,10 +12,10 @@
 
 JobRank rankOf(const JobOutlook &Job) {
   JobRank Rank{.Priority_ = Job.Priority_,
-               .Ends_ = !Job.LongRunning_,
                .WorkLeft_ = Job.WorkLeft_,
                .Sequence_ = Job.Sequence_};
   if (Job.LongRunning_) {
+    Rank.Group_ = JobRank::Group::LongRunning;
     Rank.WorkLeft_ = 0;
     return Rank;
   }
