--- a/include/dragonfly/decide/TailInterference.h
+++ b/include/dragonfly/decide/TailInterference.h
@@ -73,8 +73,8 @@
 /// that what other runs add to the utilization takes the same from the headroom
 /// at every load.
 ///
-/// The load of a job is the same on all of its workers. Its headroom there, with
-/// what neighbours take there added, therefore tells what it would be
+/// The load of a job is the same on all of its workers. Its headroom there,
+/// with what neighbours take there added, therefore tells what it would be
 /// undisturbed, and what is missing elsewhere is the doing of neighbours.
 class TailInterference {
 public:
--- a/src/control/ControlService.cpp
+++ b/src/control/ControlService.cpp
@@ -46,8 +46,7 @@
                  [this](const wire::TaskReports &Batch) { reported(Batch); }},
             Machine_),
         Jobs_(jobOptions(), Machine_.jobs(), Machine_.imageLosses()),
-        Group_(Log_),
-        Log_(logOptions(), std::move(Disk), Now) {
+        Group_(Log_), Log_(logOptions(), std::move(Disk), Now) {
     Options_.Group_.Self_ = Options_.Log_.Self_;
   }
 
--- a/src/control/WorkerLoads.cpp
+++ b/src/control/WorkerLoads.cpp
@@ -134,8 +134,8 @@
   for (const decide::LearntLoss &Row : Tails_.takeChanged())
     Rows.push_back({.Serving_ = Row.Serving_,
                     .Image_ = Row.Image_,
-                    .PermillePerWorker_ = static_cast<std::uint32_t>(
-                        Row.PerWorker_ * Permille),
+                    .PermillePerWorker_ =
+                        static_cast<std::uint32_t>(Row.PerWorker_ * Permille),
                     .Readings_ = static_cast<std::uint32_t>(Row.Readings_)});
   return Rows;
 }
@@ -151,12 +151,11 @@
     Images.insert(Tail.Image_);
   for (const std::string_view Serving : Images)
     for (const auto &[Image, Share] : Known->second.Shares_)
-      Rows.push_back(
-          {.ServingImage_ = std::string(Serving),
-           .Image_ = Image,
-           .LossPerShare_ = Tails_.expectedLoss(
-               Serving, std::vector<decide::ImageLoad>{
-                            {.Image_ = Image, .Share_ = 1.0}})});
+      Rows.push_back({.ServingImage_ = std::string(Serving),
+                      .Image_ = Image,
+                      .LossPerShare_ = Tails_.expectedLoss(
+                          Serving, std::vector<decide::ImageLoad>{
+                                       {.Image_ = Image, .Share_ = 1.0}})});
   return Rows;
 }
 
--- a/src/decide/Interference.cpp
+++ b/src/decide/Interference.cpp
@@ -61,8 +61,8 @@
 
 double Interference::estimate(KindIndex Victim, KindIndex Aggressor) const {
   const Pair Row = at(Victim, Aggressor);
-  return Row.Mean_ + Options_.Risk_ * Options_.PriorDeviation_ /
-                         std::sqrt(1 + Row.Weight_);
+  return Row.Mean_ +
+         Options_.Risk_ * Options_.PriorDeviation_ / std::sqrt(1 + Row.Weight_);
 }
 
 double Interference::added(KindIndex Kind, double Load,
--- a/src/decide/JobPlacement.cpp
+++ b/src/decide/JobPlacement.cpp
@@ -76,12 +76,12 @@
 /// The headroom that the run takes from all jobs that serve there, in steps.
 std::int64_t JobPlacement::disturbanceOf(const PlacementWorker &Row,
                                          const PlacementNeed &Task) const {
-  const double Lost = std::accumulate(
-      Row.Serving_.begin(), Row.Serving_.end(), 0.0,
-      [&](double Sum, const ServingJob &Serving) {
-        return Sum +
-               Options_.Loss_(Serving.Image_, Task.Image_, shareOf(Row, Task));
-      });
+  const double Lost =
+      std::accumulate(Row.Serving_.begin(), Row.Serving_.end(), 0.0,
+                      [&](double Sum, const ServingJob &Serving) {
+                        return Sum + Options_.Loss_(Serving.Image_, Task.Image_,
+                                                    shareOf(Row, Task));
+                      });
   return static_cast<std::int64_t>(Lost / Options_.DisturbanceStep_);
 }
 
--- a/src/decide/SpeedControl.cpp
+++ b/src/decide/SpeedControl.cpp
@@ -105,8 +105,8 @@
     Missing -= Part;
   }
   const auto Since = MissedSince_.find(Serving);
-  const bool HasFailed = Since != MissedSince_.end() &&
-                         Now - Since->second >= Options_.Patience_;
+  const bool HasFailed =
+      Since != MissedSince_.end() && Now - Since->second >= Options_.Patience_;
   // What is known does not explain it, or did not help.
   if (IsMissed && (Missing > 0 || HasFailed))
     for (const auto &[Image, Unused] : Loads_)
@@ -117,8 +117,7 @@
   if (Now < Row.ChangeAt_)
     return;
   Row.ChangeAt_ = Now + Options_.Period_;
-  Row.Percent_ =
-      static_cast<std::uint32_t>(std::floor(Row.Percent_ * Kept));
+  Row.Percent_ = static_cast<std::uint32_t>(std::floor(Row.Percent_ * Kept));
   if (Row.Percent_ < Options_.LeastPercent_)
     Row.Percent_ = 0;
 }
@@ -135,13 +134,12 @@
   Speed &Row = Speeds_[Image];
   const std::uint32_t Next =
       std::min(FullPercent, Row.Percent_ + Options_.RaiseStep_);
-  const double Added = Loads_.at(Image).FullShare_ * (Next - Row.Percent_) /
-                       FullPercent;
-  const bool HasRoom =
-      std::ranges::all_of(Headrooms_, [&](const auto &Each) {
-        return Each.second - lossOf(Each.first, Image) * Added >=
-               Options_.RaiseDownTo_;
-      });
+  const double Added =
+      Loads_.at(Image).FullShare_ * (Next - Row.Percent_) / FullPercent;
+  const bool HasRoom = std::ranges::all_of(Headrooms_, [&](const auto &Each) {
+    return Each.second - lossOf(Each.first, Image) * Added >=
+           Options_.RaiseDownTo_;
+  });
   if (!HasRoom || Next == Row.Percent_)
     return;
   for (auto &[Serving, Headroom] : Headrooms_)
--- a/src/decide/TailInterference.cpp
+++ b/src/decide/TailInterference.cpp
@@ -39,10 +39,10 @@
   using Witnesses = std::map<std::string, Witness, std::less<>>;
 
   explicit Impl(TailInterferenceOptions Options)
-      : Options_(Options), Pairs_({.Risk_ = Options.Caution_,
-                                   .PriorMean_ = Options.PriorLoss_,
-                                   .PriorDeviation_ =
-                                       Options.PriorDeviation_}) {}
+      : Options_(Options),
+        Pairs_({.Risk_ = Options.Caution_,
+                .PriorMean_ = Options.PriorLoss_,
+                .PriorDeviation_ = Options.PriorDeviation_}) {}
 
   KindIndex indexOf(std::string_view Image) {
     const auto [It, IsNew] = Indexes_.try_emplace(
@@ -114,10 +114,10 @@
   const std::optional<double> Elsewhere =
       Impl_->headroomOf(Now, Reading.Job_, Reading.Worker_);
   if (Known.empty()) {
-    double &Quiet = Impl_->Quiet_
-                        .try_emplace(std::string(Reading.Image_),
-                                     Options.QuietHeadroom_)
-                        .first->second;
+    double &Quiet =
+        Impl_->Quiet_
+            .try_emplace(std::string(Reading.Image_), Options.QuietHeadroom_)
+            .first->second;
     Quiet += Options.QuietWeight_ * (Headroom - Quiet);
   } else {
     const double Undisturbed =
@@ -145,8 +145,7 @@
 
 double TailInterference::quietHeadroom(TimePoint Now, std::string_view Job,
                                        std::string_view Image) const {
-  return Impl_->headroomOf(Now, Job, {})
-      .value_or(Impl_->quietHeadroom(Image));
+  return Impl_->headroomOf(Now, Job, {}).value_or(Impl_->quietHeadroom(Image));
 }
 
 std::vector<LearntLoss> TailInterference::takeChanged() {
--- a/tests/control/JobServiceTest.cpp
+++ b/tests/control/JobServiceTest.cpp
@@ -471,10 +471,9 @@
   Same.restore(Machine.snapshot());
   CHECK(Same.imageLosses().rows() == std::vector{Known});
   StateMachine Older({.Validator_ = checkWords});
-  Older.restore(encodeValues(StateMachine::SnapshotFormatWithoutLosses,
-                             Duration(5), Machine.lists(), Machine.claims(),
-                             Machine.counts(), Machine.tasks(),
-                             Machine.jobs()));
+  Older.restore(encodeValues(
+      StateMachine::SnapshotFormatWithoutLosses, Duration(5), Machine.lists(),
+      Machine.claims(), Machine.counts(), Machine.tasks(), Machine.jobs()));
   CHECK(Older.imageLosses().rows().empty());
   CHECK_THROWS_AS(Older.restore(encodeValues(std::uint32_t(9))), CodecError);
 }
--- a/tests/decide/TailInterferenceTest.cpp
+++ b/tests/decide/TailInterferenceTest.cpp
@@ -49,12 +49,10 @@
                                      {.Image_ = "noisy", .Share_ = 0.1}};
   const auto Read = [&](std::string_view Worker, double Ratio,
                         std::span<const ImageLoad> Loads) {
-    Tails.observe(Load.Now_,
-                  {.Worker_ = Worker,
-                   .Job_ = "j1",
-                   .Image_ = "watch",
-                   .Ratio_ = Ratio},
-                  Loads);
+    Tails.observe(
+        Load.Now_,
+        {.Worker_ = Worker, .Job_ = "j1", .Image_ = "watch", .Ratio_ = Ratio},
+        Loads);
   };
   for (int I = 0; I < 100; ++I, Load.Now_ += milliseconds(400)) {
     Read("w1", Load.ratio(), {});
