--- a/include/dragonfly/decide/JobPlacement.h
+++ b/include/dragonfly/decide/JobPlacement.h
@@ -73,8 +73,9 @@
 };
 
 struct JobPlacementOptions {
-  /// Share of their reserved processors that runs which serve really use, at
-  /// average, in thousandths: runs on spare processors take what is left.
+  /// Share of their reserved processors that runs which serve use on average,
+  /// in thousandths. Runs on spare processors take what is left, and were never
+  /// seen to run out of it on the users' days.
   std::int64_t ServingUsePermille_ = 500;
   /// Headroom that placement leaves, for swings of the load that pacing
   /// answers: a tail latency of 0.85 of its target.
--- a/include/dragonfly/jobs/ImageLosses.h
+++ b/include/dragonfly/jobs/ImageLosses.h
@@ -4,9 +4,12 @@
 #ifndef DRAGONFLY_JOBS_IMAGELOSSES_H
 #define DRAGONFLY_JOBS_IMAGELOSSES_H
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <iterator>
 #include <map>
+#include <ranges>
 #include <string>
 #include <utility>
 #include <vector>
@@ -45,8 +48,8 @@
 
   std::vector<ImageLoss> rows() const {
     std::vector<ImageLoss> All;
-    for (const auto &[Name, Row] : Rows_)
-      All.push_back(Row);
+    All.reserve(Rows_.size());
+    std::ranges::copy(std::views::values(Rows_), std::back_inserter(All));
     return All;
   }
 
--- a/src/control/WorkerLoads.cpp
+++ b/src/control/WorkerLoads.cpp
@@ -92,6 +92,7 @@
   }
   const std::vector<decide::ImageLoad> Loads = toLoads(Shares);
   std::vector<decide::ServingJob> Result;
+  Result.reserve(Images.size());
   for (const auto &[Job, Image] : Images)
     Result.push_back(
         {.Image_ = Image,
--- a/src/decide/SpeedControl.cpp
+++ b/src/decide/SpeedControl.cpp
@@ -55,6 +55,7 @@
   noteMissed(Now);
   const std::map<std::string, double> Kept = keptSpeeds(Now);
   std::vector<std::string> MayRise;
+  MayRise.reserve(Loads_.size());
   for (const auto &[Image, Unused] : Loads_)
     if (const auto It = Kept.find(Image); It != Kept.end())
       lower(Now, Speeds_[Image], It->second);
@@ -93,6 +94,7 @@
     Value = std::min(Value, Share);
   };
   std::vector<std::pair<double, std::string>> Parts;
+  Parts.reserve(Loads_.size());
   for (const auto &[Image, Row] : Loads_)
     Parts.emplace_back(lossOf(Serving, Image) * Row.Share_, Image);
   std::ranges::sort(Parts, std::greater{});
