Log what is learnt of images

Cause: what the leader believes of a pair of images decides placement and speeds, and no line told when that changed.

--- a/include/dragonfly/base/Event.h
+++ b/include/dragonfly/base/Event.h
@@ -53,6 +53,7 @@
   TaskWaits = 3021,
   RunStalled = 3022,
   WorkerSuspected = 3023,
+  ImageLossLearnt = 3024,
   // consensus
   LeaderElected = 4001,
   LeaderLost = 4002,
--- a/src/base/Event.cpp
+++ b/src/base/Event.cpp
@@ -88,6 +88,10 @@
      "elsewhere."},
     {Event::WorkerSuspected, Severity::Warning, "worker-suspected",
      "A worker fails or stalls what it runs; others are used first."},
+    {Event::ImageLossLearnt, Severity::Info, "image-loss-learnt",
+     "Readings changed how much headroom runs of one image are expected to "
+     "take "
+     "from runs of another."},
     {Event::LeaderElected, Severity::Info, "leader-elected",
      "This replica leads the replicated log in a new term."},
     {Event::LeaderLost, Severity::Warning, "leader-lost",
--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -204,6 +204,12 @@
     NoteLossesAt_ = Now_ + KeepLearntPeriod;
     Times_.forgetEnded();
     std::vector<jobs::ImageLoss> Rows = Loads_.takeChangedLosses();
+    for (const jobs::ImageLoss &Row : Rows)
+      logEvent(Event::ImageLossLearnt,
+               {{"serving", Row.Serving_},
+                {"image", Row.Image_},
+                {"loss_permille_per_worker", Row.PermillePerWorker_},
+                {"readings", Row.Readings_}});
     if (!Rows.empty())
       Options_.Propose_(NoteImageLosses{std::move(Rows)},
                         [](ProposeStatus, const CommandOutput &) {});
