Move slowed batch runs to workers that have a place for them

Speed was given back only with the watches' load; a run stayed where it was, also where another worker was calm. Ruled out: failover. Change: decide/RunMove tells when a move pays (its cost twice over); the dispatcher goes through waiting steps and slowed runs in one order of jobs, and stops a slowed run whose step makes checkpoints once another worker would take it at full speed.

--- a/include/dragonfly/base/Event.h
+++ b/include/dragonfly/base/Event.h
@@ -54,6 +54,7 @@
   RunStalled = 3022,
   WorkerSuspected = 3023,
   ImageLossLearnt = 3024,
+  RunMoved = 3025,
   // consensus
   LeaderElected = 4001,
   LeaderLost = 4002,
--- a/include/dragonfly/decide/JobPlacement.h
+++ b/include/dragonfly/decide/JobPlacement.h
@@ -58,6 +58,9 @@
   std::uint32_t MaxPerWorker_ = 0;
   /// A worker on which the task failed before; avoided where another one fits.
   std::string_view Avoid_;
+  /// The task runs on `Avoid_` and is to move: only another worker will do, and
+  /// only one where it would not be slowed down again.
+  bool Moves_ = false;
 };
 
 /// How many workers a task cannot be placed on, by the first reason that
--- a/src/base/Event.cpp
+++ b/src/base/Event.cpp
@@ -92,6 +92,9 @@
      "Readings changed how much headroom runs of one image are expected to "
      "take "
      "from runs of another."},
+    {Event::RunMoved, Severity::Info, "run-moved",
+     "A run that is slowed down is stopped, to go on from its checkpoint where "
+     "it is expected to have full speed."},
     {Event::LeaderElected, Severity::Info, "leader-elected",
      "This replica leads the replicated log in a new term."},
     {Event::LeaderLost, Severity::Warning, "leader-lost",
--- a/src/control/JobDispatcher.cpp
+++ b/src/control/JobDispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "dragonfly/base/Log.h"
 #include "dragonfly/decide/JobOrder.h"
+#include "dragonfly/decide/RunMove.h"
 
 #include <algorithm>
 #include <utility>
@@ -110,23 +111,79 @@
   return HasIdleHalf_ && Now - Since >= MaxIdleTime;
 }
 
-std::vector<jobs::ReadyStep>
-JobDispatcher::stepsInOrder(Duration LogTime) const {
-  std::map<std::string, decide::JobRank> Ranks;
+/// Jobs with steps that are due or with slowed runs, the most pressing first.
+std::vector<JobDispatcher::JobWork>
+JobDispatcher::workInOrder(TimePoint Now, Duration LogTime) const {
+  std::map<std::string, JobWork> Work;
   for (const jobs::ReadyStep &Row : Table_.readySteps())
-    if (!Ranks.contains(Row.Job_))
-      Ranks[Row.Job_] =
-          decide::rankOf(Times_.outlook(*Table_.find(Row.Job_), LogTime));
-  std::vector<jobs::ReadyStep> Steps(Table_.readySteps().begin(),
-                                     Table_.readySteps().end());
-  std::ranges::sort(Steps, {}, [&Ranks](const jobs::ReadyStep &Row) {
-    return std::pair(Ranks.at(Row.Job_), Row.Step_);
-  });
-  return Steps;
+    Work[Row.Job_].Ready_.push_back(Row);
+  addSlowedRuns(Now, Work);
+  std::vector<std::pair<decide::JobRank, JobWork>> Ranked;
+  Ranked.reserve(Work.size());
+  for (auto &[Id, Each] : Work) {
+    Each.Job_ = Table_.find(Id);
+    Ranked.emplace_back(decide::rankOf(Times_.outlook(*Each.Job_, LogTime)),
+                        std::move(Each));
+  }
+  std::ranges::sort(Ranked, {}, &std::pair<decide::JobRank, JobWork>::first);
+  std::vector<JobWork> Result;
+  Result.reserve(Ranked.size());
+  for (auto &[Rank, Each] : Ranked)
+    Result.push_back(std::move(Each));
+  return Result;
+}
+
+void JobDispatcher::addSlowedRuns(
+    TimePoint Now, std::map<std::string, JobWork> &Work) const {
+  for (const auto &[Name, Session] : Sessions_.rows()) {
+    if (!Session.open())
+      continue;
+    for (const auto &[Run, Info] : Session.Runs_) {
+      if (!Info.SlowedAt_ || Info.StopSentAt_ != TimePoint())
+        continue;
+      const JobRow *Job = Table_.find(Run.Task_.Job_);
+      if (Job == nullptr || !Job->active())
+        continue;
+      const StepSpec &Step = Job->Spec_.Steps_[Run.Task_.Step_];
+      if (Step.UsesSpareProcessors_ && Step.Checkpointing_ &&
+          decide::paysToMove(
+              {.Left_ = Times_.timeLeft(*Job, Run.Task_),
+               .SpeedPercent_ = Info.Report_.SpeedPercent_,
+               .SlowedFor_ = Now - *Info.SlowedAt_}))
+        Work[Run.Task_.Job_].Slowed_.push_back(Run);
+    }
+  }
+}
+
+/// Stops a slowed run if another worker has a place for it now; its task is
+/// placed again, from its checkpoint, once the end is durable.
+void JobDispatcher::moveRun(TimePoint Now, const JobRow &Job,
+                            const RunName &Run,
+                            decide::JobPlacement &Placement) {
+  const TaskRow &Task =
+      Job.Steps_[Run.Task_.Step_].Tasks_[Run.Task_.Index_];
+  decide::PlacementNeed Need = needOf(Job, Run.Task_.Step_);
+  Need.Avoid_ = Task.Worker_;
+  Need.Moves_ = true;
+  if (Need.MaxPerWorker_ > 0)
+    Need.StepRuns_ = countRuns({.Job_ = Job.Id_, .Step_ = Run.Task_.Step_},
+                               Job.Steps_[Run.Task_.Step_].Tasks_, Placement);
+  const auto Chosen = Placement.place(Need);
+  if (!Chosen)
+    return;
+  Counts_.count("runs_moved", Job.Queue_.Name_);
+  logEvent(Event::RunMoved, {{"job", Job.Id_},
+                             {"step", Run.Task_.Step_},
+                             {"index", Run.Task_.Index_},
+                             {"run", Run.Run_},
+                             {"worker", Task.Worker_},
+                             {"place", Placement.workers()[*Chosen].Name_}});
+  Sessions_.stopRun(Now, Task.Worker_, Run);
 }
 
 void JobDispatcher::place(TimePoint Now, Duration LogTime) {
-  if (Table_.readySteps().empty())
+  const std::vector<JobWork> Work = workInOrder(Now, LogTime);
+  if (Work.empty())
     return;
   decide::JobPlacement Placement(
       openWorkers(Now), {.Loss_ = [this](std::string_view Serving,
@@ -144,12 +201,16 @@
     const JobRow *Job = Table_.find(Each.first);
     return Job == nullptr || !Job->active();
   });
-  for (const jobs::ReadyStep &Ready : stepsInOrder(LogTime)) {
-    if (Batch_.rows().Starts_.size() >= MaxStartsPerTick) {
-      Changed_ = true;
-      return;
+  for (const JobWork &Each : Work) {
+    for (const jobs::ReadyStep &Ready : Each.Ready_) {
+      if (Batch_.rows().Starts_.size() >= MaxStartsPerTick) {
+        Changed_ = true;
+        return;
+      }
+      placeStep(Now, Ready, Placement);
     }
-    placeStep(Now, Ready, Placement);
+    for (const RunName &Run : Each.Slowed_)
+      moveRun(Now, *Each.Job_, Run, Placement);
   }
   logSummary(Now, Placement);
 }
@@ -235,21 +296,25 @@
   return Counts;
 }
 
+decide::PlacementNeed JobDispatcher::needOf(const JobRow &Job,
+                                            std::uint32_t Step) {
+  const StepSpec &Spec = Job.Spec_.Steps_[Step];
+  return {.Service_ = Job.Queue_.Service_,
+          .RequiredLabel_ = Spec.RequiredLabel_,
+          .DataRack_ = Spec.DataRack_,
+          .Image_ = Spec.Image_,
+          .Need_ = Spec.Need_,
+          .UsesSpareProcessors_ = Spec.UsesSpareProcessors_,
+          .Serves_ = Spec.TailTarget_ > Duration::zero(),
+          .MaxPerWorker_ = Spec.MaxPerWorker_};
+}
+
 void JobDispatcher::placeStep(TimePoint Now, const jobs::ReadyStep &Ready,
                               decide::JobPlacement &Placement) {
   const JobRow &Job = *Table_.find(Ready.Job_);
   const StepSpec &Step = Job.Spec_.Steps_[Ready.Step_];
   const std::vector<TaskRow> &Tasks = Job.Steps_[Ready.Step_].Tasks_;
-  decide::PlacementNeed Need{.Service_ = Job.Queue_.Service_,
-                             .RequiredLabel_ = Step.RequiredLabel_,
-                             .DataRack_ = Step.DataRack_,
-                             .Image_ = Step.Image_,
-                             .Need_ = Step.Need_,
-                             .UsesSpareProcessors_ = Step.UsesSpareProcessors_,
-                             .Serves_ = Step.TailTarget_ > Duration::zero(),
-                             .StepRuns_ = {},
-                             .MaxPerWorker_ = Step.MaxPerWorker_,
-                             .Avoid_ = {}};
+  decide::PlacementNeed Need = needOf(Job, Ready.Step_);
   if (Step.MaxPerWorker_ > 0)
     Need.StepRuns_ = countRuns(Ready, Tasks, Placement);
   Need.MayCrowd_ = Step.UsesSpareProcessors_ && isStarved(Now, Job);
--- a/src/control/JobDispatcher.h
+++ b/src/control/JobDispatcher.h
@@ -66,7 +66,21 @@
   void logSummary(TimePoint Now, const decide::JobPlacement &Placement);
   std::vector<decide::PlacementWorker> openWorkers(TimePoint Now);
   bool isStarved(TimePoint Now, const jobs::JobRow &Job);
-  std::vector<jobs::ReadyStep> stepsInOrder(Duration LogTime) const;
+  /// What a job has for placement to do.
+  struct JobWork {
+    const jobs::JobRow *Job_ = nullptr;
+    std::vector<jobs::ReadyStep> Ready_;
+    /// Runs that would end sooner on another worker.
+    std::vector<jobs::RunName> Slowed_;
+  };
+
+  std::vector<JobWork> workInOrder(TimePoint Now, Duration LogTime) const;
+  void addSlowedRuns(TimePoint Now,
+                     std::map<std::string, JobWork> &Work) const;
+  void moveRun(TimePoint Now, const jobs::JobRow &Job, const jobs::RunName &Run,
+               decide::JobPlacement &Placement);
+  static decide::PlacementNeed needOf(const jobs::JobRow &Job,
+                                      std::uint32_t Step);
 
   const jobs::JobTable &Table_;
   WorkerSessions &Sessions_;
--- a/src/control/RunTimes.cpp
+++ b/src/control/RunTimes.cpp
@@ -84,6 +84,22 @@
              : std::sqrt(Guess * std::max(Mean->second, LeastSeconds));
 }
 
+double RunTimes::shareLeft(const jobs::TaskName &Task) const {
+  constexpr double FullPercent = 100;
+  const auto Known = Steps_.find({Task.Job_, Task.Step_});
+  if (Known == Steps_.end())
+    return 1;
+  const auto It = Known->second.Progress_.find(Task.Index_);
+  return It == Known->second.Progress_.end()
+             ? 1
+             : 1 - std::min<double>(It->second, FullPercent) / FullPercent;
+}
+
+Duration RunTimes::timeLeft(const jobs::JobRow &Job,
+                            const jobs::TaskName &Task) const {
+  return fromSeconds(secondsOf(Job, Task.Step_) * shareLeft(Task));
+}
+
 decide::JobOutlook RunTimes::outlook(const jobs::JobRow &Job,
                                      Duration LogTime) const {
   decide::JobOutlook Result{.Priority_ = Job.Queue_.Priority_,
@@ -94,17 +110,14 @@
   for (std::uint32_t Step = 0; Step < Job.Steps_.size(); ++Step) {
     const jobs::StepSpec &Spec = Job.Spec_.Steps_[Step];
     const double Seconds = secondsOf(Job, Step);
-    const auto Known = Steps_.find({Job.Id_, Step});
     double Longest = 0;
     for (std::uint32_t Index = 0; Index < Spec.Count_; ++Index) {
       const jobs::TaskRow &Task = Job.Steps_[Step].Tasks_[Index];
       if (Task.Phase_ == jobs::TaskPhase::Finished)
         continue;
-      double Share = 1;
-      if (Known != Steps_.end() && Task.Phase_ == jobs::TaskPhase::OnWorker)
-        if (const auto It = Known->second.Progress_.find(Index);
-            It != Known->second.Progress_.end())
-          Share = 1 - std::min(It->second, 100U) / 100.0;
+      const double Share = Task.Phase_ == jobs::TaskPhase::OnWorker
+                               ? shareLeft({Job.Id_, Step, Index})
+                               : 1;
       Longest = std::max(Longest, Seconds * Share);
       Result.WorkLeft_ += Seconds * Share *
                           static_cast<double>(Spec.Need_.MilliProcessors_) /
--- a/src/control/RunTimes.h
+++ b/src/control/RunTimes.h
@@ -28,6 +28,9 @@
   /// in.
   decide::JobOutlook outlook(const jobs::JobRow &Job, Duration LogTime) const;
 
+  /// What is left of the task's run at full speed.
+  Duration timeLeft(const jobs::JobRow &Job, const jobs::TaskName &Task) const;
+
 private:
   using StepName = std::pair<std::string, std::uint32_t>;
 
@@ -40,6 +43,8 @@
   };
 
   double secondsOf(const jobs::JobRow &Job, std::uint32_t Step) const;
+  /// Of the newest run of a task, from 0 to 1.
+  double shareLeft(const jobs::TaskName &Task) const;
   void learn(const jobs::RunName &Run, double Seconds, double Weight);
 
   const jobs::JobTable &Table_;
--- a/src/control/WorkerSessions.cpp
+++ b/src/control/WorkerSessions.cpp
@@ -17,6 +17,8 @@
 /// Runs slower than this share of full speed, in percent, may show no progress
 /// for long.
 constexpr std::uint32_t LeastProgressSpeed = 50;
+/// Runs at this speed or less, in percent, count as slowed down.
+constexpr std::uint32_t SlowedSpeed = 50;
 /// Sessions of one term are numbered below this.
 constexpr std::uint64_t SessionsPerTerm = 1ULL << 32U;
 
@@ -285,6 +287,10 @@
         Run.ProgressPercent_ != Info.Report_.ProgressPercent_ ||
         Run.Checkpoint_ != Info.Report_.Checkpoint_)
       Info.ProgressAt_ = Now;
+    if (Run.SpeedPercent_ > SlowedSpeed)
+      Info.SlowedAt_.reset();
+    else if (!Info.SlowedAt_)
+      Info.SlowedAt_ = Now;
     std::string Checkpoint = std::move(Info.Report_.Checkpoint_);
     Info.Report_ = Run;
     if (Info.Report_.Checkpoint_.empty())
--- a/src/control/WorkerSessions.h
+++ b/src/control/WorkerSessions.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -20,6 +21,8 @@
   TimePoint StopSentAt_;
   /// When the reported progress last grew.
   TimePoint ProgressAt_;
+  /// Since when reports tell a speed of half or less; none where it is faster.
+  std::optional<TimePoint> SlowedAt_;
 };
 
 struct WorkerSession {
--- a/src/decide/JobPlacement.cpp
+++ b/src/decide/JobPlacement.cpp
@@ -89,8 +89,10 @@
                            const PlacementNeed &Task) const {
   Resources Reserve = Task.Need_;
   if (Task.UsesSpareProcessors_) {
+    const double Least =
+        Task.Moves_ ? Options_.GoodHeadroom_ : Options_.LeastHeadroom_;
     if (!Task.MayCrowd_ && (spareOf(Row) < Task.Need_.MilliProcessors_ ||
-                            headroomAfter(Row, Task) < Options_.LeastHeadroom_))
+                            headroomAfter(Row, Task) < Least))
       return false;
     Reserve.MilliProcessors_ = 0;
   }
@@ -100,6 +102,8 @@
 bool JobPlacement::isAllowed(std::size_t Index,
                              const PlacementNeed &Task) const {
   const PlacementWorker &Row = Workers_[Index];
+  if (Task.Moves_ && (Row.Suspect_ || Row.Name_ == Task.Avoid_))
+    return false;
   return Row.Service_ == Task.Service_ && hasRequiredLabel(Row, Task) &&
          hasSpreadLeft(Index, Task);
 }
--- /dev/null
+++ b/src/decide/RunMove.cpp
@@ -0,0 +1,17 @@
+#include "dragonfly/decide/RunMove.h"
+
+#include <algorithm>
+
+namespace dragonfly::decide {
+
+bool paysToMove(const SlowedRun &Run, const RunMoveOptions &Options) {
+  if (Run.SpeedPercent_ > Options.MostPercent_ ||
+      Run.SlowedFor_ < Options.Patience_)
+    return false;
+  constexpr std::int64_t FullPercent = 100;
+  const std::int64_t Speed = std::max(Run.SpeedPercent_, Options.LeastPercent_);
+  const Duration LeftHere = Run.Left_ * FullPercent / Speed;
+  return LeftHere > Run.Left_ + 2 * Options.Cost_;
+}
+
+} // namespace dragonfly::decide
--- a/tests/control/JobServiceTest.cpp
+++ b/tests/control/JobServiceTest.cpp
@@ -75,7 +75,11 @@
     for (const RunName &Run : Runs)
       Report.Runs_.push_back({.Run_ = Run,
                               .Phase_ = wire::RunPhase::Running,
-                              .Load_ = Loads_[Run]});
+                              .ProgressPercent_ = Progress_[Run],
+                              .Load_ = Loads_[Run],
+                              .SpeedPercent_ = Speeds_.contains(Run)
+                                                   ? Speeds_[Run]
+                                                   : FullSpeed});
     const auto Answer =
         std::make_shared<std::optional<wire::WorkerReportAck>>();
     Cluster_.node(Cluster_.leader())
@@ -104,6 +108,13 @@
   void drain() { Draining_ = true; }
   /// What later reports tell as the load of \p Run.
   void setLoad(const RunName &Run, std::uint64_t Load) { Loads_[Run] = Load; }
+  /// What later reports tell as the speed of \p Run, in percent, and as its
+  /// progress.
+  void setSpeed(const RunName &Run, std::uint32_t Percent,
+                std::uint32_t Progress) {
+    Speeds_[Run] = Percent;
+    Progress_[Run] = Progress;
+  }
   /// Of the newest orders that told any.
   const std::vector<wire::Disturbance> &disturbances() const {
     return Stream_->Disturbances_;
@@ -133,7 +144,10 @@
   std::string Worker_;
   std::shared_ptr<Stream> Stream_ = std::make_shared<Stream>();
   bool Draining_ = false;
+  static constexpr std::uint32_t FullSpeed = 100;
   std::map<RunName, std::uint64_t> Loads_;
+  std::map<RunName, std::uint32_t> Speeds_;
+  std::map<RunName, std::uint32_t> Progress_;
 };
 
 struct JobCluster : ServiceCluster {
@@ -395,6 +409,37 @@
   CHECK(Sound.takeStarts() == std::vector<RunName>{run(2)});
 }
 
+// Pattern: one run of a wide batch step is slowed down beside watches, the step
+// waits for it, and another worker is free.
+TEST_CASE("a run that is slowed down goes on elsewhere from its checkpoint",
+          "[control][jobs]") {
+  JobCluster On;
+  TestAgent First(On, "w1");
+  First.join();
+  jobs::StepSpec Batch = step();
+  Batch.UsesSpareProcessors_ = true;
+  Batch.Checkpointing_ = GENERATE(true, false);
+  Batch.Estimate_ = seconds(5);
+  On.submit({Batch});
+  REQUIRE(First.takeStarts() == std::vector<RunName>{run()});
+  First.setSpeed(run(), 10, 20);
+  for (int I = 0; I < 6; ++I)
+    First.report(false, {run()});
+  CHECK(First.stops().empty());
+  TestAgent Second(On, "w2");
+  Second.join();
+  First.report(false, {run()});
+  if (!Batch.Checkpointing_) {
+    CHECK(First.stops().empty());
+    return;
+  }
+  REQUIRE(First.stops() == std::vector<RunName>{run()});
+  First.report(false, {},
+               {{.Run_ = run(), .How_ = RunEnd::Stopped, .Checkpoint_ = "c1"}});
+  CHECK(First.takeStarts().empty());
+  CHECK(Second.takeStarts() == std::vector<RunName>{run(2)});
+}
+
 TEST_CASE("jobs survive the loss of every process", "[control][jobs]") {
   JobCluster On;
   On.submit({step()});
--- a/tests/decide/JobPlacementTest.cpp
+++ b/tests/decide/JobPlacementTest.cpp
@@ -115,6 +115,25 @@
   CHECK(Placement.workers()[0].SpareMilliProcessors_ == 64000);
 }
 
+// Pattern: a run is slowed down beside watches that it disturbs, while another
+// worker would take it at full speed, or only one that is no better.
+TEST_CASE("a run moves only to another worker that leaves it at full speed",
+          "[decide][jobs]") {
+  PlacementWorker Here = worker("here");
+  Here.Serving_ = {{.Image_ = "watch", .Headroom_ = 4.0}};
+  PlacementWorker Tight = worker("tight");
+  Tight.Serving_ = {{.Image_ = "watch", .Headroom_ = 3.0}};
+  PlacementNeed Task = batch(8000, "noisy");
+  Task.Avoid_ = "here";
+  Task.Moves_ = true;
+  JobPlacement WithoutPlace({Here, Tight}, options());
+  CHECK_FALSE(WithoutPlace.place(Task));
+  PlacementWorker Failing = worker("failing");
+  Failing.Suspect_ = true;
+  JobPlacement WithPlace({Here, Tight, Failing, worker("free")}, options());
+  CHECK(WithPlace.place(Task) == 3U);
+}
+
 TEST_CASE("what serving tasks reserve and do not use is spare",
           "[decide][jobs]") {
   PlacementWorker Row = worker("w1");
--- /dev/null
+++ b/tests/decide/RunMoveTest.cpp
@@ -0,0 +1,56 @@
+/// Runs that were slowed down beside what serves.
+#include "dragonfly/decide/RunMove.h"
+
+#include <catch2/catch.hpp>
+
+namespace dragonfly::decide {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct MoveCase {
+  const char *Name_;
+  SlowedRun Run_;
+  bool Moves_;
+};
+
+} // namespace
+
+// Pattern: one run in four of a wide step is slowed down beside watches that it
+// disturbs, and the whole step waits for it.
+TEST_CASE("a run moves where that ends it sooner", "[decide][jobs]") {
+  const MoveCase Cases[]{
+      {"long and nearly paused",
+       {.Left_ = seconds(2), .SpeedPercent_ = 10, .SlowedFor_ = seconds(1)},
+       true},
+      {"paused, with little left",
+       {.Left_ = milliseconds(200),
+        .SpeedPercent_ = 0,
+        .SlowedFor_ = seconds(1)},
+       false},
+      {"paused, with a second left",
+       {.Left_ = seconds(1), .SpeedPercent_ = 0, .SlowedFor_ = seconds(1)},
+       true},
+      {"at half speed with much left",
+       {.Left_ = seconds(3), .SpeedPercent_ = 50, .SlowedFor_ = seconds(1)},
+       true},
+      {"at half speed with less left than a move costs",
+       {.Left_ = seconds(1), .SpeedPercent_ = 50, .SlowedFor_ = seconds(1)},
+       false},
+      {"slowed down a moment ago",
+       {.Left_ = seconds(5),
+        .SpeedPercent_ = 0,
+        .SlowedFor_ = milliseconds(300)},
+       false},
+      {"hardly slowed down",
+       {.Left_ = seconds(9), .SpeedPercent_ = 75, .SlowedFor_ = seconds(9)},
+       false},
+  };
+  for (const MoveCase &Each : Cases) {
+    INFO(Each.Name_);
+    CHECK(paysToMove(Each.Run_) == Each.Moves_);
+  }
+}
+
+} // namespace dragonfly::decide
