Keep a replica up while its disk is full

Change: term and vote are saved in tick(), before anything that states them leaves. While the disk takes no more, a replica gives up leadership, neither votes nor acknowledges, sends nothing that would state what is not durable, and tries again each 100 ms. A new data folder without room is tried again at the start. Events 4008 and 4009.

--- a/daemons/dragonfly-platform.cpp
+++ b/daemons/dragonfly-platform.cpp
@@ -5,6 +5,7 @@
 #include "dragonfly/base/Log.h"
 #include "dragonfly/base/Metrics.h"
 #include "dragonfly/base/Random.h"
+#include "dragonfly/consensus/Storage.h"
 #include "dragonfly/control/Control.h"
 #include "dragonfly/control/GroupDirectory.h"
 #include "dragonfly/control/GroupFounding.h"
@@ -70,6 +71,9 @@
   net::Timer Checks_;
 };
 
+/// How often a replica whose new data folder finds no room tries again.
+constexpr Duration DiskRetryPeriod = std::chrono::milliseconds(500);
+
 /// Serves a process's metrics as text.
 class MetricsServer {
 public:
@@ -160,12 +164,25 @@
   std::optional<control::GroupFounding> Founding;
   std::optional<Replica> Member;
   std::optional<Relay> Other;
-  const auto Serve = [&](const std::vector<wire::GroupRow> &FirstMembers) {
+  net::Timer Retry;
+  std::function<void(const std::vector<wire::GroupRow> &)> Serve;
+  Serve = [&](const std::vector<wire::GroupRow> &FirstMembers) {
     Founding.reset();
-    if (Site.hasDisk())
-      Member.emplace(Loop, Site, FirstMembers, Counts);
-    else
+    if (!Site.hasDisk()) {
       Other.emplace(Loop, Site, FirstMembers);
+      return;
+    }
+    try {
+      Member.emplace(Loop, Site, FirstMembers, Counts);
+    } catch (const consensus::StorageError &Fault) {
+      if (Fault.code() != consensus::StorageFault::DiskFull)
+        throw;
+      logEvent(Event::DiskFull,
+               {{"replica", Site.Vm_}, {"detail", Fault.what()}});
+      Retry = Loop.after(DiskRetryPeriod, [&Serve, FirstMembers] {
+        Serve(FirstMembers);
+      });
+    }
   };
   if (Site.FirstStart_)
     Founding.emplace(Loop,
--- a/include/dragonfly/base/Event.h
+++ b/include/dragonfly/base/Event.h
@@ -63,6 +63,8 @@
   ReplicaMessageRejected = 4005,
   StoreUnknown = 4006,
   SnapshotInstalled = 4007,
+  DiskFull = 4008,
+  DiskHasRoom = 4009,
   // agent
   AgentReady = 5001,
   AgentDraining = 5002,
--- a/include/dragonfly/consensus/Storage.h
+++ b/include/dragonfly/consensus/Storage.h
@@ -61,7 +61,9 @@
 };
 
 /// Durable storage of one replica. Writes are durable once `sync()` returns.
-/// Every function throws StorageError, after which the storage is unusable.
+/// Every function throws StorageError. After DiskFull everything is as it was
+/// before the call, which may be made again; after any other fault the storage
+/// is unusable.
 class Storage {
 public:
   virtual ~Storage() = default;
--- a/src/base/Event.cpp
+++ b/src/base/Event.cpp
@@ -111,6 +111,11 @@
      "learner."},
     {Event::SnapshotInstalled, Severity::Info, "snapshot-installed",
      "This replica's state was replaced by the leader's snapshot."},
+    {Event::DiskFull, Severity::Failure, "disk-full",
+     "The disk takes no more. Until it does, this replica neither leads nor "
+     "votes nor acknowledges records."},
+    {Event::DiskHasRoom, Severity::Info, "disk-has-room",
+     "The disk takes records again; the replica takes part again."},
     {Event::AgentReady, Severity::Info, "agent-ready",
      "The agent knows what its VM runs and admits work."},
     {Event::AgentDraining, Severity::Info, "agent-draining",
--- a/src/consensus/Commit.cpp
+++ b/src/consensus/Commit.cpp
@@ -13,8 +13,22 @@
     return;
   }
   const LogIndex Index = nextIndex(Log_.lastIndex());
-  appendRecord({Index, Hard_.Term_, RecordKind::Command, std::move(Command)});
-  Pending_[Index] = {Hard_.Term_, std::move(Done)};
+  if (tryAppend({Index, Hard_.Term_, RecordKind::Command, std::move(Command)}))
+    Pending_[Index] = {Hard_.Term_, std::move(Done)};
+  else
+    later([Done = std::move(Done)] { Done({}); });
+}
+
+/// Returns false, and leads no longer, where the disk is full; nothing was
+/// appended then.
+bool RaftCore::tryAppend(Record Value) {
+  try {
+    appendRecord(std::move(Value));
+    return true;
+  } catch (const StorageError &Failure) {
+    noteDiskFull(Failure);
+    return false;
+  }
 }
 
 /// The barrier waits for a record of this term as well: before one is
@@ -44,8 +58,11 @@
     Rows.push_back(std::move(Target));
   std::ranges::sort(Rows, {}, &Member::Id_);
   const LogIndex Index = nextIndex(Log_.lastIndex());
-  appendRecord(
-      {Index, Hard_.Term_, RecordKind::Membership, encodeMembers(Rows)});
+  if (!tryAppend(
+          {Index, Hard_.Term_, RecordKind::Membership, encodeMembers(Rows)})) {
+    later([Done = std::move(Done)] { Done({}); });
+    return;
+  }
   Pending_[Index] = {Hard_.Term_, std::move(Done)};
   syncPeers();
 }
--- a/src/consensus/Election.cpp
+++ b/src/consensus/Election.cpp
@@ -14,7 +14,7 @@
 }
 
 bool RaftCore::mayCampaign() const {
-  return (!Excluded_ || Members_.formed()) &&
+  return !DiskFull_ && (!Excluded_ || Members_.formed()) &&
          Members_.isVoter(Options_.Self_, Store_);
 }
 
@@ -36,7 +36,6 @@
   Role_ = Pre ? RaftRole::PreCandidate : RaftRole::Candidate;
   if (!Pre) {
     Hard_ = {{Hard_.Term_.Value_ + 1}, Options_.Self_};
-    Disk_->saveHardState(Hard_);
     HardDirty_ = true;
   }
   Votes_.clear();
@@ -96,7 +95,8 @@
     First.Payload_ = encodeMembers(Rows);
   }
   TermStart_ = First.Index_;
-  appendRecord(std::move(First));
+  if (!tryAppend(std::move(First)))
+    return;
   Peers_.clear();
   syncPeers();
   logEvent(Event::LeaderElected,
@@ -126,7 +126,6 @@
                          (!Hard_.VotedFor_ || Hard_.VotedFor_ == From)));
   if (Granted && !Value.Pre_) {
     Hard_.VotedFor_ = From;
-    Disk_->saveHardState(Hard_);
     HardDirty_ = true;
     restartElectionTimer();
   }
--- a/src/consensus/FileOps.cpp
+++ b/src/consensus/FileOps.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t FileHeaderBytes = 12;
 constexpr int FileMode = 0644;
 
+bool isOutOfSpace() { return errno == ENOSPC || errno == EDQUOT; }
+
 [[noreturn]] void fail(StorageFault Fault, const std::string &Path) {
   throw StorageError(Fault,
                      Path + ": " + std::generic_category().message(errno));
@@ -31,7 +33,8 @@
     : Hooks_(Hooks), Path_(std::move(Path)),
       Fd_(::open(Path_.c_str(), Flags | O_CLOEXEC, FileMode)) {
   if (Fd_ < 0)
-    fail(StorageFault::CannotOpen, Path_);
+    fail(isOutOfSpace() ? StorageFault::DiskFull : StorageFault::CannotOpen,
+         Path_);
 }
 
 File::~File() { ::close(Fd_); }
@@ -42,8 +45,7 @@
     if (Written < 0 && errno == EINTR)
       continue;
     if (Written <= 0)
-      fail(errno == ENOSPC || errno == EDQUOT ? StorageFault::DiskFull
-                                              : StorageFault::CannotWrite,
+      fail(isOutOfSpace() ? StorageFault::DiskFull : StorageFault::CannotWrite,
            Path_);
     Bytes.remove_prefix(static_cast<std::size_t>(Written));
   }
@@ -89,7 +91,7 @@
                  const std::string &Name, std::string_view Payload) {
   const std::string Path = Folder + "/" + Name;
   const std::string Temporary = Path + ".new";
-  {
+  try {
     std::string Bytes;
     putInteger(Bytes, FileMagic);
     putInteger(Bytes, FileFormatVersion);
@@ -98,6 +100,10 @@
     File Out(Hooks, Temporary, O_WRONLY | O_CREAT | O_TRUNC);
     Out.write(Bytes);
     Out.sync();
+  } catch (const StorageError &) {
+    // What was written of it would take up room that others need.
+    ::unlink(Temporary.c_str());
+    throw;
   }
   if (::rename(Temporary.c_str(), Path.c_str()) != 0)
     fail(StorageFault::CannotWrite, Path);
--- a/src/consensus/FileOps.h
+++ b/src/consensus/FileOps.h
@@ -28,7 +28,7 @@
 /// An open file.
 class File {
 public:
-  /// Throws StorageError(CannotOpen).
+  /// Throws StorageError(CannotOpen, DiskFull).
   File(const FileHooks &Hooks, std::string Path, int Flags);
   File(const File &) = delete;
   File &operator=(const File &) = delete;
--- a/src/consensus/RaftCore.cpp
+++ b/src/consensus/RaftCore.cpp
@@ -4,6 +4,9 @@
 
 namespace dragonfly::consensus {
 
+/// How often a full disk is tried again; an election takes longer.
+static constexpr Duration DiskRetryPeriod = std::chrono::milliseconds(100);
+
 RaftCore::RaftCore(ReplicatedLogOptions Options, std::unique_ptr<Storage> Disk,
                    TimePoint Now)
     : Options_(std::move(Options)), Disk_(std::move(Disk)),
@@ -55,6 +58,8 @@
   } catch (const CodecError &Failure) {
     logEvent(Event::ReplicaMessageRejected,
              {{"from", From.Value_}, {"type", Failure.type()}});
+  } catch (const StorageError &Failure) {
+    noteDiskFull(Failure);
   }
 }
 
@@ -85,13 +90,52 @@
   };
   if (!HardDirty_)
     SendAll(std::exchange(Early_, {}));
-  if (Dirty_ || HardDirty_)
-    Disk_->sync();
-  Dirty_ = HardDirty_ = false;
+  if (!makeDurable()) {
+    // None of these may be said; peers ask again.
+    Early_.clear();
+    AfterSync_.clear();
+    return;
+  }
   SendAll(std::exchange(Early_, {}));
   SendAll(std::exchange(AfterSync_, {}));
 }
 
+/// Returns false while the disk is full.
+bool RaftCore::makeDurable() {
+  if (DiskFull_) {
+    if (Now_ < DiskRetryAt_)
+      return false;
+    // Tells whether there is room, also where nothing else waits.
+    HardDirty_ = true;
+  }
+  try {
+    if (HardDirty_)
+      Disk_->saveHardState(Hard_);
+    if (Dirty_ || HardDirty_)
+      Disk_->sync();
+  } catch (const StorageError &Failure) {
+    noteDiskFull(Failure);
+    return false;
+  }
+  Dirty_ = HardDirty_ = false;
+  if (std::exchange(DiskFull_, false))
+    logEvent(Event::DiskHasRoom, {{"replica", Options_.Self_.Value_}});
+  return true;
+}
+
+/// Gives up leadership after \p Failure; throws it on where it is not that the
+/// disk is full.
+void RaftCore::noteDiskFull(const StorageError &Failure) {
+  if (Failure.code() != StorageFault::DiskFull)
+    throw StorageError(Failure);
+  DiskRetryAt_ = Now_ + DiskRetryPeriod;
+  if (!std::exchange(DiskFull_, true))
+    logEvent(Event::DiskFull, {{"replica", Options_.Self_.Value_},
+                               {"detail", Failure.what()}});
+  if (Role_ != RaftRole::Follower)
+    becomeFollower(Hard_.Term_, {});
+}
+
 void RaftCore::later(std::function<void()> Work) {
   Deferred_.push_back(std::move(Work));
 }
@@ -102,10 +146,10 @@
 }
 
 void RaftCore::appendRecord(Record Value) {
-  if (Value.Kind_ == RecordKind::Membership)
-    Members_.add(Value.Index_, decodeMembers(Value.Payload_));
   Disk_->append(Value);
   Dirty_ = true;
+  if (Value.Kind_ == RecordKind::Membership)
+    Members_.add(Value.Index_, decodeMembers(Value.Payload_));
   Log_.append(std::move(Value));
 }
 
@@ -118,7 +162,6 @@
 
 void RaftCore::adoptTerm(Term Value) {
   Hard_ = {Value, {}};
-  Disk_->saveHardState(Hard_);
   HardDirty_ = true;
 }
 
--- a/src/consensus/RaftCore.h
+++ b/src/consensus/RaftCore.h
@@ -101,6 +101,8 @@
   /// Queues a message that may leave before this replica's own sync.
   void postEarly(ReplicaId To, StoreId ToStore, RaftMessage Value);
   void flush();
+  bool makeDurable();
+  void noteDiskFull(const StorageError &Failure);
   bool acceptsEnvelope(ReplicaId From, const Envelope &Value);
   void later(std::function<void()> Work);
   void runDeferred();
@@ -153,6 +155,7 @@
   bool followsClosely(const Peer &Row) const;
 
   // Commit.cpp
+  bool tryAppend(Record Value);
   void advanceCommit();
   void applyCommitted();
   void applyRecord(const Record &Value);
@@ -191,8 +194,13 @@
   std::map<LogIndex, Pending> Pending_;
   std::vector<Barrier> Barriers_;
 
+  /// Records wait for a sync.
   bool Dirty_ = false;
+  /// Term or vote wait to be saved.
   bool HardDirty_ = false;
+  bool DiskFull_ = false;
+  TimePoint DiskRetryAt_;
+  TimePoint SnapshotRetryAt_;
   std::vector<Outgoing> Early_;
   std::vector<Outgoing> AfterSync_;
   std::vector<std::function<void()>> Deferred_;
--- a/src/consensus/Segment.cpp
+++ b/src/consensus/Segment.cpp
@@ -4,6 +4,7 @@
 #include "dragonfly/base/Log.h"
 
 #include <fcntl.h>
+#include <unistd.h>
 
 #include <cstdio>
 #include <optional>
@@ -90,7 +91,13 @@
   putInteger(Result->Buffer_, SegmentMagic);
   putInteger(Result->Buffer_, SegmentFormatVersion);
   putInteger(Result->Buffer_, First.Value_);
-  Result->sync();
+  try {
+    Result->sync();
+  } catch (const StorageError &) {
+    // A segment without a header may only be the last one.
+    ::unlink(Result->path().c_str());
+    throw;
+  }
   syncFolder(Hooks, Folder);
   return Result;
 }
@@ -154,7 +161,13 @@
 }
 
 void Segment::sync() {
+  if (HasTornTail_) {
+    File_.truncate(Bytes_);
+    HasTornTail_ = false;
+  }
+  HasTornTail_ = !Buffer_.empty();
   File_.write(Buffer_);
+  HasTornTail_ = false;
   Bytes_ += Buffer_.size();
   Buffer_.clear();
   File_.sync();
--- a/src/consensus/Segment.h
+++ b/src/consensus/Segment.h
@@ -59,6 +59,8 @@
   std::uint64_t Synced_ = 0;
   /// Records that wait for the next sync.
   std::string Buffer_;
+  /// A write that failed may have left some of its bytes behind `Bytes_`.
+  bool HasTornTail_ = false;
 };
 
 } // namespace dragonfly::consensus
--- a/src/consensus/SnapshotTransfer.cpp
+++ b/src/consensus/SnapshotTransfer.cpp
@@ -17,6 +17,9 @@
 /// Payload bytes in memory beyond which no record is kept for a peer.
 static constexpr std::size_t MaxRetainedBytes = 16U << 20U;
 
+/// How soon a snapshot that found no room is made again.
+static constexpr Duration SnapshotRetryPeriod = std::chrono::seconds(1);
+
 static std::uint32_t checksumOf(std::string_view Bytes) {
   boost::crc_32_type Crc;
   Crc.process_bytes(Bytes.data(), Bytes.size());
@@ -25,13 +28,25 @@
 
 void RaftCore::takeSnapshot() {
   if (Applied_.Value_ - Snapshot_->Index_.Value_ <
-      Options_.SnapshotEveryRecords_)
+          Options_.SnapshotEveryRecords_ ||
+      Now_ < SnapshotRetryAt_)
     return;
-  Snapshot_ = std::make_shared<Snapshot>(
+  auto Fresh = std::make_shared<Snapshot>(
       Snapshot{Applied_, *Log_.termAt(Applied_),
                encodeMembers(Members_.membersAt(Applied_)),
                Options_.Machine_.Snapshot_()});
-  Disk_->saveSnapshot(*Snapshot_);
+  try {
+    Disk_->saveSnapshot(*Fresh);
+  } catch (const StorageError &Failure) {
+    if (Failure.code() != StorageFault::DiskFull)
+      throw;
+    // The records still hold it all; whether they find room decides the rest.
+    SnapshotRetryAt_ = Now_ + SnapshotRetryPeriod;
+    logEvent(Event::DiskFull, {{"replica", Options_.Self_.Value_},
+                               {"detail", Failure.what()}});
+    return;
+  }
+  Snapshot_ = std::move(Fresh);
   Dirty_ = true;
   Log_.dropThrough(retainedFrom());
   Members_.dropBefore(Snapshot_->Index_);
@@ -135,9 +150,10 @@
 void RaftCore::install(const InstallRequest &Value, std::string State) {
   std::vector<Member> Rows = decodeMembers(Value.Members_);
   const bool Extends = Log_.termAt(Value.Index_) == Value.SnapshotTerm_;
-  Snapshot_ = std::make_shared<Snapshot>(Snapshot{
+  auto Fresh = std::make_shared<Snapshot>(Snapshot{
       Value.Index_, Value.SnapshotTerm_, Value.Members_, std::move(State)});
-  Disk_->saveSnapshot(*Snapshot_);
+  Disk_->saveSnapshot(*Fresh);
+  Snapshot_ = std::move(Fresh);
   Dirty_ = true;
   if (Extends) {
     Log_.dropThrough(Value.Index_);
--- a/tests/consensus/FileStorageTest.cpp
+++ b/tests/consensus/FileStorageTest.cpp
@@ -222,6 +222,58 @@
           StorageFault::FolderInUse);
 }
 
+TEST_CASE("a full disk leaves everything as it was, and goes on with room",
+          "[consensus][storage]") {
+  const DataFolder Folder;
+  bool Full = false;
+  FileHooks Hooks = systemFileHooks();
+  const FileHooks Real = Hooks;
+  // Half of what is written fits.
+  Hooks.Write_ = [&](int Fd, const void *Bytes, std::size_t Count) -> ssize_t {
+    if (!Full)
+      return Real.Write_(Fd, Bytes, Count);
+    if (Count > 1)
+      return Real.Write_(Fd, Bytes, Count / 2);
+    errno = ENOSPC;
+    return -1;
+  };
+  constexpr std::uint64_t SmallSegment = 200;
+  const FileStorageOptions Options{.Folder_ = Folder.path(),
+                                   .Hooks_ = Hooks,
+                                   .MaxSegmentBytes_ = SmallSegment};
+  {
+    const auto Disk = openFileStorage(Options);
+    Disk->recover();
+    Disk->append(makeRecord(1));
+    Disk->saveHardState({.Term_ = {1}, .VotedFor_ = {}});
+    Disk->sync();
+    std::uint64_t Next = 2;
+    // One round ends inside a segment, the others where one is full.
+    for (int Round = 0; Round < 6; ++Round) {
+      Disk->append(makeRecord(Next++));
+      Full = true;
+      CHECK(faultOf([&] { Disk->sync(); }) == StorageFault::DiskFull);
+      CHECK(faultOf([&] { Disk->saveHardState({.Term_ = {9}}); }) ==
+            StorageFault::DiskFull);
+      Full = false;
+      Disk->sync();
+    }
+    Full = true;
+    CHECK(faultOf([&] {
+            for (;; ++Next)
+              Disk->append(makeRecord(Next));
+          }) == StorageFault::DiskFull);
+    Full = false;
+    Disk->append(makeRecord(Next));
+    Disk->sync();
+  }
+  const Recovered Found = openFileStorage(Folder.path())->recover();
+  CHECK(Found.Hard_.Term_ == Term{1});
+  REQUIRE_FALSE(Found.Records_.empty());
+  for (std::size_t I = 0; I < Found.Records_.size(); ++I)
+    CHECK(Found.Records_[I].Index_ == LogIndex{I + 1});
+}
+
 TEST_CASE("failed system calls are typed", "[consensus][storage]") {
   struct Case {
     int Errno_;
--- a/tests/faults/ConsensusScenario.cpp
+++ b/tests/faults/ConsensusScenario.cpp
@@ -82,6 +82,8 @@
 
 void ConsensusScenario::observe() {
   Group_.OnDisk_ = [this](ReplicaId Id, DiskStep Reached, bool After) {
+    if (FullDiskOf_ == Id && !After)
+      throw StorageError(StorageFault::DiskFull, "test");
     if (FailSyncOf_ == Id && Reached == DiskStep::Sync && !After) {
       FailSyncOf_.reset();
       throw StorageError(StorageFault::CannotSync, "test");
@@ -177,6 +179,9 @@
   case Fault::TwoWayCut:
     cutFor(Id, true, true);
     break;
+  case Fault::DiskFull:
+    FullDiskOf_ = Id;
+    break;
   default:
     cutFor(Leader ? Leader->Id_ : Id, true, true);
   }
@@ -234,6 +239,7 @@
     Group_.loseDisk(*std::exchange(LoseDiskOf_, {}));
   if (EndsAt_ && *EndsAt_ <= Group_.now()) {
     EndsAt_.reset();
+    FullDiskOf_.reset();
     Group_.heal();
     for (Replica &Row : Group_.replicas())
       Row.Frozen_ = false;
@@ -252,6 +258,8 @@
     if (Row.Log_ && Row.Log_->role() == RaftRole::Leader)
       History_.leads(Row.Id_, Row.Log_->term(),
                      Row.Log_->holdsLeaderLease(Group_.localNow(Row)));
+  if (FullDiskOf_ && !Group_.replica(*FullDiskOf_).Log_)
+    History_.violated(Promise::Progress, "a full disk ended the process");
   if (Hooks_.Load_)
     Hooks_.Load_();
   else
--- a/tests/faults/ConsensusScenario.h
+++ b/tests/faults/ConsensusScenario.h
@@ -67,6 +67,7 @@
   std::optional<ReplicaId> Struck_;
   std::optional<ReplicaId> LoseDiskOf_;
   std::optional<ReplicaId> FailSyncOf_;
+  std::optional<ReplicaId> FullDiskOf_;
   std::optional<ReplicaId> SecondAt_;
   std::optional<TimePoint> EndsAt_;
   std::uint32_t SpecialMessages_ = 0;
--- a/tests/faults/FaultTable.h
+++ b/tests/faults/FaultTable.h
@@ -34,6 +34,7 @@
   TwoWayCut,
   DiskLost,
   SyncFailed,
+  DiskFull, ///< For a while; the process must stay up.
   TornWrite,
   ClockFast, ///< By 2%, and the leader is cut off.
   ClockSlow,
@@ -79,7 +80,7 @@
 
 template <> struct EnumTable<faults::Fault> {
   using Fault = faults::Fault;
-  static constexpr std::array<EnumName<Fault>, 15> Rows{{
+  static constexpr std::array<EnumName<Fault>, 16> Rows{{
       {Fault::KilledBefore, "killed before"},
       {Fault::KilledAfter, "killed after"},
       {Fault::FrozenPastLease, "frozen past the lease"},
@@ -90,6 +91,7 @@
       {Fault::TwoWayCut, "two-way cut"},
       {Fault::DiskLost, "disk lost"},
       {Fault::SyncFailed, "sync failed"},
+      {Fault::DiskFull, "disk full"},
       {Fault::TornWrite, "torn write"},
       {Fault::ClockFast, "clock 2% fast"},
       {Fault::ClockSlow, "clock 2% slow"},
