Start nothing without a lease

Change: starts stay due until the worker answers and enough of the lease is left; stops go on. Test: RunBookTest, 'without a lease nothing is started'.

--- a/include/dragonfly/agent/RunBook.h
+++ b/include/dragonfly/agent/RunBook.h
@@ -63,8 +63,9 @@
   /// Ends a run that was never ordered from the worker.
   void refuse(const jobs::RunName &Run);
 
-  /// Returns the calls that are due and marks them as open.
-  std::vector<DueCall> takeDueCalls(TimePoint Now);
+  /// Returns the calls that are due and marks them as open. Starts stay due
+  /// unless \p MayStart: without a lease the worker would refuse them.
+  std::vector<DueCall> takeDueCalls(TimePoint Now, bool MayStart);
   /// When the next call is due, or nothing.
   std::optional<TimePoint> nextCallAt() const;
   void startAnswered(TimePoint Now, const jobs::RunName &Run,
--- a/src/agent/RunBook.cpp
+++ b/src/agent/RunBook.cpp
@@ -51,10 +51,11 @@
   Each.NextCallAt_ = Now;
 }
 
-std::vector<DueCall> RunBook::takeDueCalls(TimePoint Now) {
+std::vector<DueCall> RunBook::takeDueCalls(TimePoint Now, bool MayStart) {
   std::vector<DueCall> Due;
   for (auto &[Run, Each] : Rows_) {
-    if (Each.CallOpen_ || Each.ConfirmedAt_ || Each.NextCallAt_ > Now)
+    if (Each.CallOpen_ || Each.ConfirmedAt_ || Each.NextCallAt_ > Now ||
+        (!MayStart && Each.Phase_ != RunPhase::Stopping))
       continue;
     Each.CallOpen_ = true;
     ++Each.Tries_;
--- a/src/agent/WorkerAgentCalls.cpp
+++ b/src/agent/WorkerAgentCalls.cpp
@@ -95,7 +95,11 @@
 void WorkerAgent::Impl::pump() {
   if (!mayCall() || !Lease_.knowsClock())
     return;
-  for (const DueCall &Due : Book_.takeDueCalls(Clock::now()))
+  const TimePoint Now = Clock::now();
+  // The lease may have run out since the order came, in a pause of this process
+  // or behind a cut.
+  const bool MayStart = !Silent_ && Lease_.left(Now) >= Options_.LeastLease_;
+  for (const DueCall &Due : Book_.takeDueCalls(Now, MayStart))
     if (Due.Kind_ == DueCall::Kind::Start)
       callStart(Due.Run_);
     else
--- a/tests/agent/RunBookTest.cpp
+++ b/tests/agent/RunBookTest.cpp
@@ -33,7 +33,7 @@
 RunBook ordered(const RunName &Run) {
   RunBook Book;
   Book.order(Start, order(Run));
-  REQUIRE(Book.takeDueCalls(Start).size() == 1);
+  REQUIRE(Book.takeDueCalls(Start, true).size() == 1);
   return Book;
 }
 
@@ -42,7 +42,7 @@
 TEST_CASE("an order is called once and reported until it ends",
           "[agent][runs]") {
   RunBook Book = ordered(run(1));
-  CHECK(Book.takeDueCalls(Start + seconds(1)).empty());
+  CHECK(Book.takeDueCalls(Start + seconds(1), true).empty());
   CHECK(Book.runReports().front().Phase_ == RunPhase::Starting);
   Book.startAnswered(Start, run(1), StartStatus::Started);
   CHECK(Book.runReports().front().Phase_ == RunPhase::Running);
@@ -59,6 +59,20 @@
   CHECK(Book.lastDurableEnd() == 1);
 }
 
+// Pattern: an agent is paused, or its worker is silent, between an order and its
+// call.
+TEST_CASE("without a lease nothing is started, and stops go on",
+          "[agent][runs]") {
+  RunBook Book;
+  Book.order(Start, order(run(1)));
+  Book.stop(Start, run(2));
+  const std::vector<DueCall> Due = Book.takeDueCalls(Start, false);
+  REQUIRE(Due.size() == 1);
+  CHECK(Due.front().Kind_ == DueCall::Kind::Stop);
+  CHECK(Book.takeDueCalls(Start, false).empty());
+  CHECK(Book.takeDueCalls(Start, true).size() == 1);
+}
+
 TEST_CASE("an end that is listed again counts once", "[agent][runs]") {
   RunBook Book = ordered(run(1));
   Book.startAnswered(Start, run(1), StartStatus::Started);
@@ -85,11 +99,11 @@
   RunBook Book = ordered(run(1));
   Book.startAnswered(Start, run(1), StartStatus::NoAnswer);
   const TimePoint Again = Start + milliseconds(200);
-  REQUIRE(Book.takeDueCalls(Again).size() == 1);
+  REQUIRE(Book.takeDueCalls(Again, true).size() == 1);
   Book.startAnswered(Again, run(1), StartStatus::NoRoom);
   CHECK(Book.pendingEnds() == 0);
 
-  const auto Due = Book.takeDueCalls(Again);
+  const auto Due = Book.takeDueCalls(Again, true);
   REQUIRE(Due.size() == 1);
   CHECK(Due.front().Kind_ == DueCall::Kind::Stop);
   Book.stopAnswered(Again, run(1), true);
@@ -109,10 +123,10 @@
   for (int Try = 0; Try < 2; ++Try) {
     Book.startAnswered(Now, run(1), StartStatus::NoAnswer);
     Now += milliseconds(200);
-    REQUIRE(Book.takeDueCalls(Now).front().Kind_ == DueCall::Kind::Start);
+    REQUIRE(Book.takeDueCalls(Now, true).front().Kind_ == DueCall::Kind::Start);
   }
   Book.startAnswered(Now, run(1), StartStatus::NoAnswer);
-  CHECK(Book.takeDueCalls(Now + seconds(1)).front().Kind_ ==
+  CHECK(Book.takeDueCalls(Now + seconds(1), true).front().Kind_ ==
         DueCall::Kind::Stop);
 }
 
@@ -122,26 +136,26 @@
   Book.listed(Start, Start, lists({{.Run_ = run(1)}}));
   Book.startAnswered(Start, run(1), StartStatus::NoAnswer);
   CHECK(Book.runReports().front().Phase_ == RunPhase::Running);
-  CHECK(Book.takeDueCalls(Start + seconds(1)).empty());
+  CHECK(Book.takeDueCalls(Start + seconds(1), true).empty());
 }
 
 TEST_CASE("a stop is repeated until the worker confirms it", "[agent][runs]") {
   RunBook Book = ordered(run(1));
   Book.startAnswered(Start, run(1), StartStatus::Started);
   Book.stop(Start, run(1));
-  REQUIRE(Book.takeDueCalls(Start).size() == 1);
+  REQUIRE(Book.takeDueCalls(Start, true).size() == 1);
   Book.stopAnswered(Start, run(1), false);
-  CHECK(Book.takeDueCalls(Start).empty());
-  REQUIRE(Book.takeDueCalls(Start + milliseconds(200)).size() == 1);
+  CHECK(Book.takeDueCalls(Start, true).empty());
+  REQUIRE(Book.takeDueCalls(Start + milliseconds(200), true).size() == 1);
   Book.stopAnswered(Start + milliseconds(200), run(1), true);
-  CHECK(Book.takeDueCalls(Start + seconds(2)).empty());
+  CHECK(Book.takeDueCalls(Start + seconds(2), true).empty());
 }
 
 TEST_CASE("a stop of a run that is not there keeps it from appearing",
           "[agent][runs]") {
   RunBook Book;
   Book.stop(Start, run(7));
-  REQUIRE(Book.takeDueCalls(Start).front().Kind_ == DueCall::Kind::Stop);
+  REQUIRE(Book.takeDueCalls(Start, true).front().Kind_ == DueCall::Kind::Stop);
   Book.stopAnswered(Start, run(7), true);
   Book.listed(Start + seconds(1), Start + milliseconds(1), lists({}));
   CHECK(Book.endReports().front().Run_ == run(7));
@@ -215,7 +229,7 @@
   Book.startAnswered(Start, run(1), StartStatus::Started);
   Book.listed(Start + seconds(2), Start + seconds(1), lists({}));
   CHECK(Book.pendingEnds() == 0);
-  REQUIRE(Book.takeDueCalls(Start + seconds(2)).front().Kind_ ==
+  REQUIRE(Book.takeDueCalls(Start + seconds(2), true).front().Kind_ ==
           DueCall::Kind::Stop);
 }
 
@@ -232,7 +246,7 @@
 TEST_CASE("an order that comes twice is one run", "[agent][runs]") {
   RunBook Book = ordered(run(1));
   Book.order(Start, order(run(1)));
-  CHECK(Book.takeDueCalls(Start).empty());
+  CHECK(Book.takeDueCalls(Start, true).empty());
   CHECK(Book.rows().size() == 1);
 }
 
