Accept all waiting peers in one turn; reconnect with growing pauses

After the leader froze, 160 agents and 34 entries connected to the new one at once. Each peer connected again at once, so that the queue of connections never emptied: 40 to 60 sessions a second came and went for 26 s, and entries that had no old connection got no answer (18 of 40), others all of them. Ruled out: a slow leader (its log has no gap over 50 ms, and half of all calls took 15 ms), elections (one leader from 3.1 to 31.9 s), lost records. A client's pause before it reconnects grows until the peer answers, and not only until it accepts.

--- a/include/dragonfly/net/FrameClient.h
+++ b/include/dragonfly/net/FrameClient.h
@@ -34,7 +34,8 @@
   Endpoint Peer_;
   Incarnation Self_;
   Duration ConnectTimeout_ = std::chrono::milliseconds(500);
-  /// Delay before the first reconnect; doubles up to MaxBackoff_.
+  /// Delay before the first reconnect; doubles up to MaxBackoff_ until the peer
+  /// answers, or keeps a connection for MaxBackoff_.
   Duration MinBackoff_ = std::chrono::milliseconds(20);
   Duration MaxBackoff_ = std::chrono::seconds(1);
   /// Bytes queued to the peer beyond which calls end as NeverSent.
--- a/include/dragonfly/net/FrameServer.h
+++ b/include/dragonfly/net/FrameServer.h
@@ -55,6 +55,8 @@
   void close();
   /// The port in use, where the options left it 0.
   Endpoint endpoint() const;
+  /// Number of open connections.
+  std::size_t connections() const;
 
 private:
   struct Impl;
--- a/src/net/FrameClient.cpp
+++ b/src/net/FrameClient.cpp
@@ -67,7 +67,7 @@
       return;
     }
     Link_ = Link::Open;
-    Backoff_ = Options_.MinBackoff_;
+    OpenedAt_ = Clock::now();
     Stream_ = std::make_shared<FrameStream>(
         std::move(Connecting_),
         FrameStream::Hooks{.OnFrame_ =
@@ -95,6 +95,8 @@
   }
 
   void disconnected() {
+    if (Stream_ && Clock::now() - OpenedAt_ >= Options_.MaxBackoff_)
+      Backoff_ = Options_.MinBackoff_;
     if (Stream_)
       Stream_->close();
     Stream_.reset();
@@ -118,6 +120,9 @@
 
   void take(wire::Frame Value) {
     LastHeard_ = Clock::now();
+    // Not once connected: a peer that is overloaded accepts connections and
+    // answers none of them in time.
+    Backoff_ = Options_.MinBackoff_;
     const auto It = Calls_.find(Value.Sequence_);
     if (It == Calls_.end()) {
       ++LateAnswers_;
@@ -243,6 +248,7 @@
   std::uint64_t LastSequence_ = 0;
   std::uint64_t LateAnswers_ = 0;
   TimePoint LastHeard_;
+  TimePoint OpenedAt_;
   std::unordered_map<std::uint64_t, Call> Calls_;
   std::set<std::pair<TimePoint, std::uint64_t>> Expiries_;
   std::vector<std::pair<std::uint64_t, std::string>> BeforeOpen_;
--- a/src/net/FrameServer.cpp
+++ b/src/net/FrameServer.cpp
@@ -64,13 +64,18 @@
         [Self = shared_from_this()](const auto &Fault, tcp::socket Socket) {
           if (!Self->Acceptor_.is_open())
             return;
-          if (!Fault && Self->Streams_.size() < Self->Options_.MaxConnections_)
+          if (!Fault)
             Self->open(std::move(Socket));
+          acceptWaiting(Self->Acceptor_,
+                        [&Self](tcp::socket Next) { Self->open(std::move(Next)); });
           Self->accept();
         });
   }
 
+  /// Beyond the bound the socket is closed at once.
   void open(tcp::socket Socket) {
+    if (Streams_.size() >= Options_.MaxConnections_)
+      return;
     // The stream owns its hooks; they refer to it weakly.
     auto Slot = std::make_shared<std::weak_ptr<FrameStream>>();
     auto Stream = std::make_shared<FrameStream>(
@@ -131,6 +136,10 @@
 
 void FrameServer::close() { Impl_->close(); }
 
+std::size_t FrameServer::connections() const {
+  return Impl_->Streams_.size();
+}
+
 Endpoint FrameServer::endpoint() const {
   return fromAsio(Impl_->Acceptor_.local_endpoint());
 }
--- a/tests/net/FrameClientTest.cpp
+++ b/tests/net/FrameClientTest.cpp
@@ -2,8 +2,12 @@
 #include "dragonfly/net/EventLoop.h"
 #include "dragonfly/net/FrameServer.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
 
+#include <functional>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -104,3 +108,65 @@
   }
   Clock::resume();
 }
+
+// Pattern: after a change of leader all agents and entries connect to the new one
+// at once, while its turns are long (large/scale-2).
+TEST_CASE("a busy server accepts all peers that wait in one turn",
+          "[net][frames]") {
+  EventLoop Loop;
+  std::size_t Received = 0;
+  FrameServer Server(Loop,
+                     {.Listen_ = AnyPort,
+                      .Self_ = {2},
+                      .OnMessage_ = [&](auto, auto) { ++Received; }});
+  constexpr std::size_t Peers = 100;
+  boost::asio::io_context Elsewhere;
+  std::vector<boost::asio::ip::tcp::socket> Sockets;
+  for (std::size_t I = 0; I < Peers; ++I) {
+    Sockets.emplace_back(Elsewhere);
+    Sockets.back().connect({boost::asio::ip::make_address("127.0.0.1"),
+                            Server.endpoint().Port_});
+  }
+  // Ten other handlers run in each turn of the loop.
+  constexpr std::size_t Others = 10;
+  constexpr std::size_t Turns = 5;
+  std::function<void()> Work = [&] {
+    boost::asio::post(Loop.context(), Work);
+  };
+  for (std::size_t I = 0; I < Others; ++I)
+    Work();
+  for (std::size_t I = 0; I < Others * Turns; ++I)
+    Loop.context().run_one();
+  CHECK(Server.connections() == Peers);
+}
+
+// Pattern: an overloaded leader accepts connections and answers in none of them
+// within the time that callers give it.
+TEST_CASE("a peer that accepts and never answers is tried less and less often",
+          "[net][frames]") {
+  Clock::pause(TimePoint(1s));
+  {
+    EventLoop Loop;
+    std::size_t Received = 0;
+    FrameServer Server(Loop,
+                       {.Listen_ = AnyPort,
+                        .Self_ = {2},
+                        .OnMessage_ = [&](auto, auto) { ++Received; }});
+    FrameClient Client(Loop, {.Peer_ = Server.endpoint(), .Self_ = {1}});
+    std::size_t Connections = 0;
+    bool WasConnected = false;
+    for (int Step = 0; Step < 2000; ++Step) {
+      if (Client.connected() && Client.pendingCalls() == 0)
+        Client.call(wire::FetchLists{}, 50ms, [](const CallResult &) {});
+      for (int Polls = 0; Polls < 20; ++Polls)
+        Loop.poll();
+      Connections += !WasConnected && Client.connected() ? 1 : 0;
+      WasConnected = Client.connected();
+      Clock::advance(5ms);
+    }
+    // Ten seconds: some tries at first, then about one a second.
+    CHECK(Connections >= 10);
+    CHECK(Connections <= 20);
+  }
+  Clock::resume();
+}
