--- /dev/null
+++ b/tests/platform/HostileBodiesTest.cpp
@@ -0,0 +1,120 @@
+/// Bodies that other writers might send: whatever they hold, they are read or
+/// refused with a typed fault, and end no process.
+#include "dragonfly/base/Log.h"
+#include "dragonfly/base/Random.h"
+#include "dragonfly/jobs/Configuration.h"
+#include "platform/CallerMessages.h"
+#include "platform/ConfigurationMessages.h"
+#include "platform/Json.h"
+#include "platform/WorkerMessages.h"
+
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace dragonfly::platform {
+namespace {
+
+struct Reader {
+  std::string Name_;
+  std::function<void(const std::string &Body)> Read_;
+  std::string Whole_;
+};
+
+std::vector<Reader> readers() {
+  return {
+      {"job", [](const std::string &Body) { parseJob(Body); },
+       R"({"Spec":"text","Steps":[{"Count":4,"Cpu":500,"MemMb":256,)"
+       R"("EstimateMs":900,"DataRack":"r1-3","Image":"a","TargetMs":20},)"
+       R"({"Count":20,"Cpu":2000,"MemMb":1024,"DependsOn":[0],)"
+       R"("Checkpointing":true,"Fills":true,"AntiAffinity":2}]})"},
+      {"configuration",
+       [](const std::string &Body) { parseConfiguration(Body); },
+       R"({"Version":7,"Routes":[{"Name":"r","Host":"a.example",)"
+       R"("PathPrefix":"/p/","Kind":"unsafe","TimeoutMs":3000,"Priority":2,)"
+       R"("Service":"s","MaxAttempts":4,"SlackFactor":2.2}],)"
+       R"("Services":[{"Name":"s","HealthPath":"/healthz"}],"Limits":{}})"},
+      {"heartbeat",
+       [](const std::string &Body) {
+         parseHeartbeat("i-1", Body, "127.0.0.1:80");
+       },
+       R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Version":"v1",)"
+       R"("Slots":8,"State":"ready","Capacity":{"Cpu":16000,"MemMb":32768},)"
+       R"("Labels":["a"],"ClockMs":482113,"Sequence":4,"born":17})"},
+      {"lists", [](const std::string &Body) { parseHoldAnswer(Body); },
+       R"({"ClockMs":4,"born":17,"Running":[["5c0e7a21d94b36f8.0.1.17",2,)"
+       R"("00ab",41,120]],"Finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,)"
+       R"("done",""]]})"},
+      {"answer to a start",
+       [](const std::string &Body) { parseStartAnswer(409, Body); },
+       R"({"ClockMs":482113,"Reason":"fence"})"},
+  };
+}
+
+/// Changes some bytes or numbers of \p Body.
+std::string damage(std::string Body, RandomEngine &Random) {
+  static const std::vector<std::string> Pieces{
+      "-1",  "1e400", "18446744073709551616", "null", "[]",   "{}", "\"",
+      "[[[", "true",  "0.5",                  "\\u0000", "\xff", ",",  ":"};
+  const std::uint64_t Changes = 1 + Random() % 3;
+  for (std::uint64_t I = 0; I < Changes && !Body.empty(); ++I) {
+    const std::size_t At = Random() % Body.size();
+    switch (Random() % 4) {
+    case 0:
+      Body[At] = static_cast<char>(Random());
+      break;
+    case 1:
+      Body.erase(At, 1 + Random() % 8);
+      break;
+    case 2:
+      Body.insert(At, Pieces[Random() % Pieces.size()]);
+      break;
+    default:
+      Body.resize(At);
+    }
+  }
+  return Body;
+}
+
+} // namespace
+
+TEST_CASE("a damaged body is read or refused with a typed fault",
+          "[platform][hostile]") {
+  configureLog({.Sink_ = [](std::string_view) {}});
+  constexpr int Bodies = 4000;
+  for (const Reader &Each : readers()) {
+    RandomEngine Random(11);
+    Each.Read_(Each.Whole_);
+    for (int I = 0; I < Bodies; ++I) {
+      const std::string Body = damage(Each.Whole_, Random);
+      INFO(Each.Name_ << ": " << Body);
+      try {
+        Each.Read_(Body);
+      } catch (const Error &Fault) {
+        CHECK_FALSE(Fault.type().empty());
+      } catch (const std::exception &Fault) {
+        FAIL_CHECK("untyped: " << Fault.what());
+      }
+    }
+  }
+}
+
+// A job of 256 steps of 10,000 tasks is 300 bytes of JSON a step, and would have
+// taken more memory than a process of control has.
+TEST_CASE("a small body cannot ask for more tasks than control can hold",
+          "[platform][hostile]") {
+  std::string Body = R"({"Steps":[)";
+  for (int Step = 0; Step < 3; ++Step)
+    Body += std::string(Step == 0 ? "" : ",") + R"({"Count":10000,"Cpu":1})";
+  Body += "]}";
+  try {
+    parseJob(Body);
+    FAIL_CHECK("accepted");
+  } catch (const BodyError &Fault) {
+    CHECK(Fault.code() == BodyFault::OutOfRange);
+  }
+}
+
+} // namespace dragonfly::platform
