Make placement cost what has changed; keep it from crowding out the rest

Change: a worker is described again only when its report, its runs or what is proposed for it change; images that serve are numbered and each pair's loss is asked for once a placement; changes are gathered for 10 ms, and pauses are four times as long as the placement took.

--- a/include/dragonfly/decide/JobPlacement.h
+++ b/include/dragonfly/decide/JobPlacement.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -89,19 +90,16 @@
   /// Losses of headroom that differ by less are taken for equal: what caution
   /// adds to a pair that costs nothing.
   double DisturbanceStep_ = 0.3;
-  /// Returns how much headroom a run of \p Image with \p Share of a worker's
-  /// processors takes from runs of \p Serving.
-  std::function<double(std::string_view Serving, std::string_view Image,
-                       double Share)>
-      Loss_;
+  /// Returns how much headroom runs of \p Image take from runs of \p Serving
+  /// for a whole worker's processors. Asked once for each pair.
+  std::function<double(std::string_view Serving, std::string_view Image)> Loss_;
 };
 
 /// Workers, with what has been placed on them so far.
 class JobPlacement {
 public:
   JobPlacement(std::vector<PlacementWorker> Workers,
-               JobPlacementOptions Options)
-      : Options_(std::move(Options)), Workers_(std::move(Workers)) {}
+               JobPlacementOptions Options);
 
   /// Returns the worker for \p Task and reserves its need there, or nothing
   /// where no worker has room.
@@ -115,19 +113,37 @@
 private:
   struct Rank;
 
+  /// Headroom that a task takes from each image that serves, for a whole
+  /// worker's processors, by the number of the image.
+  using Losses = std::vector<double>;
+
+  std::size_t numberOf(const std::string &Image);
+  const Losses &lossesBy(std::string_view Image);
+  /// What the task takes from the job \p Serving on the worker \p Index.
+  double lossOf(std::size_t Index, std::size_t Serving,
+                const PlacementNeed &Task, const Losses &ByImage) const;
   std::int64_t spareOf(const PlacementWorker &Row) const;
-  /// What the run would leave to the jobs that serve there, at worst.
-  double headroomAfter(const PlacementWorker &Row,
-                       const PlacementNeed &Task) const;
-  std::int64_t disturbanceOf(const PlacementWorker &Row,
-                             const PlacementNeed &Task) const;
-  bool hasRoom(const PlacementWorker &Row, const PlacementNeed &Task) const;
+  /// True where each job that serves there keeps \p Least headroom.
+  bool leavesHeadroom(std::size_t Index, const PlacementNeed &Task,
+                      const Losses &ByImage, double Least) const;
+  std::int64_t disturbanceOf(std::size_t Index, const PlacementNeed &Task,
+                             const Losses &ByImage) const;
+  bool hasRoom(std::size_t Index, const PlacementNeed &Task,
+               const Losses &ByImage) const;
   bool isAllowed(std::size_t Index, const PlacementNeed &Task) const;
-  Rank rankOf(const PlacementWorker &Row, const PlacementNeed &Task) const;
-  void commit(PlacementWorker &Row, const PlacementNeed &Task) const;
+  Rank rankOf(std::size_t Index, const PlacementNeed &Task,
+              const Losses &ByImage) const;
+  void commit(std::size_t Index, const PlacementNeed &Task,
+              const Losses &ByImage);
 
   JobPlacementOptions Options_;
   std::vector<PlacementWorker> Workers_;
+  /// Images that serve anywhere, numbered, so that no names are compared while
+  /// workers are.
+  std::map<std::string, std::size_t> ImageNumbers_;
+  /// For each worker the numbers of the images in `Serving_`.
+  std::vector<std::vector<std::size_t>> ServingImages_;
+  std::map<std::string, Losses, std::less<>> LossesByImage_;
 };
 
 } // namespace dragonfly::decide
--- a/include/dragonfly/jobs/JobTable.h
+++ b/include/dragonfly/jobs/JobTable.h
@@ -136,6 +136,8 @@
   /// Derived.
   std::int64_t ServingRuns_ = 0;
   std::int64_t ServingMilliProcessors_ = 0;
+  /// Grows whenever a run is added or removed. Derived.
+  std::uint64_t RunsVersion_ = 0;
 
   template <typename Archive> void serialize(Archive &Ar) { Ar(Life_, Fence_); }
 };
--- a/src/control/JobDispatcher.cpp
+++ b/src/control/JobDispatcher.cpp
@@ -19,6 +19,12 @@
 
 /// How often runs are compared with the state of their jobs.
 constexpr Duration StopCheckPeriod = std::chrono::milliseconds(100);
+/// Changes are gathered for so long before tasks are placed: it takes a look at
+/// every worker, and starts and ends come in hundreds a second.
+constexpr Duration LeastPlacePeriod = std::chrono::milliseconds(10);
+/// Pauses between placements are this many times as long as the last one took,
+/// so that reports and callers are served however many tasks wait.
+constexpr int PauseFactor = 4;
 /// Placement runs this often even where nothing is known to have changed.
 constexpr Duration PlacePeriod = std::chrono::milliseconds(200);
 /// A run without progress for so long stands still: on a worker that is six
@@ -53,48 +59,66 @@
     StopCheckAt_ = Now + StopCheckPeriod;
     stopUnwanted(Now);
   }
-  const bool Changed =
-      Sessions_.takeChanged() || std::exchange(Changed_, false);
-  if (!Changed && Now < PlaceAgainAt_)
+  if (Sessions_.takeChanged())
+    Changed_ = true;
+  if (Now < (Changed_ ? PlaceFrom_ : PlaceAgainAt_))
     return;
-  PlaceAgainAt_ = Now + PlacePeriod;
+  Changed_ = false;
+  const TimePoint Began = Clock::now();
   place(Now, LogTime);
+  const Duration Took = Clock::now() - Began;
+  PlaceFrom_ = Now + std::max(LeastPlacePeriod, PauseFactor * Took);
+  PlaceAgainAt_ = std::max(Now + PlacePeriod, PlaceFrom_);
 }
 
 std::vector<decide::PlacementWorker> JobDispatcher::openWorkers(TimePoint Now) {
-  std::map<std::string, std::vector<RunName>> Proposed;
-  for (const auto &[Run, Start] : Proposed_)
-    Proposed[Start.Worker_].push_back(Run);
   std::vector<decide::PlacementWorker> Workers;
   for (const auto &[Name, Session] : Sessions_.rows()) {
     const jobs::WorkerRow *Row = Table_.findWorker(Name);
     if (!Session.open() || Row == nullptr)
       continue;
-    std::vector<RunName> Planned(Row->Runs_.begin(), Row->Runs_.end());
-    jobs::WorkerRow Held{.Reserved_ = Row->Reserved_,
-                         .SpareMilliProcessors_ = Row->SpareMilliProcessors_,
-                         .ServingMilliProcessors_ =
-                             Row->ServingMilliProcessors_};
-    for (const RunName &Run : Proposed[Name]) {
-      const JobRow *Job = Table_.find(Run.Task_.Job_);
-      if (Job == nullptr || Row->Runs_.contains(Run))
-        continue;
-      jobs::reserve(Held, Job->Spec_.Steps_[Run.Task_.Step_], 1);
-      Planned.push_back(Run);
-    }
-    Workers.push_back({.Name_ = Name,
-                       .Service_ = Session.Hello_.Service_,
-                       .Labels_ = Session.Hello_.Labels_,
-                       .Capacity_ = Session.Hello_.Capacity_,
-                       .Reserved_ = Held.Reserved_,
-                       .ServingMilliProcessors_ = Held.ServingMilliProcessors_,
-                       .SpareMilliProcessors_ = Held.SpareMilliProcessors_,
-                       .Serving_ = Loads_.serving(Now, Session, Planned),
-                       .Suspect_ = Suspicion_.isSuspect(Now, Name)});
+    KnownWorker &Known = KnownWorkers_[Name];
+    if (Known.Session_ != Session.Number_ ||
+        Known.HeardAt_ != Session.HeardAt_ ||
+        Known.RunsVersion_ != Row->RunsVersion_ ||
+        Known.ProposedVersion_ != ProposedVersions_[Name])
+      Known = {.Session_ = Session.Number_,
+               .HeardAt_ = Session.HeardAt_,
+               .RunsVersion_ = Row->RunsVersion_,
+               .ProposedVersion_ = ProposedVersions_[Name],
+               .Worker_ = describe(Now, Session, *Row)};
+    Known.Worker_.Suspect_ = Suspicion_.isSuspect(Now, Name);
+    Workers.push_back(Known.Worker_);
   }
   return Workers;
 }
 
+/// The worker with what runs there and what has been proposed for it.
+decide::PlacementWorker
+JobDispatcher::describe(TimePoint Now, const WorkerSession &Session,
+                        const jobs::WorkerRow &Row) const {
+  const std::string &Name = Session.Hello_.Worker_;
+  std::vector<RunName> Planned(Row.Runs_.begin(), Row.Runs_.end());
+  jobs::WorkerRow Held{.Reserved_ = Row.Reserved_,
+                       .SpareMilliProcessors_ = Row.SpareMilliProcessors_,
+                       .ServingMilliProcessors_ = Row.ServingMilliProcessors_};
+  for (const auto &[Run, Start] : Proposed_) {
+    const JobRow *Job = Table_.find(Run.Task_.Job_);
+    if (Start.Worker_ != Name || Job == nullptr || Row.Runs_.contains(Run))
+      continue;
+    jobs::reserve(Held, Job->Spec_.Steps_[Run.Task_.Step_], 1);
+    Planned.push_back(Run);
+  }
+  return {.Name_ = Name,
+          .Service_ = Session.Hello_.Service_,
+          .Labels_ = Session.Hello_.Labels_,
+          .Capacity_ = Session.Hello_.Capacity_,
+          .Reserved_ = Held.Reserved_,
+          .ServingMilliProcessors_ = Held.ServingMilliProcessors_,
+          .SpareMilliProcessors_ = Held.SpareMilliProcessors_,
+          .Serving_ = Loads_.serving(Now, Session, Planned)};
+}
+
 /// True where the job would stand still although there is room for it.
 bool JobDispatcher::isStarved(TimePoint Now, const JobRow &Job) {
   const bool Idle =
@@ -186,9 +210,9 @@
   if (Work.empty())
     return;
   decide::JobPlacement Placement(
-      openWorkers(Now), {.Loss_ = [this](std::string_view Serving,
-                                         std::string_view Image, double Share) {
-        return Loads_.loss(Serving, Image, Share);
+      openWorkers(Now),
+      {.Loss_ = [this](std::string_view Serving, std::string_view Image) {
+        return Loads_.lossPerWorker(Serving, Image);
       }});
   Resources Capacity;
   Resources Reserved;
@@ -197,6 +221,12 @@
     Reserved += Row.Reserved_;
   }
   HasIdleHalf_ = Reserved.MilliProcessors_ * 2 < Capacity.MilliProcessors_;
+  std::erase_if(KnownWorkers_, [this](const auto &Each) {
+    return !Sessions_.rows().contains(Each.first);
+  });
+  std::erase_if(ProposedVersions_, [this](const auto &Each) {
+    return !Sessions_.rows().contains(Each.first);
+  });
   std::erase_if(IdleSince_, [this](const auto &Each) {
     const JobRow *Job = Table_.find(Each.first);
     return Job == nullptr || !Job->active();
@@ -342,6 +372,7 @@
                             const std::string &Worker) {
   const WorkerSession &Session = Sessions_.rows().at(Worker);
   Proposed_[Run] = {.Worker_ = Worker, .Session_ = Session.Number_};
+  ++ProposedVersions_[Worker];
   const std::size_t Index = Batch_.rows().Starts_.size();
   const jobs::StartRow Row{
       .Run_ = std::move(Run), .Worker_ = Worker, .Fence_ = Session.Fence_};
@@ -355,6 +386,7 @@
   Batch_.whenDone([this, Now, Row, Index, Number = Session.Number_](
                       JobBatch::Status, const JobOutcomes *Outcomes) {
     Proposed_.erase(Row.Run_);
+    ++ProposedVersions_[Row.Worker_];
     Changed_ = true;
     if (Outcomes != nullptr)
       started(Now, Row, Number, Outcomes->Starts_.at(Index) != 0);
--- a/src/control/JobDispatcher.h
+++ b/src/control/JobDispatcher.h
@@ -26,6 +26,8 @@
 
   void lead() {
     Proposed_.clear();
+    ProposedVersions_.clear();
+    KnownWorkers_.clear();
     IdleSince_.clear();
     Changed_ = true;
   }
@@ -43,6 +45,15 @@
     std::uint64_t Session_ = 0;
   };
 
+  /// A worker as it was described last, and what that rests on.
+  struct KnownWorker {
+    std::uint64_t Session_ = 0;
+    TimePoint HeardAt_;
+    std::uint64_t RunsVersion_ = 0;
+    std::uint64_t ProposedVersion_ = 0;
+    decide::PlacementWorker Worker_;
+  };
+
   void place(TimePoint Now, Duration LogTime);
   void placeStep(TimePoint Now, const jobs::ReadyStep &Ready,
                  decide::JobPlacement &Placement);
@@ -65,6 +76,8 @@
                   const decide::PlacementNeed &Need);
   void logSummary(TimePoint Now, const decide::JobPlacement &Placement);
   std::vector<decide::PlacementWorker> openWorkers(TimePoint Now);
+  decide::PlacementWorker describe(TimePoint Now, const WorkerSession &Session,
+                                   const jobs::WorkerRow &Row) const;
   bool isStarved(TimePoint Now, const jobs::JobRow &Job);
   /// What a job has for placement to do.
   struct JobWork {
@@ -89,6 +102,10 @@
   JobBatch &Batch_;
   Metrics &Counts_;
   std::map<jobs::RunName, ProposedStart> Proposed_;
+  /// By worker: grows whenever its part of `Proposed_` changes.
+  std::map<std::string, std::uint64_t> ProposedVersions_;
+  /// What was described of each worker, until anything of it changes.
+  std::map<std::string, KnownWorker> KnownWorkers_;
   decide::WorkerSuspicion Suspicion_;
   /// Jobs with a step that is due and nothing on a worker, and since when.
   std::map<std::string, TimePoint> IdleSince_;
@@ -96,6 +113,9 @@
   bool HasIdleHalf_ = false;
   bool Changed_ = true;
   TimePoint StopCheckAt_;
+  /// Placement may run from the first time on where something has changed, and
+  /// runs at the second one anyway.
+  TimePoint PlaceFrom_;
   TimePoint PlaceAgainAt_;
   TimePoint SummaryAt_;
   /// Lines about waiting tasks that may still be written before the next
--- a/src/control/WorkerLoads.h
+++ b/src/control/WorkerLoads.h
@@ -27,9 +27,10 @@
   serving(TimePoint Now, const WorkerSession &Session,
           const std::vector<jobs::RunName> &Planned) const;
 
-  double loss(std::string_view Serving, std::string_view Image,
-              double Share) const {
-    return Tails_.loss(Serving, {.Image_ = Image, .Share_ = Share});
+  /// What runs of \p Image take from the headroom of \p Serving for a whole
+  /// worker's processors.
+  double lossPerWorker(std::string_view Serving, std::string_view Image) const {
+    return Tails_.loss(Serving, {.Image_ = Image, .Share_ = 1});
   }
 
   /// Starts from what an earlier leader has learnt.
--- a/src/control/WorkerSessions.cpp
+++ b/src/control/WorkerSessions.cpp
@@ -114,6 +114,10 @@
       Stream.End_(Options_.Refuse_());
       return;
     }
+    // The agent gave up while the record was on its way, and has opened
+    // another stream, which may be the newer session already.
+    if (!Stream.Connected_())
+      return;
     WorkerSession &Session = Rows_[Hello.Worker_];
     detach(Session);
     Session.Hello_ = Hello;
--- a/src/decide/JobPlacement.cpp
+++ b/src/decide/JobPlacement.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 #include <compare>
-#include <limits>
-#include <numeric>
 #include <set>
 
 namespace dragonfly::decide {
@@ -24,13 +22,6 @@
          Task.StepRuns_[Index] < Task.MaxPerWorker_;
 }
 
-std::set<std::string_view> imagesOf(const PlacementWorker &Row) {
-  std::set<std::string_view> Images;
-  for (const ServingJob &Serving : Row.Serving_)
-    Images.insert(Serving.Image_);
-  return Images;
-}
-
 bool hasRequiredLabel(const PlacementWorker &Row, const PlacementNeed &Task) {
   return Task.RequiredLabel_.empty() || hasLabel(Row, Task.RequiredLabel_);
 }
@@ -52,6 +43,41 @@
   auto operator<=>(const Rank &) const = default;
 };
 
+JobPlacement::JobPlacement(std::vector<PlacementWorker> Workers,
+                           JobPlacementOptions Options)
+    : Options_(std::move(Options)), Workers_(std::move(Workers)),
+      ServingImages_(Workers_.size()) {
+  for (std::size_t Index = 0; Index < Workers_.size(); ++Index)
+    for (const ServingJob &Serving : Workers_[Index].Serving_)
+      ServingImages_[Index].push_back(numberOf(Serving.Image_));
+}
+
+std::size_t JobPlacement::numberOf(const std::string &Image) {
+  const auto [It, IsNew] =
+      ImageNumbers_.try_emplace(Image, ImageNumbers_.size());
+  if (IsNew)
+    LossesByImage_.clear();
+  return It->second;
+}
+
+const JobPlacement::Losses &JobPlacement::lossesBy(std::string_view Image) {
+  const auto Known = LossesByImage_.find(Image);
+  if (Known != LossesByImage_.end())
+    return Known->second;
+  Losses &Row = LossesByImage_[std::string(Image)];
+  Row.resize(ImageNumbers_.size());
+  for (const auto &[Serving, Number] : ImageNumbers_)
+    Row[Number] = Options_.Loss_(Serving, Image);
+  return Row;
+}
+
+double JobPlacement::lossOf(std::size_t Index, std::size_t Serving,
+                            const PlacementNeed &Task,
+                            const Losses &ByImage) const {
+  return ByImage[ServingImages_[Index][Serving]] *
+         shareOf(Workers_[Index], Task);
+}
+
 /// Processors that are neither used by reservations nor wanted by others, in
 /// thousandths.
 std::int64_t JobPlacement::spareOf(const PlacementWorker &Row) const {
@@ -63,40 +89,40 @@
          LeftByServing - Row.SpareMilliProcessors_;
 }
 
-double JobPlacement::headroomAfter(const PlacementWorker &Row,
-                                   const PlacementNeed &Task) const {
-  double Least = std::numeric_limits<double>::max();
-  for (const ServingJob &Serving : Row.Serving_)
-    Least = std::min(Least, Serving.Headroom_ -
-                                Options_.Loss_(Serving.Image_, Task.Image_,
-                                               shareOf(Row, Task)));
-  return Least;
+bool JobPlacement::leavesHeadroom(std::size_t Index, const PlacementNeed &Task,
+                                  const Losses &ByImage, double Least) const {
+  const std::vector<ServingJob> &Jobs = Workers_[Index].Serving_;
+  for (std::size_t Serving = 0; Serving < Jobs.size(); ++Serving)
+    if (Jobs[Serving].Headroom_ - lossOf(Index, Serving, Task, ByImage) < Least)
+      return false;
+  return true;
 }
 
 /// The headroom that the run takes from all jobs that serve there, in steps.
-std::int64_t JobPlacement::disturbanceOf(const PlacementWorker &Row,
-                                         const PlacementNeed &Task) const {
-  const double Lost =
-      std::accumulate(Row.Serving_.begin(), Row.Serving_.end(), 0.0,
-                      [&](double Sum, const ServingJob &Serving) {
-                        return Sum + Options_.Loss_(Serving.Image_, Task.Image_,
-                                                    shareOf(Row, Task));
-                      });
+std::int64_t JobPlacement::disturbanceOf(std::size_t Index,
+                                         const PlacementNeed &Task,
+                                         const Losses &ByImage) const {
+  double Lost = 0;
+  for (std::size_t Serving = 0; Serving < Workers_[Index].Serving_.size();
+       ++Serving)
+    Lost += lossOf(Index, Serving, Task, ByImage);
   return static_cast<std::int64_t>(Lost / Options_.DisturbanceStep_);
 }
 
-bool JobPlacement::hasRoom(const PlacementWorker &Row,
-                           const PlacementNeed &Task) const {
+bool JobPlacement::hasRoom(std::size_t Index, const PlacementNeed &Task,
+                           const Losses &ByImage) const {
+  const PlacementWorker &Row = Workers_[Index];
   Resources Reserve = Task.Need_;
-  if (Task.UsesSpareProcessors_) {
-    const double Least =
-        Task.Moves_ ? Options_.GoodHeadroom_ : Options_.LeastHeadroom_;
-    if (!Task.MayCrowd_ && (spareOf(Row) < Task.Need_.MilliProcessors_ ||
-                            headroomAfter(Row, Task) < Least))
-      return false;
+  if (Task.UsesSpareProcessors_)
     Reserve.MilliProcessors_ = 0;
-  }
-  return (Row.Reserved_ + Reserve).fitsIn(Row.Capacity_);
+  if (!(Row.Reserved_ + Reserve).fitsIn(Row.Capacity_))
+    return false;
+  if (!Task.UsesSpareProcessors_ || Task.MayCrowd_)
+    return true;
+  const double Least =
+      Task.Moves_ ? Options_.GoodHeadroom_ : Options_.LeastHeadroom_;
+  return spareOf(Row) >= Task.Need_.MilliProcessors_ &&
+         leavesHeadroom(Index, Task, ByImage, Least);
 }
 
 bool JobPlacement::isAllowed(std::size_t Index,
@@ -132,8 +158,10 @@
   return Count;
 }
 
-JobPlacement::Rank JobPlacement::rankOf(const PlacementWorker &Row,
-                                        const PlacementNeed &Task) const {
+JobPlacement::Rank JobPlacement::rankOf(std::size_t Index,
+                                        const PlacementNeed &Task,
+                                        const Losses &ByImage) const {
+  const PlacementWorker &Row = Workers_[Index];
   Rank Result{.Avoided_ = Row.Name_ == Task.Avoid_,
               .Suspect_ = Row.Suspect_,
               .FarFromData_ =
@@ -141,14 +169,18 @@
   if (Task.Serves_) {
     // Each image that serves keeps some batch images away: a place beside the
     // same image costs none, and one beside many images fewer than a free one.
-    const std::set<std::string_view> Images = imagesOf(Row);
-    Result.BadCompany_ = !Images.contains(Task.Image_);
+    const std::set<std::size_t> Images(ServingImages_[Index].begin(),
+                                       ServingImages_[Index].end());
+    const auto Own = ImageNumbers_.find(std::string(Task.Image_));
+    Result.BadCompany_ =
+        Own == ImageNumbers_.end() || !Images.contains(Own->second);
     Result.Demand_ = -static_cast<std::int64_t>(Images.size());
     Result.Fit_ =
         Row.Capacity_.MilliProcessors_ - Row.Reserved_.MilliProcessors_;
   } else if (Task.UsesSpareProcessors_) {
-    Result.BadCompany_ = headroomAfter(Row, Task) < Options_.GoodHeadroom_;
-    Result.Disturbance_ = disturbanceOf(Row, Task);
+    Result.BadCompany_ =
+        !leavesHeadroom(Index, Task, ByImage, Options_.GoodHeadroom_);
+    Result.Disturbance_ = disturbanceOf(Index, Task, ByImage);
     // Any image can use a worker where nothing serves.
     Result.Demand_ = Row.Serving_.empty() ? 1 : 0;
     Result.Fit_ = -spareOf(Row);
@@ -161,30 +193,32 @@
 }
 
 std::optional<std::size_t> JobPlacement::place(const PlacementNeed &Task) {
+  static const Losses None;
+  const Losses &ByImage =
+      Task.UsesSpareProcessors_ ? lossesBy(Task.Image_) : None;
   std::optional<std::size_t> Best;
   Rank BestRank;
   for (std::size_t Index = 0; Index < Workers_.size(); ++Index) {
-    const PlacementWorker &Row = Workers_[Index];
-    if (!isAllowed(Index, Task) || !hasRoom(Row, Task))
+    if (!isAllowed(Index, Task) || !hasRoom(Index, Task, ByImage))
       continue;
-    const Rank Candidate = rankOf(Row, Task);
+    const Rank Candidate = rankOf(Index, Task, ByImage);
     if (!Best || Candidate < BestRank) {
       Best = Index;
       BestRank = Candidate;
     }
   }
   if (Best)
-    commit(Workers_[*Best], Task);
+    commit(*Best, Task, ByImage);
   return Best;
 }
 
-void JobPlacement::commit(PlacementWorker &Row,
-                          const PlacementNeed &Task) const {
+void JobPlacement::commit(std::size_t Index, const PlacementNeed &Task,
+                          const Losses &ByImage) {
+  PlacementWorker &Row = Workers_[Index];
   Resources Reserve = Task.Need_;
   if (Task.UsesSpareProcessors_) {
-    for (ServingJob &Serving : Row.Serving_)
-      Serving.Headroom_ -=
-          Options_.Loss_(Serving.Image_, Task.Image_, shareOf(Row, Task));
+    for (std::size_t Serving = 0; Serving < Row.Serving_.size(); ++Serving)
+      Row.Serving_[Serving].Headroom_ -= lossOf(Index, Serving, Task, ByImage);
     Row.SpareMilliProcessors_ += Reserve.MilliProcessors_;
     Reserve.MilliProcessors_ = 0;
   }
@@ -192,6 +226,7 @@
   if (Task.Serves_) {
     Row.ServingMilliProcessors_ += Reserve.MilliProcessors_;
     Row.Serving_.push_back({.Image_ = std::string(Task.Image_)});
+    ServingImages_[Index].push_back(numberOf(Row.Serving_.back().Image_));
   }
 }
 
--- a/src/jobs/JobTable.cpp
+++ b/src/jobs/JobTable.cpp
@@ -227,15 +227,19 @@
                       const std::string &Worker) {
   WorkerRow &Row = Workers_[Worker];
   Row.Life_.Worker_ = Worker;
-  if (Row.Runs_.insert(Run).second)
-    reserve(Row, Job.Spec_.Steps_[Run.Task_.Step_], 1);
+  if (!Row.Runs_.insert(Run).second)
+    return;
+  ++Row.RunsVersion_;
+  reserve(Row, Job.Spec_.Steps_[Run.Task_.Step_], 1);
 }
 
 void JobTable::removeRun(const JobRow &Job, const RunName &Run,
                          const std::string &Worker) {
   WorkerRow &Row = Workers_[Worker];
-  if (Row.Runs_.erase(Run) > 0)
-    reserve(Row, Job.Spec_.Steps_[Run.Task_.Step_], -1);
+  if (Row.Runs_.erase(Run) == 0)
+    return;
+  ++Row.RunsVersion_;
+  reserve(Row, Job.Spec_.Steps_[Run.Task_.Step_], -1);
 }
 
 } // namespace dragonfly::jobs
--- a/tests/decide/JobPlacementTest.cpp
+++ b/tests/decide/JobPlacementTest.cpp
@@ -39,8 +39,8 @@
 /// "noisy" takes 14 times its share of a worker from the headroom of what
 /// serves.
 JobPlacementOptions options() {
-  return {.Loss_ = [](std::string_view, std::string_view Image, double Share) {
-    return Image == "noisy" ? 14 * Share : 0.0;
+  return {.Loss_ = [](std::string_view, std::string_view Image) {
+    return Image == "noisy" ? 14.0 : 0.0;
   }};
 }
 
