Repeat failed pre-votes and split votes sooner

A replica that has just started refuses votes for an election timeout, and a candidate that was refused, or whose vote was split, waited 0.5 to 1 s more. Ruled out: recovery of the log (processes listen 30 ms after they start). Change: a pre-vote is repeated after a quarter of the wait, a vote after half.

--- a/src/consensus/Election.cpp
+++ b/src/consensus/Election.cpp
@@ -4,6 +4,11 @@
 
 namespace dragonfly::consensus {
 
+/// Pre-votes and votes are repeated after these parts of what a follower waits:
+/// a pre-vote takes a round trip, a vote a few syncs as well.
+static constexpr int PreVoteRetryShare = 4;
+static constexpr int VoteRetryShare = 2;
+
 void RaftCore::tickElection() {
   if (Now_ < ElectionAt_)
     return;
@@ -34,6 +39,11 @@
 
 void RaftCore::campaign(bool Pre) {
   Role_ = Pre ? RaftRole::PreCandidate : RaftRole::Candidate;
+  // Those who refuse a pre-vote since they have just started or heard a leader
+  // will soon grant it; a vote that is split is tried again soon as well.
+  restartElectionTimer();
+  ElectionAt_ =
+      Now_ + (ElectionAt_ - Now_) / (Pre ? PreVoteRetryShare : VoteRetryShare);
   if (!Pre) {
     Hard_ = {{Hard_.Term_.Value_ + 1}, Options_.Self_};
     HardDirty_ = true;
--- a/tests/consensus/ReplicatedLogTest.cpp
+++ b/tests/consensus/ReplicatedLogTest.cpp
@@ -133,6 +133,28 @@
   REQUIRE(Group.leader()->Applied_.size() == 101);
 }
 
+// Pattern: all VMs lose power and come back within half a second, and callers
+// wait for the first leader (large/trouble-1).
+TEST_CASE("a group that comes back bit by bit has a leader within two election "
+          "timeouts of the last replica",
+          "[consensus][log]") {
+  constexpr std::uint64_t Seeds = 40;
+  constexpr Duration Apart = 110ms;
+  const Duration Bound = 2 * ReplicatedLogOptions().ElectionTimeout_;
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    INFO("seed " << Seed);
+    LogCluster Group({.Replicas_ = 5, .Seed_ = Seed});
+    awaitLeader(Group);
+    for (Replica &Row : Group.replicas()) {
+      Group.kill(Row.Id_, false);
+      Row.RestartAt_ =
+          Group.now() + Apart * static_cast<std::int64_t>(Row.Id_.Value_);
+    }
+    Group.run(Apart * 5);
+    CHECK(Group.runUntil([&] { return Group.leader() != nullptr; }, Bound));
+  }
+}
+
 TEST_CASE("a replica that lost its folder neither votes nor campaigns",
           "[consensus][membership]") {
   LogCluster Group({.Seed_ = 13});
