Hand leadership over when a replica stops; sessions outlive late greetings

Ruled out: slow elections (three round trips); it is the wait of an election timeout. Change: a leader that stops gives up its lease for the rest of the term, takes nothing more, and asks a voter that has every committed record to campaign at once; voters need not wait for the old lease then. Without a taker it steps down after an election timeout. New messages stand at the end of the variant, so that replicas of the version before pass over them. Also: the greeting of an agent's process that has gone could raise the worker's fence and leave the newer session without orders; that session is ended, and attaches again.

--- a/include/dragonfly/base/Event.h
+++ b/include/dragonfly/base/Event.h
@@ -65,6 +65,7 @@
   SnapshotInstalled = 4007,
   DiskFull = 4008,
   DiskHasRoom = 4009,
+  LeadershipTransferred = 4010,
   // agent
   AgentReady = 5001,
   AgentDraining = 5002,
--- a/include/dragonfly/consensus/ReplicatedLog.h
+++ b/include/dragonfly/consensus/ReplicatedLog.h
@@ -108,6 +108,11 @@
   /// there is room.
   void tick(TimePoint Now);
 
+  /// Hands leadership over to a follower that has every record, within an
+  /// election timeout. From now on this replica refuses proposals and holds no
+  /// lease. Has no effect where it does not lead.
+  void transferLeadership();
+
   /// Takes bytes that a peer's Send hook was given.
   void receive(TimePoint Now, ReplicaId From, std::string_view Bytes);
 
--- a/src/consensus/Commit.cpp
+++ b/src/consensus/Commit.cpp
@@ -8,7 +8,7 @@
 static constexpr std::uint64_t MaxPromotionLagRecords = 1000;
 
 void RaftCore::propose(std::string Command, ProposeHandler Done) {
-  if (Role_ != RaftRole::Leader) {
+  if (Role_ != RaftRole::Leader || TransferBegan_) {
     later([Done = std::move(Done)] { Done({}); });
     return;
   }
@@ -45,10 +45,10 @@
 void RaftCore::changeMember(Member Target, bool Remove, ProposeHandler Done) {
   if (!Target.Store_ && Observed_.contains(Target.Id_))
     Target.Store_ = Observed_[Target.Id_];
-  if (Role_ != RaftRole::Leader || !changeIsAllowed(Target, Remove)) {
-    const ProposeStatus Status = Role_ == RaftRole::Leader
-                                     ? ProposeStatus::Refused
-                                     : ProposeStatus::NotLeader;
+  const bool Leads = Role_ == RaftRole::Leader && !TransferBegan_;
+  if (!Leads || !changeIsAllowed(Target, Remove)) {
+    const ProposeStatus Status =
+        Leads ? ProposeStatus::Refused : ProposeStatus::NotLeader;
     later([Done = std::move(Done), Status] { Done({Status, {}, {}}); });
     return;
   }
--- a/src/consensus/Election.cpp
+++ b/src/consensus/Election.cpp
@@ -15,7 +15,7 @@
   restartElectionTimer();
   Leader_ = {};
   if (mayCampaign())
-    campaign(/*Pre=*/true);
+    campaign(Campaign::PreVote);
 }
 
 bool RaftCore::mayCampaign() const {
@@ -37,7 +37,8 @@
   ElectionAt_ = Now_ + Options_.ElectionTimeout_ + Duration(Extra(Random_));
 }
 
-void RaftCore::campaign(bool Pre) {
+void RaftCore::campaign(Campaign Kind) {
+  const bool Pre = Kind == Campaign::PreVote;
   Role_ = Pre ? RaftRole::PreCandidate : RaftRole::Candidate;
   // Those who refuse a pre-vote since they have just started or heard a leader
   // will soon grant it; a vote that is split is tried again soon as well.
@@ -51,10 +52,16 @@
   Votes_.clear();
   Votes_[Options_.Self_] = Store_;
   const Term Asked{Hard_.Term_.Value_ + (Pre ? 1 : 0)};
-  for (const Member &Row : members())
-    if (Row.Voter_ && !isSelf(Row))
+  for (const Member &Row : members()) {
+    if (!Row.Voter_ || isSelf(Row))
+      continue;
+    if (Kind == Campaign::Transfer)
+      post(Row.Id_, Row.Store_,
+           TransferVoteRequest{Asked, Log_.lastIndex(), Log_.lastTerm()});
+    else
       post(Row.Id_, Row.Store_,
            VoteRequest{Asked, Pre, Log_.lastIndex(), Log_.lastTerm()});
+  }
   countVotes();
 }
 
@@ -67,7 +74,7 @@
   if (!Won)
     return;
   if (Role_ == RaftRole::PreCandidate)
-    campaign(/*Pre=*/false);
+    campaign(Campaign::Vote);
   else if (Role_ == RaftRole::Candidate)
     becomeLeader();
 }
@@ -77,6 +84,7 @@
   if (NewTerm > Hard_.Term_)
     adoptTerm(NewTerm);
   Role_ = RaftRole::Follower;
+  TransferBegan_.reset();
   Leader_ = NewLeader;
   restartElectionTimer();
   if (!Led)
@@ -122,13 +130,37 @@
 }
 
 void RaftCore::on(ReplicaId From, StoreId Store, const VoteRequest &Value) {
+  answerVote(From, Store, Value, /*IsTransfer=*/false);
+}
+
+void RaftCore::on(ReplicaId From, StoreId Store,
+                  const TransferVoteRequest &Value) {
+  answerVote(From, Store,
+             {.Term_ = Value.Term_,
+              .LastIndex_ = Value.LastIndex_,
+              .LastTerm_ = Value.LastTerm_},
+             /*IsTransfer=*/true);
+}
+
+/// Campaigns at once where the leader of this term asks for it.
+void RaftCore::on(ReplicaId From, StoreId /*Store*/,
+                  const LeadershipTransfer &Value) {
+  if (Value.Term_ == Hard_.Term_ && Role_ == RaftRole::Follower &&
+      Leader_ == From && mayCampaign())
+    campaign(Campaign::Transfer);
+}
+
+/// The leader that transfers its place holds no lease, so that its followers
+/// need not keep their votes until that has run out.
+void RaftCore::answerVote(ReplicaId From, StoreId Store,
+                          const VoteRequest &Value, bool IsTransfer) {
   const Member *Row = Members_.find(From);
   const bool Empty = !Value.LastIndex_;
   if (Empty && Row && Row->Store_ && Row->Store_ != Store) {
     post(From, Store, StoreMismatch{Row->Store_});
     return;
   }
-  bool Granted = !hearsLeader() && isUpToDate(Value);
+  bool Granted = (IsTransfer || !hearsLeader()) && isUpToDate(Value);
   if (Granted && !Value.Pre_ && Value.Term_ > Hard_.Term_)
     becomeFollower(Value.Term_, {});
   Granted = Granted && (Value.Term_ > Hard_.Term_ ||
--- a/src/consensus/RaftCodec.cpp
+++ b/src/consensus/RaftCodec.cpp
@@ -58,6 +58,16 @@
   Ar(Value.Member_);
 }
 
+template <typename Archive>
+void serialize(Archive &Ar, LeadershipTransfer &Value) {
+  Ar(Value.Term_);
+}
+
+template <typename Archive>
+void serialize(Archive &Ar, TransferVoteRequest &Value) {
+  Ar(Value.Term_, Value.LastIndex_, Value.LastTerm_);
+}
+
 template <typename Archive> void serialize(Archive &Ar, HardState &Value) {
   Ar(Value.Term_, Value.VotedFor_);
 }
--- a/src/consensus/RaftCore.h
+++ b/src/consensus/RaftCore.h
@@ -67,6 +67,7 @@
   void propose(std::string Command, ProposeHandler Done);
   void readBarrier(ReadHandler Done);
   void changeMember(Member Target, bool Remove, ProposeHandler Done);
+  void transferLeadership();
 
   void visitUnapplied(
       const std::function<void(std::string_view Command)> &Visit) const;
@@ -118,13 +119,18 @@
   bool hearsLeader() const;
   void exclude(StoreId Member);
   void restartElectionTimer();
-  void campaign(bool Pre);
+  enum class Campaign : std::uint8_t { PreVote, Vote, Transfer };
+  void campaign(Campaign Kind);
+  void answerVote(ReplicaId From, StoreId Store, const VoteRequest &Value,
+                  bool IsTransfer);
   void countVotes();
   void becomeFollower(Term NewTerm, ReplicaId NewLeader);
   void becomeLeader();
   bool isUpToDate(const VoteRequest &Asked) const;
   void on(ReplicaId From, StoreId Store, const VoteRequest &Value);
   void on(ReplicaId From, StoreId Store, const VoteReply &Value);
+  void on(ReplicaId From, StoreId Store, const LeadershipTransfer &Value);
+  void on(ReplicaId From, StoreId Store, const TransferVoteRequest &Value);
   void on(ReplicaId From, StoreId Store, const StoreMismatch &Value);
 
   // Replication.cpp
@@ -142,6 +148,7 @@
   bool followLeader(ReplicaId From, Term LeaderTerm);
   static bool isWellFormed(const AppendRequest &Value);
   bool hearsQuorum() const;
+  void tickTransfer();
 
   // SnapshotTransfer.cpp
   void sendChunk(const Member &Row, Peer &To);
@@ -190,6 +197,9 @@
   /// Stores that members were seen with, where they differ from their rows.
   std::map<ReplicaId, StoreId> Observed_;
   LogIndex TermStart_;
+  /// Since when this leader hands over; it takes and decides nothing more.
+  std::optional<TimePoint> TransferBegan_;
+  bool TransferSent_ = false;
   std::uint64_t Round_ = 0;
   std::map<LogIndex, Pending> Pending_;
   std::vector<Barrier> Barriers_;
--- a/src/consensus/RaftMessages.h
+++ b/src/consensus/RaftMessages.h
@@ -87,9 +87,25 @@
   StoreId Member_;
 };
 
+/// Asks a follower to campaign at once: its leader stops, and has given up its
+/// lease for the rest of the term.
+struct LeadershipTransfer {
+  Term Term_;
+};
+
+/// Asks for a vote after a `LeadershipTransfer`: the voter need not wait until
+/// it has not heard the leader for an election timeout.
+struct TransferVoteRequest {
+  Term Term_;
+  LogIndex LastIndex_;
+  Term LastTerm_;
+};
+
+/// New messages go to the end: replicas of the version before pass over them.
 using RaftMessage =
     std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply,
-                 InstallRequest, InstallReply, StoreMismatch>;
+                 InstallRequest, InstallReply, StoreMismatch,
+                 LeadershipTransfer, TransferVoteRequest>;
 
 /// A message with the data folders between which it goes; `To_` 0 is any.
 struct Envelope {
--- a/src/consensus/ReplicatedLog.cpp
+++ b/src/consensus/ReplicatedLog.cpp
@@ -35,6 +35,8 @@
   Impl_->Core_.changeMember(std::move(Target), Remove, std::move(Done));
 }
 
+void ReplicatedLog::transferLeadership() { Impl_->Core_.transferLeadership(); }
+
 void ReplicatedLog::visitUnapplied(
     const std::function<void(std::string_view Command)> &Visit) const {
   Impl_->Core_.visitUnapplied(Visit);
--- a/src/consensus/Replication.cpp
+++ b/src/consensus/Replication.cpp
@@ -17,6 +17,38 @@
   for (const Member &Row : members())
     if (!isSelf(Row))
       replicateTo(Row, Peers_.at(Row.Id_));
+  if (TransferBegan_)
+    tickTransfer();
+}
+
+void RaftCore::transferLeadership() {
+  if (Role_ != RaftRole::Leader || TransferBegan_)
+    return;
+  TransferBegan_ = Now_;
+  TransferSent_ = false;
+}
+
+/// Asks a voter that has everything to campaign. The lease stays given up for
+/// the rest of the term, since the request may arrive at any time.
+void RaftCore::tickTransfer() {
+  if (Now_ - *TransferBegan_ >= Options_.ElectionTimeout_) {
+    becomeFollower(Hard_.Term_, {});
+    return;
+  }
+  if (TransferSent_ || Commit_ != Log_.lastIndex())
+    return;
+  const auto Next = std::ranges::find_if(members(), [this](const Member &Row) {
+    const auto Found = Peers_.find(Row.Id_);
+    return Row.Voter_ && !isSelf(Row) && Found != Peers_.end() &&
+           Found->second.Match_ == Log_.lastIndex() &&
+           followsClosely(Found->second);
+  });
+  if (Next == members().end())
+    return;
+  TransferSent_ = true;
+  logEvent(Event::LeadershipTransferred,
+           {{"replica", Options_.Self_.Value_}, {"to", Next->Id_.Value_}});
+  post(Next->Id_, Next->Store_, LeadershipTransfer{Hard_.Term_});
 }
 
 /// A leader that has not been acknowledged by a quorum for a whole election
@@ -35,7 +67,7 @@
 /// what the clocks of two replicas may differ by.
 bool RaftCore::holdsLeaderLease(TimePoint Now) const {
   constexpr std::int64_t Thousand = 1000;
-  if (Role_ != RaftRole::Leader)
+  if (Role_ != RaftRole::Leader || TransferBegan_)
     return false;
   const std::int64_t Permille =
       Thousand - 2 * static_cast<std::int64_t>(Options_.DriftPermille_);
--- a/src/control/Control.cpp
+++ b/src/control/Control.cpp
@@ -232,6 +232,7 @@
   void stop(std::function<void(bool)> OnStopped) {
     Stopping_ = true;
     OnStopped_ = std::move(OnStopped);
+    Service_.transferLeadership();
     StopBy_ = Clock::now() + Settings_.Process_.StopBound_;
     Frames_.stopAccepting();
     Http_.stopAccepting();
@@ -243,7 +244,9 @@
 
   void continueStop() {
     const TimePoint Now = Clock::now();
-    const bool Answered = OpenRequests_ == 0 || Now >= SettledAt_;
+    const bool Leads =
+        Service_.log().role() == consensus::RaftRole::Leader;
+    const bool Answered = (OpenRequests_ == 0 && !Leads) || Now >= SettledAt_;
     const bool Settled = Answered && OperatorCalls_ == 0;
     if (!Settled && Now < StopBy_)
       return;
--- a/src/control/WorkerSessions.cpp
+++ b/src/control/WorkerSessions.cpp
@@ -114,16 +114,21 @@
       Stream.End_(Options_.Refuse_());
       return;
     }
+    WorkerSession &Session = Rows_[Hello.Worker_];
+    const std::uint64_t Fence = Outcomes->Fences_.at(Index);
     // The agent gave up while the record was on its way, and has opened
-    // another stream, which may be the newer session already.
-    if (!Stream.Connected_())
+    // another stream. That may be the newer session already; it goes on unless
+    // the record has raised the fence.
+    if (!Stream.Connected_()) {
+      if (Session.Fence_ != Fence)
+        detach(Session);
       return;
-    WorkerSession &Session = Rows_[Hello.Worker_];
+    }
     detach(Session);
     Session.Hello_ = Hello;
     Session.Stream_ = Stream;
     Session.Number_ = ++LastNumber_;
-    Session.Fence_ = Outcomes->Fences_.at(Index);
+    Session.Fence_ = Fence;
     Session.HeardAt_ = Now;
     Session.LeaseUntil_ = std::max(Session.LeaseUntil_, Now + longestLease());
     logEvent(Event::WorkerAttached, {{"worker", Hello.Worker_},
--- a/tests/consensus/ReplicatedLogTest.cpp
+++ b/tests/consensus/ReplicatedLogTest.cpp
@@ -155,6 +155,39 @@
   }
 }
 
+// Pattern: a planned restart of each VM in turn, the leader among them.
+TEST_CASE("a leader that stops hands over within a few round trips",
+          "[consensus][log]") {
+  constexpr std::uint64_t Seeds = 20;
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    INFO("seed " << Seed);
+    LogCluster Group({.Replicas_ = 5, .Seed_ = Seed});
+    Replica &Old = awaitLeader(Group);
+    REQUIRE(proposeAt(Group, Old, "before").Status_ ==
+            ProposeStatus::Committed);
+    Old.Log_->transferLeadership();
+    CHECK_FALSE(Old.Log_->holdsLeaderLease(Group.now()));
+    CHECK(proposeAt(Group, Old, "refused").Status_ == ProposeStatus::NotLeader);
+    CHECK(Group.runUntil(
+        [&] { return Group.leader() != nullptr && Group.leader() != &Old; },
+        100ms));
+    REQUIRE(proposeAt(Group, awaitLeader(Group), "after").Status_ ==
+            ProposeStatus::Committed);
+    requireSameState(Group);
+    CHECK(Old.Applied_ == std::vector<std::string>{"before", "after"});
+  }
+}
+
+TEST_CASE("a leader whose hand-over finds nobody steps down",
+          "[consensus][log]") {
+  LogCluster Group({.Seed_ = 5});
+  Replica &Old = awaitLeader(Group);
+  Old.Log_->transferLeadership();
+  Group.isolate(Old.Id_);
+  Group.run(ReplicatedLogOptions().ElectionTimeout_ + 10ms);
+  CHECK(Old.Log_->role() != RaftRole::Leader);
+}
+
 TEST_CASE("a replica that lost its folder neither votes nor campaigns",
           "[consensus][membership]") {
   LogCluster Group({.Seed_ = 13});
--- a/tests/control/JobServiceTest.cpp
+++ b/tests/control/JobServiceTest.cpp
@@ -91,6 +91,20 @@
     return *Answer;
   }
 
+  /// Sends the greeting of a process on a connection that is closed already.
+  void greetAndVanish(std::uint64_t Born, std::uint64_t Process) {
+    Cluster_.node(Cluster_.leader())
+        .attachWorker(Cluster_.now(),
+                      {.Worker_ = Worker_,
+                       .Born_ = Born,
+                       .Agent_ = {Process},
+                       .Service_ = "sorting"},
+                      {.Part_ = [](const wire::Message &) {},
+                       .End_ = [](const wire::Message &) {},
+                       .Connected_ = [] { return false; }});
+    Cluster_.run(milliseconds(200));
+  }
+
   /// Attaches and tells that nothing runs.
   void join() {
     attach();
@@ -346,6 +360,77 @@
   CHECK(Agent.fence() > Second);
 }
 
+// Pattern: agents that were killed or gave up while the leader was frozen; their
+// first messages are read after those of their successors.
+TEST_CASE("the greeting of an agent that has gone harms no later session",
+          "[control][jobs]") {
+  JobCluster On;
+  TestAgent Agent(On, "w1");
+  Agent.attach(10, 2);
+  Agent.report(true);
+  const std::uint64_t Session = Agent.session();
+  // The same process, on a connection that it has closed.
+  Agent.greetAndVanish(10, 2);
+  CHECK_FALSE(Agent.ended());
+  CHECK(Agent.session() == Session);
+  // An earlier process: the fence has grown, so that the agent has to attach
+  // again before it is given anything.
+  Agent.greetAndVanish(10, 1);
+  CHECK(Agent.ended());
+  Agent.attach(10, 2);
+  Agent.report(true);
+  On.submit({step()});
+  CHECK(Agent.takeStarts().size() == 1);
+}
+
+// Pattern: an agent is silent or slow to report for a while, and attaches again.
+TEST_CASE("a worker that was silent for less than its lease keeps its runs",
+          "[control][jobs]") {
+  JobCluster On;
+  TestAgent Silent(On, "w1");
+  Silent.join();
+  On.submit({step()});
+  REQUIRE(Silent.takeStarts().size() == 1);
+  REQUIRE(Silent.report(false, {run()}));
+  Silent.disconnect();
+  TestAgent Other(On, "w2");
+  Other.join();
+  On.run(seconds(3));
+  Silent.attach();
+  REQUIRE(Silent.report(true, {run()}));
+  for (std::uint32_t Progress = 1; Progress <= 10; ++Progress) {
+    Silent.setSpeed(run(), 100, Progress);
+    REQUIRE(Silent.report(false, {run()}));
+    Other.report(false);
+  }
+  CHECK(Silent.stops().empty());
+  CHECK(Silent.takeStarts().empty());
+  CHECK(Other.takeStarts().empty());
+  REQUIRE(Silent.report(false, {}, {end(run())}));
+  CHECK(On.state() == JobState::Completed);
+}
+
+// Pattern: a worker leaves, and then every process of control restarts.
+TEST_CASE("a worker that has left is not used after a restart",
+          "[control][jobs]") {
+  JobCluster On;
+  TestAgent Left(On, "w1");
+  Left.join();
+  On.askLeader<wire::WorkerReportAck>(
+      wire::WorkerGone{.Worker_ = "w1", .Born_ = 10});
+  for (std::size_t I = 0; I < 3; ++I)
+    On.kill(I);
+  for (std::size_t I = 0; I < 3; ++I)
+    On.start(I);
+  On.run(seconds(3));
+  On.submit({step()});
+  On.run(seconds(1));
+  CHECK(Left.takeStarts().empty());
+  TestAgent Present(On, "w2");
+  Present.join();
+  CHECK(Present.takeStarts().size() == 1);
+}
+
 TEST_CASE("a report under an earlier session does nothing", "[control][jobs]") {
   JobCluster On;
   TestAgent Old(On, "w1");
--- a/tests/faults/ConsensusScenario.cpp
+++ b/tests/faults/ConsensusScenario.cpp
@@ -23,6 +23,7 @@
 constexpr std::uint64_t LoadPeriodSteps = 7;
 constexpr std::uint64_t ReadPeriodSteps = 11;
 constexpr std::uint64_t OperatorPeriodSteps = 50;
+constexpr std::uint64_t HandOverPeriodSteps = 400;
 constexpr std::uint32_t LostMessages = 3;
 constexpr std::uint32_t DoubledMessages = 30;
 constexpr std::int64_t FastPermille = 1020;
@@ -260,6 +261,10 @@
                      Row.Log_->holdsLeaderLease(Group_.localNow(Row)));
   if (FullDiskOf_ && !Group_.replica(*FullDiskOf_).Log_)
     History_.violated(Promise::Progress, "a full disk ended the process");
+  if (Hooks_.HandsOver_ && Steps_ % HandOverPeriodSteps == 0)
+    for (Replica &Row : Group_.replicas())
+      if (Row.Log_ && !Row.Frozen_)
+        Row.Log_->transferLeadership();
   if (Hooks_.Load_)
     Hooks_.Load_();
   else
--- a/tests/faults/ConsensusScenario.h
+++ b/tests/faults/ConsensusScenario.h
@@ -22,6 +22,8 @@
   /// Tells at which commands a fault at apply may strike.
   std::function<bool(std::string_view Command)> StrikesAt_;
   std::size_t SnapshotEveryRecords_ = 25;
+  /// Leaders hand over again and again, and go on running.
+  bool HandsOver_ = false;
 };
 
 class ConsensusScenario {
