Do not take a run for stalled after silence

Ruled out: the lease, which had 0.6 s left. Change: after a gap of a second, a silent worker or a new session, progress counts from then on.

--- a/src/control/WorkerSessions.cpp
+++ b/src/control/WorkerSessions.cpp
@@ -17,6 +17,8 @@
 /// Runs slower than this share of full speed, in percent, may show no progress
 /// for long.
 constexpr std::uint32_t LeastProgressSpeed = 50;
+/// Reports come every 0.4 s; after a longer gap than this the worker was silent.
+constexpr Duration LongestReportGap = std::chrono::milliseconds(1000);
 /// Runs at this speed or less, in percent, count as slowed down.
 constexpr std::uint32_t SlowedSpeed = 50;
 /// Sessions of one term are numbered below this.
@@ -24,6 +26,13 @@
 
 } // namespace
 
+void WorkerSession::hear(TimePoint Now) {
+  if (Now - HeardAt_ >= LongestReportGap || Silent_)
+    for (auto &[Run, Info] : Runs_)
+      Info.ProgressAt_ = Now;
+  HeardAt_ = Now;
+}
+
 Duration WorkerSessions::longestLease() const {
   return Options_.WorkerLeaseTerm_ +
          Options_.WorkerLeaseTerm_ * Options_.DriftPermille_ / 1000 +
@@ -129,7 +138,7 @@
     Session.Stream_ = Stream;
     Session.Number_ = ++LastNumber_;
     Session.Fence_ = Fence;
-    Session.HeardAt_ = Now;
+    Session.hear(Now);
     Session.LeaseUntil_ = std::max(Session.LeaseUntil_, Now + longestLease());
     logEvent(Event::WorkerAttached, {{"worker", Hello.Worker_},
                                      {"born", Hello.Born_},
@@ -244,7 +253,7 @@
 /// returns for how long.
 Duration WorkerSessions::takeState(TimePoint Now, WorkerSession &Session,
                                    const wire::WorkerReport &Report) {
-  Session.HeardAt_ = Now;
+  Session.hear(Now);
   if (Session.Draining_ != Report.Draining_ ||
       Session.Silent_ != Report.Silent_)
     Changed_ = true;
--- a/src/control/WorkerSessions.h
+++ b/src/control/WorkerSessions.h
@@ -43,6 +43,9 @@
   TimePoint SentAt_;
   std::map<jobs::RunName, RunInfo> Runs_;
 
+  /// Notes that the agent was heard. After silence nobody can tell whether runs
+  /// stood still meanwhile, so that they do not count as stalled.
+  void hear(TimePoint Now);
   bool attached() const { return Number_ != 0; }
   /// True where new runs may be placed.
   bool open() const {
