--- a/tests/consensus/ReplicatedLogTest.cpp
+++ b/tests/consensus/ReplicatedLogTest.cpp
@@ -163,6 +163,8 @@
     INFO("seed " << Seed);
     LogCluster Group({.Replicas_ = 5, .Seed_ = Seed});
     Replica &Old = awaitLeader(Group);
+    // One follower lags and cannot be reached.
+    Group.isolate({Old.Id_.Value_ == 1 ? 2U : 1U});
     REQUIRE(proposeAt(Group, Old, "before").Status_ ==
             ProposeStatus::Committed);
     Old.Log_->transferLeadership();
@@ -171,6 +173,7 @@
     CHECK(Group.runUntil(
         [&] { return Group.leader() != nullptr && Group.leader() != &Old; },
         100ms));
+    Group.heal();
     REQUIRE(proposeAt(Group, awaitLeader(Group), "after").Status_ ==
             ProposeStatus::Committed);
     requireSameState(Group);
--- /dev/null
+++ b/tests/entry/JobGatewayTest.cpp
@@ -0,0 +1,186 @@
+/// What callers are told of a submission, for each way in which replicas of
+/// control take it: on real connections, with the clock paused.
+#include "dragonfly/entry/JobGateway.h"
+
+#include "dragonfly/base/Log.h"
+#include "dragonfly/net/EventLoop.h"
+#include "dragonfly/net/FrameServer.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace dragonfly::entry {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// What a replica does with a submission.
+enum class Answer : std::uint8_t {
+  Accept,
+  Reject,       ///< It leads, and says that the job was not accepted.
+  RefuseLeader, ///< It knows of no leader.
+  Nothing,      ///< It takes the job, and its answer is lost.
+  Close         ///< It takes the job and dies.
+};
+
+class FakeReplica {
+public:
+  FakeReplica(net::EventLoop &Loop, Answer Kind) : Kind_(Kind) {
+    Server_ = std::make_unique<net::FrameServer>(
+        Loop,
+        net::FrameServerOptions{
+            .Listen_ = {.Address_ = "127.0.0.1", .Port_ = 0},
+            .Self_ = {2},
+            .OnMessage_ = [this](wire::Message Request, net::FrameReplier To) {
+              take(Request, To);
+            }});
+    Address_ = Server_->endpoint().text();
+  }
+
+  const std::string &address() const { return Address_; }
+  /// True where it took the job and its answer was lost.
+  bool hasTaken() const {
+    return Submissions_ > 0 &&
+           (Kind_ == Answer::Nothing || Kind_ == Answer::Close);
+  }
+
+private:
+  void take(const wire::Message &Request, net::FrameReplier &To) {
+    if (std::holds_alternative<wire::FetchGroup>(Request)) {
+      To.answer(wire::Group{});
+      return;
+    }
+    if (!std::holds_alternative<wire::SubmitJob>(Request))
+      return;
+    ++Submissions_;
+    switch (Kind_) {
+    case Answer::Accept:
+      To.answer(wire::JobReply{.Status_ = wire::JobStatus::Accepted});
+      return;
+    case Answer::Reject:
+      To.answer(wire::JobReply{.Status_ = wire::JobStatus::Rejected});
+      return;
+    case Answer::RefuseLeader:
+      To.answer(wire::Refusal{.Reason_ = Reason::NoQuorum});
+      return;
+    case Answer::Nothing:
+      return;
+    case Answer::Close:
+      Server_->close();
+      return;
+    }
+  }
+
+  Answer Kind_;
+  std::unique_ptr<net::FrameServer> Server_;
+  std::string Address_;
+  std::size_t Submissions_ = 0;
+};
+
+/// Submits one job to replicas and tells how it ended, and after how long.
+struct Submission {
+  JobAnswer Answer_ = JobAnswer::Unknown;
+  Duration Took_{};
+  /// A replica took the job, and its answer was lost.
+  bool IsLost_ = false;
+};
+
+Submission submitTo(const std::vector<Answer> &Kinds) {
+  configureLog({.Sink_ = [](std::string_view) {}});
+  Clock::pause(TimePoint(seconds(100)));
+  Submission Result;
+  {
+    net::EventLoop Loop;
+    std::vector<std::unique_ptr<FakeReplica>> Replicas;
+    std::vector<std::string> Seeds;
+    for (const Answer Kind : Kinds) {
+      Replicas.push_back(std::make_unique<FakeReplica>(Loop, Kind));
+      Seeds.push_back(Replicas.back()->address());
+    }
+    link::LeaderClient Leader(Loop, {.Self_ = {1}, .Seeds_ = Seeds});
+    Metrics Counts;
+    JobGateway Gateway(Leader, Counts, {});
+    std::optional<JobResult> Ended;
+    const TimePoint Began = Clock::now();
+    Gateway.submit({.Job_ = "5c0e7a21d94b36f8"}, seconds(3),
+                   [&](const JobResult &Value) { Ended = Value; });
+    constexpr int Polls = 30;
+    constexpr int Steps = 800;
+    for (int Step = 0; !Ended && Step < Steps; ++Step) {
+      for (int I = 0; I < Polls; ++I)
+        Loop.poll();
+      Clock::advance(milliseconds(5));
+    }
+    REQUIRE(Ended);
+    Result.Answer_ = Ended->Answer_;
+    Result.Took_ = Clock::now() - Began;
+    Result.IsLost_ = std::ranges::any_of(
+        Replicas, [](const auto &Replica) { return Replica->hasTaken(); });
+  }
+  Clock::resume();
+  return Result;
+}
+
+struct Case {
+  const char *Name_;
+  std::vector<Answer> Replicas_;
+  /// Where no answer was lost on the way; otherwise it is unknown.
+  JobAnswer Told_;
+  Duration Within_;
+};
+
+} // namespace
+
+TEST_CASE("a caller is told that a job has not run only where that is certain",
+          "[entry][jobs][outcome]") {
+  // A caller's time of 3 s leaves 2.55 s; a wait for a leader takes 250 ms.
+  const Case Cases[]{
+      {"a leader accepts", {Answer::Accept}, JobAnswer::Accepted,
+       milliseconds(100)},
+      {"a leader rejects", {Answer::Reject}, JobAnswer::RefusedNotRun,
+       milliseconds(100)},
+      {"nobody knows a leader",
+       {Answer::RefuseLeader, Answer::RefuseLeader},
+       JobAnswer::RefusedNotRun,
+       milliseconds(400)},
+      {"the answer of the only one is lost", {Answer::Nothing},
+       JobAnswer::Unknown, milliseconds(2700)},
+      {"an answer is lost, and the others know no leader",
+       {Answer::Nothing, Answer::RefuseLeader, Answer::RefuseLeader},
+       JobAnswer::RefusedNotRun,
+       milliseconds(2700)},
+      {"an answer is lost, and the next leader rejects",
+       {Answer::Nothing, Answer::Reject, Answer::Nothing},
+       JobAnswer::RefusedNotRun,
+       milliseconds(2700)},
+      {"a replica dies with the job, and the others know no leader",
+       {Answer::Close, Answer::RefuseLeader, Answer::Close},
+       JobAnswer::RefusedNotRun,
+       milliseconds(2700)},
+      {"two of three replicas die with the job, and the last one rejects",
+       {Answer::Close, Answer::Close, Answer::Reject},
+       JobAnswer::RefusedNotRun,
+       milliseconds(2700)},
+  };
+  std::size_t Lost = 0;
+  // Which replica is asked first depends on the ports that they were given.
+  constexpr int Rounds = 3;
+  for (int Round = 0; Round < Rounds; ++Round)
+    for (const Case &Each : Cases) {
+      INFO(Each.Name_);
+      const Submission Seen = submitTo(Each.Replicas_);
+      Lost += Seen.IsLost_ ? 1 : 0;
+      CHECK(Seen.Answer_ ==
+            (Seen.IsLost_ ? JobAnswer::Unknown : Each.Told_));
+      CHECK(Seen.Took_ <= Each.Within_);
+    }
+  CHECK(Lost >= Rounds);
+}
+
+} // namespace dragonfly::entry
