--- a/tests/consensus/RaftCoreTest.cpp
+++ b/tests/consensus/RaftCoreTest.cpp
@@ -97,6 +97,14 @@
   }
 
   RaftCore &core() { return *Core_; }
+  std::size_t sentCount() const { return Sent_.size(); }
+  /// Makes every write fail for want of room, or lets them through again.
+  void setDiskFull(bool Full) {
+    Disk_->OnStep_ = [Full](DiskStep, bool After) {
+      if (Full && !After)
+        throw StorageError(StorageFault::DiskFull, "test");
+    };
+  }
 
 private:
   std::shared_ptr<MemoryDisk> Disk_;
@@ -111,6 +119,47 @@
 
 } // namespace
 
+TEST_CASE("a replica whose disk is full neither votes nor acknowledges",
+          "[consensus][core]") {
+  OneReplica One;
+  One.start();
+  One.advance(600ms);
+  One.setDiskFull(true);
+  const std::size_t Before = One.sentCount();
+  One.feed({2}, makeVoteRequest(2));
+  One.feed({2}, AppendRequest{.Term_ = {2},
+                              .Previous_ = {1},
+                              .PreviousTerm_ = {1},
+                              .Records_ = {{{2}, {2}, RecordKind::Command, "x"}}});
+  One.advance(2s);
+  CHECK(One.sentCount() == Before);
+  CHECK(One.core().role() == RaftRole::Follower);
+  One.setDiskFull(false);
+  One.advance(1s);
+  One.feed({2}, AppendRequest{.Term_ = {2},
+                              .Previous_ = {1},
+                              .PreviousTerm_ = {1},
+                              .Records_ = {{{2}, {2}, RecordKind::Command, "x"}}});
+  CHECK(One.lastMessage<AppendReply>().Matched_);
+  CHECK(One.last<AppendReply>().AfterSync_);
+}
+
+TEST_CASE("a leader whose disk fills up leads no longer",
+          "[consensus][core]") {
+  OneReplica One;
+  One.start();
+  One.becomeLeader();
+  One.setDiskFull(true);
+  std::optional<ProposeStatus> Told;
+  One.core().propose("x", [&](const ProposeResult &Result) {
+    Told = Result.Status_;
+  });
+  One.advance(10ms);
+  CHECK(One.core().role() == RaftRole::Follower);
+  REQUIRE(Told);
+  CHECK(*Told != ProposeStatus::Committed);
+}
+
 TEST_CASE("a vote is durable before it is told and given once per term",
           "[consensus][core]") {
   OneReplica One;
