--- a/bench/JobBench.cpp
+++ b/bench/JobBench.cpp
@@ -1,8 +1,8 @@
 /// Measures what the leader spends on jobs in a second of a heavy day, at
-/// several numbers of workers: watches on every worker, a flood of batch jobs of
-/// which a part always waits, and short urgent jobs. One replica on a disk in
-/// memory, without a network; the time is played.
-/// Usage: JobBench [WORKERS...]
+/// several numbers of workers: watches on every worker, a flood of batch jobs
+/// of which a part always waits, and short urgent jobs. One replica on a disk
+/// in memory, without a network; the time is played. Usage: JobBench
+/// [WORKERS...]
 
 #include "dragonfly/base/Log.h"
 #include "dragonfly/base/Random.h"
@@ -101,8 +101,7 @@
 
   static jobs::Configuration configuration() {
     jobs::Configuration Value{.Version_ = 1, .Services_ = {{.Name_ = "s"}}};
-    for (const auto &[Name, Priority] :
-         std::map<std::string, std::uint32_t>{
+    for (const auto &[Name, Priority] : std::map<std::string, std::uint32_t>{
              {"watch", 0}, {"short", 0}, {"batch", 2}})
       Value.Queues_.push_back({.Name_ = Name,
                                .Host_ = "a.example",
@@ -139,21 +138,20 @@
   void attach(std::size_t Index) {
     Worker &Row = Workers_[Index];
     Row.Name_ = "i-" + std::to_string(Index);
-    Service_.attachWorker(
-        Now_,
-        {.Worker_ = Row.Name_,
-         .Born_ = 1,
-         .Agent_ = {Index + 1},
-         .Vm_ = "vm-" + std::to_string(Index),
-         .Service_ = "s",
-         .Capacity_ = {.MilliProcessors_ = WorkerProcessors,
-                       .MemoryMib_ = WorkerMemory}},
-        {.Part_ =
-             [this, &Row](const wire::Message &Part) {
-               take(Row, std::get<wire::WorkerOrders>(Part));
-             },
-         .End_ = [](const wire::Message &) {},
-         .Connected_ = [] { return true; }});
+    Service_.attachWorker(Now_,
+                          {.Worker_ = Row.Name_,
+                           .Born_ = 1,
+                           .Agent_ = {Index + 1},
+                           .Vm_ = "vm-" + std::to_string(Index),
+                           .Service_ = "s",
+                           .Capacity_ = {.MilliProcessors_ = WorkerProcessors,
+                                         .MemoryMib_ = WorkerMemory}},
+                          {.Part_ =
+                               [this, &Row](const wire::Message &Part) {
+                                 take(Row, std::get<wire::WorkerOrders>(Part));
+                               },
+                           .End_ = [](const wire::Message &) {},
+                           .Connected_ = [] { return true; }});
   }
 
   void take(Worker &Row, const wire::WorkerOrders &Orders) {
@@ -189,10 +187,10 @@
             {.Run_ = Run,
              .Phase_ = wire::RunPhase::Running,
              .ProgressPercent_ = 30,
-             .Load_ = Step.TailTarget_ > Duration::zero()
-                          ? 50 + Random_() % 20
-                          : static_cast<std::uint64_t>(
-                                Step.Need_.MilliProcessors_),
+             .Load_ =
+                 Step.TailTarget_ > Duration::zero()
+                     ? 50 + Random_() % 20
+                     : static_cast<std::uint64_t>(Step.Need_.MilliProcessors_),
              .SpeedPercent_ = Random_() % 8 == 0 ? 25U : 100U});
     }
     for (const wire::EndReport &End : Report.Ends_) {
--- a/daemons/dragonfly-platform.cpp
+++ b/daemons/dragonfly-platform.cpp
@@ -179,9 +179,8 @@
         throw;
       logEvent(Event::DiskFull,
                {{"replica", Site.Vm_}, {"detail", Fault.what()}});
-      Retry = Loop.after(DiskRetryPeriod, [&Serve, FirstMembers] {
-        Serve(FirstMembers);
-      });
+      Retry = Loop.after(DiskRetryPeriod,
+                         [&Serve, FirstMembers] { Serve(FirstMembers); });
     }
   };
   if (Site.FirstStart_)
--- a/include/dragonfly/consensus/ReplicatedLog.h
+++ b/include/dragonfly/consensus/ReplicatedLog.h
@@ -104,8 +104,8 @@
   /// Runs timers, syncs what has been queued and sends what follows from it.
   /// Call it every few milliseconds and after each batch of input. Throws
   /// StorageError or LogError; the process must end then. While the disk is
-  /// full the replica neither leads nor votes nor acknowledges, and goes on once
-  /// there is room.
+  /// full the replica neither leads nor votes nor acknowledges, and goes on
+  /// once there is room.
   void tick(TimePoint Now);
 
   /// Hands leadership over to a follower that has every record, within an
--- a/src/consensus/RaftCore.cpp
+++ b/src/consensus/RaftCore.cpp
@@ -130,8 +130,8 @@
     throw StorageError(Failure);
   DiskRetryAt_ = Now_ + DiskRetryPeriod;
   if (!std::exchange(DiskFull_, true))
-    logEvent(Event::DiskFull, {{"replica", Options_.Self_.Value_},
-                               {"detail", Failure.what()}});
+    logEvent(Event::DiskFull,
+             {{"replica", Options_.Self_.Value_}, {"detail", Failure.what()}});
   if (Role_ != RaftRole::Follower)
     becomeFollower(Hard_.Term_, {});
 }
--- a/src/consensus/SnapshotTransfer.cpp
+++ b/src/consensus/SnapshotTransfer.cpp
@@ -42,8 +42,8 @@
       throw;
     // The records still hold it all; whether they find room decides the rest.
     SnapshotRetryAt_ = Now_ + SnapshotRetryPeriod;
-    logEvent(Event::DiskFull, {{"replica", Options_.Self_.Value_},
-                               {"detail", Failure.what()}});
+    logEvent(Event::DiskFull,
+             {{"replica", Options_.Self_.Value_}, {"detail", Failure.what()}});
     return;
   }
   Snapshot_ = std::move(Fresh);
--- a/src/control/Control.cpp
+++ b/src/control/Control.cpp
@@ -244,8 +244,7 @@
 
   void continueStop() {
     const TimePoint Now = Clock::now();
-    const bool Leads =
-        Service_.log().role() == consensus::RaftRole::Leader;
+    const bool Leads = Service_.log().role() == consensus::RaftRole::Leader;
     const bool Answered = (OpenRequests_ == 0 && !Leads) || Now >= SettledAt_;
     const bool Settled = Answered && OperatorCalls_ == 0;
     if (!Settled && Now < StopBy_)
--- a/src/control/ControlService.cpp
+++ b/src/control/ControlService.cpp
@@ -468,9 +468,7 @@
 
 bool ControlService::serving() const { return Impl_->Serving_; }
 
-void ControlService::transferLeadership() {
-  Impl_->Log_.transferLeadership();
-}
+void ControlService::transferLeadership() { Impl_->Log_.transferLeadership(); }
 
 const settings::ReplicaSettings *ControlService::leader() const {
   return Impl_->leader();
--- a/src/control/JobDispatcher.cpp
+++ b/src/control/JobDispatcher.cpp
@@ -157,8 +157,8 @@
   return Result;
 }
 
-void JobDispatcher::addSlowedRuns(
-    TimePoint Now, std::map<std::string, JobWork> &Work) const {
+void JobDispatcher::addSlowedRuns(TimePoint Now,
+                                  std::map<std::string, JobWork> &Work) const {
   for (const auto &[Name, Session] : Sessions_.rows()) {
     if (!Session.open())
       continue;
@@ -170,10 +170,9 @@
         continue;
       const StepSpec &Step = Job->Spec_.Steps_[Run.Task_.Step_];
       if (Step.UsesSpareProcessors_ && Step.Checkpointing_ &&
-          decide::paysToMove(
-              {.Left_ = Times_.timeLeft(*Job, Run.Task_),
-               .SpeedPercent_ = Info.Report_.SpeedPercent_,
-               .SlowedFor_ = Now - *Info.SlowedAt_}))
+          decide::paysToMove({.Left_ = Times_.timeLeft(*Job, Run.Task_),
+                              .SpeedPercent_ = Info.Report_.SpeedPercent_,
+                              .SlowedFor_ = Now - *Info.SlowedAt_}))
         Work[Run.Task_.Job_].Slowed_.push_back(Run);
     }
   }
@@ -184,8 +183,7 @@
 void JobDispatcher::moveRun(TimePoint Now, const JobRow &Job,
                             const RunName &Run,
                             decide::JobPlacement &Placement) {
-  const TaskRow &Task =
-      Job.Steps_[Run.Task_.Step_].Tasks_[Run.Task_.Index_];
+  const TaskRow &Task = Job.Steps_[Run.Task_.Step_].Tasks_[Run.Task_.Index_];
   decide::PlacementNeed Need = needOf(Job, Run.Task_.Step_);
   Need.Avoid_ = Task.Worker_;
   Need.Moves_ = true;
--- a/src/control/JobDispatcher.h
+++ b/src/control/JobDispatcher.h
@@ -88,8 +88,7 @@
   };
 
   std::vector<JobWork> workInOrder(TimePoint Now, Duration LogTime) const;
-  void addSlowedRuns(TimePoint Now,
-                     std::map<std::string, JobWork> &Work) const;
+  void addSlowedRuns(TimePoint Now, std::map<std::string, JobWork> &Work) const;
   void moveRun(TimePoint Now, const jobs::JobRow &Job, const jobs::RunName &Run,
                decide::JobPlacement &Placement);
   static decide::PlacementNeed needOf(const jobs::JobRow &Job,
--- a/src/control/WorkerSessions.cpp
+++ b/src/control/WorkerSessions.cpp
@@ -17,7 +17,8 @@
 /// Runs slower than this share of full speed, in percent, may show no progress
 /// for long.
 constexpr std::uint32_t LeastProgressSpeed = 50;
-/// Reports come every 0.4 s; after a longer gap than this the worker was silent.
+/// Reports come every 0.4 s; after a longer gap than this the worker was
+/// silent.
 constexpr Duration LongestReportGap = std::chrono::milliseconds(1000);
 /// Runs at this speed or less, in percent, count as slowed down.
 constexpr std::uint32_t SlowedSpeed = 50;
--- a/src/net/FrameServer.cpp
+++ b/src/net/FrameServer.cpp
@@ -60,16 +60,16 @@
   }
 
   void accept() {
-    Acceptor_.async_accept(
-        [Self = shared_from_this()](const auto &Fault, tcp::socket Socket) {
-          if (!Self->Acceptor_.is_open())
-            return;
-          if (!Fault)
-            Self->open(std::move(Socket));
-          acceptWaiting(Self->Acceptor_,
-                        [&Self](tcp::socket Next) { Self->open(std::move(Next)); });
-          Self->accept();
-        });
+    Acceptor_.async_accept([Self = shared_from_this()](const auto &Fault,
+                                                       tcp::socket Socket) {
+      if (!Self->Acceptor_.is_open())
+        return;
+      if (!Fault)
+        Self->open(std::move(Socket));
+      acceptWaiting(Self->Acceptor_,
+                    [&Self](tcp::socket Next) { Self->open(std::move(Next)); });
+      Self->accept();
+    });
   }
 
   /// Beyond the bound the socket is closed at once.
@@ -136,9 +136,7 @@
 
 void FrameServer::close() { Impl_->close(); }
 
-std::size_t FrameServer::connections() const {
-  return Impl_->Streams_.size();
-}
+std::size_t FrameServer::connections() const { return Impl_->Streams_.size(); }
 
 Endpoint FrameServer::endpoint() const {
   return fromAsio(Impl_->Acceptor_.local_endpoint());
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -62,8 +62,9 @@
             return;
           if (!Failure)
             Self->add(std::move(Peer));
-          acceptWaiting(Self->Acceptor_,
-                        [&Self](tcp::socket Next) { Self->add(std::move(Next)); });
+          acceptWaiting(Self->Acceptor_, [&Self](tcp::socket Next) {
+            Self->add(std::move(Next));
+          });
           Self->accept();
         });
   }
--- a/src/net/Sockets.h
+++ b/src/net/Sockets.h
@@ -38,8 +38,8 @@
 }
 
 /// Hands all connections that wait to \p Take. One at a time is not enough: a
-/// server whose turns take milliseconds would fall behind when hundreds of peers
-/// reconnect at once, until each has given up before it is accepted.
+/// server whose turns take milliseconds would fall behind when hundreds of
+/// peers reconnect at once, until each has given up before it is accepted.
 template <typename Handler>
 void acceptWaiting(boost::asio::ip::tcp::acceptor &Acceptor, Handler Take) {
   constexpr int MaxConnectionsATurn = 256;
--- a/tests/agent/RunBookTest.cpp
+++ b/tests/agent/RunBookTest.cpp
@@ -59,8 +59,8 @@
   CHECK(Book.lastDurableEnd() == 1);
 }
 
-// Pattern: an agent is paused, or its worker is silent, between an order and its
-// call.
+// Pattern: an agent is paused, or its worker is silent, between an order and
+// its call.
 TEST_CASE("without a lease nothing is started, and stops go on",
           "[agent][runs]") {
   RunBook Book;
--- a/tests/consensus/RaftCoreTest.cpp
+++ b/tests/consensus/RaftCoreTest.cpp
@@ -127,33 +127,33 @@
   One.setDiskFull(true);
   const std::size_t Before = One.sentCount();
   One.feed({2}, makeVoteRequest(2));
-  One.feed({2}, AppendRequest{.Term_ = {2},
-                              .Previous_ = {1},
-                              .PreviousTerm_ = {1},
-                              .Records_ = {{{2}, {2}, RecordKind::Command, "x"}}});
+  One.feed({2},
+           AppendRequest{.Term_ = {2},
+                         .Previous_ = {1},
+                         .PreviousTerm_ = {1},
+                         .Records_ = {{{2}, {2}, RecordKind::Command, "x"}}});
   One.advance(2s);
   CHECK(One.sentCount() == Before);
   CHECK(One.core().role() == RaftRole::Follower);
   One.setDiskFull(false);
   One.advance(1s);
-  One.feed({2}, AppendRequest{.Term_ = {2},
-                              .Previous_ = {1},
-                              .PreviousTerm_ = {1},
-                              .Records_ = {{{2}, {2}, RecordKind::Command, "x"}}});
+  One.feed({2},
+           AppendRequest{.Term_ = {2},
+                         .Previous_ = {1},
+                         .PreviousTerm_ = {1},
+                         .Records_ = {{{2}, {2}, RecordKind::Command, "x"}}});
   CHECK(One.lastMessage<AppendReply>().Matched_);
   CHECK(One.last<AppendReply>().AfterSync_);
 }
 
-TEST_CASE("a leader whose disk fills up leads no longer",
-          "[consensus][core]") {
+TEST_CASE("a leader whose disk fills up leads no longer", "[consensus][core]") {
   OneReplica One;
   One.start();
   One.becomeLeader();
   One.setDiskFull(true);
   std::optional<ProposeStatus> Told;
-  One.core().propose("x", [&](const ProposeResult &Result) {
-    Told = Result.Status_;
-  });
+  One.core().propose(
+      "x", [&](const ProposeResult &Result) { Told = Result.Status_; });
   One.advance(10ms);
   CHECK(One.core().role() == RaftRole::Follower);
   REQUIRE(Told);
--- a/tests/control/JobServiceTest.cpp
+++ b/tests/control/JobServiceTest.cpp
@@ -73,13 +73,12 @@
                               .Complete_ = Complete,
                               .Ends_ = std::move(Ends)};
     for (const RunName &Run : Runs)
-      Report.Runs_.push_back({.Run_ = Run,
-                              .Phase_ = wire::RunPhase::Running,
-                              .ProgressPercent_ = Progress_[Run],
-                              .Load_ = Loads_[Run],
-                              .SpeedPercent_ = Speeds_.contains(Run)
-                                                   ? Speeds_[Run]
-                                                   : FullSpeed});
+      Report.Runs_.push_back(
+          {.Run_ = Run,
+           .Phase_ = wire::RunPhase::Running,
+           .ProgressPercent_ = Progress_[Run],
+           .Load_ = Loads_[Run],
+           .SpeedPercent_ = Speeds_.contains(Run) ? Speeds_[Run] : FullSpeed});
     const auto Answer =
         std::make_shared<std::optional<wire::WorkerReportAck>>();
     Cluster_.node(Cluster_.leader())
@@ -360,8 +359,8 @@
   CHECK(Agent.fence() > Second);
 }
 
-// Pattern: agents that were killed or gave up while the leader was frozen; their
-// first messages are read after those of their successors.
+// Pattern: agents that were killed or gave up while the leader was frozen;
+// their first messages are read after those of their successors.
 TEST_CASE("the greeting of an agent that has gone harms no later session",
           "[control][jobs]") {
   JobCluster On;
@@ -383,7 +382,8 @@
   CHECK(Agent.takeStarts().size() == 1);
 }
 
-// Pattern: an agent is silent or slow to report for a while, and attaches again.
+// Pattern: an agent is silent or slow to report for a while, and attaches
+// again.
 TEST_CASE("a worker that was silent for less than its lease keeps its runs",
           "[control][jobs]") {
   JobCluster On;
--- a/tests/entry/JobGatewayTest.cpp
+++ b/tests/entry/JobGatewayTest.cpp
@@ -141,16 +141,22 @@
           "[entry][jobs][outcome]") {
   // A caller's time of 3 s leaves 2.55 s; a wait for a leader takes 250 ms.
   const Case Cases[]{
-      {"a leader accepts", {Answer::Accept}, JobAnswer::Accepted,
+      {"a leader accepts",
+       {Answer::Accept},
+       JobAnswer::Accepted,
        milliseconds(100)},
-      {"a leader rejects", {Answer::Reject}, JobAnswer::RefusedNotRun,
+      {"a leader rejects",
+       {Answer::Reject},
+       JobAnswer::RefusedNotRun,
        milliseconds(100)},
       {"nobody knows a leader",
        {Answer::RefuseLeader, Answer::RefuseLeader},
        JobAnswer::RefusedNotRun,
        milliseconds(400)},
-      {"the answer of the only one is lost", {Answer::Nothing},
-       JobAnswer::Unknown, milliseconds(2700)},
+      {"the answer of the only one is lost",
+       {Answer::Nothing},
+       JobAnswer::Unknown,
+       milliseconds(2700)},
       {"an answer is lost, and the others know no leader",
        {Answer::Nothing, Answer::RefuseLeader, Answer::RefuseLeader},
        JobAnswer::RefusedNotRun,
@@ -176,8 +182,7 @@
       INFO(Each.Name_);
       const Submission Seen = submitTo(Each.Replicas_);
       Lost += Seen.IsLost_ ? 1 : 0;
-      CHECK(Seen.Answer_ ==
-            (Seen.IsLost_ ? JobAnswer::Unknown : Each.Told_));
+      CHECK(Seen.Answer_ == (Seen.IsLost_ ? JobAnswer::Unknown : Each.Told_));
       CHECK(Seen.Took_ <= Each.Within_);
     }
   CHECK(Lost >= Rounds);
--- a/tests/faults/ConsensusFaultMatrixTest.cpp
+++ b/tests/faults/ConsensusFaultMatrixTest.cpp
@@ -54,8 +54,9 @@
 }
 TEST_CASE("faults at a read", "[faults][consensus]") { runRow(Step::Read); }
 
-// Pattern: leaders stop in turn while messages are late, processes are paused and
-// killed, and links are cut: nobody may lead or hold a lease beside another.
+// Pattern: leaders stop in turn while messages are late, processes are paused
+// and killed, and links are cut: nobody may lead or hold a lease beside
+// another.
 TEST_CASE("faults around hand-overs of leadership", "[faults][consensus]") {
   for (const Step Row : {Step::Commit, Step::Sync, Step::Vote})
     for (const auto &Column : EnumTable<Fault>::Rows) {
@@ -63,9 +64,9 @@
         continue;
       for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
         INFO(enumName(Row) << " x " << Column.Name_ << ", seed " << Seed);
-        requireKept(ConsensusScenario(Row, Column.Value_, Seed,
-                                      {.HandsOver_ = true})
-                        .run());
+        requireKept(
+            ConsensusScenario(Row, Column.Value_, Seed, {.HandsOver_ = true})
+                .run());
       }
     }
 }
--- a/tests/net/FrameClientTest.cpp
+++ b/tests/net/FrameClientTest.cpp
@@ -109,30 +109,27 @@
   Clock::resume();
 }
 
-// Pattern: after a change of leader all agents and entries connect to the new one
-// at once, while its turns are long (large/scale-2).
+// Pattern: after a change of leader all agents and entries connect to the new
+// one at once, while its turns are long (large/scale-2).
 TEST_CASE("a busy server accepts all peers that wait in one turn",
           "[net][frames]") {
   EventLoop Loop;
   std::size_t Received = 0;
-  FrameServer Server(Loop,
-                     {.Listen_ = AnyPort,
-                      .Self_ = {2},
-                      .OnMessage_ = [&](auto, auto) { ++Received; }});
+  FrameServer Server(Loop, {.Listen_ = AnyPort,
+                            .Self_ = {2},
+                            .OnMessage_ = [&](auto, auto) { ++Received; }});
   constexpr std::size_t Peers = 100;
   boost::asio::io_context Elsewhere;
   std::vector<boost::asio::ip::tcp::socket> Sockets;
   for (std::size_t I = 0; I < Peers; ++I) {
     Sockets.emplace_back(Elsewhere);
-    Sockets.back().connect({boost::asio::ip::make_address("127.0.0.1"),
-                            Server.endpoint().Port_});
+    Sockets.back().connect(
+        {boost::asio::ip::make_address("127.0.0.1"), Server.endpoint().Port_});
   }
   // Ten other handlers run in each turn of the loop.
   constexpr std::size_t Others = 10;
   constexpr std::size_t Turns = 5;
-  std::function<void()> Work = [&] {
-    boost::asio::post(Loop.context(), Work);
-  };
+  std::function<void()> Work = [&] { boost::asio::post(Loop.context(), Work); };
   for (std::size_t I = 0; I < Others; ++I)
     Work();
   for (std::size_t I = 0; I < Others * Turns; ++I)
@@ -148,10 +145,9 @@
   {
     EventLoop Loop;
     std::size_t Received = 0;
-    FrameServer Server(Loop,
-                       {.Listen_ = AnyPort,
-                        .Self_ = {2},
-                        .OnMessage_ = [&](auto, auto) { ++Received; }});
+    FrameServer Server(Loop, {.Listen_ = AnyPort,
+                              .Self_ = {2},
+                              .OnMessage_ = [&](auto, auto) { ++Received; }});
     FrameClient Client(Loop, {.Peer_ = Server.endpoint(), .Self_ = {1}});
     std::size_t Connections = 0;
     bool WasConnected = false;
--- a/tests/platform/HostileBodiesTest.cpp
+++ b/tests/platform/HostileBodiesTest.cpp
@@ -56,8 +56,11 @@
 /// Changes some bytes or numbers of \p Body.
 std::string damage(std::string Body, RandomEngine &Random) {
   static const std::vector<std::string> Pieces{
-      "-1",  "1e400", "18446744073709551616", "null", "[]",   "{}", "\"",
-      "[[[", "true",  "0.5",                  "\\u0000", "\xff", ",",  ":"};
+      "-1",   "1e400",   "18446744073709551616",
+      "null", "[]",      "{}",
+      "\"",   "[[[",     "true",
+      "0.5",  "\\u0000", "\xff",
+      ",",    ":"};
   const std::uint64_t Changes = 1 + Random() % 3;
   for (std::uint64_t I = 0; I < Changes && !Body.empty(); ++I) {
     const std::size_t At = Random() % Body.size();
@@ -101,8 +104,8 @@
   }
 }
 
-// A job of 256 steps of 10,000 tasks is 300 bytes of JSON a step, and would have
-// taken more memory than a process of control has.
+// A job of 256 steps of 10,000 tasks is 300 bytes of JSON a step, and would
+// have taken more memory than a process of control has.
 TEST_CASE("a small body cannot ask for more tasks than control can hold",
           "[platform][hostile]") {
   std::string Body = R"({"Steps":[)";
