--- a/src/control/WorkerSessions.cpp
+++ b/src/control/WorkerSessions.cpp
@@ -1,6 +1,7 @@
 #include "control/WorkerSessions.h"
 
 #include "dragonfly/base/Log.h"
+#include "dragonfly/decide/RunMove.h"
 
 #include <algorithm>
 #include <utility>
@@ -20,8 +21,6 @@
 /// Reports come every 0.4 s; after a longer gap than this the worker was
 /// silent.
 constexpr Duration LongestReportGap = std::chrono::milliseconds(1000);
-/// Runs at this speed or less, in percent, count as slowed down.
-constexpr std::uint32_t SlowedSpeed = 50;
 /// Sessions of one term are numbered below this.
 constexpr std::uint64_t SessionsPerTerm = 1ULL << 32U;
 
@@ -306,7 +305,7 @@
         Run.ProgressPercent_ != Info.Report_.ProgressPercent_ ||
         Run.Checkpoint_ != Info.Report_.Checkpoint_)
       Info.ProgressAt_ = Now;
-    if (Run.SpeedPercent_ > SlowedSpeed)
+    if (Run.SpeedPercent_ > decide::RunMoveOptions().MostPercent_)
       Info.SlowedAt_.reset();
     else if (!Info.SlowedAt_)
       Info.SlowedAt_ = Now;
--- a/src/control/WorkerSessions.h
+++ b/src/control/WorkerSessions.h
@@ -21,7 +21,8 @@
   TimePoint StopSentAt_;
   /// When the reported progress last grew.
   TimePoint ProgressAt_;
-  /// Since when reports tell a speed of half or less; none where it is faster.
+  /// Since when reports tell a speed at which the run may move to another
+  /// worker (`decide::RunMoveOptions`); none where it is faster.
   std::optional<TimePoint> SlowedAt_;
 };
 
