Move only runs that their worker holds; fewer copies of names in the order of jobs

A run that was given up and shows up again slowed would have been stopped at the worker that has the task now, under its old number; the share that is left of a task was looked up with a copy of its job's id, for each task. Change: a run has to be on the worker in the replicated state before it may move.

--- a/src/control/JobDispatcher.cpp
+++ b/src/control/JobDispatcher.cpp
@@ -160,10 +160,12 @@
 void JobDispatcher::addSlowedRuns(TimePoint Now,
                                   std::map<std::string, JobWork> &Work) const {
   for (const auto &[Name, Session] : Sessions_.rows()) {
-    if (!Session.open())
+    const jobs::WorkerRow *Row = Table_.findWorker(Name);
+    if (!Session.open() || Row == nullptr)
       continue;
     for (const auto &[Run, Info] : Session.Runs_) {
-      if (!Info.SlowedAt_ || Info.StopSentAt_ != TimePoint())
+      if (!Info.SlowedAt_ || Info.StopSentAt_ != TimePoint() ||
+          !Row->Runs_.contains(Run))
         continue;
       const JobRow *Job = Table_.find(Run.Task_.Job_);
       if (Job == nullptr || !Job->active())
--- a/src/control/JobDispatcher.h
+++ b/src/control/JobDispatcher.h
@@ -54,6 +54,14 @@
     decide::PlacementWorker Worker_;
   };
 
+  /// What a job has for placement to do.
+  struct JobWork {
+    const jobs::JobRow *Job_ = nullptr;
+    std::vector<jobs::ReadyStep> Ready_;
+    /// Runs that would end sooner on another worker.
+    std::vector<jobs::RunName> Slowed_;
+  };
+
   void place(TimePoint Now, Duration LogTime);
   void placeStep(TimePoint Now, const jobs::ReadyStep &Ready,
                  decide::JobPlacement &Placement);
@@ -79,14 +87,6 @@
   decide::PlacementWorker describe(TimePoint Now, const WorkerSession &Session,
                                    const jobs::WorkerRow &Row) const;
   bool isStarved(TimePoint Now, const jobs::JobRow &Job);
-  /// What a job has for placement to do.
-  struct JobWork {
-    const jobs::JobRow *Job_ = nullptr;
-    std::vector<jobs::ReadyStep> Ready_;
-    /// Runs that would end sooner on another worker.
-    std::vector<jobs::RunName> Slowed_;
-  };
-
   std::vector<JobWork> workInOrder(TimePoint Now, Duration LogTime) const;
   void addSlowedRuns(TimePoint Now, std::map<std::string, JobWork> &Work) const;
   void moveRun(TimePoint Now, const jobs::JobRow &Job, const jobs::RunName &Run,
--- a/src/control/RunTimes.cpp
+++ b/src/control/RunTimes.cpp
@@ -73,9 +73,9 @@
 /// Tasks of one step are alike; before any of them has told its length, the
 /// submitter's guess counts as much as the queue's mean.
 double RunTimes::secondsOf(const jobs::JobRow &Job, std::uint32_t Step) const {
-  const auto Known = Steps_.find({Job.Id_, Step});
-  if (Known != Steps_.end() && Known->second.Weight_ > 0)
-    return std::max(Known->second.MeanSeconds_, LeastSeconds);
+  const StepTimes *Known = find(Job.Id_, Step);
+  if (Known != nullptr && Known->Weight_ > 0)
+    return std::max(Known->MeanSeconds_, LeastSeconds);
   const double Guess = std::max(
       toMilliseconds(Job.Spec_.Steps_[Step].Estimate_) / 1000, LeastSeconds);
   const auto Mean = QueueMeans_.find(Job.Queue_.Name_);
@@ -84,20 +84,26 @@
              : std::sqrt(Guess * std::max(Mean->second, LeastSeconds));
 }
 
-double RunTimes::shareLeft(const jobs::TaskName &Task) const {
+double RunTimes::shareLeft(const StepTimes *Known, std::uint32_t Index) {
   constexpr double FullPercent = 100;
-  const auto Known = Steps_.find({Task.Job_, Task.Step_});
-  if (Known == Steps_.end())
+  if (Known == nullptr)
     return 1;
-  const auto It = Known->second.Progress_.find(Task.Index_);
-  return It == Known->second.Progress_.end()
+  const auto It = Known->Progress_.find(Index);
+  return It == Known->Progress_.end()
              ? 1
              : 1 - std::min<double>(It->second, FullPercent) / FullPercent;
 }
 
+const RunTimes::StepTimes *RunTimes::find(const std::string &Job,
+                                          std::uint32_t Step) const {
+  const auto It = Steps_.find({Job, Step});
+  return It == Steps_.end() ? nullptr : &It->second;
+}
+
 Duration RunTimes::timeLeft(const jobs::JobRow &Job,
                             const jobs::TaskName &Task) const {
-  return fromSeconds(secondsOf(Job, Task.Step_) * shareLeft(Task));
+  return fromSeconds(secondsOf(Job, Task.Step_) *
+                     shareLeft(find(Job.Id_, Task.Step_), Task.Index_));
 }
 
 decide::JobOutlook RunTimes::outlook(const jobs::JobRow &Job,
@@ -110,13 +116,14 @@
   for (std::uint32_t Step = 0; Step < Job.Steps_.size(); ++Step) {
     const jobs::StepSpec &Spec = Job.Spec_.Steps_[Step];
     const double Seconds = secondsOf(Job, Step);
+    const StepTimes *Known = find(Job.Id_, Step);
     double Longest = 0;
     for (std::uint32_t Index = 0; Index < Spec.Count_; ++Index) {
       const jobs::TaskRow &Task = Job.Steps_[Step].Tasks_[Index];
       if (Task.Phase_ == jobs::TaskPhase::Finished)
         continue;
       const double Share = Task.Phase_ == jobs::TaskPhase::OnWorker
-                               ? shareLeft({Job.Id_, Step, Index})
+                               ? shareLeft(Known, Index)
                                : 1;
       Longest = std::max(Longest, Seconds * Share);
       Result.WorkLeft_ += Seconds * Share *
--- a/src/control/RunTimes.h
+++ b/src/control/RunTimes.h
@@ -43,8 +43,10 @@
   };
 
   double secondsOf(const jobs::JobRow &Job, std::uint32_t Step) const;
+  /// Null where nothing is known of the step.
+  const StepTimes *find(const std::string &Job, std::uint32_t Step) const;
   /// Of the newest run of a task, from 0 to 1.
-  double shareLeft(const jobs::TaskName &Task) const;
+  static double shareLeft(const StepTimes *Known, std::uint32_t Index);
   void learn(const jobs::RunName &Run, double Seconds, double Weight);
 
   const jobs::JobTable &Table_;
--- a/tests/control/JobServiceTest.cpp
+++ b/tests/control/JobServiceTest.cpp
@@ -525,6 +525,35 @@
   CHECK(Second.takeStarts() == std::vector<RunName>{run(2)});
 }
 
+// Pattern: a worker was cut off until its lease had run out, and comes back
+// with a run that has been placed elsewhere meanwhile.
+TEST_CASE("a slowed run that was given up moves nothing", "[control][jobs]") {
+  JobCluster On;
+  TestAgent Cut(On, "w1");
+  Cut.join();
+  jobs::StepSpec Batch = step();
+  Batch.UsesSpareProcessors_ = true;
+  Batch.Checkpointing_ = true;
+  Batch.Estimate_ = seconds(5);
+  On.submit({Batch});
+  REQUIRE(Cut.takeStarts().size() == 1);
+  Cut.disconnect();
+  TestAgent Other(On, "w2");
+  Other.join();
+  for (int I = 0; I < 20; ++I)
+    Other.report(false);
+  REQUIRE(Other.takeStarts() == std::vector<RunName>{run(2)});
+  Cut.attach();
+  Cut.setSpeed(run(), 10, 20);
+  for (std::uint32_t I = 0; I < 8; ++I) {
+    Cut.report(I == 0, {run()});
+    Other.setSpeed(run(2), 100, 10 * I);
+    Other.report(false, {run(2)});
+  }
+  CHECK_FALSE(Cut.stops().empty());
+  CHECK(Other.stops().empty());
+}
+
 TEST_CASE("jobs survive the loss of every process", "[control][jobs]") {
   JobCluster On;
   On.submit({step()});
