Wait for a dark replica no longer than for a leader

Change: while nothing can have left, a call to a replica without a connection ends with the wait for a leader, as never sent. Test: JobGatewayTest, 'all replicas are dark', on a port whose queue of connections is full; failed before.

--- a/src/link/LeaderClient.cpp
+++ b/src/link/LeaderClient.cpp
@@ -142,8 +142,14 @@
                     .Retried_ = Call->MayHaveArrived_});
       return;
     }
-    clientOf(Address).call(
-        Call->Request_, std::min(Left, Options_.ReplicaTimeout_),
+    net::FrameClient &Replica = clientOf(Address);
+    Duration Timeout = std::min(Left, Options_.ReplicaTimeout_);
+    // While a connection is being opened nothing leaves: a VM without power is
+    // not waited for any longer than a leader.
+    if (!Call->MayHaveArrived_ && !Replica.connected())
+      Timeout = std::min(Timeout, Call->LeaderWaitEnds_ - Now);
+    Replica.call(
+        Call->Request_, Timeout,
         [Self = weak_from_this(), Call, Address](net::CallResult Result) {
           if (const auto Client = Self.lock())
             Client->ended(Call, Address, std::move(Result));
--- a/tests/entry/JobGatewayTest.cpp
+++ b/tests/entry/JobGatewayTest.cpp
@@ -6,6 +6,8 @@
 #include "dragonfly/net/EventLoop.h"
 #include "dragonfly/net/FrameServer.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -26,12 +28,45 @@
   Reject,       ///< It leads, and says that the job was not accepted.
   RefuseLeader, ///< It knows of no leader.
   Nothing,      ///< It takes the job, and its answer is lost.
-  Close         ///< It takes the job and dies.
+  Close,        ///< It takes the job and dies.
+  Dark          ///< Its VM answers nothing, not even to a new connection.
+};
+
+/// A port whose queue of connections is full, so that new ones hang as they do
+/// towards a VM without power.
+class DarkPort {
+public:
+  DarkPort() : Acceptor_(Context_) {
+    using boost::asio::ip::tcp;
+    const tcp::endpoint Any(boost::asio::ip::make_address("127.0.0.1"), 0);
+    Acceptor_.open(Any.protocol());
+    Acceptor_.bind(Any);
+    Acceptor_.listen(0);
+    constexpr std::size_t MoreThanFit = 4;
+    for (std::size_t I = 0; I < MoreThanFit; ++I) {
+      Waiting_.emplace_back(Context_, Any.protocol());
+      // Begins at once, and is never looked at again.
+      Waiting_.back().async_connect(Acceptor_.local_endpoint(),
+                                    [](const auto &) {});
+    }
+  }
+
+  std::uint16_t port() const { return Acceptor_.local_endpoint().port(); }
+
+private:
+  boost::asio::io_context Context_;
+  boost::asio::ip::tcp::acceptor Acceptor_;
+  std::vector<boost::asio::ip::tcp::socket> Waiting_;
 };
 
 class FakeReplica {
 public:
   FakeReplica(net::EventLoop &Loop, Answer Kind) : Kind_(Kind) {
+    if (Kind == Answer::Dark) {
+      Dark_ = std::make_unique<DarkPort>();
+      Address_ = "127.0.0.1:" + std::to_string(Dark_->port());
+      return;
+    }
     Server_ = std::make_unique<net::FrameServer>(
         Loop,
         net::FrameServerOptions{
@@ -70,6 +105,7 @@
       To.answer(wire::Refusal{.Reason_ = Reason::NoQuorum});
       return;
     case Answer::Nothing:
+    case Answer::Dark:
       return;
     case Answer::Close:
       Server_->close();
@@ -78,6 +114,7 @@
   }
 
   Answer Kind_;
+  std::unique_ptr<DarkPort> Dark_;
   std::unique_ptr<net::FrameServer> Server_;
   std::string Address_;
   std::size_t Submissions_ = 0;
@@ -153,6 +190,10 @@
        {Answer::RefuseLeader, Answer::RefuseLeader},
        JobAnswer::RefusedNotRun,
        milliseconds(400)},
+      {"all replicas are dark",
+       {Answer::Dark, Answer::Dark},
+       JobAnswer::RefusedNotRun,
+       milliseconds(400)},
       {"the answer of the only one is lost",
        {Answer::Nothing},
        JobAnswer::Unknown,
