--- a/tests/consensus/FileStorageTest.cpp
+++ b/tests/consensus/FileStorageTest.cpp
@@ -259,10 +259,11 @@
       Disk->sync();
     }
     Full = true;
-    CHECK(faultOf([&] {
-            for (;; ++Next)
-              Disk->append(makeRecord(Next));
-          }) == StorageFault::DiskFull);
+    const StorageFault WhenNew = faultOf([&] {
+      for (;; ++Next)
+        Disk->append(makeRecord(Next));
+    });
+    CHECK(WhenNew == StorageFault::DiskFull);
     Full = false;
     Disk->append(makeRecord(Next));
     Disk->sync();
