--- a/src/base/Event.cpp
+++ b/src/base/Event.cpp
@@ -114,11 +114,11 @@
     {Event::DiskFull, Severity::Failure, "disk-full",
      "The disk takes no more. Until it does, this replica neither leads nor "
      "votes nor acknowledges records."},
+    {Event::DiskHasRoom, Severity::Info, "disk-has-room",
+     "The disk takes records again; the replica takes part again."},
     {Event::LeadershipTransferred, Severity::Info, "leadership-transferred",
      "This replica stops and asks another one, which has every record, to lead "
      "in its place."},
-    {Event::DiskHasRoom, Severity::Info, "disk-has-room",
-     "The disk takes records again; the replica takes part again."},
     {Event::AgentReady, Severity::Info, "agent-ready",
      "The agent knows what its VM runs and admits work."},
     {Event::AgentDraining, Severity::Info, "agent-draining",
