--- a/tests/control/JobServiceTest.cpp
+++ b/tests/control/JobServiceTest.cpp
@@ -554,6 +554,43 @@
   CHECK(Other.stops().empty());
 }
 
+// Pattern: short tasks come and go on a full worker, and a watch waits (large,
+// mix of seed 990707200382).
+TEST_CASE("short tasks leave room for a watch that has waited for long",
+          "[control][jobs]") {
+  JobCluster On;
+  TestAgent Agent(On, "w1");
+  Agent.join();
+  const auto Submit = [&On](const std::string &Job, jobs::StepSpec Step) {
+    On.askLeader<wire::JobReply>(
+        wire::SubmitJob{.Job_ = Job,
+                        .Host_ = "a.example",
+                        .Path_ = "/checks/" + Job,
+                        .Spec_ = {.Steps_ = {std::move(Step)}}});
+  };
+  // Four processors, one for each short task; the watch needs two.
+  Submit("short-jobs-00000", step(40));
+  jobs::StepSpec Watch = step();
+  Watch.Need_.MilliProcessors_ = 2000;
+  Watch.LongRunning_ = true;
+  Watch.TailTarget_ = seconds(1);
+  Submit("a-watch-00000000", Watch);
+  std::vector<RunName> Running = Agent.takeStarts();
+  REQUIRE(Running.size() == 4);
+  bool HasStarted = false;
+  // Each report ends the oldest run.
+  for (int I = 0; I < 25 && !HasStarted; ++I) {
+    const RunName Oldest = Running.front();
+    Running.erase(Running.begin());
+    Agent.report(false, Running, {end(Oldest)});
+    for (const RunName &Run : Agent.takeStarts()) {
+      HasStarted = HasStarted || Run.Task_.Job_ == "a-watch-00000000";
+      Running.push_back(Run);
+    }
+  }
+  CHECK(HasStarted);
+}
+
 TEST_CASE("jobs survive the loss of every process", "[control][jobs]") {
   JobCluster On;
   On.submit({step()});
