--- a/src/control/JobDispatcher.cpp
+++ b/src/control/JobDispatcher.cpp
@@ -205,6 +205,20 @@
   Sessions_.stopRun(Now, Task.Worker_, Run);
 }
 
+/// Forgets workers without a session and jobs that have ended.
+void JobDispatcher::forgetGone() {
+  std::erase_if(KnownWorkers_, [this](const auto &Each) {
+    return !Sessions_.rows().contains(Each.first);
+  });
+  std::erase_if(ProposedVersions_, [this](const auto &Each) {
+    return !Sessions_.rows().contains(Each.first);
+  });
+  std::erase_if(IdleSince_, [this](const auto &Each) {
+    const JobRow *Job = Table_.find(Each.first);
+    return Job == nullptr || !Job->active();
+  });
+}
+
 void JobDispatcher::place(TimePoint Now, Duration LogTime) {
   const std::vector<JobWork> Work = workInOrder(Now, LogTime);
   if (Work.empty())
@@ -221,16 +235,7 @@
     Reserved += Row.Reserved_;
   }
   HasIdleHalf_ = Reserved.MilliProcessors_ * 2 < Capacity.MilliProcessors_;
-  std::erase_if(KnownWorkers_, [this](const auto &Each) {
-    return !Sessions_.rows().contains(Each.first);
-  });
-  std::erase_if(ProposedVersions_, [this](const auto &Each) {
-    return !Sessions_.rows().contains(Each.first);
-  });
-  std::erase_if(IdleSince_, [this](const auto &Each) {
-    const JobRow *Job = Table_.find(Each.first);
-    return Job == nullptr || !Job->active();
-  });
+  forgetGone();
   for (const JobWork &Each : Work) {
     for (const jobs::ReadyStep &Ready : Each.Ready_) {
       if (Batch_.rows().Starts_.size() >= MaxStartsPerTick) {
--- a/src/control/JobDispatcher.h
+++ b/src/control/JobDispatcher.h
@@ -62,6 +62,7 @@
     std::vector<jobs::RunName> Slowed_;
   };
 
+  void forgetGone();
   void place(TimePoint Now, Duration LogTime);
   void placeStep(TimePoint Now, const jobs::ReadyStep &Ready,
                  decide::JobPlacement &Placement);
