--- a/include/dragonfly/jobs/Job.h
+++ b/include/dragonfly/jobs/Job.h
@@ -87,6 +87,12 @@
 /// Returns the run as log lines name it, such as "5c0e7a21d94b36f8.0.17#2".
 std::string printRun(const RunName &Run);
 
+/// Returns the steps as log lines describe them, separated by commas. Each is
+/// COUNTxMILLIPROCESSORS:KIND, where KIND is `serving`, `batch` or `short`,
+/// followed by `<` and the steps that it depends on, separated by `+`:
+/// "4x500:short,20x1800:batch<0".
+std::string printSteps(const JobSpec &Spec);
+
 enum class JobState : std::uint8_t {
   Queued,    ///< No task has started.
   Running,   ///< A task has started.
--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -132,9 +132,7 @@
       }
       const bool Accepted =
           Outcomes->Submits_.at(Index) == jobs::SubmitStatus::Accepted;
-      logEvent(
-          Accepted ? Event::JobAccepted : Event::JobRejected,
-          {{"job", Job}, {"configuration", Table_.configuration().Version_}});
+      logSubmission(Job, Accepted);
       Options_.Metrics_->count("jobs", Accepted ? "accepted" : "no-queue");
       Dispatcher_.notifyJobsChanged();
       Answer(wire::JobReply{.Status_ = Accepted ? JobStatus::Accepted
@@ -142,6 +140,19 @@
     });
   }
 
+  void logSubmission(const std::string &Id, bool Accepted) const {
+    const std::uint64_t Version = Table_.configuration().Version_;
+    const jobs::JobRow *Job = Table_.find(Id);
+    if (!Accepted || Job == nullptr)
+      logEvent(Accepted ? Event::JobAccepted : Event::JobRejected,
+               {{"job", Id}, {"configuration", Version}});
+    else
+      logEvent(Event::JobAccepted, {{"job", Id},
+                                    {"configuration", Version},
+                                    {"queue", Job->Queue_.Name_},
+                                    {"steps", jobs::printSteps(Job->Spec_)}});
+  }
+
   void handleJobRequest(const wire::JobRequest &Request, Reply Answer) {
     if (findQueue(Request.Host_, Request.Path_, Request.Job_) == nullptr) {
       Answer(wire::JobReply{.Status_ = missingQueueStatus(),
--- a/tests/jobs/JobTableTest.cpp
+++ b/tests/jobs/JobTableTest.cpp
@@ -220,4 +220,16 @@
   CHECK_THROWS_AS(validate(Value), ConfigurationError);
 }
 
+TEST_CASE("a job's steps are printed with their kinds and dependencies",
+          "[jobs]") {
+  StepSpec Short = step(4);
+  StepSpec Batch = step(20, {0});
+  Batch.UsesSpareProcessors_ = true;
+  StepSpec Serving = step(6, {0, 1});
+  Serving.TailTarget_ = std::chrono::milliseconds(18);
+  CHECK(printSteps({.Steps_ = {Short, Batch, Serving}}) ==
+        "4x500:short,20x500:batch<0,6x500:serving<0+1");
+  CHECK(printSteps({}).empty());
+}
+
 } // namespace dragonfly::jobs
