--- a/tools/regression.sh
+++ b/tools/regression.sh
@@ -17,9 +17,11 @@
   log=$(mktemp)
   "$bench" score "$folder/$site.toml" --jobs "$jobs" --why "$why: $site" >"$log" 2>&1
   awk -v site="$site" '
-    /^score on/ { score = $NF }
-    # Columns: day, machines, score, worth.
-    /^(trouble|scale)-[0-9]/ { worth += $4; days++ }
+    /^score on/ { score = $0; sub(/.*: /, "", score); sub(/,.*/, "", score) }
+    # Columns: day, machines, score, worth. Other lines begin with a day as well.
+    $1 ~ /^(trouble|scale)-[0-9]+$/ && $2 ~ /^[0-9]+\/[0-9]+$/ && !seen[$1]++ {
+      worth += $4; days++
+    }
     /^GATE/ { gate = $0 }
     /BROKEN|broken:/ { broken = broken "; " $0 }
     END {
