Relocations: no move to suspect workers, and steps are checked before use

Read as a newcomer: a relocation could choose a suspect worker, which task placement avoids; tasks near their data could be moved away from it; and a run report that names a step its job lacks would have been read past the end, which the other readers of reports check. Test: no task moves to a suspect worker.

--- a/include/dragonfly/decide/JobPlacement.h
+++ b/include/dragonfly/decide/JobPlacement.h
@@ -116,8 +116,9 @@
   /// returns nothing if no worker has room.
   std::optional<std::size_t> place(const PlacementRequest &Task);
 
-  /// Places \p Task on the worker \p Index, whose reservations already include
-  /// it; returns nothing while the worker has no room.
+  /// Places \p Task, which reserves processors, on the worker \p Index, whose
+  /// reservations already include it; returns nothing while the worker has no
+  /// room.
   std::optional<std::size_t> placeReserved(const PlacementRequest &Task,
                                            std::size_t Index);
 
--- a/include/dragonfly/decide/ServingLayout.h
+++ b/include/dragonfly/decide/ServingLayout.h
@@ -35,6 +35,8 @@
   /// Resources that all runs reserve, batch runs only memory.
   Resources Reserved_;
   std::vector<LayoutTask> Tasks_;
+  /// Runs fail or stall more often than on other workers; no task moves here.
+  bool Suspect_ = false;
 };
 
 /// Demand of one batch image.
@@ -143,6 +145,7 @@
 
   std::vector<std::string_view> Services_;
   std::vector<Resources> Capacities_;
+  std::vector<bool> Suspects_;
   ServingLayoutOptions Options_;
   std::vector<Task> Tasks_;
   std::vector<double> Demands_;
--- a/src/control/ServingRelocator.cpp
+++ b/src/control/ServingRelocator.cpp
@@ -32,7 +32,8 @@
   std::map<std::string, double> Requested;
   for (const auto &[Name, Session] : Sessions_.sessions())
     for (const auto &[Run, Info] : Session.Runs_)
-      if (const JobRow *Job = Table_.find(Run.Task_.Job_); Job != nullptr) {
+      if (const JobRow *Job = Table_.find(Run.Task_.Job_);
+          Job != nullptr && Run.Task_.Step_ < Job->Spec_.Steps_.size()) {
         const StepSpec &Step = Job->Spec_.Steps_[Run.Task_.Step_];
         if (Step.UsesSpareProcessors_)
           Requested[Step.Image_] +=
@@ -89,7 +90,8 @@
 bool ServingRelocator::isMovable(TimePoint Now, const JobRow &Job,
                                  std::uint32_t Step) const {
   const StepSpec &Spec = Job.Spec_.Steps_[Step];
-  if (!Job.active() || !Spec.LongRunning_ || !Spec.RequiredLabel_.empty())
+  if (!Job.active() || !Spec.LongRunning_ || !Spec.RequiredLabel_.empty() ||
+      !Spec.DataRack_.empty())
     return false;
   const auto Moved = MovedAt_.find(Job.Id_);
   return (Moved == MovedAt_.end() || Now - Moved->second >= JobInterval) &&
@@ -99,14 +101,15 @@
 ServingRelocator::LayoutInput ServingRelocator::makeLayoutInput(
     TimePoint Now, const std::vector<decide::PlacementWorker> &Workers) const {
   LayoutInput Result;
-  /// Number of a step in the input, and whether its tasks are movable.
+  // Number of a step in the input, and whether its tasks are movable.
   std::map<std::pair<std::string, std::uint32_t>, std::pair<std::size_t, bool>>
       Steps;
   for (const decide::PlacementWorker &Worker : Workers) {
     decide::LayoutWorker &Row = Result.Workers_.emplace_back(
         decide::LayoutWorker{.Service_ = Worker.Service_,
                              .Capacity_ = Worker.Capacity_,
-                             .Reserved_ = Worker.Reserved_});
+                             .Reserved_ = Worker.Reserved_,
+                             .Suspect_ = Worker.Suspect_});
     std::vector<RunName> &Runs = Result.Runs_.emplace_back();
     for (const RunName &Run : Table_.findWorker(Worker.Name_)->Runs_) {
       const JobRow *Job = Table_.find(Run.Task_.Job_);
--- a/src/decide/ServingLayout.cpp
+++ b/src/decide/ServingLayout.cpp
@@ -28,6 +28,7 @@
     const LayoutWorker &Row = Workers[Worker];
     Services_.push_back(Row.Service_);
     Capacities_.push_back(Row.Capacity_);
+    Suspects_.push_back(Row.Suspect_);
     Present_.Reserved_.push_back(Row.Reserved_);
     std::vector<std::size_t> &TasksHere = Present_.TasksOn_.emplace_back();
     for (std::size_t Position = 0; Position < Row.Tasks_.size(); ++Position) {
@@ -169,7 +170,7 @@
     StayingImages.insert(Tasks_[Index].Image_);
   StayingImages.erase(Tasks_[Moved].Image_);
   for (std::size_t To = 0; To < Capacities_.size(); ++To) {
-    if (To == From || Services_[To] != Services_[From])
+    if (To == From || Suspects_[To] || Services_[To] != Services_[From])
       continue;
     if (fits(On, To, std::nullopt, Moved)) {
       Consider({.Task_ = Moved, .From_ = From, .To_ = To});
--- a/tests/decide/ServingLayoutTest.cpp
+++ b/tests/decide/ServingLayoutTest.cpp
@@ -148,6 +148,11 @@
     for (const LayoutWorker &Row : Workers)
       CHECK(std::ranges::count(Row.Tasks_, 0U, &LayoutTask::Step_) == 1);
   }
+  SECTION("no task moves to a suspect worker") {
+    for (LayoutWorker &Row : Workers)
+      Row.Suspect_ = true;
+    CHECK(settle(Workers) == 0);
+  }
   SECTION("tasks stay with the workers of their service") {
     Workers[0].Service_ = "sorting";
     Workers[1].Service_ = "orders";
