--- a/include/dragonfly/base/Event.h
+++ b/include/dragonfly/base/Event.h
@@ -55,6 +55,7 @@
   WorkerSuspected = 3023,
   ImageLossLearnt = 3024,
   RunMoved = 3025,
+  RunRelocated = 3026,
   // consensus
   LeaderElected = 4001,
   LeaderLost = 4002,
--- a/include/dragonfly/decide/JobPlacement.h
+++ b/include/dragonfly/decide/JobPlacement.h
@@ -116,6 +116,11 @@
   /// returns nothing if no worker has room.
   std::optional<std::size_t> place(const PlacementRequest &Task);
 
+  /// Places \p Task on the worker \p Index, whose reservations already include
+  /// it; returns nothing while the worker has no room.
+  std::optional<std::size_t> placeReserved(const PlacementRequest &Task,
+                                           std::size_t Index);
+
   /// Counts why each worker cannot run \p Task. Valid only after `place` has
   /// found no worker for it.
   PlacementObstacles countObstacles(const PlacementRequest &Task) const;
--- a/src/base/Event.cpp
+++ b/src/base/Event.cpp
@@ -95,6 +95,9 @@
     {Event::RunMoved, Severity::Info, "run-moved",
      "A run that is slowed down is stopped, to go on from its checkpoint where "
      "it is expected to have full speed."},
+    {Event::RunRelocated, Severity::Info, "run-relocated",
+     "A latency-critical run is stopped, to go on where its image excludes "
+     "fewer batch runs."},
     {Event::LeaderElected, Severity::Info, "leader-elected",
      "This replica leads the replicated log in a new term."},
     {Event::LeaderLost, Severity::Warning, "leader-lost",
--- a/src/control/JobDispatcher.cpp
+++ b/src/control/JobDispatcher.cpp
@@ -232,13 +232,15 @@
 }
 
 void JobDispatcher::placeTasks(TimePoint Now, Duration LogTime) {
+  std::vector<decide::PlacementWorker> Workers = schedulableWorkers(Now);
+  Relocator_.tick(Now, Workers);
   const std::vector<PlacementWork> Work = rankedWork(Now, LogTime);
   if (Work.empty())
     return;
+  Relocator_.addReservations(Workers);
   decide::JobPlacement Placement(
-      schedulableWorkers(Now),
-      {.LossPerWorker_ = [this](std::string_view Serving,
-                                std::string_view Image) {
+      std::move(Workers), {.LossPerWorker_ = [this](std::string_view Serving,
+                                                    std::string_view Image) {
         return Interference_.headroomLossPerWorker(Serving, Image);
       }});
   Resources Capacity;
@@ -375,13 +377,14 @@
     if (Task.Phase_ != TaskPhase::Waiting || ProposedStarts_.contains(Next))
       continue;
     Need.AvoidedWorker_ = Task.Worker_;
-    const auto Chosen = Placement.place(Need);
+    const auto Chosen = placeTask(Next.Task_, Need, Placement);
     if (!Chosen) {
       logPlacementObstacles(Ready, Placement, Need);
       return;
     }
     if (!Need.StepRunsPerWorker_.empty())
       ++Need.StepRunsPerWorker_[*Chosen];
+    Relocator_.finish(Next.Task_);
     proposeStart(Now, Job, std::move(Next), Placement.workers()[*Chosen].Name_);
     Need.MayOvercommit_ = false;
     if (Batch_.record().Starts_.size() >= MaxStartsPerTick)
@@ -389,6 +392,21 @@
   }
 }
 
+/// Places the task on the worker where room is reserved for it, if any.
+std::optional<std::size_t>
+JobDispatcher::placeTask(const jobs::TaskName &Task,
+                         const decide::PlacementRequest &Need,
+                         decide::JobPlacement &Placement) const {
+  const std::string Target = Relocator_.targetOf(Task);
+  const std::vector<decide::PlacementWorker> &Workers = Placement.workers();
+  const auto It =
+      std::ranges::find(Workers, Target, &decide::PlacementWorker::Name_);
+  if (Target.empty() || It == Workers.end())
+    return Placement.place(Need);
+  return Placement.placeReserved(
+      Need, static_cast<std::size_t>(It - Workers.begin()));
+}
+
 void JobDispatcher::proposeStart(TimePoint Now, const JobRow &Job, RunName Run,
                                  const std::string &Worker) {
   const WorkerSession &Session = Sessions_.sessions().at(Worker);
--- a/src/control/JobDispatcher.h
+++ b/src/control/JobDispatcher.h
@@ -5,6 +5,7 @@
 
 #include "control/JobBatch.h"
 #include "control/RunTimeEstimator.h"
+#include "control/ServingRelocator.h"
 #include "control/WorkerInterference.h"
 #include "control/WorkerSessions.h"
 #include "dragonfly/decide/JobPlacement.h"
@@ -25,7 +26,8 @@
                 const RunTimeEstimator &RunTimes, JobBatch &Batch,
                 Metrics &JobMetrics)
       : Table_(Table), Sessions_(Sessions), Interference_(Interference),
-        RunTimes_(RunTimes), Batch_(Batch), Metrics_(JobMetrics) {}
+        RunTimes_(RunTimes), Batch_(Batch), Metrics_(JobMetrics),
+        Relocator_(Table, Sessions, Interference, JobMetrics) {}
 
   /// Drops all state of an earlier term as leader.
   void startLeading() {
@@ -33,6 +35,7 @@
     ProposedStartVersions_.clear();
     CachedWorkers_.clear();
     IdleSince_.clear();
+    Relocator_.startLeading();
     NeedsPlacement_ = true;
   }
   /// Stops runs and places tasks where either is due. \p LogTime is the current
@@ -77,6 +80,9 @@
   countRunsPerWorker(const jobs::ReadyStep &Ready,
                      const std::vector<jobs::TaskRow> &Tasks,
                      const decide::JobPlacement &Placement) const;
+  std::optional<std::size_t> placeTask(const jobs::TaskName &Task,
+                                       const decide::PlacementRequest &Need,
+                                       decide::JobPlacement &Placement) const;
   void proposeStart(TimePoint Now, const jobs::JobRow &Job, jobs::RunName Run,
                     const std::string &Worker);
   void handleCommittedStart(TimePoint Now, const jobs::StartRow &Row,
@@ -110,6 +116,7 @@
   const RunTimeEstimator &RunTimes_;
   JobBatch &Batch_;
   Metrics &Metrics_;
+  ServingRelocator Relocator_;
   std::map<jobs::RunName, ProposedStart> ProposedStarts_;
   /// By worker: incremented whenever its entries in `ProposedStarts_` change.
   std::map<std::string, std::uint64_t> ProposedStartVersions_;
--- a/src/decide/JobPlacement.cpp
+++ b/src/decide/JobPlacement.cpp
@@ -232,6 +232,17 @@
   return Best;
 }
 
+std::optional<std::size_t>
+JobPlacement::placeReserved(const PlacementRequest &Task, std::size_t Index) {
+  Workers_[Index].Reserved_ -= Task.Need_;
+  if (isEligible(Index, Task) && hasRoom(Index, Task, {})) {
+    commit(Index, Task, {});
+    return Index;
+  }
+  Workers_[Index].Reserved_ += Task.Need_;
+  return std::nullopt;
+}
+
 void JobPlacement::commit(std::size_t Index, const PlacementRequest &Task,
                           const Losses &LossesByServingImage) {
   PlacementWorker &Row = Workers_[Index];
--- a/tools/play-days.py
+++ b/tools/play-days.py
@@ -1,10 +1,11 @@
 #!/usr/bin/env python3
 """Plays days of the users' bench several times and prints one row a day.
 
-usage: tools/play-days.py BENCH WHY PLAYS JOBS SITE[:DAY,DAY...] ...
+usage: tools/play-days.py BENCH WHY PLAYS[@SEED] JOBS SITE[:DAY,DAY...] ...
 
 BENCH is the users' fleetbench, WHY goes to the journal, PLAYS is how often each
-day is played, JOBS how many plays run side by side. Without days, the standard
+day is played, JOBS how many plays run side by side. With SEED, the plays of a day
+have the seeds from SEED on; else all have the day's own. Without days, the standard
 days of the site are played. A row gives the median worth and its range, what was
 earned by kind of request, the largest prices and any broken rule.
 """
@@ -24,9 +25,11 @@
         return [day["name"] for day in tomllib.load(file)["day"]]
 
 
-def play(bench, why, site, day, folder, number):
+def play(bench, why, site, day, folder, number, seed):
     report = os.path.join(folder, f"{os.path.basename(site)}-{day}-{number}.json")
     command = [bench, "run", site, day, "--report", report, "--why", why]
+    if seed is not None:
+        command += ["--seed", str(seed + number)]
     result = subprocess.run(command, capture_output=True, text=True, check=False)
     try:
         with open(report, encoding="utf-8") as file:
@@ -57,7 +60,9 @@
 def main():
     if len(sys.argv) < 6:
         sys.exit(__doc__)
-    bench, why, plays, jobs = sys.argv[1], sys.argv[2], int(sys.argv[3]), int(sys.argv[4])
+    bench, why, jobs = sys.argv[1], sys.argv[2], int(sys.argv[4])
+    plays, _, seed = sys.argv[3].partition("@")
+    plays, seed = int(plays), int(seed) if seed else None
     subprocess.run([bench, "build"], check=True, capture_output=True)
     with tempfile.TemporaryDirectory() as folder, \
             concurrent.futures.ThreadPoolExecutor(jobs) as pool:
@@ -65,7 +70,8 @@
         for argument in sys.argv[5:]:
             site, _, names = argument.partition(":")
             for day in names.split(",") if names else days_of(site):
-                wanted.append((site, day, [pool.submit(play, bench, why, site, day, folder, number)
+                wanted.append((site, day, [pool.submit(play, bench, why, site, day, folder, number,
+                                                       seed)
                                            for number in range(plays)]))
         troubled = {}
         for site, day, futures in wanted:
