--- /dev/null
+++ b/review/standin/Worker.h
@@ -0,0 +1,51 @@
+/// A sound worker of the users' platform, as PROTOCOL.md describes it.
+#ifndef DRAGONFLY_REVIEW_STANDIN_WORKER_H
+#define DRAGONFLY_REVIEW_STANDIN_WORKER_H
+
+#include "Record.h"
+#include "dragonfly/net/Endpoint.h"
+#include "dragonfly/net/EventLoop.h"
+
+#include <memory>
+#include <string>
+
+namespace dragonfly::review {
+
+struct WorkerOptions {
+  std::string Name_;
+  std::string Service_;
+  net::Endpoint Listen_;
+  /// The agent on its machine.
+  net::Endpoint Agent_;
+  std::int64_t MilliProcessors_ = 16000;
+  std::int64_t MemoryMb_ = 64000;
+  Duration HeartbeatPeriod_ = std::chrono::milliseconds(1500);
+};
+
+/// Runs each task for as long as the job's `Spec` says: "ms=4000".
+class Worker {
+public:
+  Worker(net::EventLoop &Loop, Record &Lines, RunJudge &Judge,
+         WorkerOptions Options);
+  ~Worker();
+
+  const std::string &name() const;
+  /// Runs that go on.
+  std::size_t running() const;
+  /// Ends that it was not told to forget.
+  std::size_t openEnds() const;
+  /// When it last asked for an acknowledgement of its heartbeat.
+  TimePoint lastHeartbeat() const;
+  /// Once a call with a higher fencing token has been answered, the next call
+  /// of `hold` gets no answer.
+  void leaveNextHoldUnanswered();
+  bool hasLeftHoldUnanswered() const;
+
+private:
+  struct Impl;
+  std::shared_ptr<Impl> Impl_;
+};
+
+} // namespace dragonfly::review
+
+#endif // DRAGONFLY_REVIEW_STANDIN_WORKER_H
--- /dev/null
+++ b/review/standin/review-cases.cpp
@@ -0,0 +1,237 @@
+/// Runs one case of the review against the real programs. Exits with 1 if the
+/// rule was broken, 0 if it held, 2 if the case could not run.
+
+#include "Stage.h"
+
+#include <boost/json.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+#include <map>
+#include <string>
+#include <unistd.h>
+
+namespace dragonfly::review {
+namespace {
+
+namespace json = boost::json;
+using std::chrono::milliseconds;
+
+/// Stand-ins look at their clocks every 10 ms; a shorter overlap of two runs is
+/// not held against the system.
+constexpr Duration LeastOverlap = milliseconds(100);
+
+struct CaseOptions {
+  std::string Folder_;
+  std::string Temporary_;
+  std::string Network_;
+  bool Trouble_ = true;
+};
+
+StageOptions stageOf(const CaseOptions &Options, std::size_t Workers) {
+  return {.CaseFolder_ = Options.Folder_,
+          .Folder_ = Options.Temporary_,
+          .Network_ = Options.Network_,
+          .Workers_ = Workers};
+}
+
+std::uint64_t unixMilliseconds() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+bool breaksTwice(Stage &On) {
+  const Duration Overlap = On.judge().longestOverlap();
+  On.record().write(
+      "tasks that ran twice at the same time: " +
+      std::to_string(On.judge().overlaps()) + ", longest for " +
+      std::to_string(static_cast<std::int64_t>(toMilliseconds(Overlap))) +
+      " ms; starts after a noted end: " +
+      std::to_string(On.judge().startsAfterDone()));
+  return Overlap >= LeastOverlap || On.judge().startsAfterDone() > 0;
+}
+
+/// Waits until all tasks of \p Job run.
+void awaitRunning(Stage &On, const std::string &Job, std::size_t Tasks,
+                  Duration Longest = milliseconds(8000)) {
+  if (!On.runUntil([&] { return On.judge().runningOf(Job) == Tasks; }, Longest))
+    throw CannotRun("the tasks did not start");
+}
+
+void awaitCompletion(Stage &On, const std::string &Path, Duration Longest) {
+  const bool Done = On.runUntil(
+      [&] {
+        On.runFor(milliseconds(200));
+        return On.stateOf(Path) == "completed";
+      },
+      Longest);
+  On.record().write("GET " + Path + ": " + On.stateOf(Path) +
+                    (Done ? "" : ", not completed in time"));
+}
+
+std::size_t busiestWorker(Stage &On) {
+  std::size_t Busiest = 0;
+  for (std::size_t I = 0; I < On.workers(); ++I)
+    if (On.worker(I).running() > On.worker(Busiest).running())
+      Busiest = I;
+  return Busiest;
+}
+
+/// A heartbeat of another writer, for a service that is not named, arrives at
+/// an agent.
+bool foreignHeartbeat(const CaseOptions &Options) {
+  Stage On(stageOf(Options, 3));
+  On.begin();
+  const std::string Job = "00000000000000a1";
+  On.submit("/checks/" + Job, Stage::jobBody(6, 2000, 500, 12000));
+  awaitRunning(On, Job, 6);
+  On.runFor(milliseconds(1500));
+  const std::size_t Struck = busiestWorker(On);
+  if (Options.Trouble_) {
+    net::HttpClient Writer(
+        On.loop(),
+        {.Peer_ = {On.fleet().ip(soak::Fleet::Role::Agent, Struck + 1),
+                   soak::ControlPort}});
+    const json::object Body{
+        {"Service", "unnamed"},
+        {"Address", Options.Network_ + ".8.1:9000"},
+        {"Zone", "zone-a"},
+        {"Version", "v1"},
+        {"Slots", 8},
+        {"State", "ready"},
+        {"ColdRemainingMs", 0},
+        {"Capacity",
+         json::object{{"Cpu", 16000}, {"MemMb", 64000}, {"Gpu", 0}}},
+        {"Labels", json::array{"a", "r1-1"}},
+        {"ClockMs", 1000},
+        {"born", unixMilliseconds()},
+        {"Sequence", 1}};
+    const net::HttpResult Result =
+        On.call(Writer, Stage::request("PUT", "/v1/instances/i-other",
+                                       json::serialize(Body)));
+    On.record().write("heartbeat of i-other for the service 'unnamed' at the "
+                      "agent of " +
+                      On.worker(Struck).name() + ": " +
+                      std::to_string(Result.Response_.Status_));
+  }
+  awaitCompletion(On, "/checks/" + Job, milliseconds(40000));
+  return breaksTwice(On);
+}
+
+/// An agent is killed and started again, and its worker leaves one call of the
+/// new process unanswered.
+bool forgottenLease(const CaseOptions &Options) {
+  Stage On(stageOf(Options, 2));
+  On.begin();
+  const std::string Job = "00000000000000a1";
+  On.submit("/checks/" + Job, Stage::jobBody(4, 2000, 500, 12000));
+  awaitRunning(On, Job, 4);
+  On.runFor(milliseconds(1500));
+  const std::size_t Struck = busiestWorker(On);
+  // The agent is back before the next heartbeat.
+  Worker &Beside = On.worker(Struck);
+  On.runUntil(
+      [&] {
+        const Duration Since = Clock::now() - Beside.lastHeartbeat();
+        return Since >= milliseconds(1000) && Since < milliseconds(1100);
+      },
+      milliseconds(4000));
+  if (Options.Trouble_)
+    Beside.leaveNextHoldUnanswered();
+  On.killAndRestart({On.agent(Struck)}, milliseconds(300));
+  awaitCompletion(On, "/checks/" + Job, milliseconds(40000));
+  if (Options.Trouble_ && !Beside.hasLeftHoldUnanswered())
+    throw CannotRun("no call was left unanswered");
+  return breaksTwice(On);
+}
+
+/// Control is down for longer than a lease while workers have over 500 runs.
+bool manyEnds(const CaseOptions &Options) {
+  StageOptions Sizes = stageOf(Options, 2);
+  Stage On(Sizes);
+  On.begin();
+  const std::string Job = "00000000000000a1";
+  constexpr std::size_t Tasks = 1200;
+  On.submit("/checks/" + Job, Stage::jobBody(Tasks, 20, 20, 15000));
+  awaitRunning(On, Job, Tasks, milliseconds(14000));
+  On.record().write("running: " + std::to_string(On.worker(0).running()) +
+                    " and " + std::to_string(On.worker(1).running()));
+  const std::vector<std::size_t> Core{On.control(0), On.control(1),
+                                      On.control(2)};
+  if (Options.Trouble_)
+    On.killAndRestart(Core, milliseconds(6000));
+  On.runFor(milliseconds(10000));
+  On.record().write(
+      "running after the outage: " + std::to_string(On.judge().runningOf(Job)) +
+      ", ends that were not taken note of: " +
+      std::to_string(On.worker(0).openEnds()) + " and " +
+      std::to_string(On.worker(1).openEnds()));
+  // The rule allows 3 s with nothing running while there is room.
+  Duration Idle{};
+  TimePoint Last = Clock::now();
+  std::string State;
+  On.runUntil(
+      [&] {
+        const TimePoint Now = Clock::now();
+        Idle = On.judge().runningOf(Job) == 0 ? Idle + (Now - Last)
+                                              : Duration::zero();
+        Last = Now;
+        On.runFor(milliseconds(100));
+        State = On.stateOf("/checks/" + Job);
+        return State == "completed";
+      },
+      milliseconds(35000));
+  On.record().write(
+      "GET /checks/" + Job + ": " + State + "; nothing of it has run for " +
+      std::to_string(static_cast<std::int64_t>(toMilliseconds(Idle))) +
+      " ms; workers are idle: " +
+      std::to_string(On.worker(0).running() + On.worker(1).running()) +
+      " runs");
+  return State != "completed" && Idle >= milliseconds(3000);
+}
+
+const std::map<std::string, bool (*)(const CaseOptions &)> Cases{
+    {"foreign-heartbeat", foreignHeartbeat},
+    {"forgotten-lease", forgottenLease},
+    {"many-ends", manyEnds}};
+
+int run(const std::string &Name, const CaseOptions &Options) {
+  constexpr int Broken = 1;
+  constexpr int NotRun = 2;
+  const auto Case = Cases.find(Name);
+  if (Case == Cases.end())
+    return NotRun;
+  try {
+    const bool IsBroken = Case->second(Options);
+    std::cout << (IsBroken ? "the rule was broken" : "the rule held") << "\n";
+    return IsBroken ? Broken : 0;
+  } catch (const std::exception &Fault) {
+    std::cout << "could not run: " << Fault.what() << "\n";
+    return NotRun;
+  }
+}
+
+} // namespace
+} // namespace dragonfly::review
+
+int main(int Argc, char **Argv) {
+  using namespace dragonfly;
+  if (Argc != 4) {
+    std::cerr << "usage: review-cases CASE FOLDER TEMPORARY-FOLDER\n";
+    return 2;
+  }
+  const char *Trouble = std::getenv("TROUBLE");
+  // Loopback addresses that no other run uses at the same time.
+  constexpr int FirstNetwork = 100;
+  constexpr int Networks = 120;
+  const review::CaseOptions Options{
+      .Folder_ = Argv[2],
+      .Temporary_ = Argv[3],
+      .Network_ = "127." + std::to_string(FirstNetwork + ::getpid() % Networks),
+      .Trouble_ = Trouble == nullptr || std::string(Trouble) != "0"};
+  return review::run(Argv[1], Options);
+}
