--- a/review/build.sh
+++ b/review/build.sh
@@ -3,9 +3,9 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for source in review/standin/*.cpp tests/soak/Fleet.cpp; do
+for source in review/standin/*.cpp; do
   g++ -std=c++20 -O1 -Wall -Wextra -Wno-missing-field-initializers \
-    -Ireview/standin -Iinclude -Itests -I. -c "$source" \
+    -Ireview/standin -Iinclude -c "$source" \
     -o "target/review/$(basename "$source" .cpp).o" &
   pids+=($!)
 done
--- a/review/standin/Stage.cpp
+++ b/review/standin/Stage.cpp
@@ -14,7 +14,6 @@
 namespace {
 
 namespace json = boost::json;
-using soak::Fleet;
 using std::chrono::milliseconds;
 
 constexpr const char *ServiceName = "sorting";
@@ -28,22 +27,20 @@
 Stage::Stage(StageOptions Options)
     : Options_(std::move(Options)),
       Record_(Options_.CaseFolder_ + "/record.txt"), Judge_(Record_),
-      Fleet_({.Program_ = "target/dragonfly-platform",
-              .Folder_ = Options_.Folder_,
-              .Network_ = Options_.Network_,
-              .Controls_ = Controls,
-              .Entries_ = Entries,
-              .Agents_ = Options_.Workers_}) {
+      Programs_({.Folder_ = Options_.Folder_,
+                 .Network_ = Options_.Network_,
+                 .Controls_ = Controls,
+                 .Entries_ = Entries,
+                 .Agents_ = Options_.Workers_,
+                 .HasPaths_ = Options_.HasPaths_}) {
   for (std::size_t I = 1; I <= Entries; ++I)
     EntryClients_.push_back(std::make_unique<net::HttpClient>(
-        Loop_,
-        net::HttpClientOptions{
-            .Peer_ = {Fleet_.ip(Fleet::Role::Entry, I), soak::CallerPort}}));
+        Loop_, net::HttpClientOptions{
+                   .Peer_ = {Programs_.ip(Role::Entry, I), CallerPort}}));
   for (std::size_t I = 1; I <= Controls; ++I)
     OperatorClients_.push_back(std::make_unique<net::HttpClient>(
-        Loop_,
-        net::HttpClientOptions{
-            .Peer_ = {Fleet_.ip(Fleet::Role::Control, I), soak::ControlPort}}));
+        Loop_, net::HttpClientOptions{
+                   .Peer_ = {Programs_.ip(Role::Control, I), ControlPort}}));
 }
 
 void Stage::runFor(Duration Length) {
@@ -163,16 +160,53 @@
   return std::string(Body.at("State").as_string());
 }
 
+void Stage::reap() {
+  for (const std::string &Name : Programs_.reap()) {
+    OwnEnds_.push_back(Name);
+    Record_.write(Name + " ended by itself");
+  }
+}
+
+void Stage::openPaths() {
+  for (std::size_t I = 0; I < Programs_.size(); ++I) {
+    if (Programs_.role(I) == Role::Control)
+      continue;
+    FramePath::Addresses Translated;
+    const auto At = [](const std::string &Ip) {
+      return Ip + ":" + std::to_string(InternalPort);
+    };
+    for (std::size_t Index = 1; Index <= Controls; ++Index)
+      Translated[At(Programs_.ip(Role::Control, Index))] =
+          At(Programs_.pathIp(I, Index));
+    for (std::size_t Index = 1; Index <= Controls; ++Index)
+      Paths_[I].push_back(std::make_unique<FramePath>(
+          Loop_, net::Endpoint{Programs_.pathIp(I, Index), InternalPort},
+          net::Endpoint{Programs_.ip(Role::Control, Index), InternalPort},
+          Translated));
+  }
+}
+
+void Stage::harmPaths(std::size_t I, const FramePath::Harm &Value) {
+  for (const auto &Path : Paths_.at(I))
+    Path->setHarm(Value);
+}
+
+void Stage::resetPaths(std::size_t I) {
+  for (const auto &Path : Paths_.at(I))
+    Path->reset();
+}
+
 void Stage::begin() {
-  for (std::size_t I = 0; I < Fleet_.size(); ++I)
-    Fleet_.start(I);
+  if (Options_.HasPaths_)
+    openPaths();
+  for (std::size_t I = 0; I < Programs_.size(); ++I)
+    Programs_.start(I);
   for (std::size_t I = 1; I <= Options_.Workers_; ++I) {
     WorkerOptions Each = Options_.Worker_;
     Each.Name_ = "i-" + std::to_string(I);
     Each.Service_ = ServiceName;
-    Each.Listen_ = {Options_.Network_ + ".5." + std::to_string(I),
-                    soak::WorkerPort};
-    Each.Agent_ = {Fleet_.ip(Fleet::Role::Agent, I), soak::ControlPort};
+    Each.Listen_ = {Programs_.workerIp(I), WorkerPort};
+    Each.Agent_ = {Programs_.ip(Role::Agent, I), ControlPort};
     Workers_.push_back(
         std::make_unique<Worker>(Loop_, Record_, Judge_, std::move(Each)));
   }
@@ -184,7 +218,8 @@
   if (!runUntil([&] { return stateOf(Path) == "completed"; }, StartTime))
     throw CannotRun("the deployment does not serve");
   runFor(milliseconds(1000));
-  if (Fleet_.reap() != 0)
+  reap();
+  if (!OwnEnds_.empty())
     throw CannotRun("a program ended during the start");
   Record_.write("the deployment serves");
 }
@@ -192,23 +227,23 @@
 void Stage::killAndRestart(const std::vector<std::size_t> &Processes,
                            Duration Down) {
   for (const std::size_t I : Processes) {
-    Record_.write(Fleet_.name(I) + " is killed");
-    Fleet_.expectEnd(I);
-    Fleet_.signal(I, SIGKILL);
+    Record_.write(Programs_.name(I) + " is killed");
+    Programs_.expectEnd(I);
+    Programs_.signal(I, SIGKILL);
   }
   const TimePoint Until = Clock::now() + Down;
   runUntil(
       [&] {
-        Fleet_.reap();
+        reap();
         return Clock::now() >= Until &&
                std::ranges::none_of(Processes, [this](std::size_t I) {
-                 return Fleet_.isRunning(I);
+                 return Programs_.isRunning(I);
                });
       },
       Down + milliseconds(5000));
   for (const std::size_t I : Processes) {
-    Fleet_.start(I);
-    Record_.write(Fleet_.name(I) + " is started again");
+    Programs_.start(I);
+    Record_.write(Programs_.name(I) + " is started again");
   }
 }
 
@@ -216,7 +251,7 @@
   std::string Newest;
   std::size_t Leader = 0;
   for (std::size_t I = 0; I < Controls; ++I) {
-    std::ifstream Log(Options_.Folder_ + "/" + Fleet_.name(I) + ".log");
+    std::ifstream Log(Programs_.logOf(control(I)));
     for (std::string Line; std::getline(Log, Line);)
       if (Line.find("\"leader-elected\"") != std::string::npos) {
         // Each line begins with its time.
--- a/review/standin/Stage.h
+++ b/review/standin/Stage.h
@@ -3,13 +3,15 @@
 #ifndef DRAGONFLY_REVIEW_STANDIN_STAGE_H
 #define DRAGONFLY_REVIEW_STANDIN_STAGE_H
 
+#include "FramePath.h"
+#include "Programs.h"
 #include "Record.h"
 #include "Worker.h"
 #include "dragonfly/net/EventLoop.h"
 #include "dragonfly/net/HttpClient.h"
-#include "soak/Fleet.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <stdexcept>
 #include <string>
@@ -31,6 +33,8 @@
   std::string Network_;
   std::size_t Workers_ = 2;
   WorkerOptions Worker_;
+  /// Entries and agents reach control over paths that can be harmed.
+  bool HasPaths_ = false;
 };
 
 struct Route {
@@ -66,16 +70,28 @@
 
   /// Kills a process and starts it again after \p Down.
   void killAndRestart(const std::vector<std::size_t> &Processes, Duration Down);
-  std::size_t control(std::size_t I) const { return I; }
-  std::size_t entry(std::size_t I) const { return Controls + I; }
-  std::size_t agent(std::size_t I) const { return Controls + Entries + I; }
+  std::size_t control(std::size_t I) const {
+    return Programs_.number(Role::Control, I + 1);
+  }
+  std::size_t entry(std::size_t I) const {
+    return Programs_.number(Role::Entry, I + 1);
+  }
+  std::size_t agent(std::size_t I) const {
+    return Programs_.number(Role::Agent, I + 1);
+  }
+  /// Notes processes that ended by themselves.
+  void reap();
+  const std::vector<std::string> &ownEnds() const { return OwnEnds_; }
+  /// Harms all paths of process \p I to control.
+  void harmPaths(std::size_t I, const FramePath::Harm &Value);
+  void resetPaths(std::size_t I);
   /// The control process that was elected last, by the logs.
   std::size_t leadingControl() const;
 
   net::EventLoop &loop() { return Loop_; }
   Record &record() { return Record_; }
   RunJudge &judge() { return Judge_; }
-  soak::Fleet &fleet() { return Fleet_; }
+  Programs &programs() { return Programs_; }
   Worker &worker(std::size_t I) { return *Workers_[I]; }
   std::size_t workers() const { return Workers_.size(); }
   net::HttpClient &entryClient(std::size_t I) { return *EntryClients_[I]; }
@@ -87,11 +103,16 @@
   static constexpr std::size_t Entries = 2;
 
 private:
+  void openPaths();
+
   StageOptions Options_;
   net::EventLoop Loop_;
   Record Record_;
   RunJudge Judge_;
-  soak::Fleet Fleet_;
+  Programs Programs_;
+  std::vector<std::string> OwnEnds_;
+  /// By process, then by control process.
+  std::map<std::size_t, std::vector<std::unique_ptr<FramePath>>> Paths_;
   std::vector<std::unique_ptr<Worker>> Workers_;
   std::vector<std::unique_ptr<net::HttpClient>> EntryClients_;
   std::vector<std::unique_ptr<net::HttpClient>> OperatorClients_;
--- a/review/standin/Worker.cpp
+++ b/review/standin/Worker.cpp
@@ -29,6 +29,8 @@
 constexpr std::int64_t MaxLeaseMs = 10000;
 /// Ends that one answer lists.
 constexpr std::size_t MaxListedEnds = 500;
+/// A call that gets no answer is carried out 2 to 12 s later.
+constexpr Duration LateTime = milliseconds(2000);
 constexpr std::uint16_t Conflict = 409;
 constexpr std::uint16_t Misdirected = 421;
 constexpr double FullPercent = 100;
@@ -149,9 +151,10 @@
       Lines_.write(Options_.Name_ + " leaves a call of hold unanswered");
       HasDroppedHold_ = true;
       Dropped_.push_back(To);
+      LateCalls_.push_back(
+          Loop_.after(LateTime, [this, Call] { takeLate(Call); }));
       return;
     }
-    extendLease(static_cast<std::int64_t>(numberOf(Call, "DeadlineMs")));
     if (Request.Target_ == "/v1/run-start")
       startRun(Call, To);
     else if (Request.Target_ == "/v1/run-stop")
@@ -164,6 +167,25 @@
       HoldIsDropped_ = true;
   }
 
+  /// Carries out a call of `hold` that got no answer.
+  void takeLate(const json::object &Call) {
+    Lines_.write(Options_.Name_ + " carries out the call now");
+    if (numberOf(Call, "FencingToken") >= Fence_)
+      takeHold(Call);
+  }
+
+  void takeHold(const json::object &Call) {
+    extendLease(static_cast<std::int64_t>(numberOf(Call, "DeadlineMs")));
+    const std::uint64_t LastSeen = numberOf(Call, "LastSeen");
+    std::erase_if(Ends_, [this, LastSeen](const End &Row) {
+      if (Row.Number_ > LastSeen)
+        return false;
+      if (Row.How_ == "done" && !Row.Lapsed_)
+        Judge_.noted(Row.Task_);
+      return true;
+    });
+  }
+
   void extendLease(std::int64_t DeadlineMs) {
     if (DeadlineMs > 0)
       LeaseUntilMs_ =
@@ -181,6 +203,7 @@
   }
 
   void startRun(const json::object &Call, const net::HttpReplier &To) {
+    extendLease(static_cast<std::int64_t>(numberOf(Call, "DeadlineMs")));
     const std::string Task = textOf(Call, "Task");
     const std::uint64_t Number = numberOf(Call, "Run");
     if (const auto It = Runs_.find(Task);
@@ -215,14 +238,7 @@
   }
 
   void hold(const json::object &Call, const net::HttpReplier &To) {
-    const std::uint64_t LastSeen = numberOf(Call, "LastSeen");
-    std::erase_if(Ends_, [this, LastSeen](const End &Row) {
-      if (Row.Number_ > LastSeen)
-        return false;
-      if (Row.How_ == "done" && !Row.Lapsed_)
-        Judge_.noted(Row.Task_);
-      return true;
-    });
+    takeHold(Call);
     const Duration Wait = milliseconds(numberOf(Call, "WaitMs"));
     if (Wait > Duration::zero() && Ends_.empty())
       Waiting_.push_back({To, Clock::now() + Wait});
@@ -296,6 +312,7 @@
   std::vector<End> Ends_;
   std::vector<Waiting> Waiting_;
   std::vector<net::HttpReplier> Dropped_;
+  std::vector<net::Timer> LateCalls_;
   std::uint64_t NextEnd_ = 1;
   std::uint64_t Fence_ = 0;
   std::int64_t LeaseUntilMs_ = 0;
--- a/review/standin/review-cases.cpp
+++ b/review/standin/review-cases.cpp
@@ -3,6 +3,9 @@
 
 #include "Stage.h"
 
+#include "dragonfly/net/HttpServer.h"
+#include "dragonfly/net/NetError.h"
+
 #include <boost/json.hpp>
 
 #include <csignal>
@@ -94,8 +97,7 @@
   if (Options.Trouble_) {
     net::HttpClient Writer(
         On.loop(),
-        {.Peer_ = {On.fleet().ip(soak::Fleet::Role::Agent, Struck + 1),
-                   soak::ControlPort}});
+        {.Peer_ = {On.programs().ip(Role::Agent, Struck + 1), ControlPort}});
     const json::object Body{
         {"Service", "unnamed"},
         {"Address", Options.Network_ + ".8.1:9000"},
@@ -125,11 +127,12 @@
 /// An agent is killed and started again, and its worker leaves one call of the
 /// new process unanswered.
 bool forgottenLease(const CaseOptions &Options) {
-  Stage On(stageOf(Options, 2));
+  // One agent of ten is killed.
+  Stage On(stageOf(Options, 10));
   On.begin();
   const std::string Job = "00000000000000a1";
-  On.submit("/checks/" + Job, Stage::jobBody(4, 2000, 500, 12000));
-  awaitRunning(On, Job, 4);
+  On.submit("/checks/" + Job, Stage::jobBody(20, 2000, 500, 12000));
+  awaitRunning(On, Job, 20);
   On.runFor(milliseconds(1500));
   const std::size_t Struck = busiestWorker(On);
   // The agent is back before the next heartbeat.
@@ -140,9 +143,10 @@
         return Since >= milliseconds(1000) && Since < milliseconds(1100);
       },
       milliseconds(4000));
-  if (Options.Trouble_)
+  if (Options.Trouble_) {
     Beside.leaveNextHoldUnanswered();
-  On.killAndRestart({On.agent(Struck)}, milliseconds(300));
+    On.killAndRestart({On.agent(Struck)}, milliseconds(300));
+  }
   awaitCompletion(On, "/checks/" + Job, milliseconds(40000));
   if (Options.Trouble_ && !Beside.hasLeftHoldUnanswered())
     throw CannotRun("no call was left unanswered");
@@ -199,6 +203,26 @@
     {"forgotten-lease", forgottenLease},
     {"many-ends", manyEnds}};
 
+/// Returns the start of loopback addresses that no other run uses now.
+std::string freeNetwork() {
+  constexpr int FirstNetwork = 100;
+  constexpr int Networks = 120;
+  for (int I = 0; I < Networks; ++I) {
+    const std::string Network =
+        "127." + std::to_string(FirstNetwork + (::getpid() + I) % Networks);
+    try {
+      net::EventLoop Loop;
+      const net::HttpServer Probe(Loop,
+                                  {.Listen_ = {Network + ".1.1", ControlPort}});
+      return Network;
+    } catch (const net::NetError &) {
+      // The next one may be free.
+      continue;
+    }
+  }
+  return {};
+}
+
 int run(const std::string &Name, const CaseOptions &Options) {
   constexpr int Broken = 1;
   constexpr int NotRun = 2;
@@ -225,13 +249,10 @@
     return 2;
   }
   const char *Trouble = std::getenv("TROUBLE");
-  // Loopback addresses that no other run uses at the same time.
-  constexpr int FirstNetwork = 100;
-  constexpr int Networks = 120;
-  const review::CaseOptions Options{
-      .Folder_ = Argv[2],
-      .Temporary_ = Argv[3],
-      .Network_ = "127." + std::to_string(FirstNetwork + ::getpid() % Networks),
-      .Trouble_ = Trouble == nullptr || std::string(Trouble) != "0"};
+  const review::CaseOptions Options{.Folder_ = Argv[2],
+                                    .Temporary_ = Argv[3],
+                                    .Network_ = review::freeNetwork(),
+                                    .Trouble_ = Trouble == nullptr ||
+                                                std::string(Trouble) != "0"};
   return review::run(Argv[1], Options);
 }
