--- a/review/standin/Record.cpp
+++ b/review/standin/Record.cpp
@@ -14,7 +14,7 @@
 
 void RunJudge::began(const std::string &Task, const RunOn &Run) {
   ++Started_;
-  Jobs_.insert(jobOf(Task));
+  Jobs_[jobOf(Task)] = Clock::now();
   std::map<RunOn, TimePoint> &Runs = Running_[Task];
   std::string Others;
   for (const auto &[Other, Since] : Runs)
@@ -37,6 +37,8 @@
   if (It == Running_.end())
     return;
   const TimePoint Now = Clock::now();
+  if (How == "done")
+    Done_.insert(Task);
   const auto Own = It->second.find(Run);
   if (Own == It->second.end())
     return;
@@ -68,4 +70,14 @@
       Running_, [&Job](const auto &Each) { return jobOf(Each.first) == Job; }));
 }
 
+std::size_t RunJudge::doneOf(const std::string &Job) const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      Done_, [&Job](const std::string &Task) { return jobOf(Task) == Job; }));
+}
+
+TimePoint RunJudge::lastStartOf(const std::string &Job) const {
+  const auto It = Jobs_.find(Job);
+  return It == Jobs_.end() ? TimePoint() : It->second;
+}
+
 } // namespace dragonfly::review
--- a/review/standin/Record.h
+++ b/review/standin/Record.h
@@ -54,6 +54,9 @@
   std::size_t startsAfterDone() const { return StartsAfterDone_; }
   std::size_t running() const { return Running_.size(); }
   std::size_t runningOf(const std::string &Job) const;
+  /// Tasks of \p Job that have ended as done.
+  std::size_t doneOf(const std::string &Job) const;
+  TimePoint lastStartOf(const std::string &Job) const;
   std::size_t started() const { return Started_; }
   /// True if a run of a task of \p Job has begun.
   bool hasRun(const std::string &Job) const { return Jobs_.contains(Job); }
@@ -62,7 +65,9 @@
   Record &Lines_;
   std::map<std::string, std::map<RunOn, TimePoint>> Running_;
   std::set<std::string> Noted_;
-  std::set<std::string> Jobs_;
+  std::set<std::string> Done_;
+  /// When the last run of a job's tasks began.
+  std::map<std::string, TimePoint> Jobs_;
   Duration Longest_{};
   std::size_t Overlaps_ = 0;
   std::size_t StartsAfterDone_ = 0;
--- a/review/standin/review-cases.cpp
+++ b/review/standin/review-cases.cpp
@@ -1,6 +1,7 @@
 /// Runs one case of the review against the real programs. Exits with 1 if the
 /// rule was broken, 0 if it held, 2 if the case could not run.
 
+#include "RandomFaults.h"
 #include "Stage.h"
 
 #include "dragonfly/net/HttpServer.h"
@@ -13,6 +14,7 @@
 #include <filesystem>
 #include <iostream>
 #include <map>
+#include <optional>
 #include <string>
 #include <unistd.h>
 
@@ -198,10 +200,63 @@
   return State != "completed" && Idle >= milliseconds(3000);
 }
 
+/// A route is removed while the answer to a submission for it is delayed on its
+/// way from control to the entry.
+bool refusedButRun(const CaseOptions &Options) {
+  StageOptions Sizes = stageOf(Options, 2);
+  Sizes.HasPaths_ = true;
+  Stage On(Sizes);
+  On.begin();
+  const std::string Job = "00000000000000a1";
+  const std::string Path = "/other/" + Job;
+  const std::size_t Struck = On.entry(0);
+  if (Options.Trouble_) {
+    // A packet that was lost is sent again a second later.
+    On.harmPaths(Struck, {.AnswerDelay_ = milliseconds(1000)});
+    On.record().write("answers from control to entry-1 are delayed");
+  }
+  std::optional<net::HttpResult> Result;
+  On.entryClient(0).request(
+      Stage::request("POST", Path, Stage::jobBody(2, 2000, 500, 4000)),
+      milliseconds(3000),
+      [&Result](const net::HttpResult &Value) { Result = Value; });
+  On.record().write("POST " + Path + " is sent to entry-1, once");
+  On.runFor(milliseconds(300));
+  On.putConfiguration(2, {{"checks", "/checks/"}});
+  On.runFor(milliseconds(200));
+  On.harmPaths(Struck, {});
+  On.runUntil([&Result] { return Result.has_value(); }, milliseconds(4000));
+  if (!Result)
+    throw CannotRun("the client's request did not end");
+  const bool IsAnswered = Result->Status_ == net::CallStatus::Answered;
+  const int Status = IsAnswered ? Result->Response_.Status_ : 0;
+  On.record().write("POST " + Path + ": " + std::to_string(Status) + " " +
+                    Result->Response_.Body_);
+  On.runFor(milliseconds(3000));
+  const bool HasRun = On.judge().hasRun(Job);
+  On.record().write(std::string("tasks of the job have ") +
+                    (HasRun ? "" : "not ") + "run");
+  const bool IsRefused = Status == 404 || Status == 429 || Status == 503;
+  return IsRefused && HasRun;
+}
+
+/// The seed is the number in the environment.
+bool randomFaults(const CaseOptions &Options) {
+  const char *Seed = std::getenv("SEED");
+  StageOptions Sizes = stageOf(Options, 5);
+  Sizes.HasPaths_ = true;
+  Sizes.Worker_.MilliProcessors_ = 6000;
+  Stage On(Sizes);
+  return runRandomFaults(On, Seed == nullptr ? 1 : std::stoull(Seed),
+                         milliseconds(35000)) > 0;
+}
+
 const std::map<std::string, bool (*)(const CaseOptions &)> Cases{
     {"foreign-heartbeat", foreignHeartbeat},
     {"forgotten-lease", forgottenLease},
-    {"many-ends", manyEnds}};
+    {"many-ends", manyEnds},
+    {"random-faults", randomFaults},
+    {"refused-but-run", refusedButRun}};
 
 /// Returns the start of loopback addresses that no other run uses now.
 std::string freeNetwork() {
