--- a/review/standin/review-cases.cpp
+++ b/review/standin/review-cases.cpp
@@ -9,6 +9,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -264,6 +265,74 @@
   return IsRefused && HasRun;
 }
 
+/// What an entry gives as the number of jobs that have not begun, or -1.
+std::int64_t pendingAt(Stage &On, std::size_t Entry) {
+  const net::HttpResult Result =
+      On.call(On.entryClient(Entry), Stage::request("GET", "/checks/"));
+  boost::system::error_code Fault;
+  const json::value Body = json::parse(Result.Response_.Body_, Fault);
+  std::int64_t Pending = -1;
+  if (Result.Status_ == net::CallStatus::Answered &&
+      Result.Response_.Status_ == 200 && !Fault && Body.is_object() &&
+      Body.get_object().contains("Pending"))
+    Pending = Body.at("Pending").to_number<std::int64_t>();
+  On.record().write("GET /checks/ at entry-" + std::to_string(Entry + 1) +
+                    ": " + Result.Response_.Body_);
+  return Pending;
+}
+
+/// Jobs wait for room on a worker whose machine is cut off.
+bool wrongPending(const CaseOptions &Options) {
+  constexpr std::size_t Workers = 4;
+  constexpr std::size_t WaitingJobs = 6;
+  constexpr Duration CutTime = milliseconds(6000);
+  StageOptions Sizes = stageOf(Options, Workers);
+  Sizes.HasPaths_ = true;
+  Stage On(Sizes);
+  On.begin();
+  // Each worker but one is full.
+  const std::string Long = "00000000000000a1";
+  On.submit("/other/" + Long, Stage::jobBody(3, 15000, 1000, 25000));
+  awaitRunning(On, Long, 3);
+  std::size_t Free = 0;
+  while (On.worker(Free).running() > 0)
+    ++Free;
+  On.record().write("the worker with room is " + On.worker(Free).name());
+  if (Options.Trouble_) {
+    On.harmPaths(
+        On.agent(Free),
+        {.SilencesOpen_ = true, .CutsRequests_ = true, .CutsAnswers_ = true});
+    On.record().write("its machine is cut off from control");
+  }
+  const TimePoint CutAt = Clock::now();
+  std::vector<std::string> Jobs;
+  for (std::size_t I = 0; I < WaitingJobs; ++I) {
+    Jobs.push_back("00000000000000b" + std::to_string(I));
+    On.submit("/checks/" + Jobs.back(), Stage::jobBody(1, 2000, 500, 1000));
+  }
+  // visible_ms and 2 s later, and a little more.
+  On.runFor(milliseconds(5500));
+  const auto NotBegun = std::ranges::count_if(
+      Jobs, [&On](const std::string &Job) { return !On.judge().hasRun(Job); });
+  bool IsBroken = false;
+  for (std::size_t Entry = 0; Entry < Stage::Entries; ++Entry) {
+    const std::int64_t Pending = pendingAt(On, Entry);
+    IsBroken = IsBroken || (Pending >= 0 && 2 * Pending < NotBegun);
+  }
+  On.record().write(
+      "jobs that were accepted over 5 s ago and have not begun: " +
+      std::to_string(NotBegun));
+  for (const std::string &Job : Jobs)
+    On.record().write("GET /checks/" + Job + ": " +
+                      On.stateOf("/checks/" + Job));
+  On.runUntil([&] { return Clock::now() >= CutAt + CutTime; }, CutTime);
+  On.harmPaths(On.agent(Free), {});
+  On.record().write("the machine is connected again");
+  for (const std::string &Job : Jobs)
+    awaitCompletion(On, "/checks/" + Job, milliseconds(20000));
+  return IsBroken;
+}
+
 /// The leader is killed while answers to some agents are slow.
 bool slowAnswers(const CaseOptions &Options) {
   constexpr std::size_t Workers = 8;
@@ -314,7 +383,8 @@
     {"many-ends-leader", manyEndsLeader},
     {"random-faults", randomFaults},
     {"refused-but-run", refusedButRun},
-    {"slow-answers", slowAnswers}};
+    {"slow-answers", slowAnswers},
+    {"wrong-pending", wrongPending}};
 
 /// Returns the start of loopback addresses that no other run uses now.
 std::string freeNetwork() {
