--- a/review/standin/Stage.cpp
+++ b/review/standin/Stage.cpp
@@ -247,6 +247,21 @@
   }
 }
 
+void Stage::stopAndRestart(std::size_t I, Duration Down) {
+  Record_.write(Programs_.name(I) + " is told to stop");
+  Programs_.expectEnd(I);
+  Programs_.signal(I, SIGTERM);
+  runUntil(
+      [&] {
+        reap();
+        return !Programs_.isRunning(I);
+      },
+      milliseconds(6000));
+  runFor(Down);
+  Programs_.start(I);
+  Record_.write(Programs_.name(I) + " is started again");
+}
+
 std::size_t Stage::leadingControl() const {
   std::string Newest;
   std::size_t Leader = 0;
--- a/review/standin/Stage.h
+++ b/review/standin/Stage.h
@@ -70,6 +70,8 @@
 
   /// Kills a process and starts it again after \p Down.
   void killAndRestart(const std::vector<std::size_t> &Processes, Duration Down);
+  /// Sends a process SIGTERM and starts it again \p Down after its end.
+  void stopAndRestart(std::size_t I, Duration Down);
   std::size_t control(std::size_t I) const {
     return Programs_.number(Role::Control, I + 1);
   }
--- a/review/standin/Worker.cpp
+++ b/review/standin/Worker.cpp
@@ -59,8 +59,8 @@
 } // namespace
 
 struct Worker::Impl : std::enable_shared_from_this<Impl> {
+  using RunKey = std::pair<std::string, std::uint64_t>;
   struct Run {
-    std::uint64_t Number_ = 0;
     TimePoint BeganAt_;
     TimePoint EndsAt_;
     std::optional<TimePoint> StopAt_;
@@ -206,8 +206,7 @@
     extendLease(static_cast<std::int64_t>(numberOf(Call, "DeadlineMs")));
     const std::string Task = textOf(Call, "Task");
     const std::uint64_t Number = numberOf(Call, "Run");
-    if (const auto It = Runs_.find(Task);
-        It != Runs_.end() && It->second.Number_ == Number)
+    if (Runs_.contains({Task, Number}))
       return reply(To, {});
     if (Number <= Newest_[Task])
       return refuse(To, "old");
@@ -217,10 +216,8 @@
     const std::int64_t Length =
         Spec.starts_with("ms=") ? std::stoll(Spec.substr(3)) : 1000;
     const TimePoint Now = Clock::now();
-    Runs_[Task] = {.Number_ = Number,
-                   .BeganAt_ = Now,
-                   .EndsAt_ = Now + milliseconds(Length),
-                   .StopAt_ = {}};
+    Runs_[{Task, Number}] = {
+        .BeganAt_ = Now, .EndsAt_ = Now + milliseconds(Length), .StopAt_ = {}};
     Newest_[Task] = Number;
     Judge_.began(Task, {.Worker_ = Options_.Name_, .Run_ = Number});
     reply(To, {});
@@ -230,10 +227,9 @@
     const std::string Task = textOf(Call, "Task");
     const std::uint64_t Number = numberOf(Call, "Run");
     Newest_[Task] = std::max(Newest_[Task], Number);
-    if (const auto It = Runs_.find(Task); It != Runs_.end() &&
-                                          It->second.Number_ <= Number &&
-                                          !It->second.StopAt_)
-      It->second.StopAt_ = Clock::now() + StopTime;
+    for (auto &[Key, Each] : Runs_)
+      if (Key.first == Task && Key.second <= Number && !Each.StopAt_)
+        Each.StopAt_ = Clock::now() + StopTime;
     reply(To, {});
   }
 
@@ -249,11 +245,11 @@
   json::object lists() const {
     const TimePoint Now = Clock::now();
     json::array Running;
-    for (const auto &[Task, Each] : Runs_) {
+    for (const auto &[Key, Each] : Runs_) {
       const double Share = toMilliseconds(Now - Each.BeganAt_) /
                            toMilliseconds(Each.EndsAt_ - Each.BeganAt_);
       Running.push_back(json::array{
-          Task, Each.Number_, "",
+          Key.first, Key.second, "",
           static_cast<std::int64_t>(std::clamp(Share, 0.0, 1.0) * FullPercent),
           1000});
     }
@@ -271,7 +267,7 @@
     for (End &Row : Ends_)
       Row.Lapsed_ = Row.Lapsed_ || Lapsed;
     std::erase_if(Runs_, [&](const auto &Row) {
-      const auto &[Task, Each] = Row;
+      const auto &[Key, Each] = Row;
       const char *How = Lapsed                                 ? "lapsed"
                         : Each.StopAt_ && Now >= *Each.StopAt_ ? "stopped"
                         : Now >= Each.EndsAt_                  ? "done"
@@ -279,11 +275,11 @@
       if (How == nullptr)
         return false;
       Ends_.push_back({.Number_ = NextEnd_++,
-                       .Task_ = Task,
-                       .Run_ = Each.Number_,
+                       .Task_ = Key.first,
+                       .Run_ = Key.second,
                        .How_ = How,
                        .Lapsed_ = Lapsed});
-      Judge_.ended(Task, {.Worker_ = Options_.Name_, .Run_ = Each.Number_},
+      Judge_.ended(Key.first, {.Worker_ = Options_.Name_, .Run_ = Key.second},
                    How);
       return true;
     });
@@ -306,7 +302,7 @@
   net::Timer Ticks_;
   net::Timer Beats_;
   TimePoint LastHeartbeat_;
-  std::map<std::string, Run> Runs_;
+  std::map<RunKey, Run> Runs_;
   /// The highest run that was started or stopped, by task.
   std::map<std::string, std::uint64_t> Newest_;
   std::vector<End> Ends_;
--- a/review/standin/review-cases.cpp
+++ b/review/standin/review-cases.cpp
@@ -333,34 +333,45 @@
   return IsBroken;
 }
 
-/// The leader is killed while answers to some agents are slow.
+/// The leader is stopped and started again, and just after that answers to some
+/// agents are slow.
 bool slowAnswers(const CaseOptions &Options) {
   constexpr std::size_t Workers = 8;
-  constexpr std::size_t Slow = 3;
+  constexpr std::size_t Slow = 2;
+  constexpr Duration Delay = milliseconds(830);
   StageOptions Sizes = stageOf(Options, Workers);
   Sizes.HasPaths_ = true;
   Sizes.Worker_.MilliProcessors_ = 4000;
   Stage On(Sizes);
   On.begin();
-  for (std::size_t I = 0; I < 12; ++I)
-    On.submit("/checks/00000000000001" + std::string(I < 10 ? "0" : "1") +
-                  std::to_string(I % 10),
-              Stage::jobBody(100, 1000, 100, 700));
-  On.runFor(milliseconds(1000));
-  for (int Round = 0; Round < 4; ++Round) {
-    const Duration Delay = milliseconds(1200 + 150 * Round);
-    for (std::size_t I = 0; Options.Trouble_ && I < Slow; ++I)
-      On.harmPaths(On.agent(I), {.AnswerDelay_ = Delay});
-    On.record().write("answers to 3 agents are delayed");
-    On.runFor(milliseconds(300));
-    if (Options.Trouble_)
-      On.killAndRestart({On.control(On.leadingControl())}, milliseconds(300));
-    On.runFor(milliseconds(7000));
+  std::size_t Submitted = 0;
+  const net::Timer Load = On.loop().every(milliseconds(100), [&] {
+    const std::string Number = std::to_string(1000000 + Submitted++);
+    On.entryClient(Submitted % Stage::Entries)
+        .request(Stage::request("POST", "/checks/000000000" + Number,
+                                Stage::jobBody(2, 800, 100, 1500)),
+                 milliseconds(3000), [](const net::HttpResult &) {});
+  });
+  On.runFor(milliseconds(2000));
+  for (int Round = 0; Round < 7; ++Round) {
+    if (!Options.Trouble_) {
+      On.runFor(milliseconds(9000));
+      continue;
+    }
+    const std::size_t Leader = On.control(On.leadingControl());
+    const net::Timer Harm = On.loop().after(milliseconds(150), [&On] {
+      for (std::size_t I = 0; I < Slow; ++I)
+        On.harmPaths(On.agent(I), {.AnswerDelay_ = Delay});
+      On.record().write("answers to 2 agents are delayed");
+    });
+    On.stopAndRestart(Leader, milliseconds(300));
+    On.runFor(milliseconds(3500));
     for (std::size_t I = 0; I < Slow; ++I)
       On.harmPaths(On.agent(I), {});
     On.record().write("answers are in time again");
-    On.runFor(milliseconds(4000));
+    On.runFor(milliseconds(5000));
   }
+  On.runFor(milliseconds(3000));
   return breaksTwice(On);
 }
 
