--- a/review/standin/RandomFaults.cpp
+++ b/review/standin/RandomFaults.cpp
@@ -38,7 +38,8 @@
 
 class RandomFaults {
 public:
-  RandomFaults(Stage &On, std::uint64_t Seed) : On_(On), Random_(Seed) {}
+  RandomFaults(Stage &On, RandomFaultOptions Options)
+      : On_(On), Options_(Options), Random_(Options.Seed_) {}
 
   std::size_t run(Duration Length) {
     On_.begin();
@@ -162,11 +163,32 @@
     }
   }
 
+  void strikeWorker() {
+    Worker &Each = On_.worker(pick(On_.workers()));
+    if (pick(2) == 0) {
+      if (!Down_.insert(Each.name()).second)
+        return;
+      Each.crash();
+      later(between(100, 3000), [this, &Each] {
+        Each.restart();
+        Down_.erase(Each.name());
+      });
+      return;
+    }
+    On_.record().write(Each.name() + " leaves half of the calls unanswered");
+    Each.leaveUnanswered(500);
+    later(between(500, 4000), [this, &Each] {
+      Each.leaveUnanswered(0);
+      On_.record().write(Each.name() + " answers");
+    });
+  }
+
   void strikeProcess(std::size_t I) {
     Programs &All = On_.programs();
     if (!All.isRunning(I) || Stopped_.contains(I))
       return;
-    const std::size_t Kind = pick(6);
+    const bool IsAgent = All.role(I) == Role::Agent;
+    const std::size_t Kind = Options_.HarmsWorkers_ && IsAgent ? 3 : pick(6);
     const Duration Length =
         pick(3) == 0 ? between(2500, 6500) : between(100, 1500);
     if (Kind < 2) {
@@ -212,7 +234,7 @@
 
   void strikePath(std::size_t I) {
     const std::string Name = On_.programs().name(I);
-    const std::size_t Kind = pick(6);
+    const std::size_t Kind = pick(Options_.HarmsWorkers_ ? 4 : 6);
     FramePath::Harm Harm;
     std::string What = "reset";
     if (Kind == 0) {
@@ -228,8 +250,10 @@
       Harm.CutsRequests_ = !Harm.CutsAnswers_;
       What = Harm.CutsAnswers_ ? "cut for answers" : "cut for requests";
     } else {
-      Harm.RequestDelay_ = pick(3) == 0 ? Duration() : between(50, 900);
-      Harm.AnswerDelay_ = pick(3) == 0 ? Duration() : between(50, 1200);
+      Harm.RequestDelay_ =
+          pick(3) == 0 ? Duration() : between(50, Options_.MaxDelayMs_);
+      Harm.AnswerDelay_ =
+          pick(3) == 0 ? Duration() : between(50, Options_.MaxDelayMs_);
       What =
           "delayed by " +
           std::to_string(static_cast<int>(toMilliseconds(Harm.RequestDelay_))) +
@@ -250,7 +274,9 @@
     if (!IsFaulting_)
       return;
     const std::size_t I = pick(On_.programs().size());
-    if (On_.programs().role(I) == Role::Control || pick(2) == 0)
+    if (Options_.HarmsWorkers_ && pick(3) == 0)
+      strikeWorker();
+    else if (On_.programs().role(I) == Role::Control || pick(2) == 0)
       strikeProcess(I);
     else
       strikePath(I);
@@ -291,6 +317,8 @@
   }
 
   Stage &On_;
+  RandomFaultOptions Options_;
+  std::set<std::string> Down_;
   RandomEngine Random_;
   std::map<std::string, JobSeen> Jobs_;
   std::set<std::string> Broken_;
@@ -302,8 +330,8 @@
 
 } // namespace
 
-std::size_t runRandomFaults(Stage &On, std::uint64_t Seed, Duration Length) {
-  return RandomFaults(On, Seed).run(Length);
+std::size_t runRandomFaults(Stage &On, const RandomFaultOptions &Options) {
+  return RandomFaults(On, Options).run(Options.Length_);
 }
 
 } // namespace dragonfly::review
--- a/review/standin/Worker.cpp
+++ b/review/standin/Worker.cpp
@@ -1,5 +1,6 @@
 #include "Worker.h"
 
+#include "dragonfly/base/Random.h"
 #include "dragonfly/net/HttpClient.h"
 #include "dragonfly/net/HttpServer.h"
 
@@ -7,6 +8,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <functional>
 #include <map>
 #include <optional>
 #include <utility>
@@ -31,6 +33,8 @@
 constexpr std::size_t MaxListedEnds = 500;
 /// A call that gets no answer is carried out 2 to 12 s later.
 constexpr Duration LateTime = milliseconds(2000);
+constexpr std::size_t LateSpreadMs = 3000;
+constexpr std::size_t FullPermille = 1000;
 constexpr std::uint16_t Conflict = 409;
 constexpr std::uint16_t Misdirected = 421;
 constexpr double FullPercent = 100;
@@ -82,12 +86,44 @@
        WorkerOptions Options)
       : Loop_(Loop), Lines_(Lines), Judge_(Judge), Options_(std::move(Options)),
         Agent_(Loop, {.Peer_ = Options_.Agent_}), StartedAt_(Clock::now()),
-        Born_(unixMilliseconds()),
-        Server_(Loop, {.Listen_ = Options_.Listen_,
-                       .OnRequest_ = [this](const net::HttpRequest &Request,
-                                            const net::HttpReplier &To) {
-                         take(Request, To);
-                       }}) {}
+        Born_(unixMilliseconds()) {
+    listen();
+  }
+
+  void listen() {
+    Server_ = std::make_unique<net::HttpServer>(
+        Loop_, net::HttpServerOptions{
+                   .Listen_ = Options_.Listen_,
+                   .OnRequest_ = [this](const net::HttpRequest &Request,
+                                        const net::HttpReplier &To) {
+                     take(Request, To);
+                   }});
+  }
+
+  void crash() {
+    Lines_.write(Options_.Name_ + " crashes");
+    Server_.reset();
+    LateCalls_.clear();
+    for (const auto &[Key, Each] : Runs_)
+      Judge_.ended(Key.first, {.Worker_ = Options_.Name_, .Run_ = Key.second},
+                   "crashed");
+    Runs_.clear();
+    Ends_.clear();
+    Waiting_.clear();
+    Newest_.clear();
+    NextEnd_ = 1;
+    Fence_ = 0;
+    LeaseUntilMs_ = 0;
+    Sequence_ = 0;
+  }
+
+  void restart() {
+    StartedAt_ = Clock::now();
+    Born_ = std::max(Born_ + 1, unixMilliseconds());
+    Lines_.write(Options_.Name_ + " is back");
+    listen();
+    beat();
+  }
 
   void start() {
     Ticks_ = Loop_.every(TickPeriod, [this] { tick(); });
@@ -100,6 +136,8 @@
   }
 
   void beat() {
+    if (!Server_)
+      return;
     LastHeartbeat_ = Clock::now();
     const json::object Body{
         {"Service", Options_.Service_},
@@ -155,6 +193,15 @@
           Loop_.after(LateTime, [this, Call] { takeLate(Call); }));
       return;
     }
+    if (Random_() % FullPermille < UnansweredPermille_) {
+      Dropped_.push_back(To);
+      LateCalls_.push_back(
+          Loop_.after(LateTime + milliseconds(Random_() % LateSpreadMs),
+                      [this, Call, Target = Request.Target_] {
+                        takeLateOrder(Target, Call);
+                      }));
+      return;
+    }
     if (Request.Target_ == "/v1/run-start")
       startRun(Call, To);
     else if (Request.Target_ == "/v1/run-stop")
@@ -174,6 +221,21 @@
       takeHold(Call);
   }
 
+  /// Carries out any call that got no answer.
+  void takeLateOrder(const std::string &Target, const json::object &Call) {
+    if (numberOf(Call, "FencingToken") < Fence_)
+      return;
+    const auto Deadline =
+        static_cast<std::int64_t>(numberOf(Call, "DeadlineMs"));
+    const net::HttpReplier Nobody = Dropped_.front();
+    if (Target == "/v1/hold")
+      takeHold(Call);
+    else if (Target == "/v1/run-stop")
+      stopRun(Call, Nobody);
+    else if (Target == "/v1/run-start" && clockMs() < Deadline)
+      startRun(Call, Nobody);
+  }
+
   void takeHold(const json::object &Call) {
     extendLease(static_cast<std::int64_t>(numberOf(Call, "DeadlineMs")));
     const std::uint64_t LastSeen = numberOf(Call, "LastSeen");
@@ -298,7 +360,7 @@
   net::HttpClient Agent_;
   TimePoint StartedAt_;
   std::uint64_t Born_;
-  net::HttpServer Server_;
+  std::unique_ptr<net::HttpServer> Server_;
   net::Timer Ticks_;
   net::Timer Beats_;
   TimePoint LastHeartbeat_;
@@ -313,6 +375,8 @@
   std::uint64_t Fence_ = 0;
   std::int64_t LeaseUntilMs_ = 0;
   std::uint64_t Sequence_ = 0;
+  RandomEngine Random_{std::hash<std::string>()(Options_.Name_)};
+  std::uint32_t UnansweredPermille_ = 0;
   bool DropsAfterFence_ = false;
   bool HoldIsDropped_ = false;
   bool HasDroppedHold_ = false;
@@ -334,6 +398,11 @@
 std::size_t Worker::openEnds() const { return Impl_->Ends_.size(); }
 TimePoint Worker::lastHeartbeat() const { return Impl_->LastHeartbeat_; }
 void Worker::leaveNextHoldUnanswered() { Impl_->DropsAfterFence_ = true; }
+void Worker::leaveUnanswered(std::uint32_t Permille) {
+  Impl_->UnansweredPermille_ = Permille;
+}
+void Worker::crash() { Impl_->crash(); }
+void Worker::restart() { Impl_->restart(); }
 bool Worker::hasLeftHoldUnanswered() const { return Impl_->HasDroppedHold_; }
 
 } // namespace dragonfly::review
--- a/review/standin/Worker.h
+++ b/review/standin/Worker.h
@@ -40,6 +40,13 @@
   /// of `hold` gets no answer.
   void leaveNextHoldUnanswered();
   bool hasLeftHoldUnanswered() const;
+  /// From now on this share of the calls, in thousandths, gets no answer and is
+  /// carried out 2 to 5 s later.
+  void leaveUnanswered(std::uint32_t Permille);
+  /// Ends everything and resets all connections.
+  void crash();
+  /// Comes back under the same id, with nothing.
+  void restart();
 
 private:
   struct Impl;
--- a/review/standin/review-cases.cpp
+++ b/review/standin/review-cases.cpp
@@ -15,6 +15,7 @@
 #include <filesystem>
 #include <iostream>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <unistd.h>
@@ -337,8 +338,8 @@
 /// agents are slow.
 bool slowAnswers(const CaseOptions &Options) {
   constexpr std::size_t Workers = 8;
-  constexpr std::size_t Slow = 2;
-  constexpr Duration Delay = milliseconds(830);
+  static constexpr std::size_t Slow = 2;
+  static constexpr Duration Delay = milliseconds(830);
   StageOptions Sizes = stageOf(Options, Workers);
   Sizes.HasPaths_ = true;
   Sizes.Worker_.MilliProcessors_ = 4000;
@@ -375,15 +376,22 @@
   return breaksTwice(On);
 }
 
-/// The seed is the number in the environment.
+std::size_t numberFromEnvironment(const char *Name, std::size_t Default) {
+  const char *Text = std::getenv(Name);
+  return Text == nullptr ? Default : std::stoull(Text);
+}
+
+/// SEED, MAX_DELAY_MS and HARM_WORKERS in the environment choose the faults.
 bool randomFaults(const CaseOptions &Options) {
-  const char *Seed = std::getenv("SEED");
   StageOptions Sizes = stageOf(Options, 5);
   Sizes.HasPaths_ = true;
   Sizes.Worker_.MilliProcessors_ = 6000;
   Stage On(Sizes);
-  return runRandomFaults(On, Seed == nullptr ? 1 : std::stoull(Seed),
-                         milliseconds(35000)) > 0;
+  return runRandomFaults(
+             On, {.Seed_ = numberFromEnvironment("SEED", 1),
+                  .HarmsWorkers_ = numberFromEnvironment("HARM_WORKERS", 0) > 0,
+                  .MaxDelayMs_ = numberFromEnvironment("MAX_DELAY_MS", 1200)}) >
+         0;
 }
 
 const std::map<std::string, bool (*)(const CaseOptions &)> Cases{
@@ -397,25 +405,38 @@
     {"slow-answers", slowAnswers},
     {"wrong-pending", wrongPending}};
 
-/// Returns the start of loopback addresses that no other run uses now.
-std::string freeNetwork() {
-  constexpr int FirstNetwork = 100;
-  constexpr int Networks = 120;
-  for (int I = 0; I < Networks; ++I) {
-    const std::string Network =
-        "127." + std::to_string(FirstNetwork + (::getpid() + I) % Networks);
-    try {
-      net::EventLoop Loop;
-      const net::HttpServer Probe(Loop,
-                                  {.Listen_ = {Network + ".1.1", ControlPort}});
-      return Network;
-    } catch (const net::NetError &) {
-      // The next one may be free.
-      continue;
+/// Start of loopback addresses that no other run uses. An address of its own is
+/// held for as long as the run lasts.
+class FreeNetwork {
+public:
+  FreeNetwork() {
+    for (int I = 0; I < Networks && Name_.empty(); ++I) {
+      const std::string Network =
+          "127." + std::to_string(FirstNetwork + (::getpid() + I) % Networks);
+      try {
+        Held_ = std::make_unique<net::HttpServer>(
+            Loop_,
+            net::HttpServerOptions{.Listen_ = {Network + ".9.9", ControlPort}});
+        const net::HttpServer Probe(
+            Loop_, {.Listen_ = {Network + ".1.1", ControlPort}});
+        Name_ = Network;
+      } catch (const net::NetError &) {
+        // The next one may be free.
+        Held_.reset();
+      }
     }
   }
-  return {};
-}
+
+  const std::string &name() const { return Name_; }
+
+private:
+  static constexpr int FirstNetwork = 100;
+  static constexpr int Networks = 120;
+
+  net::EventLoop Loop_;
+  std::unique_ptr<net::HttpServer> Held_;
+  std::string Name_;
+};
 
 int run(const std::string &Name, const CaseOptions &Options) {
   constexpr int Broken = 1;
@@ -443,9 +464,10 @@
     return 2;
   }
   const char *Trouble = std::getenv("TROUBLE");
+  const review::FreeNetwork Network;
   const review::CaseOptions Options{.Folder_ = Argv[2],
                                     .Temporary_ = Argv[3],
-                                    .Network_ = review::freeNetwork(),
+                                    .Network_ = Network.name(),
                                     .Trouble_ = Trouble == nullptr ||
                                                 std::string(Trouble) != "0"};
   return review::run(Argv[1], Options);
