--- a/review/standin/Worker.cpp
+++ b/review/standin/Worker.cpp
@@ -38,6 +38,8 @@
 constexpr std::uint16_t Conflict = 409;
 constexpr std::uint16_t Misdirected = 421;
 constexpr double FullPercent = 100;
+/// Tail latency of tasks that last, in milliseconds.
+constexpr std::int64_t TailMs = 5;
 
 std::uint64_t unixMilliseconds() {
   return static_cast<std::uint64_t>(
@@ -68,6 +70,8 @@
     TimePoint BeganAt_;
     TimePoint EndsAt_;
     std::optional<TimePoint> StopAt_;
+    bool Lasts_ = false;
+    bool Fails_ = false;
   };
   struct End {
     std::uint64_t Number_ = 0;
@@ -117,6 +121,15 @@
     Sequence_ = 0;
   }
 
+  bool failOne(const std::string &Job) {
+    for (auto &[Key, Each] : Runs_)
+      if (Key.first.starts_with(Job)) {
+        Each.Fails_ = true;
+        return true;
+      }
+    return false;
+  }
+
   void restart() {
     StartedAt_ = Clock::now();
     Born_ = std::max(Born_ + 1, unixMilliseconds());
@@ -275,11 +288,15 @@
     if (clockMs() >= LeaseUntilMs_)
       return refuse(To, "late");
     const std::string Spec = textOf(Call, "Spec");
+    const bool Lasts = Spec == "lasts";
     const std::int64_t Length =
         Spec.starts_with("ms=") ? std::stoll(Spec.substr(3)) : 1000;
     const TimePoint Now = Clock::now();
-    Runs_[{Task, Number}] = {
-        .BeganAt_ = Now, .EndsAt_ = Now + milliseconds(Length), .StopAt_ = {}};
+    Runs_[{Task, Number}] = {.BeganAt_ = Now,
+                             .EndsAt_ = Lasts ? TimePoint::max()
+                                              : Now + milliseconds(Length),
+                             .StopAt_ = {},
+                             .Lasts_ = Lasts};
     Newest_[Task] = Number;
     Judge_.began(Task, {.Worker_ = Options_.Name_, .Run_ = Number});
     reply(To, {});
@@ -308,12 +325,15 @@
     const TimePoint Now = Clock::now();
     json::array Running;
     for (const auto &[Key, Each] : Runs_) {
-      const double Share = toMilliseconds(Now - Each.BeganAt_) /
-                           toMilliseconds(Each.EndsAt_ - Each.BeganAt_);
+      // Tasks that last are at work at once.
+      const double Share =
+          Each.Lasts_ ? 1
+                      : toMilliseconds(Now - Each.BeganAt_) /
+                            toMilliseconds(Each.EndsAt_ - Each.BeganAt_);
       Running.push_back(json::array{
           Key.first, Key.second, "",
           static_cast<std::int64_t>(std::clamp(Share, 0.0, 1.0) * FullPercent),
-          1000});
+          Each.Lasts_ ? TailMs : 1000});
     }
     json::array Finished;
     for (const End &Row : Ends_)
@@ -332,6 +352,7 @@
       const auto &[Key, Each] = Row;
       const char *How = Lapsed                                 ? "lapsed"
                         : Each.StopAt_ && Now >= *Each.StopAt_ ? "stopped"
+                        : Each.Fails_                          ? "failed"
                         : Now >= Each.EndsAt_                  ? "done"
                                                                : nullptr;
       if (How == nullptr)
@@ -401,6 +422,7 @@
 void Worker::leaveUnanswered(std::uint32_t Permille) {
   Impl_->UnansweredPermille_ = Permille;
 }
+bool Worker::failOne(const std::string &Job) { return Impl_->failOne(Job); }
 void Worker::crash() { Impl_->crash(); }
 void Worker::restart() { Impl_->restart(); }
 bool Worker::hasLeftHoldUnanswered() const { return Impl_->HasDroppedHold_; }
--- a/review/standin/Worker.h
+++ b/review/standin/Worker.h
@@ -22,7 +22,7 @@
   Duration HeartbeatPeriod_ = std::chrono::milliseconds(1500);
 };
 
-/// Runs each task for as long as the job's `Spec` says: "ms=4000".
+/// Runs each task for as long as the job's `Spec` says: "ms=4000" or "lasts".
 class Worker {
 public:
   Worker(net::EventLoop &Loop, Record &Lines, RunJudge &Judge,
@@ -43,6 +43,8 @@
   /// From now on this share of the calls, in thousandths, gets no answer and is
   /// carried out 2 to 5 s later.
   void leaveUnanswered(std::uint32_t Permille);
+  /// Lets a run of a task of \p Job fail; returns false if there is none.
+  bool failOne(const std::string &Job);
   /// Ends everything and resets all connections.
   void crash();
   /// Comes back under the same id, with nothing.
--- a/review/standin/review-cases.cpp
+++ b/review/standin/review-cases.cpp
@@ -363,6 +363,74 @@
   return breaksTwice(On);
 }
 
+/// A task that lasts fails while many short tasks wait for room.
+bool starvedWatch(const CaseOptions &Options) {
+  constexpr std::size_t Watches = 2;
+  constexpr std::int64_t ShortMs = 950;
+  constexpr Duration BurstTime = milliseconds(7000);
+  // 19 of the 20 cores that the tasks that last leave; 2.5 times as many while
+  // many users come at once.
+  constexpr Duration Period = milliseconds(100);
+  constexpr Duration BurstPeriod = milliseconds(40);
+  // The rule's 6 s after the last run, and its 3 s.
+  constexpr Duration Allowed = milliseconds(9000);
+  // Neither in the burst nor in the 4 s after it.
+  constexpr Duration CalmAfter = milliseconds(4000);
+  Stage On(stageOf(Options, 2));
+  On.begin();
+  const std::string Job = "00000000000000a1";
+  On.submit("/other/" + Job,
+            json::serialize(json::object{
+                {"Spec", "lasts"},
+                {"Steps", json::array{json::object{{"Count", Watches},
+                                                   {"Cpu", 6000},
+                                                   {"MemMb", 1000},
+                                                   {"EstimateMs", 500},
+                                                   {"LongRunning", true},
+                                                   {"AntiAffinity", 1},
+                                                   {"Image", "watch"},
+                                                   {"TargetMs", 100}}}}}));
+  awaitRunning(On, Job, Watches);
+  std::size_t Submitted = 0;
+  const auto SubmitShort = [&] {
+    const std::string Number = std::to_string(1000000 + Submitted++);
+    On.entryClient(Submitted % Stage::Entries)
+        .request(Stage::request("POST", "/checks/000000000" + Number,
+                                Stage::jobBody(2, 1000, 100, ShortMs)),
+                 milliseconds(3000), [](const net::HttpResult &) {});
+  };
+  net::Timer Load = On.loop().every(Period, SubmitShort);
+  On.runFor(milliseconds(4000));
+  if (Options.Trouble_) {
+    On.record().write("many users come at once");
+    Load = On.loop().every(BurstPeriod, SubmitShort);
+  }
+  const TimePoint BurstEnd = Clock::now() + BurstTime;
+  const net::Timer Calm = On.loop().after(BurstTime, [&] {
+    Load = On.loop().every(Period, SubmitShort);
+    On.record().write("as many users as before");
+  });
+  On.runFor(milliseconds(1000));
+  On.worker(0).failOne(Job);
+  const TimePoint FailedAt = Clock::now();
+  On.runUntil([&] { return On.judge().runningOf(Job) < Watches; },
+              milliseconds(1000));
+  On.record().write("a task that lasts has failed");
+  const TimePoint CalmAt = BurstEnd + CalmAfter;
+  On.runUntil([&] { return On.judge().runningOf(Job) == Watches; },
+              milliseconds(60000));
+  const TimePoint Back = Clock::now();
+  const Duration Away = Back - FailedAt;
+  On.record().write(
+      "it was away for " +
+      std::to_string(static_cast<std::int64_t>(toMilliseconds(Away))) +
+      " ms, of which " +
+      std::to_string(static_cast<std::int64_t>(
+          std::max(0.0, toMilliseconds(Back - CalmAt)))) +
+      " ms later than 4 s after the burst");
+  return Away >= Allowed && Back - CalmAt >= milliseconds(3000);
+}
+
 std::size_t numberFromEnvironment(const char *Name, std::size_t Default) {
   const char *Text = std::getenv(Name);
   return Text == nullptr ? Default : std::stoull(Text);
@@ -389,6 +457,7 @@
     {"random-faults", randomFaults},
     {"refused-but-run", refusedButRun},
     {"slow-answers", slowAnswers},
+    {"starved-watch", starvedWatch},
     {"wrong-pending", wrongPending}};
 
 /// Start of loopback addresses that no other run uses. An address of its own is
