Agents ask the VM before they believe that its worker was replaced

Cause: an agent took whichever life had begun last for the worker on its VM, and told control at once that the one before was gone; control ended the runs of earlier workers on a VM with the hello of another one. Neither had asked the worker. Log of the case: "worker-left worker=i-1 runs=2" 1 ms after "worker-announced worker=i-other".

Change: an announcement of another life is probed with a call that names that worker and changes nothing there; its answer decides, not the time of birth. A new process of an agent opens a session on the first announcement, reports nothing before that worker has listed its runs, and control ends the runs of earlier workers with the first complete report.

Failed before: all four cases of WorkerAgentTest [worker] (the old code run with a fixture that names the worker as its client did), and "a hello alone does not end the runs of another worker on the VM". A worker that does replace another one has a session within 100 ms.

Ruled out: a lease that was not renewed (runs began again after 3 ms). Not taken: comparing the service with the configuration, which misses a foreign heartbeat for a known service; waiting for the lease in every case, which idles workers for 4 s after a loss of power.

--- a/daemons/dragonfly-platform.cpp
+++ b/daemons/dragonfly-platform.cpp
@@ -211,7 +211,7 @@
   agent::WorkerAgent Agent(
       Loop, Leader,
       {.Calls_ = Worker.calls(), .Vm_ = Site.Vm_, .Metrics_ = Counts});
-  const platform::WorkerServer Server(Loop, Agent, Worker, Site);
+  const platform::WorkerServer Server(Loop, Agent, Site);
   Loop.onTerminate([&] { Agent.stop([&] { Loop.stop(); }); });
   Loop.run();
 }
--- a/include/dragonfly/agent/WorkerAgent.h
+++ b/include/dragonfly/agent/WorkerAgent.h
@@ -57,9 +57,10 @@
               WorkerAgentOptions Options);
   ~WorkerAgent();
 
-  /// Takes what the worker tells about itself; what is older than what is
-  /// known has no effect. Returns whether it had one.
-  bool announced(const WorkerAnnouncement &Value);
+  /// Takes what a worker tells about itself, or what another writer tells in
+  /// its place; what is older than what is known has no effect. Another life
+  /// than the current one counts once a call has shown that it is on the VM.
+  void announced(const WorkerAnnouncement &Value);
   /// The worker says that it ends now.
   void departed(const std::string &Worker);
 
--- a/include/dragonfly/agent/WorkerCalls.h
+++ b/include/dragonfly/agent/WorkerCalls.h
@@ -112,19 +112,20 @@
   bool Truncated_ = false;
 };
 
-/// Each handler runs exactly once, later.
+/// Each call is for the worker \p Worker; another one on the VM refuses it and
+/// does nothing. Each handler runs exactly once, later.
 struct WorkerCalls {
-  std::function<void(const std::string &Address, const StartCall &,
+  std::function<void(const std::string &Worker, const StartCall &,
                      std::function<void(StartStatus)>)>
       Start_;
   /// The handler's argument tells whether the worker confirmed the call.
-  std::function<void(const std::string &Address, const StopCall &,
+  std::function<void(const std::string &Worker, const StopCall &,
                      std::function<void(bool)>)>
       Stop_;
-  std::function<void(const std::string &Address, const PaceCall &,
+  std::function<void(const std::string &Worker, const PaceCall &,
                      std::function<void(bool)>)>
       Pace_;
-  std::function<void(const std::string &Address, const HoldCall &,
+  std::function<void(const std::string &Worker, const HoldCall &,
                      std::function<void(HoldAnswer)>)>
       Hold_;
 };
--- a/include/dragonfly/base/Event.h
+++ b/include/dragonfly/base/Event.h
@@ -79,6 +79,7 @@
   RunsLapsed = 5009,
   SpeedChanged = 5010,
   WorkerDraining = 5011,
+  AnnouncementRejected = 5012,
   // net
   ConnectionOpened = 6001,
   ConnectionClosed = 6002,
--- a/src/agent/WorkerAgent.cpp
+++ b/src/agent/WorkerAgent.cpp
@@ -16,45 +16,6 @@
   Ticks_ = Loop_.every(TickPeriod, [this] { tick(); });
 }
 
-bool WorkerAgent::Impl::announced(const WorkerAnnouncement &Value) {
-  const bool SameLife =
-      Value.Worker_ == Worker_.Worker_ && Value.Born_ == Worker_.Born_;
-  if (!Worker_.Worker_.empty() && !SameLife && Value.Born_ < Worker_.Born_)
-    return false;
-  if (SameLife && Value.Sequence_ < Worker_.Sequence_)
-    return false;
-  const bool BeginsToDrain = Value.Draining_ && !Worker_.Draining_;
-  const std::string Before = std::exchange(Worker_, Value).Worker_;
-  if (!SameLife)
-    beginLife(Before);
-  if (BeginsToDrain) {
-    logEvent(Event::WorkerDraining, {{"worker", Worker_.Worker_}});
-    sendReport();
-  }
-  return true;
-}
-
-void WorkerAgent::Impl::beginLife(const std::string &Before) {
-  logEvent(Event::WorkerAnnounced, {{"worker", Worker_.Worker_},
-                                    {"born", Worker_.Born_},
-                                    {"address", Worker_.Address_}});
-  ++Life_;
-  Book_.beginLife();
-  Lease_ = WorkerLease(Options_.Lease_);
-  Silent_ = false;
-  HoldOpen_ = false;
-  Session_ = 0;
-  Fence_ = 0;
-  Complete_ = false;
-  Departed_ = false;
-  // Another worker on this VM: the one before it is gone.
-  if (!Before.empty() && Before != Worker_.Worker_)
-    Leader_.call(wire::WorkerGone{.Worker_ = Before, .Born_ = BornBefore_},
-                 Options_.ReportTimeout_, [](const link::LeaderResult &) {});
-  BornBefore_ = Worker_.Born_;
-  openSession();
-}
-
 void WorkerAgent::Impl::openSession() {
   if (Worker_.Worker_.empty() || Stopping_ || Departed_)
     return;
@@ -140,6 +101,7 @@
   if (Now - ReportedAt_ >= Options_.ReportPeriod_)
     sendReport();
   pump();
+  retryProbe(Now);
   finishDeparture();
 }
 
@@ -198,28 +160,6 @@
   finishStop();
 }
 
-void WorkerAgent::Impl::departed(const std::string &Worker) {
-  if (Worker != Worker_.Worker_ || std::exchange(Departed_, true))
-    return;
-  Worker_.Draining_ = true;
-  Lease_.close();
-  const TimePoint Now = Clock::now();
-  for (const wire::RunReport &Run : Book_.runReports())
-    Book_.stop(Now, Run.Run_);
-  sendReport();
-  pump();
-}
-
-void WorkerAgent::Impl::finishDeparture() {
-  if (!Departed_ || !Book_.rows().empty() || Book_.pendingEnds() > 0 ||
-      Session_ == 0)
-    return;
-  Session_ = 0;
-  Leader_.call(
-      wire::WorkerGone{.Worker_ = Worker_.Worker_, .Born_ = Worker_.Born_},
-      Options_.ReportTimeout_, [](const link::LeaderResult &) {});
-}
-
 void WorkerAgent::Impl::stop(std::function<void()> OnStopped) {
   Stopping_ = true;
   OnStopped_ = std::move(OnStopped);
@@ -253,8 +193,8 @@
   Impl_->StopBy_.cancel();
 }
 
-bool WorkerAgent::announced(const WorkerAnnouncement &Value) {
-  return Impl_->announced(Value);
+void WorkerAgent::announced(const WorkerAnnouncement &Value) {
+  Impl_->announced(Value);
 }
 
 void WorkerAgent::departed(const std::string &Worker) {
--- a/src/agent/WorkerAgentCalls.cpp
+++ b/src/agent/WorkerAgentCalls.cpp
@@ -26,7 +26,7 @@
                : Book_.rows().empty() ? Options_.IdleWait_
                                       : Options_.BusyWait_};
   Options_.Calls_.Hold_(
-      Worker_.Address_, Call,
+      Worker_.Worker_, Call,
       [Self = weak_from_this(), SentAt, Life = Life_, Fence = Fence_,
        Session = Session_,
        Forgotten = Call.LastDurableEnd_](const HoldAnswer &Answer) {
@@ -66,6 +66,7 @@
     NextHoldAt_ = Now + Options_.SilentDelay_;
     return;
   }
+  Confirmed_ = true;
   Lease_.clockRead(Now, Answer.Clock_);
   if (!ReportOpen_)
     Book_.retractEnds(Answer);
@@ -109,7 +110,7 @@
 void WorkerAgent::Impl::callStart(const jobs::RunName &Run) {
   const wire::StartOrder &Order = Book_.rows().at(Run).Order_;
   Options_.Calls_.Start_(
-      Worker_.Address_,
+      Worker_.Worker_,
       {.Run_ = Run,
        .Payload_ = Order.Payload_,
        .Checkpoint_ = Order.Checkpoint_,
@@ -133,7 +134,7 @@
 
 void WorkerAgent::Impl::callStop(const jobs::RunName &Run) {
   Options_.Calls_.Stop_(
-      Worker_.Address_, {.Run_ = Run, .Fence_ = Fence_},
+      Worker_.Worker_, {.Run_ = Run, .Fence_ = Fence_},
       [Self = weak_from_this(), Run, Life = Life_](bool Confirmed) {
         const auto Agent = Self.lock();
         if (!Agent || Agent->Life_ != Life)
@@ -195,7 +196,7 @@
   const std::uint32_t Before = Book_.rows().at(Run).SpeedPercent_;
   Book_.setSpeed(Run, Percent);
   Options_.Calls_.Pace_(
-      Worker_.Address_,
+      Worker_.Worker_,
       {.Run_ = Run, .SpeedPercent_ = Percent, .Fence_ = Fence_},
       [Self = weak_from_this(), Run, Before, Life = Life_](bool Confirmed) {
         const auto Agent = Self.lock();
--- /dev/null
+++ b/src/agent/WorkerAgentIdentity.cpp
@@ -0,0 +1,145 @@
+#include "agent/WorkerAgentImpl.h"
+
+#include <utility>
+
+namespace dragonfly::agent {
+namespace {
+
+bool isSameLife(const WorkerAnnouncement &A, const WorkerAnnouncement &B) {
+  return A.Worker_ == B.Worker_ && A.Born_ == B.Born_;
+}
+
+void logRejected(const WorkerAnnouncement &Value,
+                 const WorkerAnnouncement &Current, const char *Reason) {
+  logEvent(Event::AnnouncementRejected, {{"worker", Value.Worker_},
+                                         {"born", Value.Born_},
+                                         {"service", Value.Service_},
+                                         {"reason", Reason},
+                                         {"current", Current.Worker_},
+                                         {"current_born", Current.Born_}});
+}
+
+} // namespace
+
+void WorkerAgent::Impl::announced(const WorkerAnnouncement &Value) {
+  if (Worker_.Worker_.empty()) {
+    adopt(Value);
+    return;
+  }
+  if (isSameLife(Value, Worker_)) {
+    update(Value);
+    return;
+  }
+  const bool IsOlder = Candidate_ && isSameLife(Value, *Candidate_) &&
+                       Value.Sequence_ < Candidate_->Sequence_;
+  if (IsOlder)
+    return;
+  Candidate_ = Value;
+  probeCandidate();
+}
+
+void WorkerAgent::Impl::update(const WorkerAnnouncement &Value) {
+  if (Value.Sequence_ < Worker_.Sequence_)
+    return;
+  const bool BeginsToDrain = Value.Draining_ && !Worker_.Draining_;
+  Worker_ = Value;
+  if (BeginsToDrain) {
+    logEvent(Event::WorkerDraining, {{"worker", Worker_.Worker_}});
+    sendReport();
+  }
+}
+
+void WorkerAgent::Impl::probeCandidate() {
+  if (ProbeOpen_ || !Candidate_)
+    return;
+  ProbeOpen_ = true;
+  // Changes nothing at the worker: no lease and no ends to forget.
+  Options_.Calls_.Hold_(Candidate_->Worker_, {.Fence_ = Fence_},
+                        [Self = weak_from_this(),
+                         Probed = *Candidate_](const HoldAnswer &Answer) {
+                          if (const auto Agent = Self.lock())
+                            Agent->candidateAnswered(Probed, Answer);
+                        });
+}
+
+void WorkerAgent::Impl::candidateAnswered(const WorkerAnnouncement &Probed,
+                                          const HoldAnswer &Answer) {
+  ProbeOpen_ = false;
+  const bool IsNewest = Candidate_ && isSameLife(*Candidate_, Probed);
+  if (Answer.Status_ == HoldStatus::NoAnswer) {
+    NextProbeAt_ = Clock::now() + Options_.SilentDelay_;
+    return;
+  }
+  const bool IsHere =
+      Answer.Status_ == HoldStatus::Listed && Answer.Born_ == Probed.Born_;
+  if (IsHere) {
+    // It may have announced that it drains in the meantime.
+    adopt(IsNewest ? *Candidate_ : Probed);
+    Confirmed_ = true;
+  } else {
+    logRejected(Probed, Worker_,
+                Answer.Status_ == HoldStatus::Fenced ? "fenced"
+                                                     : "other-worker-answers");
+  }
+  if (IsNewest)
+    Candidate_.reset();
+  else
+    probeCandidate();
+}
+
+void WorkerAgent::Impl::retryProbe(TimePoint Now) {
+  if (Candidate_ && Now >= NextProbeAt_)
+    probeCandidate();
+}
+
+void WorkerAgent::Impl::adopt(const WorkerAnnouncement &Value) {
+  const WorkerAnnouncement Before = std::exchange(Worker_, Value);
+  logEvent(Event::WorkerAnnounced, {{"worker", Worker_.Worker_},
+                                    {"born", Worker_.Born_},
+                                    {"address", Worker_.Address_}});
+  ++Life_;
+  // What an announcement that never was confirmed left behind is not true of
+  // any worker.
+  if (Confirmed_)
+    Book_.beginLife();
+  else
+    Book_ = RunBook(Options_.Runs_);
+  Confirmed_ = false;
+  Lease_ = WorkerLease(Options_.Lease_);
+  Silent_ = false;
+  HoldOpen_ = false;
+  Session_ = 0;
+  Fence_ = 0;
+  Complete_ = false;
+  Departed_ = false;
+  // Another worker answers on this VM: the one before it is gone.
+  if (!Before.Worker_.empty() && Before.Worker_ != Worker_.Worker_)
+    Leader_.call(
+        wire::WorkerGone{.Worker_ = Before.Worker_, .Born_ = Before.Born_},
+        Options_.ReportTimeout_, [](const link::LeaderResult &) {});
+  openSession();
+}
+
+void WorkerAgent::Impl::departed(const std::string &Worker) {
+  if (Worker != Worker_.Worker_ || std::exchange(Departed_, true))
+    return;
+  Worker_.Draining_ = true;
+  Lease_.close();
+  const TimePoint Now = Clock::now();
+  for (const wire::RunReport &Run : Book_.runReports())
+    Book_.stop(Now, Run.Run_);
+  sendReport();
+  pump();
+}
+
+void WorkerAgent::Impl::finishDeparture() {
+  if (!Departed_ || !Book_.rows().empty() || Book_.pendingEnds() > 0 ||
+      Session_ == 0)
+    return;
+  Session_ = 0;
+  Leader_.call(
+      wire::WorkerGone{.Worker_ = Worker_.Worker_, .Born_ = Worker_.Born_},
+      Options_.ReportTimeout_, [](const link::LeaderResult &) {});
+}
+
+} // namespace dragonfly::agent
--- a/src/agent/WorkerAgentImpl.h
+++ b/src/agent/WorkerAgentImpl.h
@@ -10,11 +10,13 @@
 #include "dragonfly/net/EventLoop.h"
 
 #include <map>
+#include <optional>
 #include <string>
 
 namespace dragonfly::agent {
 
-/// WorkerAgent.cpp talks to control, WorkerAgentCalls.cpp to the worker.
+/// WorkerAgent.cpp talks to control, WorkerAgentCalls.cpp to the worker;
+/// WorkerAgentIdentity.cpp decides which worker that is.
 struct WorkerAgent::Impl : std::enable_shared_from_this<WorkerAgent::Impl> {
   Impl(net::EventLoop &Loop, link::LeaderClient &Leader,
        WorkerAgentOptions Options)
@@ -25,9 +27,6 @@
   // Control.
 
   void start();
-  bool announced(const WorkerAnnouncement &Value);
-  /// \p Before is the worker that was here, if any.
-  void beginLife(const std::string &Before);
   void openSession();
   void sessionEnded();
   void takeOrders(wire::WorkerOrders Orders);
@@ -36,15 +35,31 @@
   void sendReport();
   void reportAnswered(TimePoint SentAt, std::size_t Ends, std::uint64_t Life,
                       std::uint64_t Session, const link::LeaderResult &Result);
+  void stop(std::function<void()> OnStopped);
+  /// Ends the stop after a report that left once the stop had begun.
+  void finishStop();
+  void stopped();
+
+  // Which worker is on the VM.
+
+  /// Anybody can send an announcement. The first one opens a session, in which
+  /// nothing is reported before that worker has listed its runs; later, only
+  /// the answer of a worker replaces the current one.
+  void announced(const WorkerAnnouncement &Value);
+  /// Takes an announcement of the current life.
+  void update(const WorkerAnnouncement &Value);
+  /// Asks the worker on the VM whether it is the announced one.
+  void probeCandidate();
+  void candidateAnswered(const WorkerAnnouncement &Probed,
+                         const HoldAnswer &Answer);
+  void retryProbe(TimePoint Now);
+  /// Begins the life of another worker, or another life of the same one.
+  void adopt(const WorkerAnnouncement &Value);
   /// The worker ends once it has its answer, or some seconds later: until its
   /// lease is over, its runs may go on.
   void departed(const std::string &Worker);
   /// Tells control that a departed worker has no runs any more.
   void finishDeparture();
-  void stop(std::function<void()> OnStopped);
-  /// Ends the stop after a report that left once the stop had begun.
-  void finishStop();
-  void stopped();
 
   // The worker.
 
@@ -71,7 +86,12 @@
   /// Drawn anew where another process turns out to have spoken for the worker.
   Incarnation Self_;
   WorkerAnnouncement Worker_;
-  std::uint64_t BornBefore_ = 0;
+  /// The worker has answered as the life that `Worker_` announces.
+  bool Confirmed_ = false;
+  /// The newest announcement of another life, until the worker has answered.
+  std::optional<WorkerAnnouncement> Candidate_;
+  bool ProbeOpen_ = false;
+  TimePoint NextProbeAt_;
   /// Counts lives, so that answers of earlier ones are told apart.
   std::uint64_t Life_ = 0;
   RunBook Book_;
--- a/src/base/Event.cpp
+++ b/src/base/Event.cpp
@@ -144,6 +144,9 @@
      "Runs on spare processors were given another share of full speed."},
     {Event::WorkerDraining, Severity::Info, "worker-draining",
      "The worker announced that it leaves."},
+    {Event::AnnouncementRejected, Severity::Warning, "announcement-rejected",
+     "An announcement contradicts what the worker on the VM answers or has "
+     "announced."},
     {Event::ConnectionOpened, Severity::Debug, "connection-opened",
      "A connection between two of the system's processes is open."},
     {Event::ConnectionClosed, Severity::Debug, "connection-closed",
--- a/src/control/WorkerSessions.cpp
+++ b/src/control/WorkerSessions.cpp
@@ -149,7 +149,6 @@
                                      {"fence", Session.FencingToken_}});
     sendOrders(Now, Hello.Worker_, Session.Number_,
                {.Known_ = recordedRuns(Hello.Worker_)});
-    endRunsOfReplacedWorkers(Hello);
   });
 }
 
@@ -231,7 +230,7 @@
   const Duration GrantedTerm =
       updateStateAndRenewLease(Now, It->second, Report);
   updateRuns(Now, Report.Worker_, It->second, Report);
-  const bool HasEnds = gatherEnds(Report);
+  const bool HasEnds = gatherEnds(It->second.Hello_, Report);
   auto Finish = [this, Answer = std::move(Answer), GrantedTerm,
                  Worker = Report.Worker_, Number = Report.Session_,
                  Complete = Report.Complete_] {
@@ -274,8 +273,10 @@
 }
 
 /// Adds the run ends of the report to the batch, and returns whether there are
-/// any. A complete report also ends all recorded runs that it does not list.
-bool WorkerSessions::gatherEnds(const wire::WorkerReport &Report) {
+/// any. A complete report also ends all recorded runs that it does not list,
+/// and those of the workers that were on the VM before.
+bool WorkerSessions::gatherEnds(const wire::WorkerHello &Hello,
+                                const wire::WorkerReport &Report) {
   const std::size_t EndsBefore = Batch_.record().Ends_.size();
   std::set<jobs::RunName> ReportedRuns;
   for (const wire::EndReport &Row : Report.Ends_) {
@@ -289,6 +290,9 @@
     for (const wire::RunReport &Row : Report.Runs_)
       ReportedRuns.insert(Row.Run_);
     endRuns(Report.Worker_, jobs::RunEnd::NotStarted, ReportedRuns);
+    // Anybody can announce a worker to an agent, and so cause a hello. The
+    // worker itself has answered the list that a complete report follows from.
+    endRunsOfReplacedWorkers(Hello);
   }
   return Batch_.record().Ends_.size() != EndsBefore;
 }
--- a/src/control/WorkerSessions.h
+++ b/src/control/WorkerSessions.h
@@ -112,8 +112,8 @@
   Duration maxLeaseDuration() const;
   std::vector<wire::StartOrder> recordedRuns(const std::string &Worker) const;
   void detach(WorkerSession &Session);
-  /// Ends the runs of older workers on the VM of \p Hello and removes these
-  /// workers.
+  /// Ends the runs of older workers on the VM of \p Hello, which is certain to
+  /// be there, and removes these workers.
   void endRunsOfReplacedWorkers(const wire::WorkerHello &Hello);
   void expireLease(TimePoint Now, const std::string &Worker,
                    WorkerSession &Session);
@@ -121,7 +121,8 @@
                const std::set<jobs::RunName> &Except);
   Duration updateStateAndRenewLease(TimePoint Now, WorkerSession &Session,
                                     const wire::WorkerReport &Report);
-  bool gatherEnds(const wire::WorkerReport &Report);
+  bool gatherEnds(const wire::WorkerHello &Hello,
+                  const wire::WorkerReport &Report);
   void updateRuns(TimePoint Now, const std::string &Worker,
                   WorkerSession &Session, const wire::WorkerReport &Report);
 
--- /dev/null
+++ b/tests/agent/AgentFixture.h
@@ -0,0 +1,392 @@
+/// A worker agent between a fake worker and a fake leader of control, on real
+/// connections to the leader and with the clock paused.
+#ifndef DRAGONFLY_TESTS_AGENT_AGENTFIXTURE_H
+#define DRAGONFLY_TESTS_AGENT_AGENTFIXTURE_H
+
+#include "dragonfly/agent/WorkerAgent.h"
+#include "dragonfly/base/Log.h"
+#include "dragonfly/link/LeaderClient.h"
+#include "dragonfly/net/EventLoop.h"
+#include "dragonfly/net/FrameServer.h"
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace dragonfly::agent {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+inline jobs::RunName makeRun(std::uint32_t Index, std::uint32_t Run = 1) {
+  return {.Task_ = {.Job_ = "5c0e7a21d94b36f8", .Step_ = 0, .Index_ = Index},
+          .Run_ = Run};
+}
+
+/// Runs what it is told to under a lease, as the platform describes workers.
+class FakeWorker {
+public:
+  FakeWorker(net::EventLoop &Loop, std::string Name, std::uint64_t Born)
+      : Loop_(Loop) {
+    restart(std::move(Name), Born);
+  }
+
+  /// Begins another life, which knows and runs nothing.
+  void restart(std::string Name, std::uint64_t Born) {
+    Self_ = {.Worker_ = std::move(Name),
+             .Born_ = Born,
+             .Service_ = "sorting",
+             .AvailabilityZone_ = "zone-a",
+             .Labels_ = {"a"},
+             .Capacity_ = {.MilliProcessors_ = 4000, .MemoryMib_ = 4096}};
+    StartedAt_ = Clock::now();
+    Runs_.clear();
+    Ends_.clear();
+    NextEnd_ = 1;
+    Fence_ = 0;
+    LeaseUntil_ = {};
+  }
+
+  /// Returns what its next heartbeat says.
+  WorkerAnnouncement announce() {
+    ++Self_.Sequence_;
+    return Self_;
+  }
+
+  /// While set, calls get no answer; they are carried out \p After later.
+  void setSilent(bool Silent) { Silent_ = Silent; }
+
+  bool isRunning(const jobs::RunName &Run) {
+    expireLease();
+    return Runs_.contains(Run);
+  }
+  std::size_t running() {
+    expireLease();
+    return Runs_.size();
+  }
+  void finish(const jobs::RunName &Run) { endRun(Run, jobs::RunEnd::Finished); }
+  std::uint64_t fence() const { return Fence_; }
+  /// Calls for another worker, which were refused.
+  std::size_t misdirected() const { return Misdirected_; }
+
+  WorkerCalls calls() {
+    return {.Start_ =
+                [this](const std::string &Worker, const StartCall &Call,
+                       std::function<void(StartStatus)> OnEnd) {
+                  const StartStatus Status = start(Worker, Call);
+                  reply([OnEnd, Status] { OnEnd(Status); },
+                        [OnEnd] { OnEnd(StartStatus::NoAnswer); });
+                },
+            .Stop_ =
+                [this](const std::string &Worker, const StopCall &Call,
+                       std::function<void(bool)> OnEnd) {
+                  const bool Done =
+                      takes(Worker, Call.Fence_) == HoldStatus::Listed;
+                  if (Done)
+                    endRun(Call.Run_, jobs::RunEnd::Stopped);
+                  reply([OnEnd, Done] { OnEnd(Done); },
+                        [OnEnd] { OnEnd(false); });
+                },
+            .Pace_ =
+                [this](const std::string &, const PaceCall &,
+                       std::function<void(bool)> OnEnd) {
+                  reply([OnEnd] { OnEnd(true); }, [OnEnd] { OnEnd(false); });
+                },
+            .Hold_ =
+                [this](const std::string &Worker, const HoldCall &Call,
+                       std::function<void(HoldAnswer)> OnEnd) {
+                  hold(Worker, Call, std::move(OnEnd));
+                }};
+  }
+
+private:
+  static constexpr Duration CallTimeout = milliseconds(800);
+
+  WorkerTime clock() const {
+    return std::chrono::duration_cast<WorkerTime>(Clock::now() - StartedAt_);
+  }
+
+  HoldStatus takes(const std::string &Worker, std::uint64_t Fence) {
+    expireLease();
+    if (Worker != Self_.Worker_) {
+      ++Misdirected_;
+      return HoldStatus::OtherLife;
+    }
+    if (Fence < Fence_)
+      return HoldStatus::Fenced;
+    // What is not answered is not carried out here: later calls overtake it.
+    if (Silent_)
+      return HoldStatus::NoAnswer;
+    Fence_ = Fence;
+    return HoldStatus::Listed;
+  }
+
+  StartStatus start(const std::string &Worker, const StartCall &Call) {
+    switch (takes(Worker, Call.Fence_)) {
+    case HoldStatus::Listed:
+      break;
+    case HoldStatus::Fenced:
+      return StartStatus::Fenced;
+    case HoldStatus::OtherLife:
+      return StartStatus::OtherLife;
+    case HoldStatus::NoAnswer:
+      return StartStatus::NoAnswer;
+    }
+    LeaseUntil_ = std::max(LeaseUntil_, Call.LeaseUntil_);
+    if (clock() >= LeaseUntil_)
+      return StartStatus::LeaseOver;
+    Runs_.insert(Call.Run_);
+    return StartStatus::Started;
+  }
+
+  void hold(const std::string &Worker, const HoldCall &Call,
+            std::function<void(HoldAnswer)> OnEnd) {
+    const HoldStatus Status = takes(Worker, Call.Fence_);
+    if (Status == HoldStatus::Listed) {
+      LeaseUntil_ = std::max(LeaseUntil_, Call.LeaseUntil_);
+      std::erase_if(Ends_, [&Call](const ListedEnd &Each) {
+        return Each.Number_ <= Call.LastDurableEnd_;
+      });
+    }
+    const bool Waits = Status == HoldStatus::Listed && Ends_.empty();
+    const std::uint64_t Life = Self_.Born_;
+    const auto Answer = [this, Status, Life, OnEnd] {
+      if (Status != HoldStatus::Listed || Life != Self_.Born_)
+        OnEnd({.Status_ = Status == HoldStatus::Listed ? HoldStatus::NoAnswer
+                                                       : Status});
+      else
+        OnEnd(lists());
+    };
+    reply(
+        Answer, [OnEnd] { OnEnd({}); }, Waits ? Call.Wait_ : Duration::zero());
+  }
+
+  HoldAnswer lists() {
+    expireLease();
+    HoldAnswer Answer{.Status_ = HoldStatus::Listed,
+                      .Born_ = Self_.Born_,
+                      .Clock_ = clock(),
+                      .Ends_ = Ends_};
+    std::ranges::transform(
+        Runs_, std::back_inserter(Answer.Runs_),
+        [](const jobs::RunName &Run) { return ListedRun{.Run_ = Run}; });
+    return Answer;
+  }
+
+  void reply(std::function<void()> Answer, std::function<void()> OnTimeout,
+             Duration Delay = {}) {
+    // The answer is lost if the worker falls silent before it leaves.
+    const bool Lost = Silent_;
+    Pending_.push_back(Loop_.after(Lost ? CallTimeout : Delay,
+                                   [this, Lost, Answer = std::move(Answer),
+                                    OnTimeout = std::move(OnTimeout)] {
+                                     if (Lost || Silent_)
+                                       OnTimeout();
+                                     else
+                                       Answer();
+                                   }));
+  }
+
+  void expireLease() {
+    while (!Runs_.empty() && clock() >= LeaseUntil_)
+      endRun(*Runs_.begin(), jobs::RunEnd::LeaseExpired);
+  }
+
+  void endRun(const jobs::RunName &Run, jobs::RunEnd How) {
+    auto Ended = Runs_.extract(Run);
+    if (!Ended.empty())
+      Ends_.push_back({.Number_ = NextEnd_++,
+                       .Run_ = std::move(Ended.value()),
+                       .How_ = How});
+  }
+
+  net::EventLoop &Loop_;
+  WorkerAnnouncement Self_;
+  TimePoint StartedAt_;
+  std::set<jobs::RunName> Runs_;
+  std::vector<ListedEnd> Ends_;
+  std::uint64_t NextEnd_ = 1;
+  std::uint64_t Fence_ = 0;
+  WorkerTime LeaseUntil_{};
+  bool Silent_ = false;
+  std::size_t Misdirected_ = 0;
+  std::vector<net::Timer> Pending_;
+};
+
+/// A leader that opens sessions, renews leases and keeps what it is told.
+class FakeLeader {
+public:
+  explicit FakeLeader(net::EventLoop &Loop)
+      : Server_(Loop, {.Listen_ = {.Address_ = "127.0.0.1", .Port_ = 0},
+                       .Self_ = {2},
+                       .OnMessage_ =
+                           [this](wire::Message Request,
+                                  const net::FrameReplier &To) {
+                             take(std::move(Request), To);
+                           }}),
+        KeepAlives_(Loop.every(milliseconds(500), [this] {
+          for (const auto &[Session, Stream] : Streams_)
+            Stream.part(orders(Session));
+        })) {}
+
+  std::string address() const { return Server_.endpoint().text(); }
+
+  /// The session of an agent that was killed counts for nothing any more.
+  void endSession() { Reconciled_.clear(); }
+
+  /// Sends an order on the newest session.
+  void order(wire::WorkerOrders Orders) {
+    Orders.Session_ = Session_;
+    Orders.Fence_ = Fence_;
+    Streams_.at(Session_).part(Orders);
+  }
+
+  /// Whether the worker has reported all of its runs in its newest session.
+  bool isReconciled(const std::string &Worker) const {
+    return !Hellos_.empty() && Hellos_.back().Worker_ == Worker &&
+           Reconciled_.contains(Session_);
+  }
+  /// Runs in the newest report.
+  std::vector<jobs::RunName> reportedRuns() const {
+    std::vector<jobs::RunName> Runs;
+    if (!Reports_.empty())
+      std::ranges::transform(Reports_.back().Runs_, std::back_inserter(Runs),
+                             &wire::RunReport::Run_);
+    return Runs;
+  }
+
+  std::vector<wire::WorkerHello> Hellos_;
+  std::vector<wire::WorkerReport> Reports_;
+  std::vector<wire::EndReport> Ends_;
+  std::vector<wire::WorkerGone> Gone_;
+  Duration LeaseTerm_ = milliseconds(4000);
+
+private:
+  wire::WorkerOrders orders(std::uint64_t Session) const {
+    return {.Session_ = Session, .Fence_ = Fences_.at(Session)};
+  }
+
+  void take(wire::Message Request, const net::FrameReplier &To) {
+    if (std::holds_alternative<wire::FetchGroup>(Request)) {
+      To.answer(wire::Group{.Rows_ = {{.Id_ = {1}, .Address_ = address()}},
+                            .Leader_ = address()});
+    } else if (auto *Hello = std::get_if<wire::WorkerHello>(&Request)) {
+      Streams_.clear();
+      // Each process and each life of a worker has a token of its own.
+      const auto Key =
+          std::make_tuple(Hello->Worker_, Hello->Born_, Hello->Agent_.Value_);
+      Fence_ = Tokens_.try_emplace(Key, Tokens_.size() + 1).first->second;
+      Fences_[++Session_] = Fence_;
+      Streams_.emplace(Session_, To);
+      To.part(orders(Session_));
+      Hellos_.push_back(std::move(*Hello));
+    } else if (auto *Report = std::get_if<wire::WorkerReport>(&Request)) {
+      if (Report->Session_ != Session_) {
+        To.answer(wire::WorkerReportAck{.SessionEnded_ = true});
+        return;
+      }
+      if (Report->Complete_)
+        Reconciled_.insert(Session_);
+      Ends_.insert(Ends_.end(), Report->Ends_.begin(), Report->Ends_.end());
+      Reports_.push_back(std::move(*Report));
+      To.answer(wire::WorkerReportAck{.LeaseTerm_ = LeaseTerm_});
+    } else if (auto *Gone = std::get_if<wire::WorkerGone>(&Request)) {
+      Gone_.push_back(std::move(*Gone));
+      To.answer(wire::WorkerReportAck{});
+    }
+  }
+
+  net::FrameServer Server_;
+  std::map<std::uint64_t, net::FrameReplier> Streams_;
+  std::map<std::uint64_t, std::uint64_t> Fences_;
+  std::map<std::tuple<std::string, std::uint64_t, std::uint64_t>, std::uint64_t>
+      Tokens_;
+  std::set<std::uint64_t> Reconciled_;
+  std::uint64_t Session_ = 0;
+  std::uint64_t Fence_ = 0;
+  net::Timer KeepAlives_;
+};
+
+struct AgentFixture {
+  AgentFixture() {
+    configureLog({.Sink_ = [](std::string_view) {}});
+    Clock::pause(TimePoint(seconds(100)));
+    Loop_ = std::make_unique<net::EventLoop>();
+    Worker_ = std::make_unique<FakeWorker>(*Loop_, "w1", 10);
+    Leader_ = std::make_unique<FakeLeader>(*Loop_);
+    startAgent();
+  }
+  ~AgentFixture() {
+    Agent_.reset();
+    Link_.reset();
+    Leader_.reset();
+    Worker_.reset();
+    Loop_.reset();
+    Clock::resume();
+  }
+
+  void startAgent() {
+    Link_ = std::make_unique<link::LeaderClient>(
+        *Loop_, link::LeaderClientOptions{.Self_ = {1},
+                                          .Seeds_ = {Leader_->address()}});
+    Agent_ = std::make_unique<WorkerAgent>(
+        *Loop_, *Link_,
+        WorkerAgentOptions{.Calls_ = Worker_->calls(), .Vm_ = "vm-1"});
+  }
+  /// Kills the agent's process and starts another one.
+  void restartAgent() {
+    Agent_.reset();
+    Link_.reset();
+    Leader_->endSession();
+    startAgent();
+  }
+
+  void run(Duration By) {
+    constexpr int Polls = 12;
+    for (const TimePoint End = Clock::now() + By; Clock::now() < End;) {
+      for (int I = 0; I < Polls; ++I)
+        Loop_->poll();
+      Clock::advance(milliseconds(5));
+    }
+  }
+  /// Runs until \p Done, and returns how long that took.
+  template <typename Condition>
+  std::optional<Duration> runUntil(Condition Done, Duration Limit) {
+    const TimePoint Began = Clock::now();
+    while (Clock::now() - Began < Limit) {
+      if (Done())
+        return Clock::now() - Began;
+      run(milliseconds(5));
+    }
+    return std::nullopt;
+  }
+
+  /// The worker has a session, and \p Count runs go on there.
+  void startRuns(std::uint32_t Count) {
+    announce(Worker_->announce());
+    runUntil([&] { return Leader_->isReconciled("w1"); }, seconds(5));
+    run(milliseconds(500));
+    wire::WorkerOrders Orders;
+    for (std::uint32_t I = 0; I < Count; ++I)
+      Orders.Starts_.push_back({.Run_ = makeRun(I)});
+    Leader_->order(std::move(Orders));
+    run(milliseconds(1000));
+  }
+  void announce(const WorkerAnnouncement &Value) { Agent_->announced(Value); }
+
+  std::unique_ptr<net::EventLoop> Loop_;
+  std::unique_ptr<FakeWorker> Worker_;
+  std::unique_ptr<FakeLeader> Leader_;
+  std::unique_ptr<link::LeaderClient> Link_;
+  std::unique_ptr<WorkerAgent> Agent_;
+};
+
+} // namespace dragonfly::agent
+
+#endif // DRAGONFLY_TESTS_AGENT_AGENTFIXTURE_H
--- /dev/null
+++ b/tests/agent/WorkerAgentTest.cpp
@@ -0,0 +1,120 @@
+/// Which worker an agent speaks for, whoever sends announcements, and what it
+/// tells control across lives of the worker and processes of its own.
+#include "agent/AgentFixture.h"
+
+#include <catch2/catch.hpp>
+
+namespace dragonfly::agent {
+namespace {
+
+/// An announcement of a worker that is not on the VM.
+WorkerAnnouncement foreign(std::string Name, std::uint64_t Born) {
+  return {.Worker_ = std::move(Name),
+          .Born_ = Born,
+          .Sequence_ = 1,
+          .Service_ = "unnamed",
+          .AvailabilityZone_ = "zone-a",
+          .Capacity_ = {.MilliProcessors_ = 16000, .MemoryMib_ = 64000}};
+}
+
+} // namespace
+
+// Guards against TWICE: the runs of a worker that is up were ended as soon as
+// anybody announced another worker to its agent (review/1).
+TEST_CASE("an announcement of a worker that is not there ends no runs",
+          "[agent][worker]") {
+  AgentFixture On;
+  On.startRuns(3);
+  REQUIRE(On.Worker_->running() == 3);
+
+  SECTION("of another name") { On.announce(foreign("w9", 20)); }
+  SECTION("of another name, born earlier") { On.announce(foreign("w9", 5)); }
+  SECTION("of a later life of the same worker") {
+    On.announce(foreign("w1", 20));
+  }
+  SECTION("again and again") {
+    for (std::uint64_t Born = 20; Born < 40; ++Born) {
+      On.announce(foreign("w9", Born));
+      On.run(milliseconds(50));
+    }
+  }
+  On.run(seconds(10));
+  CHECK(On.Leader_->Gone_.empty());
+  CHECK(On.Leader_->Ends_.empty());
+  CHECK(On.Leader_->reportedRuns().size() == 3);
+  CHECK(On.Worker_->running() == 3);
+  CHECK(On.Leader_->Hellos_.size() == 1);
+}
+
+// Guards against TWICE: after a restart of the agent, the first announcement
+// may be another writer's as well.
+TEST_CASE("a new agent finds its worker after an announcement of another one",
+          "[agent][worker]") {
+  AgentFixture On;
+  On.startRuns(3);
+  On.restartAgent();
+
+  SECTION("of another name") { On.announce(foreign("w9", 20)); }
+  SECTION("of a later life of the same worker") {
+    On.announce(foreign("w1", 20));
+  }
+  On.run(milliseconds(600));
+  CHECK_FALSE(On.Leader_->isReconciled("w9"));
+  On.announce(On.Worker_->announce());
+  const auto Took =
+      On.runUntil([&] { return On.Leader_->isReconciled("w1"); }, seconds(3));
+  REQUIRE(Took);
+  CHECK(*Took <= milliseconds(100));
+  On.run(seconds(5));
+  CHECK(On.Leader_->Ends_.empty());
+  CHECK(On.Leader_->reportedRuns().size() == 3);
+  CHECK(On.Worker_->running() == 3);
+}
+
+// Guards against seconds of idle workers: a worker that did replace another one
+// is taken at once, also where the time of day was set back in between.
+TEST_CASE(
+    "a worker that answers in place of the one before it is taken at once",
+    "[agent][worker]") {
+  AgentFixture On;
+  On.startRuns(3);
+  const std::uint64_t Born = GENERATE(20, 5);
+  const std::string Name = GENERATE("w1", "w2");
+  INFO(Name << " born " << Born);
+  On.Worker_->restart(Name, Born);
+  On.announce(On.Worker_->announce());
+  const auto Took = On.runUntil(
+      [&] {
+        return On.Leader_->isReconciled(Name) &&
+               On.Leader_->Hellos_.back().Born_ == Born;
+      },
+      seconds(3));
+  REQUIRE(Took);
+  CHECK(*Took <= milliseconds(100));
+  if (Name == "w1") {
+    CHECK(On.Leader_->Ends_.size() == 3);
+  } else {
+    REQUIRE(On.Leader_->Gone_.size() == 1);
+    CHECK(On.Leader_->Gone_.front().Worker_ == "w1");
+    CHECK(On.Leader_->Gone_.front().Born_ == 10);
+  }
+}
+
+// Guards against LOST: the first call to a new worker may get no answer.
+TEST_CASE("a new worker that answers late is taken as soon as it does",
+          "[agent][worker]") {
+  AgentFixture On;
+  On.startRuns(1);
+  On.Worker_->restart("w2", 20);
+  On.Worker_->setSilent(true);
+  On.announce(On.Worker_->announce());
+  On.run(milliseconds(1900));
+  CHECK(On.Leader_->Gone_.empty());
+  On.Worker_->setSilent(false);
+  const auto Took =
+      On.runUntil([&] { return On.Leader_->isReconciled("w2"); }, seconds(3));
+  REQUIRE(Took);
+  CHECK(*Took <= milliseconds(1200));
+}
+
+} // namespace dragonfly::agent
--- a/tests/control/JobServiceFaultTest.cpp
+++ b/tests/control/JobServiceFaultTest.cpp
@@ -78,6 +78,31 @@
   CHECK(NewAgent.consumeStarts() == std::vector<RunName>{makeRun(2)});
 }
 
+// Guards against TWICE: a new process of an agent may hear of a worker that is
+// not there before it hears of its own; the runs of the latter go on.
+TEST_CASE("a hello alone does not end the runs of another worker on the VM",
+          "[control][jobs]") {
+  JobCluster Cluster;
+  TestAgent Agent(Cluster, "w1");
+  Agent.attach(10, 1, "vm-1");
+  Agent.report(true);
+  TestAgent Elsewhere(Cluster, "w2");
+  Elsewhere.attach(10, 1, "vm-2");
+  Cluster.submit({makeStep()});
+  const std::vector<RunName> Started = Agent.consumeStarts();
+  REQUIRE(Started == std::vector<RunName>{makeRun()});
+  Elsewhere.report(true);
+  TestAgent Misled(Cluster, "w9");
+  Misled.attach(20, 2, "vm-1");
+  Misled.report(false);
+  CHECK(Elsewhere.consumeStarts().empty());
+  Agent.attach(10, 2, "vm-1");
+  REQUIRE(Agent.report(true, Started));
+  Cluster.run(seconds(5));
+  CHECK(Agent.stops().empty());
+  CHECK(Elsewhere.consumeStarts().empty());
+}
+
 TEST_CASE(
     "a new agent process or worker incarnation gets a higher fencing token",
     "[control][jobs]") {
