A new process of an agent waits for leases that its predecessor granted

Cause: a lease began as over, so that the runs of a worker that fell silent before the new process had granted anything were reported as ended at once. Log of the case: "runs-lapsed" 48 ms after "worker-silent", 1.45 s after "process-started"; no "worker-lease-expired" at control.

Change: a lease begins as if the longest term that control grants had been granted when the process started. That term is a constant of the protocol, and agents take no longer one.

Failed before: "a restarted agent waits for the lease that its predecessor granted" and "a restarted agent ends the runs of a silent worker with their lease". The runs of a worker that is silent after the restart end within 4.7 s of it.

Ruled out: control's own expiry, and a lease counted on the wrong clock.

--- a/include/dragonfly/agent/WorkerLease.h
+++ b/include/dragonfly/agent/WorkerLease.h
@@ -5,6 +5,7 @@
 
 #include "dragonfly/agent/WorkerCalls.h"
 #include "dragonfly/base/Clock.h"
+#include "dragonfly/wire/JobMessages.h"
 
 #include <chrono>
 #include <cstdint>
@@ -18,15 +19,21 @@
   /// Added before runs are taken for ended: workers look at their clock now
   /// and then.
   Duration LapseMargin_ = std::chrono::milliseconds(200);
+  /// Bound on what control lets an agent grant at once.
+  Duration MaxTerm_ = wire::MaxWorkerLeaseTerm;
 };
 
 /// The lease of one life of a worker.
 class WorkerLease {
 public:
-  explicit WorkerLease(WorkerLeaseOptions Options = {}) : Options_(Options) {}
+  /// \p ProcessStart is when this process of the agent began: an earlier one
+  /// may have granted the worker a whole term just before.
+  explicit WorkerLease(WorkerLeaseOptions Options = {},
+                       TimePoint ProcessStart = {})
+      : Options_(Options), GrantedUntil_(ProcessStart + Options.MaxTerm_) {}
 
-  /// Control lets runs go on until \p Until.
-  void renewed(TimePoint Until);
+  /// Control lets runs go on for \p Term from \p ReportedAt.
+  void renewed(TimePoint ReportedAt, Duration Term);
   /// The worker's clock showed \p Clock no later than \p Now.
   void clockRead(TimePoint Now, WorkerTime Clock);
   /// A worker that does not answer is granted nothing more, so that its runs
@@ -38,7 +45,8 @@
   /// Returns the lease to name in a call that leaves now, or zero where none
   /// may be named. What is returned counts as granted.
   WorkerTime grant(TimePoint Now);
-  /// True once no lease that was granted can run any more.
+  /// True once no lease that was granted can run any more, whichever process of
+  /// the agent granted it.
   bool isOver(TimePoint Now) const;
   /// How long runs may go on from \p Now.
   Duration left(TimePoint Now) const { return Until_ - Now; }
--- a/include/dragonfly/control/JobService.h
+++ b/include/dragonfly/control/JobService.h
@@ -36,7 +36,7 @@
   std::function<wire::Refusal()> MakeRefusal_;
   /// How long a worker's runs go on without a renewal. Longer than a change of
   /// leader, and short enough to run lost work again in time.
-  Duration WorkerLeaseTerm_ = std::chrono::milliseconds(4000);
+  Duration WorkerLeaseTerm_ = wire::MaxWorkerLeaseTerm;
   /// How much slower than the leader's clock a worker's may run, in
   /// thousandths. The platform allows 2%.
   std::uint32_t ClockDriftPermille_ = 30;
--- a/include/dragonfly/wire/JobMessages.h
+++ b/include/dragonfly/wire/JobMessages.h
@@ -8,6 +8,7 @@
 #include "dragonfly/jobs/Configuration.h"
 #include "dragonfly/jobs/Job.h"
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -82,6 +83,10 @@
 
 // Workers: an agent to the leader of control, over TCP.
 
+/// The longest term for which control lets the runs of a worker go on. A new
+/// process of an agent relies on it: it does not know what was granted before.
+inline constexpr Duration MaxWorkerLeaseTerm = std::chrono::milliseconds(4000);
+
 /// One life of the worker beside an agent, as the worker announces it.
 struct WorkerHello {
   std::string Worker_;
@@ -171,8 +176,8 @@
 
 /// The ends are durable.
 struct WorkerReportAck {
-  /// How long runs may go on from when the report was made; 0 where the leader
-  /// may not tell.
+  /// How long runs may go on from when the report was made, at most
+  /// `MaxWorkerLeaseTerm`; 0 where the leader may not tell.
   Duration LeaseTerm_{};
   /// The session has ended and nothing was done; the agent opens another one.
   bool SessionEnded_ = false;
--- a/src/agent/WorkerAgent.cpp
+++ b/src/agent/WorkerAgent.cpp
@@ -146,7 +146,7 @@
     return;
   }
   if (Ack->LeaseTerm_ > Duration::zero())
-    Lease_.renewed(SentAt + Ack->LeaseTerm_);
+    Lease_.renewed(SentAt, Ack->LeaseTerm_);
   if (Session == Session_)
     Complete_ = true;
   Book_.endsDurable(Ends);
--- a/src/agent/WorkerAgentIdentity.cpp
+++ b/src/agent/WorkerAgentIdentity.cpp
@@ -105,7 +105,7 @@
   else
     Book_ = RunBook(Options_.Runs_);
   Confirmed_ = false;
-  Lease_ = WorkerLease(Options_.Lease_);
+  Lease_ = WorkerLease(Options_.Lease_, ProcessStart_);
   Silent_ = false;
   HoldOpen_ = false;
   Session_ = 0;
--- a/src/agent/WorkerAgentImpl.h
+++ b/src/agent/WorkerAgentImpl.h
@@ -85,6 +85,8 @@
   WorkerAgentOptions Options_;
   /// Drawn anew where another process turns out to have spoken for the worker.
   Incarnation Self_;
+  /// Leases that an earlier process granted were granted before.
+  TimePoint ProcessStart_ = Clock::now();
   WorkerAnnouncement Worker_;
   /// The worker has answered as the life that `Worker_` announces.
   bool Confirmed_ = false;
--- a/src/agent/WorkerLease.cpp
+++ b/src/agent/WorkerLease.cpp
@@ -4,7 +4,9 @@
 
 namespace dragonfly::agent {
 
-void WorkerLease::renewed(TimePoint Until) { Until_ = std::max(Until_, Until); }
+void WorkerLease::renewed(TimePoint ReportedAt, Duration Term) {
+  Until_ = std::max(Until_, ReportedAt + std::min(Term, Options_.MaxTerm_));
+}
 
 void WorkerLease::clockRead(TimePoint Now, WorkerTime Clock) {
   Clock_ = Clock;
--- a/tests/agent/WorkerAgentTest.cpp
+++ b/tests/agent/WorkerAgentTest.cpp
@@ -117,4 +117,65 @@
   CHECK(*Took <= milliseconds(1200));
 }
 
+// Guards against TWICE: a new process of an agent took the lease that its
+// predecessor had granted for over, and reported runs that went on as ended as
+// soon as the worker left a call unanswered (review/2).
+TEST_CASE("a restarted agent waits for the lease that its predecessor granted",
+          "[agent][worker][lease]") {
+  AgentFixture On;
+  On.startRuns(3);
+  On.restartAgent();
+  const TimePoint RestartedAt = Clock::now();
+  SECTION("the worker answers at first") {
+    On.announce(On.Worker_->announce());
+    REQUIRE(On.runUntil([&] { return On.Leader_->isReconciled("w1"); },
+                        milliseconds(200)));
+    On.Worker_->setSilent(true);
+  }
+  SECTION("the worker never answers, and the agent is restarted again") {
+    On.Worker_->setSilent(true);
+    On.announce(On.Worker_->announce());
+    On.run(milliseconds(300));
+    On.restartAgent();
+    On.announce(On.Worker_->announce());
+    // Control asks for runs to be stopped that it knows from before.
+    On.run(milliseconds(100));
+    On.Leader_->order({.Stops_ = {makeRun(0), makeRun(1), makeRun(2)}});
+  }
+  bool EndedEarly = false;
+  On.runUntil(
+      [&] {
+        EndedEarly =
+            EndedEarly || On.Leader_->Ends_.size() + On.Worker_->running() > 3;
+        return On.Worker_->running() == 0;
+      },
+      seconds(8));
+  CHECK_FALSE(EndedEarly);
+  CHECK(Clock::now() - RestartedAt <= milliseconds(4000));
+  On.Worker_->setSilent(false);
+  // Back to work: the worker answers again, and control hears of all ends.
+  const auto Took =
+      On.runUntil([&] { return On.Leader_->Ends_.size() >= 3; }, seconds(5));
+  REQUIRE(Took);
+  CHECK(*Took <= milliseconds(1300));
+}
+
+// Guards against LOST: the runs of a worker that never answers again end with
+// the lease, also where a new process of the agent granted none of it.
+TEST_CASE("a restarted agent ends the runs of a silent worker with their lease",
+          "[agent][worker][lease]") {
+  AgentFixture On;
+  On.startRuns(3);
+  On.restartAgent();
+  const TimePoint RestartedAt = Clock::now();
+  On.announce(On.Worker_->announce());
+  REQUIRE(On.runUntil([&] { return On.Leader_->isReconciled("w1"); },
+                      milliseconds(200)));
+  On.Worker_->setSilent(true);
+  REQUIRE(
+      On.runUntil([&] { return On.Leader_->Ends_.size() == 3; }, seconds(8)));
+  CHECK(On.Worker_->running() == 0);
+  CHECK(Clock::now() - RestartedAt <= milliseconds(4700));
+}
+
 } // namespace dragonfly::agent
--- a/tests/agent/WorkerLeaseTest.cpp
+++ b/tests/agent/WorkerLeaseTest.cpp
@@ -15,7 +15,7 @@
 TEST_CASE("nothing is granted before the worker's clock is known",
           "[agent][lease]") {
   WorkerLease Lease;
-  Lease.renewed(Start + seconds(4));
+  Lease.renewed(Start, seconds(4));
   CHECK(Lease.grant(Start) == WorkerTime::zero());
   Lease.clockRead(Start, WorkerTime(7000));
   CHECK(Lease.grant(Start) > WorkerTime(7000));
@@ -25,7 +25,7 @@
           "allows",
           "[agent][lease]") {
   WorkerLease Lease;
-  Lease.renewed(Start + seconds(4));
+  Lease.renewed(Start, seconds(4));
   Lease.clockRead(Start, WorkerTime(7000));
   const WorkerTime Granted = Lease.grant(Start + milliseconds(100));
   // A clock that is 2% slow shows 3920 ms more after 4 s.
@@ -36,7 +36,7 @@
 TEST_CASE("a lease that control does not renew is not granted again",
           "[agent][lease]") {
   WorkerLease Lease;
-  Lease.renewed(Start + seconds(4));
+  Lease.renewed(Start, seconds(4));
   Lease.clockRead(Start, WorkerTime(7000));
   Lease.grant(Start);
   CHECK(Lease.grant(Start + seconds(4)) == WorkerTime::zero());
@@ -49,11 +49,11 @@
 TEST_CASE("the lease of a silent worker runs out although control renews it",
           "[agent][lease]") {
   WorkerLease Lease;
-  Lease.renewed(Start + seconds(4));
+  Lease.renewed(Start, seconds(4));
   Lease.clockRead(Start, WorkerTime(7000));
   Lease.grant(Start);
   Lease.setSilent(true);
-  Lease.renewed(Start + seconds(8));
+  Lease.renewed(Start + seconds(4), seconds(4));
   CHECK(Lease.grant(Start + seconds(1)) == WorkerTime::zero());
   CHECK(Lease.isOver(Start + milliseconds(4200)));
 
@@ -64,9 +64,18 @@
   }
 }
 
+// Guards against TWICE: what an earlier process granted begins no empty book.
+TEST_CASE("a lease may be running that an earlier process of the agent granted",
+          "[agent][lease]") {
+  const WorkerLease Lease({}, Start);
+  CHECK_FALSE(Lease.isOver(Start));
+  CHECK_FALSE(Lease.isOver(Start + wire::MaxWorkerLeaseTerm));
+  CHECK(Lease.isOver(Start + wire::MaxWorkerLeaseTerm + milliseconds(200)));
+}
+
 TEST_CASE("a worker that ends is granted nothing more", "[agent][lease]") {
   WorkerLease Lease;
-  Lease.renewed(Start + seconds(4));
+  Lease.renewed(Start, seconds(4));
   Lease.clockRead(Start, WorkerTime(7000));
   Lease.close();
   CHECK(Lease.grant(Start) == WorkerTime::zero());
