Agents keep to the worker's own word about its service and departure

An announcement of another writer under the worker's own name and birth replaced its service, labels and capacity, which the next session told control, and with a high sequence number hid the worker's own announcement that it drains. A notice of departure that another writer sent took the worker out of use for the rest of its life, although it went on announcing itself as ready.

Change: the description of a life changes only when it is repeated before the known one is. A worker that announces itself ready after a notice of departure, with a higher sequence number, gets a session again.

Failed before: four checks of "another writer's description of the worker does not count" and "a worker that announces itself ready has not departed". They pass now. Not covered: a copy of an announcement in all its fields, with a higher sequence number, cannot be told from the worker's own.

--- a/include/dragonfly/agent/WorkerLease.h
+++ b/include/dragonfly/agent/WorkerLease.h
@@ -39,8 +39,9 @@
   /// A worker that does not answer is granted nothing more, so that its runs
   /// are known to end.
   void setSilent(bool Silent) { Silent_ = Silent; }
-  /// Nothing more is granted in this life.
+  /// Nothing more is granted until `reopen()`.
   void close() { Closed_ = true; }
+  void reopen() { Closed_ = false; }
 
   /// Returns the lease to name in a call that leaves now, or zero where none
   /// may be named. What is returned counts as granted.
--- a/src/agent/WorkerAgentIdentity.cpp
+++ b/src/agent/WorkerAgentIdentity.cpp
@@ -1,5 +1,6 @@
 #include "agent/WorkerAgentImpl.h"
 
+#include <tuple>
 #include <utility>
 
 namespace dragonfly::agent {
@@ -9,6 +10,17 @@
   return A.Worker_ == B.Worker_ && A.Born_ == B.Born_;
 }
 
+/// Returns whether both describe the worker alike in what stays as it is for a
+/// whole life.
+bool isSameDescription(const WorkerAnnouncement &A,
+                       const WorkerAnnouncement &B) {
+  const auto FixedFields = [](const WorkerAnnouncement &Each) {
+    return std::tie(Each.Service_, Each.AvailabilityZone_, Each.Labels_,
+                    Each.Capacity_);
+  };
+  return FixedFields(A) == FixedFields(B);
+}
+
 void logRejected(const WorkerAnnouncement &Value,
                  const WorkerAnnouncement &Current, const char *Reason) {
   logEvent(Event::AnnouncementRejected, {{"worker", Value.Worker_},
@@ -39,16 +51,44 @@
 }
 
 void WorkerAgent::Impl::update(const WorkerAnnouncement &Value) {
+  if (!isSameDescription(Value, Worker_)) {
+    updateDescription(Value);
+    return;
+  }
   if (Value.Sequence_ < Worker_.Sequence_)
     return;
+  Disputed_.reset();
+  if (Departed_ && !Value.Draining_ && Value.Sequence_ > Worker_.Sequence_)
+    retractDeparture(Value);
   const bool BeginsToDrain = Value.Draining_ && !Worker_.Draining_;
   Worker_ = Value;
+  Worker_.Draining_ = Value.Draining_ || Departed_;
   if (BeginsToDrain) {
     logEvent(Event::WorkerDraining, {{"worker", Worker_.Worker_}});
     sendReport();
   }
 }
 
+void WorkerAgent::Impl::updateDescription(const WorkerAnnouncement &Value) {
+  const bool IsRepeated = Disputed_ && isSameDescription(Value, *Disputed_) &&
+                          Value.Sequence_ != Disputed_->Sequence_;
+  if (!IsRepeated) {
+    logRejected(Value, Worker_, "other-description");
+    Disputed_ = Value;
+    return;
+  }
+  Worker_ = Value;
+  Disputed_.reset();
+  openSession();
+}
+
+void WorkerAgent::Impl::retractDeparture(const WorkerAnnouncement &Value) {
+  logRejected(Value, Worker_, "departure-contradicted");
+  Departed_ = false;
+  Lease_.reopen();
+  openSession();
+}
+
 void WorkerAgent::Impl::probeCandidate() {
   if (ProbeOpen_ || !Candidate_)
     return;
@@ -112,6 +152,7 @@
   Fence_ = 0;
   Complete_ = false;
   Departed_ = false;
+  Disputed_.reset();
   // Another worker answers on this VM: the one before it is gone.
   if (!Before.Worker_.empty() && Before.Worker_ != Worker_.Worker_)
     Leader_.call(
--- a/src/agent/WorkerAgentImpl.h
+++ b/src/agent/WorkerAgentImpl.h
@@ -48,6 +48,12 @@
   void announced(const WorkerAnnouncement &Value);
   /// Takes an announcement of the current life.
   void update(const WorkerAnnouncement &Value);
+  /// Takes another description of the current life once it is repeated before
+  /// the known one is: a single one may be another writer's.
+  void updateDescription(const WorkerAnnouncement &Value);
+  /// A worker that has left announces nothing more, least of all that it is
+  /// ready: another writer gave notice of its departure.
+  void retractDeparture(const WorkerAnnouncement &Value);
   /// Asks the worker on the VM whether it is the announced one.
   void probeCandidate();
   void candidateAnswered(const WorkerAnnouncement &Probed,
@@ -94,6 +100,8 @@
   std::optional<WorkerAnnouncement> Candidate_;
   bool ProbeOpen_ = false;
   TimePoint NextProbeAt_;
+  /// The newest announcement of the current life with another description.
+  std::optional<WorkerAnnouncement> Disputed_;
   /// Counts lives, so that answers of earlier ones are told apart.
   std::uint64_t Life_ = 0;
   RunBook Book_;
--- a/tests/agent/WorkerAgentTest.cpp
+++ b/tests/agent/WorkerAgentTest.cpp
@@ -178,6 +178,68 @@
   CHECK(Clock::now() - RestartedAt <= milliseconds(4700));
 }
 
+// Guards against DRAIN and LOST: an announcement of another writer under the
+// worker's own name and birth replaced the worker's service and sequence.
+TEST_CASE("another writer's description of the worker does not count",
+          "[agent][worker]") {
+  AgentFixture On;
+  On.startRuns(1);
+  WorkerAnnouncement Value = foreign("w1", 10);
+  Value.Sequence_ = 1000000;
+  On.announce(Value);
+  On.run(milliseconds(100));
+
+  SECTION("a later session names the worker's own service") {
+    On.Leader_->refuseSession();
+    REQUIRE(On.runUntil([&] { return On.Leader_->Hellos_.size() == 2; },
+                        seconds(2)));
+    CHECK(On.Leader_->Hellos_.back().Service_ == "sorting");
+  }
+  SECTION("the worker can still announce that it drains") {
+    WorkerAnnouncement Draining = On.Worker_->announce();
+    Draining.Draining_ = true;
+    On.announce(Draining);
+    On.run(milliseconds(100));
+    CHECK(On.Leader_->Reports_.back().Draining_);
+  }
+  SECTION("a description that the worker repeats counts") {
+    for (int I = 0; I < 2; ++I) {
+      WorkerAnnouncement Own = On.Worker_->announce();
+      Own.Labels_ = {"b"};
+      On.announce(Own);
+      On.run(milliseconds(500));
+    }
+    REQUIRE(On.Leader_->Hellos_.size() == 2);
+    CHECK(On.Leader_->Hellos_.back().Labels_ == std::vector<std::string>{"b"});
+  }
+  CHECK(On.Worker_->running() == 1);
+}
+
+// Guards against LOST: after a notice of departure that another writer sent, a
+// worker that went on was never given work again.
+TEST_CASE("a worker that announces itself ready has not departed",
+          "[agent][worker]") {
+  AgentFixture On;
+  On.startRuns(1);
+  On.Agent_->departed("w1");
+  On.run(milliseconds(1500));
+  REQUIRE(On.Leader_->Gone_.size() == 1);
+  On.announce(On.Worker_->announce());
+  const auto Took = On.runUntil(
+      [&] {
+        return On.Leader_->Hellos_.size() == 2 &&
+               On.Leader_->isReconciled("w1");
+      },
+      seconds(2));
+  REQUIRE(Took);
+  // The open call may wait for a second until it lists.
+  CHECK(*Took <= milliseconds(1100));
+  On.run(milliseconds(500));
+  On.Leader_->order({.Starts_ = {{.Run_ = makeRun(7)}}});
+  On.run(seconds(6));
+  CHECK(On.Worker_->isRunning(makeRun(7)));
+}
+
 // Guards against LOST: an agent whose token the worker refuses kept the session
 // with that token for as long as the leader did.
 TEST_CASE("an agent whose token is refused registers anew", "[agent][worker]") {
