A worker attaches although its removal is being recorded

A hello and the removal of the same worker in one record: the leader followed a null pointer and ended by itself. A removal that was proposed while the hello was being committed: the session stood for no worker, which got no work until the session ended (LOST).

Failed before: "a hello that is recorded with the worker's removal is refused" (SIGSEGV) and "a worker that attaches while its lease expires gets runs" (at 4414 and 4416 ms of 4340 to 4460). Both pass now.

--- a/src/control/WorkerSessions.cpp
+++ b/src/control/WorkerSessions.cpp
@@ -71,6 +71,9 @@
                {{"worker", Worker}, {"session", Session.Number_}});
       detach(Session);
     }
+    // Its removal was proposed before its hello was committed.
+    if (Session.isAttached() && Table_.findWorker(Worker) == nullptr)
+      detach(Session);
     if (Now >= Session.LeaseExpiresAt_)
       expireLease(Now, Worker, Session);
     if (Session.isAttached() && Now - Session.LastSentAt_ >= KeepAliveInterval)
@@ -121,7 +124,8 @@
   Batch_.onOutcome([this, Now, Index, Hello = std::move(Hello),
                     Stream = std::move(Stream)](JobBatch::Status,
                                                 const JobOutcomes *Outcomes) {
-    if (Outcomes == nullptr) {
+    // A notice that the worker is gone may have been recorded with the hello.
+    if (Outcomes == nullptr || Table_.findWorker(Hello.Worker_) == nullptr) {
       Stream.SendEnd_(Options_.MakeRefusal_());
       return;
     }
--- a/tests/control/JobServiceFaultTest.cpp
+++ b/tests/control/JobServiceFaultTest.cpp
@@ -310,4 +310,48 @@
   CHECK(Agent.consumeStarts().size() == 1);
 }
 
+// Guards against a leader that ends by itself: a hello and the removal of the
+// same worker may be committed in one record, and the worker attaches again.
+TEST_CASE("a hello that is recorded with the worker's removal is refused",
+          "[control][jobs]") {
+  JobCluster Cluster;
+  TestAgent Agent(Cluster, "w1");
+  Agent.attach(10, 1, "vm-1");
+  Agent.report(true);
+  Cluster.node(Cluster.leader())
+      .handle(Cluster.now(), wire::WorkerGone{.Worker_ = "w1", .Born_ = 10},
+              [](const wire::Message &) {});
+  Agent.attach(10, 1, "vm-1");
+  CHECK(Agent.streamEnded());
+  Agent.attach(10, 1, "vm-1");
+  REQUIRE(Agent.report(true));
+  Cluster.submit({makeStep()});
+  CHECK(Agent.consumeStarts() == std::vector<RunName>{makeRun()});
+}
+
+// Guards against LOST: the removal of an idle worker whose lease had expired
+// was committed after its hello, and its session then stood for no worker.
+TEST_CASE("a worker that attaches while its lease expires gets runs",
+          "[control][jobs]") {
+  // Control counts a lease of 4 s as over after 4.42 s.
+  for (milliseconds Away{4340}; Away <= milliseconds(4460);
+       Away += milliseconds(2)) {
+    INFO("attaches again after " << Away.count() << " ms");
+    JobCluster Cluster;
+    TestAgent Agent(Cluster, "w1");
+    Agent.attach(10, 1, "vm-1");
+    REQUIRE(Agent.report(true));
+    // The report took 200 ms.
+    Agent.disconnect();
+    Cluster.run(Away - milliseconds(200));
+    Agent.attach(10, 2, "vm-1");
+    if (Agent.streamEnded() || !Agent.report(true)) {
+      Agent.attach(10, 2, "vm-1");
+      REQUIRE(Agent.report(true));
+    }
+    Cluster.submit({makeStep()});
+    CHECK(Agent.consumeStarts() == std::vector<RunName>{makeRun()});
+  }
+}
+
 } // namespace dragonfly::control
