One odd entry in a worker's list hides no other entry

Numbers were converted from any double: a too large number of an end hid all later ends, and run 2^32 + 1 stood for run 1. An odd load, percent or checkpoint hid its run, which was then stopped.

Change: a body that does not parse is read member by member and element by element, without recursion; what cannot be read is left out, and one line tells of it. Numbers that name runs and ends are whole and in range.

Failed before: "an odd row in a worker's lists harms no other row", "what only describes a run does not hide it" and, for the product's own list of tasks, "an odd row in a worker's list of tasks harms no other row". Ruled out: a process that ends by itself on a deep body ("an odd value in any field is read or refused with a typed fault" held before too).

--- a/src/agent/HttpUpstream.cpp
+++ b/src/agent/HttpUpstream.cpp
@@ -1,5 +1,8 @@
 #include "agent/HttpUpstream.h"
 
+#include "dragonfly/base/JsonRecovery.h"
+#include "dragonfly/base/Log.h"
+
 #include <boost/json.hpp>
 
 #include <array>
@@ -29,10 +32,14 @@
 constexpr std::uint16_t Ok = 200;
 constexpr std::uint16_t FirstServerError = 500;
 
+/// Throws where an amount is missing, negative or no whole number.
 Resources readResources(const json::object &Row) {
-  return {.MilliProcessors_ = Row.at("milli_processors").to_number<int64_t>(),
-          .MemoryMib_ = Row.at("memory_mib").to_number<int64_t>(),
-          .Accelerators_ = Row.at("accelerators").to_number<int64_t>()};
+  const auto Read = [&Row](std::string_view Key) -> std::int64_t {
+    return Row.at(Key).to_number<std::uint32_t>();
+  };
+  return {.MilliProcessors_ = Read("milli_processors"),
+          .MemoryMib_ = Read("memory_mib"),
+          .Accelerators_ = Read("accelerators")};
 }
 
 std::string text(const json::object &Row, std::string_view Key) {
@@ -63,16 +70,23 @@
       Result.Response_.Status_ != Ok)
     return std::nullopt;
   try {
-    return Read(json::parse(Result.Response_.Body_).as_object());
+    const auto Found = parseRecoverable(Result.Response_.Body_);
+    return Found ? std::optional(Read(Found->Object_)) : std::nullopt;
   } catch (const std::exception &) {
     return std::nullopt;
   }
 }
 
+/// A row that cannot be read names no task; the others hold.
 std::vector<WorkerTask> readTasks(const json::object &Body) {
   std::vector<WorkerTask> Tasks;
   for (const json::value &Row : Body.at("tasks").as_array())
-    Tasks.push_back(readTask(Row.as_object()));
+    try {
+      Tasks.push_back(readTask(Row.as_object()));
+    } catch (const std::exception &Fault) {
+      logEvent(Event::MessageRejected,
+               {{"what", "tasks"}, {"fault", Fault.what()}});
+    }
   return Tasks;
 }
 
--- a/tests/platform/HostileBodiesTest.cpp
+++ b/tests/platform/HostileBodiesTest.cpp
@@ -6,6 +6,7 @@
 #include "platform/CallerMessages.h"
 #include "platform/ConfigurationMessages.h"
 #include "platform/Json.h"
+#include "platform/Settings.h"
 #include "platform/WorkerMessages.h"
 
 #include <catch2/catch.hpp>
@@ -120,4 +121,123 @@
   }
 }
 
+namespace {
+
+std::string deep(std::size_t Levels) {
+  return std::string(Levels, '[') + std::string(Levels, ']');
+}
+
+/// Values that fit no field, as another writer might leave them.
+const std::vector<std::string> OddValues{deep(10000),
+                                         R"({"a":)" + deep(10000) + "}",
+                                         "1e308",
+                                         "-1e308",
+                                         "1e400",
+                                         "1e9999999999",
+                                         "-1",
+                                         "4294967297",
+                                         "9007199254740993",
+                                         "18446744073709551615",
+                                         "18446744073709551616",
+                                         "0.5",
+                                         "70000",
+                                         "\"10.0.0.9:70000\"",
+                                         "\"\xff\"",
+                                         "\"\"",
+                                         "true",
+                                         "null",
+                                         "{}",
+                                         "[]",
+                                         "nonsense"};
+
+std::string replaceValue(std::string Body, const std::string &From,
+                         const std::string &To) {
+  return Body.replace(Body.find(From), From.size(), To);
+}
+
+} // namespace
+
+// Guards against LOST: one odd row in a worker's lists hid the other rows, so
+// that the worker counted as silent; one with a number too large ended all
+// later ends, or stood for another run.
+TEST_CASE("an odd row in a worker's lists harms no other row",
+          "[platform][hostile]") {
+  configureLog({.Sink_ = [](std::string_view) {}});
+  const std::string Run = R"(["5c0e7a21d94b36f8.0.1.17",2,"cp",41,37])";
+  const std::string End = R"([58,"5c0e7a21d94b36f8.0.1.9",1,"done","c"])";
+  std::vector<std::string> Odd = OddValues;
+  for (const std::string &Value : OddValues) {
+    Odd.push_back("[" + Value + R"(,"5c0e7a21d94b36f8.0.1.8",1,"done",""])");
+    Odd.push_back(R"([57,"5c0e7a21d94b36f8.0.1.8",)" + Value +
+                  R"(,"done",""])");
+    Odd.push_back(R"([57,"5c0e7a21d94b36f8.0.1.8",1,)" + Value + R"(,""])");
+    Odd.push_back("[" + Value + R"(,2,"",0,0])");
+    Odd.push_back(R"(["5c0e7a21d94b36f8.0.1.8",)" + Value + R"(,"",0,0])");
+  }
+  for (const std::string &Row : Odd) {
+    INFO(Row.substr(0, 100));
+    const auto Answer = parseHoldAnswer(
+        R"({"ClockMs":482113,"born":9,"Running":[)" + Row + "," + Run +
+        R"(],"Finished":[)" + Row + "," + End + "]}");
+    // A row that fits one of the lists stands in that one only.
+    REQUIRE_FALSE(Answer.Runs_.empty());
+    CHECK(Answer.Runs_.back().Run_.Task_.Index_ == 17);
+    CHECK(Answer.Runs_.back().Checkpoint_ == "cp");
+    REQUIRE_FALSE(Answer.Ends_.empty());
+    CHECK(Answer.Ends_.back().Number_ == 58);
+    CHECK(Answer.Ends_.back().Checkpoint_ == "c");
+    for (const agent::ListedEnd &Each : Answer.Ends_)
+      CHECK(Each.Number_ <= 1ULL << 53U);
+    for (const agent::ListedRun &Each : Answer.Runs_)
+      CHECK((Each.Run_.Run_ == 2 || Each.Run_.Run_ == 70000));
+  }
+}
+
+// Guards against AVAIL and LOST: a run whose row had an odd load or checkpoint
+// counted as gone, and was stopped.
+TEST_CASE("what only describes a run does not hide it", "[platform][hostile]") {
+  configureLog({.Sink_ = [](std::string_view) {}});
+  for (const std::string &Value : OddValues) {
+    // What cannot be parsed at all takes its row with it.
+    if (Value.size() > 1000 || Value == "nonsense" || Value[1] == '\xff' ||
+        Value == "1e9999999999")
+      continue;
+    INFO(Value);
+    const auto Answer = parseHoldAnswer(
+        R"({"ClockMs":1,"Running":[["5c0e7a21d94b36f8.0.1.17",2,)" + Value +
+        "," + Value + "," + Value + "]]}");
+    REQUIRE(Answer.Runs_.size() == 1);
+    CHECK(Answer.Runs_[0].ProgressPercent_ <= 100);
+    CHECK(Answer.Runs_[0].Load_ <= 1000000000000);
+  }
+}
+
+// Guards against a process that ends by itself, and against numbers that leave
+// their range in sums: each odd value in each field is read or refused.
+TEST_CASE("an odd value in any field is read or refused with a typed fault",
+          "[platform][hostile]") {
+  configureLog({.Sink_ = [](std::string_view) {}});
+  for (const Reader &Each : readers()) {
+    // Each value of the body stands behind a colon, a comma or a bracket.
+    for (std::size_t At = 0; At < Each.Whole_.size(); ++At) {
+      if (std::string_view(":,[").find(Each.Whole_[At]) ==
+          std::string_view::npos)
+        continue;
+      const std::size_t End = Each.Whole_.find_first_of(",]}", At + 1);
+      for (const std::string &Value : OddValues) {
+        std::string Body = Each.Whole_;
+        Body.replace(At + 1, End - At - 1, Value);
+        try {
+          Each.Read_(Body);
+        } catch (const Error &Fault) {
+          if (Fault.type().empty())
+            FAIL_CHECK(Each.Name_ << ": " << Body.substr(0, 300));
+        } catch (const std::exception &Fault) {
+          FAIL_CHECK(Each.Name_ << ", untyped: " << Fault.what());
+        }
+      }
+    }
+  }
+}
+
 } // namespace dragonfly::platform
