Times and objectives of any size stay in range

A slack factor of 1e308 in a configuration, or long estimates of a caller, left the range of a duration, and the jobs counted as hopelessly late. Found while odd numbers were tried on each reader.

--- a/src/control/RunTimeEstimator.cpp
+++ b/src/control/RunTimeEstimator.cpp
@@ -20,9 +20,12 @@
   return toMilliseconds(To - From) / 1000;
 }
 
+/// Longer times count as this one, so that multiples of them stay in range.
+constexpr double MaxSeconds = 1e9;
+
 Duration fromSeconds(double Seconds) {
   return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(Seconds));
+      std::chrono::duration<double>(std::clamp(Seconds, 0.0, MaxSeconds)));
 }
 
 } // namespace
--- a/tests/platform/HostileBodiesTest.cpp
+++ b/tests/platform/HostileBodiesTest.cpp
@@ -240,4 +240,39 @@
   }
 }
 
+TEST_CASE("a time of any length stays in range", "[platform][hostile]") {
+  const std::string Beat =
+      R"({"Service":"s","State":"draining","Capacity":{"Cpu":16000},)"
+      R"("DrainRemainingMs":9007199254740992})";
+  const Duration Left = parseHeartbeat("i-1", Beat, "").DrainTimeLeft_;
+  CHECK(Left == Duration(MaxSpan));
+  const jobs::JobSpec Job =
+      parseJob(R"({"Steps":[{"Count":1,"EstimateMs":9007199254740992,)"
+               R"("TargetMs":9007199254740992}]})");
+  CHECK(Job.Steps_[0].Estimate_ == Duration(MaxSpan));
+  CHECK(Job.Steps_[0].TailTarget_ == Duration(MaxSpan));
+  // More than any machine has: the sum of two would leave its range.
+  CHECK_THROWS_AS(
+      parseHeartbeat("i-1", replaceValue(Beat, "16000", "9007199254740992"),
+                     ""),
+      BodyError);
+}
+
+// Guards against a process that ends by itself when its settings name a seed
+// that is no address, and against following none of the others.
+TEST_CASE("an odd seed is left out of the settings", "[platform][hostile]") {
+  configureLog({.Sink_ = [](std::string_view) {}});
+  const std::string Text = "Node=a\nIp=10.1.0.13\nInternalPorts=7720\nSeeds=";
+  for (const std::string &Odd :
+       {std::string("10.2.0:8166"), std::string("10.2.0.300:8166"),
+        std::string(":"), std::string("x:70000"), std::string("\xff:1"),
+        std::string(100000, '9'), deep(10000)}) {
+    INFO(Odd.substr(0, 100));
+    CHECK(parseSettings(Text + "10.1.0.14:8166," + Odd + ",10.1.0.15:70000\n")
+              .seedAddresses() ==
+          std::vector<std::string>{"10.1.0.14:7720", "10.1.0.15:7720"});
+  }
+  CHECK(parseSettings(Text + "10.2").seedAddresses().empty());
+}
+
 } // namespace dragonfly::platform
