--- a/daemons/dragonfly-platform.cpp
+++ b/daemons/dragonfly-platform.cpp
@@ -55,7 +55,8 @@
   void check() {
     try {
       const auto Seeds = platform::readSettingsFile().seedAddresses();
-      if (Seeds == Seeds_)
+      // A file that is cut while it is written may name none.
+      if (Seeds == Seeds_ || Seeds.empty())
         return;
       Seeds_ = Seeds;
       Leader_.setSeeds(Seeds);
