Replicas without a leader do not replace the members that a client knows

A client that had lost the leader took over the member list of whichever replica it asked next, also of one that the group had removed or cut off. Where the seeds had left the group as well, it never found the leader again (LOST).

Change: a replica that knows of no leader adds members and replaces none; so does a relay, which no longer names a leader that its source has lost.

Failed before: "a replica without a leader does not replace the known members".

--- a/src/control/GroupDirectory.cpp
+++ b/src/control/GroupDirectory.cpp
@@ -32,9 +32,17 @@
 }
 
 void GroupDirectory::learn(const wire::Group &Known) {
-  // A process that does not know the group yet answers without rows.
-  if (!Known.Rows_.empty())
+  // A process that does not know the group yet answers without rows, and one
+  // that is cut off from it without a leader.
+  if (Known.Rows_.empty())
+    return;
+  if (!Known.Leader_.empty()) {
     Known_ = Known;
+    return;
+  }
+  Known_.Leader_.clear();
+  std::ranges::for_each(Known.Rows_,
+                        [this](const wire::GroupRow &Row) { addMember(Row); });
 }
 
 } // namespace dragonfly::control
--- a/src/link/LeaderClient.cpp
+++ b/src/link/LeaderClient.cpp
@@ -99,12 +99,14 @@
       LastAnswer_ = Clock::now();
   }
 
+  /// A replica that knows of no leader may have been removed from the group, or
+  /// be cut off from it: its word adds members and replaces none.
   void learn(const wire::Group &Known) {
-    if (!Known.Rows_.empty()) {
+    if (!Known.Rows_.empty() && !Known.Leader_.empty())
       Learnt_.clear();
-      for (const wire::GroupRow &Row : Known.Rows_)
+    for (const wire::GroupRow &Row : Known.Rows_)
+      if (std::ranges::find(Learnt_, Row.Address_) == Learnt_.end())
         Learnt_.push_back(Row.Address_);
-    }
     if (Options_.OnGroup_)
       Options_.OnGroup_(Known);
   }
