--- a/tests/soak/Fleet.cpp
+++ b/tests/soak/Fleet.cpp
@@ -50,12 +50,36 @@
          "." + std::to_string(Index);
 }
 
-std::string Fleet::settingsOf(const Process &Each) const {
-  const std::string Ip = ip(Each.Role_, Each.Index_);
+std::string Fleet::pathOf(const Process &Each,
+                          const std::string &Ending) const {
+  return Options_.Folder_ + "/" + Each.Name_ + Ending;
+}
+
+std::string Fleet::seeds() const {
   std::string Seeds;
   for (std::size_t I = 1; I <= std::min(MaxSeeds, Options_.Controls_); ++I)
     Seeds += (I > 1 ? "," : "") + ip(Role::Control, I) + ":" +
              std::to_string(ControlPort);
+  return Seeds;
+}
+
+void Fleet::writeSettings(std::size_t I, const std::string &Seeds) const {
+  std::ofstream(pathOf(Processes_[I], ".conf"))
+      << settingsOf(Processes_[I], Seeds);
+}
+
+void Fleet::setDiskFull(std::size_t Index, bool Full) const {
+  // Control's processes come first.
+  const std::string Marker = pathOf(Processes_[Index - 1], "-disk.full");
+  if (Full)
+    std::ofstream(Marker).flush();
+  else
+    std::filesystem::remove(Marker);
+}
+
+std::string Fleet::settingsOf(const Process &Each,
+                              const std::string &Seeds) const {
+  const std::string Ip = ip(Each.Role_, Each.Index_);
   std::string Text = "Node=" + Each.Name_ + "\nIp=" + Ip +
                      "\nZone=zone-a\nInternalPorts=7720,7735\nSeeds=" + Seeds +
                      "\nBootstrap=" + (Each.HasRun_ ? "false" : "true") +
@@ -66,7 +90,7 @@
   else
     Text += "Bind.Control=" + Ip + ":" + std::to_string(ControlPort) + "\n";
   if (Each.Role_ == Role::Control)
-    Text += "DataDir=" + Options_.Folder_ + "/" + Each.Name_ + "-disk\n";
+    Text += "DataDir=" + pathOf(Each, "-disk") + "\n";
   // Calls to the worker pass a proxy on an address of its own.
   if (Each.Role_ == Role::Agent)
     Text += "app=" + Options_.Network_ + ".5." + std::to_string(Each.Index_) +
@@ -76,13 +100,12 @@
 
 void Fleet::start(std::size_t I) {
   Process &Each = Processes_[I];
-  const std::string Base = Options_.Folder_ + "/" + Each.Name_;
-  std::ofstream(Base + ".conf") << settingsOf(Each);
+  writeSettings(I, seeds());
   if (Each.Role_ == Role::Control)
-    std::filesystem::create_directories(Base + "-disk");
+    std::filesystem::create_directories(pathOf(Each, "-disk"));
   posix_spawn_file_actions_t Files;
   posix_spawn_file_actions_init(&Files);
-  const std::string Log = Base + ".log";
+  const std::string Log = pathOf(Each, ".log");
   posix_spawn_file_actions_addopen(&Files, STDOUT_FILENO, Log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&Files, STDOUT_FILENO, STDERR_FILENO);
@@ -90,10 +113,16 @@
   posix_spawn_file_actions_addclosefrom_np(&Files, STDERR_FILENO + 1);
   std::string Flag =
       std::string("--role=") + RoleNames[static_cast<std::size_t>(Each.Role_)];
-  std::string Setting = "DRAGONFLYPROXY_SETTINGS=" + Base + ".conf";
+  std::string Setting = "DRAGONFLYPROXY_SETTINGS=" + pathOf(Each, ".conf");
+  std::string Preload = "LD_PRELOAD=" + Options_.FullDiskLibrary_;
+  std::string Marker = "DRAGONFLY_FULL_DISK=" + pathOf(Each, "-disk.full");
+  const bool HasDisk =
+      Each.Role_ == Role::Control && !Options_.FullDiskLibrary_.empty();
   std::array<char *, 3> Arguments{Options_.Program_.data(), Flag.data(),
                                   nullptr};
-  std::array<char *, 2> Environment{Setting.data(), nullptr};
+  std::array<char *, 4> Environment{Setting.data(),
+                                    HasDisk ? Preload.data() : nullptr,
+                                    Marker.data(), nullptr};
   const int Fault = posix_spawn(&Each.Pid_, Options_.Program_.c_str(), &Files,
                                 nullptr, Arguments.data(), Environment.data());
   posix_spawn_file_actions_destroy(&Files);
--- a/tests/soak/Fleet.h
+++ b/tests/soak/Fleet.h
@@ -18,6 +18,9 @@
   std::string Folder_;
   /// First two numbers of the loopback addresses, such as "127.77".
   std::string Network_;
+  /// Preloaded into control's processes; their disks are full while a file is
+  /// there (`setDiskFull`).
+  std::string FullDiskLibrary_;
   std::size_t Controls_ = 3;
   std::size_t Entries_ = 2;
   std::size_t Agents_ = 4;
@@ -41,6 +44,12 @@
   bool isRunning(std::size_t I) const { return Processes_[I].Pid_ > 0; }
   void start(std::size_t I);
   void signal(std::size_t I, int Number) const;
+  /// Files of the \p Index-th control process, from 1, take no more bytes.
+  void setDiskFull(std::size_t Index, bool Full) const;
+  /// Rewrites the settings of a process with \p Seeds in place of its own.
+  void writeSettings(std::size_t I, const std::string &Seeds) const;
+  /// Seeds as the settings list them.
+  std::string seeds() const;
   /// Notes which processes have ended. Returns how many of them ended by
   /// themselves or with an error.
   std::size_t reap();
@@ -61,7 +70,8 @@
     pid_t Pid_ = 0;
   };
 
-  std::string settingsOf(const Process &Each) const;
+  std::string settingsOf(const Process &Each, const std::string &Seeds) const;
+  std::string pathOf(const Process &Each, const std::string &Ending) const;
 
   FleetOptions Options_;
   std::vector<Process> Processes_;
--- a/tests/soak/Promises.cpp
+++ b/tests/soak/Promises.cpp
@@ -87,6 +87,8 @@
 void Promises::checkEnd() {
   for (const std::string &Job : Refused_)
     require(!Started_.contains(Job), "a refused job has not run", Job);
+  require(isChangeAccepted(), "changes are accepted once faults are over",
+          std::to_string(ExpectedChange_));
   for (const std::string &Job : pending())
     require(false, "an accepted job completes once faults are over", Job);
 }
--- a/tests/soak/Promises.h
+++ b/tests/soak/Promises.h
@@ -51,6 +51,9 @@
 
   void configurationAcked(std::uint64_t Version);
   void configurationRead(std::uint64_t Version);
+  /// A change of this version or a higher one has to be accepted.
+  void expectChange(std::uint64_t Version) { ExpectedChange_ = Version; }
+  bool isChangeAccepted() const { return NewestAcked_ >= ExpectedChange_; }
 
   const PlannedJob *plan(const std::string &Job) const;
   bool isPending(const std::string &Job) const {
@@ -75,6 +78,7 @@
   std::set<TaskId> Done_;
   std::set<TaskId> Noted_;
   std::uint64_t NewestAcked_ = 0;
+  std::uint64_t ExpectedChange_ = 0;
   std::size_t Starts_ = 0;
   std::vector<std::string> Broken_;
 };
--- a/tests/soak/StandInWorker.cpp
+++ b/tests/soak/StandInWorker.cpp
@@ -1,6 +1,7 @@
 #include "soak/StandInWorker.h"
 
 #include "platform/WorkerMessages.h"
+#include "soak/OddBodies.h"
 
 #include <algorithm>
 #include <chrono>
@@ -21,6 +22,9 @@
 constexpr Duration StopTime = milliseconds(150);
 /// The platform shortens longer leases.
 constexpr std::int64_t MaxLeaseMs = 10000;
+/// A call without an answer may be carried out so much later.
+constexpr Duration LateTime = milliseconds(2000);
+constexpr std::uint64_t LateSpreadMs = 2000;
 constexpr std::uint16_t Conflict = 409;
 constexpr std::uint16_t Misdirected = 421;
 
@@ -122,10 +126,8 @@
     return Left;
   }
 
-  void beat() {
-    if (IsDown_)
-      return;
-    const boost::json::object Body{
+  std::string heartbeat(std::uint64_t Sequence) const {
+    return boost::json::serialize(boost::json::object{
         {"Service", Options_.Service_},
         {"Address", Options_.Listen_.text()},
         {"Zone", Options_.Zone_},
@@ -139,15 +141,34 @@
         {"Labels", boost::json::array{"a", "r1"}},
         {"ClockMs", clockMs()},
         {"born", Born_},
-        {"Sequence", ++Sequence_}};
+        {"Sequence", Sequence}});
+  }
+
+  void beat() {
+    if (IsDown_)
+      return;
     Agent_.request({.Method_ = "PUT",
                     .Target_ = "/v1/instances/" + Options_.Name_,
                     .Headers_ = {{"Content-Type", "application/json"}},
-                    .Body_ = boost::json::serialize(Body)},
+                    .Body_ = heartbeat(++Sequence_)},
                    CallTimeout, [](const net::HttpResult &) {});
   }
 
   void take(const net::HttpRequest &Request, const net::HttpReplier &To) {
+    if (Clock::now() >= UnansweredUntil_ || Random_() % 2 == 0) {
+      carryOut(Request, To);
+      return;
+    }
+    // By then the caller has given the call up.
+    Late_.push_back(
+        Loop_.after(LateTime + milliseconds(Random_() % LateSpreadMs),
+                    [this, Request, To, Born = Born_] {
+                      if (Born == Born_)
+                        carryOut(Request, To);
+                    }));
+  }
+
+  void carryOut(const net::HttpRequest &Request, const net::HttpReplier &To) {
     const std::string_view Expected =
         Request.header("X-Dragonflyproxy-Expect-Instance");
     boost::system::error_code Fault;
@@ -179,11 +200,18 @@
   }
 
   void reply(const net::HttpReplier &To, boost::json::object Body,
-             std::uint16_t Status = 200) const {
+             std::uint16_t Status = 200) {
     Body["ClockMs"] = clockMs();
-    To.reply({.Status_ = Status, .Body_ = boost::json::serialize(Body)});
+    std::string Text = boost::json::serialize(Body);
+    if (HasOddRows_)
+      for (const std::string List : {"\"Running\":[", "\"Finished\":["})
+        if (const std::size_t At = Text.find(List); At != std::string::npos)
+          Text.insert(At + List.size(),
+                      oddValue(Random_) +
+                          (Text[At + List.size()] == ']' ? "" : ","));
+    To.reply({.Status_ = Status, .Body_ = std::move(Text)});
   }
-  void refuse(const net::HttpReplier &To, const char *Why) const {
+  void refuse(const net::HttpReplier &To, const char *Why) {
     reply(To, {{"Reason", Why}}, Conflict);
   }
 
@@ -296,6 +324,9 @@
   net::Timer Ticks_;
   net::Timer Beats_;
   bool IsDown_ = false;
+  bool HasOddRows_ = false;
+  TimePoint UnansweredUntil_;
+  std::vector<net::Timer> Late_;
   std::map<TaskId, Run> Runs_;
   /// The highest run that was started or stopped, by task.
   std::map<TaskId, std::uint32_t> Newest_;
@@ -322,5 +353,12 @@
 
 void StandInWorker::crash() { Impl_->crash(); }
 void StandInWorker::restart() { Impl_->restart(); }
+void StandInWorker::leaveUnanswered(Duration Time) {
+  Impl_->UnansweredUntil_ = Clock::now() + Time;
+}
+void StandInWorker::setOddRows(bool Odd) { Impl_->HasOddRows_ = Odd; }
+std::string StandInWorker::heartbeat() const {
+  return Impl_->heartbeat(Impl_->Sequence_ + 1);
+}
 
 } // namespace dragonfly::soak
--- a/tests/soak/StandInWorker.h
+++ b/tests/soak/StandInWorker.h
@@ -43,6 +43,13 @@
   void crash();
   /// Comes back under the same id, with nothing.
   void restart();
+  /// Leaves half of the calls of the next \p Time unanswered, and carries them
+  /// out 2 to 4 s later.
+  void leaveUnanswered(Duration Time);
+  /// Adds an odd entry to each list that it answers, or stops to.
+  void setOddRows(bool Odd);
+  /// The next heartbeat as the worker would send it.
+  std::string heartbeat() const;
 
 private:
   struct Impl;
--- a/tests/soak/dragonfly-soak.cpp
+++ b/tests/soak/dragonfly-soak.cpp
@@ -6,6 +6,7 @@
 #include "dragonfly/settings/CommandLine.h"
 #include "soak/Fleet.h"
 #include "soak/LoopbackProxy.h"
+#include "soak/OddBodies.h"
 #include "soak/Promises.h"
 #include "soak/StandInWorker.h"
 
@@ -21,6 +22,8 @@
 #include <vector>
 
 ABSL_FLAG(std::string, program, "build/dragonfly-platform", "what is run");
+ABSL_FLAG(std::string, full_disk_library, "build/libfull_disk.so",
+          "makes disks full; none are where it is empty");
 ABSL_FLAG(std::string, folder, "", "for logs and disks; a temporary one");
 ABSL_FLAG(std::string, network, "127.77", "start of the loopback addresses");
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of load and faults");
@@ -54,10 +57,9 @@
     for (std::size_t I = 1; I <= Sizes.Entries_; ++I)
       addEntryClient(I);
     for (std::size_t I = 1; I <= Sizes.Controls_; ++I)
-      Operators_.push_back(std::make_unique<net::HttpClient>(
-          Loop_,
-          net::HttpClientOptions{
-              .Peer_ = {Fleet_.ip(Fleet::Role::Control, I), ControlPort}}));
+      Operators_.push_back(makeClient(Fleet::Role::Control, I));
+    for (std::size_t I = 1; I <= Sizes.Agents_; ++I)
+      OtherWriters_.push_back(makeClient(Fleet::Role::Agent, I));
   }
 
   /// Returns the number of broken promises.
@@ -76,6 +78,7 @@
                              std::chrono::duration<double>(1 / Rate)),
                          [this] { submitNext(); });
       nextFault();
+      nextFullDisk(1);
     });
     const net::Timer End = Loop_.after(StartTime + Length, [&] {
       Load.cancel();
@@ -85,7 +88,8 @@
     const TimePoint Last = Clock::now() + StartTime + Length + Settle;
     const net::Timer Watch = Loop_.every(milliseconds(100), [&] {
       const bool IsOver = !Faulting_ && Clock::now() > Last - Settle &&
-                          Seen_.pending().empty() && OpenSubmits_ == 0;
+                          Seen_.pending().empty() && OpenSubmits_ == 0 &&
+                          Seen_.isChangeAccepted();
       if (IsOver || Clock::now() >= Last)
         Loop_.stop();
     });
@@ -130,6 +134,13 @@
         Loop_, net::HttpClientOptions{.Peer_ = Front}));
   }
 
+  std::unique_ptr<net::HttpClient> makeClient(Fleet::Role Kind,
+                                              std::size_t Index) {
+    return std::make_unique<net::HttpClient>(
+        Loop_,
+        net::HttpClientOptions{.Peer_ = {Fleet_.ip(Kind, Index), ControlPort}});
+  }
+
   std::size_t pick(std::size_t Count) { return Random_() % Count; }
   Duration between(std::int64_t LeastMs, std::int64_t MostMs) {
     return milliseconds(
@@ -225,10 +236,8 @@
     }
   }
 
-  void changeConfiguration() {
-    const std::uint64_t Version = NextVersion_;
-    NextVersion_ += 1 + pick(3);
-    const std::string Body = boost::json::serialize(boost::json::object{
+  static std::string configuration(std::uint64_t Version) {
+    return boost::json::serialize(boost::json::object{
         {"Version", Version},
         {"Routes",
          boost::json::array{boost::json::object{{"Name", "checks"},
@@ -253,7 +262,12 @@
                                        {"MaxBodyBytes", 262144},
                                        {"HeaderTimeoutMs", 3000},
                                        {"IdleTimeoutMs", 15000}}}});
-    putConfiguration(Version, Body, 0);
+  }
+
+  void changeConfiguration() {
+    const std::uint64_t Version = NextVersion_;
+    NextVersion_ += 1 + pick(3);
+    putConfiguration(Version, configuration(Version), 0);
   }
 
   void putConfiguration(std::uint64_t Version, const std::string &Body,
@@ -357,21 +371,127 @@
     });
   }
 
+  /// The successor of an agent does not know what its predecessor granted.
+  void killAgentOf(std::size_t I) {
+    const FleetOptions &Sizes = Fleet_.options();
+    const std::size_t Agent = Sizes.Controls_ + Sizes.Entries_ + I;
+    if (!Fleet_.isRunning(Agent))
+      return;
+    log(Fleet_.name(Agent) + " killed, and calls to its worker unanswered");
+    Fleet_.expectEnd(Agent);
+    Fleet_.signal(Agent, SIGKILL);
+    later(milliseconds(300), [this, Agent] { restart(Agent); });
+    later(between(300, 1200),
+          [this, I] { Workers_[I]->leaveUnanswered(between(500, 2500)); });
+  }
+
+  /// Somebody else writes to the agent of a worker.
+  void writeToAgent(std::size_t I) {
+    const std::string Own = "/v1/instances/i-" + std::to_string(I + 1);
+    const std::string Other = "/v1/instances/i-other";
+    boost::json::object Body =
+        boost::json::parse(Workers_[I]->heartbeat()).as_object();
+    const auto Born = Body["born"].to_number<std::uint64_t>();
+    std::string Method = "PUT";
+    std::string Target = pick(2) == 0 ? Own : Other;
+    std::string Text;
+    switch (pick(5)) {
+    case 0:
+      // A worker that is not there, or a life that has not begun.
+      Body["born"] = Born + 1 + pick(100000);
+      break;
+    case 1:
+      Target = Own;
+      Body["Service"] = "unnamed";
+      Body["Sequence"] = 1000000;
+      break;
+    case 2:
+      Method = "DELETE";
+      break;
+    default:
+      Text = makeOdd(boost::json::serialize(Body), Random_);
+    }
+    log("another writer: " + Method + " " + Target + " at agent-" +
+        std::to_string(I + 1));
+    if (Text.empty() && Method == "PUT")
+      Text = boost::json::serialize(Body);
+    OtherWriters_[I]->request(request(Method, Target, Text), CallTimeout,
+                              [](const net::HttpResult &) {});
+  }
+
+  /// Bodies that are refused whatever is changed in them.
+  void sendOddBodies() {
+    log("odd bodies for an entry and control");
+    Callers_[pick(Callers_.size())]->request(
+        request(
+            "POST", "/checks/00000000000000ff",
+            makeOdd(R"({"Spec":"x","Steps":[{"Count":0,"Cpu":1}]})", Random_)),
+        CallTimeout, [](const net::HttpResult &) {});
+    Operators_[pick(Operators_.size())]->request(
+        request("PUT", "/v1/config", makeOdd(configuration(0), Random_)),
+        CallTimeout, [](const net::HttpResult &) {});
+  }
+
+  void listOddRows(std::size_t I) {
+    log("odd rows in the lists of worker " + std::to_string(I + 1));
+    Workers_[I]->setOddRows(true);
+    later(between(500, 4000), [this, I] { Workers_[I]->setOddRows(false); });
+  }
+
+  void writeOddSettings(std::size_t I) {
+    log("odd seeds in the settings of " + Fleet_.name(I));
+    const std::string Seeds = Fleet_.seeds();
+    const std::string Odd[]{"", Seeds.substr(0, pick(Seeds.size())),
+                            "300.1.1.1:70000," + Seeds,
+                            Seeds + "," + oddValue(Random_)};
+    Fleet_.writeSettings(I, Odd[pick(std::size(Odd))]);
+    Fleet_.signal(I, SIGHUP);
+    later(between(500, 3000),
+          [this, I] { Fleet_.writeSettings(I, Fleet_.seeds()); });
+  }
+
   void nextFault() {
     if (!Faulting_)
       return;
-    const std::size_t Kind = pick(10);
-    if (Kind < 5) {
+    const std::size_t Kind = pick(15);
+    if (Kind < 5)
       strikeProcess();
-    } else if (Kind < 9) {
+    else if (Kind < 9)
       strikeConnections();
-    } else {
+    else if (Kind < 10)
       crashWorker(pick(Workers_.size()));
-    }
+    else if (Kind < 11)
+      killAgentOf(pick(Workers_.size()));
+    else if (Kind < 13)
+      writeToAgent(pick(Workers_.size()));
+    else if (Kind < 14)
+      sendOddBodies();
+    else if (pick(2) == 0)
+      listOddRows(pick(Workers_.size()));
+    else
+      writeOddSettings(pick(Fleet_.size()));
     later(between(150, 1500), [this] { nextFault(); });
   }
 
+  /// The disks of control's processes are full one after another, never two at
+  /// once, round after round.
+  void nextFullDisk(std::size_t Index) {
+    if (!Faulting_ || Fleet_.options().FullDiskLibrary_.empty())
+      return;
+    log("disk of control-" + std::to_string(Index) + " full");
+    Fleet_.setDiskFull(Index, true);
+    later(between(300, 3500), [this, Index] {
+      Fleet_.setDiskFull(Index, false);
+      later(between(50, 800), [this, Index] {
+        nextFullDisk(Index % Fleet_.options().Controls_ + 1);
+      });
+    });
+  }
+
   void heal() {
+    Seen_.expectChange(NextVersion_);
+    for (std::size_t I = 1; I <= Fleet_.options().Controls_; ++I)
+      Fleet_.setDiskFull(I, false);
     for (const auto &Proxy : Proxies_)
       Proxy->setHarm({});
     for (std::size_t I = 0; I < Fleet_.size(); ++I)
@@ -386,6 +506,8 @@
   std::vector<std::unique_ptr<LoopbackProxy>> Proxies_;
   std::vector<std::unique_ptr<net::HttpClient>> Callers_;
   std::vector<std::unique_ptr<net::HttpClient>> Operators_;
+  /// One for each agent.
+  std::vector<std::unique_ptr<net::HttpClient>> OtherWriters_;
   std::vector<net::Timer> Later_;
   TimePoint Began_ = Clock::now();
   std::uint64_t NextVersion_ = 1;
@@ -404,6 +526,7 @@
   Soak Run({.Program_ = absl::GetFlag(FLAGS_program),
             .Folder_ = Folder,
             .Network_ = absl::GetFlag(FLAGS_network),
+            .FullDiskLibrary_ = absl::GetFlag(FLAGS_full_disk_library),
             .Controls_ = absl::GetFlag(FLAGS_controls),
             .Entries_ = absl::GetFlag(FLAGS_entries),
             .Agents_ = absl::GetFlag(FLAGS_agents)},
