Only the first complete report of a session ends what it does not list

Cause: an agent that takes an answer for lost reports completely again. The second report was made before an order of the reconciled session arrived; it does not list that run, and control ended it as not started while the order was on its way.

Change: control takes the first complete report of a session, before which it orders nothing, as the list of all that the agent knows, and no later one.

Failed before: "a complete report that crosses an order does not end the run" (three checks).

--- a/src/control/WorkerSessions.cpp
+++ b/src/control/WorkerSessions.cpp
@@ -234,7 +234,7 @@
   const Duration GrantedTerm =
       updateStateAndRenewLease(Now, It->second, Report);
   updateRuns(Now, Report.Worker_, It->second, Report);
-  const bool HasEnds = gatherEnds(It->second.Hello_, Report);
+  const bool HasEnds = gatherEnds(It->second, Report);
   auto Finish = [this, Answer = std::move(Answer), GrantedTerm,
                  Worker = Report.Worker_, Number = Report.Session_,
                  Complete = Report.Complete_] {
@@ -277,9 +277,9 @@
 }
 
 /// Adds the run ends of the report to the batch, and returns whether there are
-/// any. A complete report also ends all recorded runs that it does not list,
-/// and those of the workers that were on the VM before.
-bool WorkerSessions::gatherEnds(const wire::WorkerHello &Hello,
+/// any. The first complete report of a session also ends all recorded runs that
+/// it does not list, and those of the workers that were on the VM before.
+bool WorkerSessions::gatherEnds(const WorkerSession &Session,
                                 const wire::WorkerReport &Report) {
   const std::size_t EndsBefore = Batch_.record().Ends_.size();
   std::set<jobs::RunName> ReportedRuns;
@@ -290,13 +290,15 @@
                                      .How_ = Row.How_,
                                      .Checkpoint_ = Row.Checkpoint_});
   }
-  if (Report.Complete_) {
+  // Nothing is ordered in a session before it is reconciled. A later report may
+  // have been made before an order that it does not list arrived.
+  if (Report.Complete_ && !Session.Reconciled_) {
     for (const wire::RunReport &Row : Report.Runs_)
       ReportedRuns.insert(Row.Run_);
     endRuns(Report.Worker_, jobs::RunEnd::NotStarted, ReportedRuns);
     // Anybody can announce a worker to an agent, and so cause a hello. The
     // worker itself has answered the list that a complete report follows from.
-    endRunsOfReplacedWorkers(Hello);
+    endRunsOfReplacedWorkers(Session.Hello_);
   }
   return Batch_.record().Ends_.size() != EndsBefore;
 }
--- a/src/control/WorkerSessions.h
+++ b/src/control/WorkerSessions.h
@@ -121,7 +121,7 @@
                const std::set<jobs::RunName> &Except);
   Duration updateStateAndRenewLease(TimePoint Now, WorkerSession &Session,
                                     const wire::WorkerReport &Report);
-  bool gatherEnds(const wire::WorkerHello &Hello,
+  bool gatherEnds(const WorkerSession &Session,
                   const wire::WorkerReport &Report);
   void updateRuns(TimePoint Now, const std::string &Worker,
                   WorkerSession &Session, const wire::WorkerReport &Report);
--- a/tests/control/JobServiceFaultTest.cpp
+++ b/tests/control/JobServiceFaultTest.cpp
@@ -193,6 +193,41 @@
   CHECK(PresentAgent.consumeStarts().size() == 1);
 }
 
+// Guards against TWICE: a complete report whose answer was late came again
+// after a start had been ordered, and ended it as not started (review/4).
+TEST_CASE("a complete report that crosses an order does not end the run",
+          "[control][jobs]") {
+  JobCluster Cluster;
+  TestAgent Agent(Cluster, "w1");
+  Agent.attachAndReportNoRuns();
+  Cluster.submit({makeStep()});
+  REQUIRE(Agent.consumeStarts() == std::vector<RunName>{makeRun()});
+  TestAgent Elsewhere(Cluster, "w2");
+  Elsewhere.attachAndReportNoRuns();
+  // The agent has not seen the answer, and not yet the order.
+  REQUIRE(Agent.report(true));
+  CHECK(Elsewhere.consumeStarts().empty());
+  CHECK(Agent.consumeStarts().empty());
+  REQUIRE(Agent.report(true, {makeRun()}));
+  CHECK(Agent.stops().empty());
+  REQUIRE(Agent.report(false, {}, {makeEnd(makeRun())}));
+  CHECK(Cluster.jobState() == JobState::Completed);
+}
+
+// Guards against LOST: a start that the agent never got is repeated after the
+// first complete report of its next session.
+TEST_CASE("a start that was lost with its session runs in the next one",
+          "[control][jobs]") {
+  JobCluster Cluster;
+  TestAgent Agent(Cluster, "w1");
+  Agent.attachAndReportNoRuns();
+  Cluster.submit({makeStep()});
+  REQUIRE(Agent.consumeStarts().size() == 1);
+  Agent.attach();
+  REQUIRE(Agent.report(true));
+  CHECK(Agent.consumeStarts() == std::vector<RunName>{makeRun(2)});
+}
+
 TEST_CASE("a report on an ended session has no effect", "[control][jobs]") {
   JobCluster Cluster;
   TestAgent OldAgent(Cluster, "w1");
