Ends are reported from the first list of a session on

Cause: an agent reported nothing in a session before a list had held all of the worker's ends. The worker lists 500 at a time, and the next ones once the first are durable, which they become by being reported.

Change: ends are reported from the first list under the session's token on. Reports count as complete once a list has held all ends.

Failed before: "a session begins however many ends the worker lists" with 500, 501 and 1,200 ends.

--- a/src/agent/WorkerAgent.cpp
+++ b/src/agent/WorkerAgent.cpp
@@ -56,7 +56,8 @@
     Fence_ = Orders.Fence_;
     Complete_ = false;
     // What runs is told only after a list that was made under this fence.
-    ListedUnderFence_ = false;
+    Listed_ = false;
+    ListedAll_ = false;
     Known_.clear();
     NextHoldAt_ = Now;
   }
@@ -106,7 +107,7 @@
 }
 
 void WorkerAgent::Impl::sendReport() {
-  if (Session_ == 0 || ReportOpen_ || !ListedUnderFence_)
+  if (Session_ == 0 || ReportOpen_ || !Listed_)
     return;
   ReportOpen_ = true;
   ReportedAt_ = Clock::now();
@@ -114,31 +115,34 @@
                             .Session_ = Session_,
                             .Draining_ = Worker_.Draining_,
                             .DrainTimeLeft_ = Worker_.DrainTimeLeft_,
-                            .Complete_ = !Complete_,
+                            // Until all ends are listed, runs may have ended
+                            // of which nothing is known yet.
+                            .Complete_ = !Complete_ && ListedAll_,
                             .Silent_ = Silent_,
                             .Runs_ = Book_.runReports(),
                             .Ends_ = Book_.endReports()};
-  const std::size_t Ends = Report.Ends_.size();
-  Leader_.call(std::move(Report), Options_.ReportTimeout_,
-               [Self = weak_from_this(), SentAt = ReportedAt_, Ends,
-                Life = Life_,
-                Session = Session_](const link::LeaderResult &Result) {
-                 if (const auto Agent = Self.lock())
-                   Agent->reportAnswered(SentAt, Ends, Life, Session, Result);
-               });
-}
-
-void WorkerAgent::Impl::reportAnswered(TimePoint SentAt, std::size_t Ends,
-                                       std::uint64_t Life,
-                                       std::uint64_t Session,
+  const SentReport Sent{.SentAt_ = ReportedAt_,
+                        .Ends_ = Report.Ends_.size(),
+                        .Complete_ = Report.Complete_,
+                        .Life_ = Life_,
+                        .Session_ = Session_};
+  Leader_.call(
+      std::move(Report), Options_.ReportTimeout_,
+      [Self = weak_from_this(), Sent](const link::LeaderResult &Result) {
+        if (const auto Agent = Self.lock())
+          Agent->reportAnswered(Sent, Result);
+      });
+}
+
+void WorkerAgent::Impl::reportAnswered(const SentReport &Sent,
                                        const link::LeaderResult &Result) {
   ReportOpen_ = false;
   const auto *Ack = std::get_if<wire::WorkerReportAck>(&Result.Answer_);
-  if (Life != Life_ || Ack == nullptr)
+  if (Sent.Life_ != Life_ || Ack == nullptr)
     return;
   if (Ack->SessionEnded_) {
     // Another replica leads; the old stream may hang for seconds.
-    if (Session == Session_) {
+    if (Sent.Session_ == Session_) {
       Session_ = 0;
       Complete_ = false;
       openSession();
@@ -146,11 +150,11 @@
     return;
   }
   if (Ack->LeaseTerm_ > Duration::zero())
-    Lease_.renewed(SentAt, Ack->LeaseTerm_);
-  if (Session == Session_)
-    Complete_ = true;
-  Book_.endsDurable(Ends);
-  if (Ends > 0) {
+    Lease_.renewed(Sent.SentAt_, Ack->LeaseTerm_);
+  if (Sent.Session_ == Session_)
+    Complete_ = Complete_ || Sent.Complete_;
+  Book_.endsDurable(Sent.Ends_);
+  if (Sent.Ends_ > 0) {
     NextHoldAt_ = Clock::now();
     if (!HoldOpen_ && mayCall())
       hold();
--- a/src/agent/WorkerAgentCalls.cpp
+++ b/src/agent/WorkerAgentCalls.cpp
@@ -16,7 +16,7 @@
 void WorkerAgent::Impl::hold() {
   HoldOpen_ = true;
   const TimePoint SentAt = Clock::now();
-  const bool Prompt = Book_.pendingEnds() > 0 || !ListedUnderFence_;
+  const bool Prompt = Book_.pendingEnds() > 0 || !ListedAll_;
   const HoldCall Call{
       .Fence_ = Fence_,
       // After silence another life may answer, with ends of its own.
@@ -73,8 +73,10 @@
   Book_.listed(Now, SentAt, Answer);
   for (const auto &[Run, Order] : Known_)
     Book_.describe(Order);
-  if (Fence == Fence_ && Session == Session_ && !Answer.Truncated_)
-    ListedUnderFence_ = true;
+  if (Fence == Fence_ && Session == Session_) {
+    Listed_ = true;
+    ListedAll_ = ListedAll_ || !Answer.Truncated_;
+  }
   NextHoldAt_ = Book_.pendingEnds() > 0 ? Now + Options_.RereadDelay_ : Now;
   if (Book_.pendingEnds() > 0 || !Complete_)
     sendReport();
--- a/src/agent/WorkerAgentImpl.h
+++ b/src/agent/WorkerAgentImpl.h
@@ -24,6 +24,15 @@
         Self_(makeFreshId<Incarnation>()), Book_(Options_.Runs_),
         Lease_(Options_.Lease_) {}
 
+  /// What is kept of a report until its answer.
+  struct SentReport {
+    TimePoint SentAt_;
+    std::size_t Ends_ = 0;
+    bool Complete_ = false;
+    std::uint64_t Life_ = 0;
+    std::uint64_t Session_ = 0;
+  };
+
   // Control.
 
   void start();
@@ -33,8 +42,7 @@
   void takeStart(TimePoint Now, wire::StartOrder Order);
   void tick();
   void sendReport();
-  void reportAnswered(TimePoint SentAt, std::size_t Ends, std::uint64_t Life,
-                      std::uint64_t Session, const link::LeaderResult &Result);
+  void reportAnswered(const SentReport &Sent, const link::LeaderResult &Result);
   void stop(std::function<void()> OnStopped);
   /// Ends the stop after a report that left once the stop had begun.
   void finishStop();
@@ -114,7 +122,10 @@
   std::uint64_t Fence_ = 0;
   /// Control has heard of everything that runs here, in this session.
   bool Complete_ = false;
-  bool ListedUnderFence_ = false;
+  /// The worker has answered a list under the session's token, and one with all
+  /// of its ends.
+  bool Listed_ = false;
+  bool ListedAll_ = false;
 
   bool HoldOpen_ = false;
   TimePoint NextHoldAt_;
--- a/tests/agent/AgentFixture.h
+++ b/tests/agent/AgentFixture.h
@@ -174,6 +174,12 @@
                       .Born_ = Self_.Born_,
                       .Clock_ = clock(),
                       .Ends_ = Ends_};
+    // As many as one answer of the platform lists.
+    constexpr std::size_t MaxListedEnds = 500;
+    if (Answer.Ends_.size() >= MaxListedEnds) {
+      Answer.Ends_.resize(MaxListedEnds);
+      Answer.Truncated_ = true;
+    }
     std::ranges::transform(
         Runs_, std::back_inserter(Answer.Runs_),
         [](const jobs::RunName &Run) { return ListedRun{.Run_ = Run}; });
@@ -269,6 +275,8 @@
   std::vector<wire::EndReport> Ends_;
   std::vector<wire::WorkerGone> Gone_;
   Duration LeaseTerm_ = milliseconds(4000);
+  /// Ends told until the first complete report of the newest session.
+  std::size_t EndsWhenReconciled_ = 0;
 
 private:
   wire::WorkerOrders orders(std::uint64_t Session) const {
@@ -294,9 +302,9 @@
         To.answer(wire::WorkerReportAck{.SessionEnded_ = true});
         return;
       }
-      if (Report->Complete_)
-        Reconciled_.insert(Session_);
       Ends_.insert(Ends_.end(), Report->Ends_.begin(), Report->Ends_.end());
+      if (Report->Complete_ && Reconciled_.insert(Session_).second)
+        EndsWhenReconciled_ = Ends_.size();
       Reports_.push_back(std::move(*Report));
       To.answer(wire::WorkerReportAck{.LeaseTerm_ = LeaseTerm_});
     } else if (auto *Gone = std::get_if<wire::WorkerGone>(&Request)) {
--- a/tests/agent/WorkerAgentTest.cpp
+++ b/tests/agent/WorkerAgentTest.cpp
@@ -255,4 +255,33 @@
   CHECK(On.Leader_->Hellos_.back().Agent_ != On.Leader_->Hellos_[0].Agent_);
 }
 
+// Guards against LOST: a session that began while the worker listed more ends
+// than one answer holds was never reported in, so that the same ends were
+// listed for ever (review/3).
+TEST_CASE("a session begins however many ends the worker lists",
+          "[agent][worker]") {
+  AgentFixture On;
+  const std::uint32_t Runs = GENERATE(499U, 500U, 501U, 1200U);
+  INFO(Runs << " runs");
+  On.startRuns(Runs + 1);
+  REQUIRE(On.Worker_->running() == Runs + 1);
+  On.restartAgent();
+  for (std::uint32_t I = 0; I < Runs; ++I)
+    On.Worker_->finish(makeRun(I));
+  On.announce(On.Worker_->announce());
+  const auto Took =
+      On.runUntil([&] { return On.Leader_->isReconciled("w1"); }, seconds(5));
+  REQUIRE(Took);
+  CHECK(*Took <= milliseconds(500));
+  std::set<jobs::RunName> Ended;
+  for (const wire::EndReport &End : On.Leader_->Ends_)
+    Ended.insert(End.Run_);
+  CHECK(Ended.size() == Runs);
+  // A complete report would end what it does not list as not started.
+  CHECK(On.Leader_->EndsWhenReconciled_ == Runs);
+  CHECK(On.Leader_->reportedRuns() == std::vector{makeRun(Runs)});
+  On.run(seconds(5));
+  CHECK(On.Worker_->isRunning(makeRun(Runs)));
+}
+
 } // namespace dragonfly::agent
