--- a/tests/soak/Promises.h
+++ b/tests/soak/Promises.h
@@ -29,6 +29,8 @@
   std::vector<std::uint32_t> Counts_;
   std::int64_t MilliProcessors_ = 0;
   Duration TaskTime_{};
+  /// Whether runs may fail by themselves.
+  bool MayFail_ = true;
 };
 
 class Promises {
--- a/tests/soak/StandInWorker.cpp
+++ b/tests/soak/StandInWorker.cpp
@@ -22,6 +22,8 @@
 constexpr Duration StopTime = milliseconds(150);
 /// The platform shortens longer leases.
 constexpr std::int64_t MaxLeaseMs = 10000;
+/// Ends that one answer lists; the others come once some are forgotten.
+constexpr std::size_t MaxListedEnds = 500;
 /// A call without an answer may be carried out so much later.
 constexpr Duration LateTime = milliseconds(2000);
 constexpr std::uint64_t LateSpreadMs = 2000;
@@ -237,7 +239,8 @@
                    .MilliProcessors_ = Plan->MilliProcessors_,
                    .EndsAt_ = Now + Plan->TaskTime_,
                    .BeganAt_ = Now,
-                   .Fails_ = Random_() % 1000 < Options_.FailPermille_,
+                   .Fails_ = Plan->MayFail_ &&
+                             Random_() % 1000 < Options_.FailPermille_,
                    .StopAt_ = {}};
     Newest_[Task] = Number;
     reply(To, {});
@@ -284,8 +287,10 @@
     }
     boost::json::array Finished;
     for (const End &Row : Ends_)
-      Finished.push_back(boost::json::array{Row.Number_, Row.Run_.Task_.text(),
-                                            Row.Run_.Number_, Row.How_, ""});
+      if (Finished.size() < MaxListedEnds)
+        Finished.push_back(boost::json::array{Row.Number_,
+                                              Row.Run_.Task_.text(),
+                                              Row.Run_.Number_, Row.How_, ""});
     return {{"born", Born_}, {"Running", Running}, {"Finished", Finished}};
   }
 
--- a/tests/soak/dragonfly-soak.cpp
+++ b/tests/soak/dragonfly-soak.cpp
@@ -46,6 +46,9 @@
 /// Before the first job: elections, the first configuration, heartbeats.
 constexpr Duration StartTime = milliseconds(4000);
 constexpr int MaxAttempts = 5;
+constexpr std::size_t WideTasksPerWorker = 700;
+/// They run until all of them do, and over the time without control.
+constexpr Duration WideTaskTime = milliseconds(9000);
 
 class Soak {
 public:
@@ -77,9 +80,12 @@
       Load = Loop_.every(std::chrono::duration_cast<Duration>(
                              std::chrono::duration<double>(1 / Rate)),
                          [this] { submitNext(); });
+      submitWide();
       nextFault();
       nextFullDisk(1);
     });
+    const net::Timer Outage =
+        Loop_.after(StartTime + Length / 3, [this] { loseControl(); });
     const net::Timer End = Loop_.after(StartTime + Length, [&] {
       Load.cancel();
       Faulting_ = false;
@@ -162,10 +168,15 @@
             .Body_ = std::move(Body)};
   }
 
-  void submitNext() {
+  std::string drawJobId() {
     std::string Job(16, '0');
     std::ranges::generate(
         Job, [this] { return "0123456789abcdef"[Random_() % 16]; });
+    return Job;
+  }
+
+  void submitNext() {
+    const std::string Job = drawJobId();
     PlannedJob Plan{.Spec_ = "spec of " + Job,
                     .Counts_ = std::vector<std::uint32_t>(1 + pick(2)),
                     .MilliProcessors_ =
@@ -173,11 +184,30 @@
                     .TaskTime_ = between(80, 500)};
     for (std::uint32_t &Count : Plan.Counts_)
       Count = static_cast<std::uint32_t>(1 + pick(4));
+    submitPlanned(Job, std::move(Plan), 64);
+  }
+
+  /// A job of which each worker has more runs than one list of ends holds.
+  void submitWide() {
+    const std::string Job = drawJobId();
+    const auto Tasks =
+        static_cast<std::uint32_t>(WideTasksPerWorker * Workers_.size());
+    submitPlanned(Job,
+                  {.Spec_ = "spec of " + Job,
+                   .Counts_ = {Tasks},
+                   .MilliProcessors_ = 1,
+                   .TaskTime_ = WideTaskTime,
+                   .MayFail_ = false},
+                  1);
+  }
+
+  void submitPlanned(const std::string &Job, PlannedJob Plan,
+                     std::int64_t MemoryMb) {
     boost::json::array Steps;
     for (std::size_t I = 0; I < Plan.Counts_.size(); ++I) {
       boost::json::object Step{{"Count", Plan.Counts_[I]},
                                {"Cpu", Plan.MilliProcessors_},
-                               {"MemMb", 64},
+                               {"MemMb", MemoryMb},
                                {"EstimateMs", 300}};
       if (I > 0)
         Step["DependsOn"] = boost::json::array{I - 1};
@@ -450,6 +480,18 @@
           [this, I] { Fleet_.writeSettings(I, Fleet_.seeds()); });
   }
 
+  /// All control processes are away for longer than a lease.
+  void loseControl() {
+    log("all control processes killed");
+    for (std::size_t I = 0; I < Fleet_.options().Controls_; ++I) {
+      if (!Fleet_.isRunning(I))
+        continue;
+      Fleet_.expectEnd(I);
+      Fleet_.signal(I, SIGKILL);
+      later(between(5000, 6500), [this, I] { restart(I); });
+    }
+  }
+
   void nextFault() {
     if (!Faulting_)
       return;
