A later try of a request is not told that its queue is gone

Cause: control looked for the queue before it looked for the job, and the entry guarded 429 and 503 of a later try, but not 404.

Change: control tells that a job was accepted before its queue was removed; after a lost answer the entry takes that as accepted, and any other refusal as unknown. A caller that sends the job anew still gets 404.

Failed before: "a job whose answer was late is accepted though its queue is removed", a row of the table of outcomes, and "a job that was accepted before its queue was removed is still known".

--- a/include/dragonfly/wire/JobMessages.h
+++ b/include/dragonfly/wire/JobMessages.h
@@ -42,7 +42,9 @@
   UnknownJob, ///< There is no such job.
   NoQueue,    ///< No queue has this host and path.
   Rejected,   ///< Not accepted; it never runs. `RetryAfter_` tells when to ask.
-  NoConfiguration
+  NoConfiguration,
+  /// The job is durable, and its queue has been removed since.
+  AcceptedBefore
 };
 
 /// Answers SubmitJob and JobRequest.
--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -109,12 +109,14 @@
   }
 
   void submitJob(wire::SubmitJob Request, Reply Answer) {
+    const bool IsKnown = Table_.find(Request.Job_) != nullptr;
     if (findQueue(Request.Host_, Request.Path_, Request.Job_) == nullptr) {
-      Answer(wire::JobReply{.Status_ = missingQueueStatus(),
+      Answer(wire::JobReply{.Status_ = IsKnown ? JobStatus::AcceptedBefore
+                                               : missingQueueStatus(),
                             .RetryAfter_ = Options_.RetryAfter_});
       return;
     }
-    if (Table_.find(Request.Job_) != nullptr) {
+    if (IsKnown) {
       Answer(wire::JobReply{.Status_ = JobStatus::Accepted});
       return;
     }
--- a/src/entry/JobGateway.cpp
+++ b/src/entry/JobGateway.cpp
@@ -21,6 +21,8 @@
   case JobStatus::UnknownJob:
     return JobAnswer::UnknownJob;
   case JobStatus::NoQueue:
+  // To a caller that asks anew, the queue is gone.
+  case JobStatus::AcceptedBefore:
     return JobAnswer::UnknownQueue;
   case JobStatus::Rejected:
   case JobStatus::NoConfiguration:
@@ -95,8 +97,14 @@
     Told.Answer_ = answerOf(Depth->Status_);
     Told.Queued_ = Depth->Queued_;
   }
-  // An earlier try may still be on its way to being accepted.
-  if (Told.Answer_ == JobAnswer::RefusedNotRun && Result.Retried_)
+  if (!Result.Retried_)
+    return Told;
+  // An earlier try may have been accepted, or be on its way to it.
+  const auto *Reply = std::get_if<wire::JobReply>(&Result.Answer_);
+  if (Reply != nullptr && Reply->Status_ == JobStatus::AcceptedBefore)
+    Told.Answer_ = JobAnswer::Accepted;
+  else if (Told.Answer_ == JobAnswer::RefusedNotRun ||
+           Told.Answer_ == JobAnswer::UnknownQueue)
     Told.Answer_ = JobAnswer::Unknown;
   return Told;
 }
--- a/tests/control/JobServiceTest.cpp
+++ b/tests/control/JobServiceTest.cpp
@@ -58,6 +58,24 @@
             .Queued_ == 1);
 }
 
+// Guards against REFUSED: a second try of an accepted job found no queue, and
+// was answered like that of a job that nobody has accepted (review/5).
+TEST_CASE("a job that was accepted before its queue was removed is still known",
+          "[control][jobs]") {
+  JobCluster Cluster;
+  REQUIRE(Cluster.submit({makeStep()}) == JobStatus::Accepted);
+  jobs::Configuration Without = configuration(8);
+  Without.Queues_.clear();
+  Cluster.askLeader<wire::PutConfigurationAck>(wire::PutConfiguration{Without});
+  CHECK(Cluster.submit({makeStep()}) == JobStatus::AcceptedBefore);
+  CHECK(Cluster
+            .askLeader<wire::JobReply>(
+                wire::SubmitJob{.Job_ = "00000000000000ff",
+                                .Host_ = "a.example",
+                                .Path_ = "/checks/00000000000000ff"})
+            .Status_ == JobStatus::NoQueue);
+}
+
 TEST_CASE("a configuration that is not newer is acknowledged but not applied",
           "[control][jobs]") {
   JobCluster Cluster;
--- a/tests/entry/JobGatewayTest.cpp
+++ b/tests/entry/JobGatewayTest.cpp
@@ -27,6 +27,8 @@
   Accept,
   Reject,       ///< It leads, and says that the job was not accepted.
   RefuseLeader, ///< It knows of no leader.
+  NoQueue,      ///< It leads, and has no such queue.
+  NoQueueNow,   ///< It accepted the job before its queue was removed.
   Nothing,      ///< It takes the job, and its answer is lost.
   Close,        ///< It takes the job and dies.
   Dark          ///< Its VM answers nothing, not even to a new connection.
@@ -101,6 +103,12 @@
     case Answer::Reject:
       To.answer(wire::JobReply{.Status_ = wire::JobStatus::Rejected});
       return;
+    case Answer::NoQueue:
+      To.answer(wire::JobReply{.Status_ = wire::JobStatus::NoQueue});
+      return;
+    case Answer::NoQueueNow:
+      To.answer(wire::JobReply{.Status_ = wire::JobStatus::AcceptedBefore});
+      return;
     case Answer::RefuseLeader:
       To.answer(wire::Refusal{.Reason_ = Reason::NoQuorum});
       return;
@@ -186,6 +194,18 @@
        {Answer::Reject},
        JobAnswer::RefusedNotRun,
        milliseconds(100)},
+      {"a leader has no such queue",
+       {Answer::NoQueue},
+       JobAnswer::UnknownQueue,
+       milliseconds(100)},
+      {"the queue of an accepted job has been removed",
+       {Answer::NoQueueNow},
+       JobAnswer::UnknownQueue,
+       milliseconds(100)},
+      {"an answer is lost, and then there is no such queue",
+       {Answer::Nothing, Answer::NoQueue, Answer::Nothing},
+       JobAnswer::UnknownQueue,
+       milliseconds(2700)},
       {"nobody knows a leader",
        {Answer::RefuseLeader, Answer::RefuseLeader},
        JobAnswer::RefusedNotRun,
@@ -229,4 +249,23 @@
   CHECK(Lost >= Rounds);
 }
 
+// Guards against REFUSED: the only attempt to hand in a job was answered with
+// 404, since its queue was removed while the first answer was late (review/5).
+TEST_CASE("a job whose answer was late is accepted though its queue is removed",
+          "[entry][jobs][outcome]") {
+  const Submission Seen = submitTo({Answer::Nothing, Answer::NoQueueNow});
+  CHECK(Seen.Answer_ ==
+        (Seen.IsLost_ ? JobAnswer::Accepted : JobAnswer::UnknownQueue));
+  // One of them is asked first in each round; which one depends on their ports.
+  std::size_t Lost = Seen.IsLost_ ? 1 : 0;
+  constexpr int Rounds = 8;
+  for (int Round = 0; Round < Rounds; ++Round) {
+    const Submission Next = submitTo({Answer::Nothing, Answer::NoQueueNow});
+    Lost += Next.IsLost_ ? 1 : 0;
+    CHECK(Next.Answer_ ==
+          (Next.IsLost_ ? JobAnswer::Accepted : JobAnswer::UnknownQueue));
+  }
+  CHECK(Lost > 0);
+}
+
 } // namespace dragonfly::entry
