Pending counts jobs until one of their tasks is known to have begun

Change: the leader counts the active jobs of which no run has been reported on its worker or has ended there.

Failed before: "a job counts as pending until one of its tasks has begun" (six checks).

--- a/include/dragonfly/jobs/JobTable.h
+++ b/include/dragonfly/jobs/JobTable.h
@@ -179,9 +179,11 @@
   const std::map<std::string, WorkerRow> &workers() const { return Workers_; }
   const std::set<ReadyStep> &readySteps() const { return Ready_; }
   const std::map<std::string, JobRow> &jobs() const { return Jobs_; }
-  /// Accepted jobs of the queue for which no task has started.
-  std::uint64_t countQueued(std::string_view Host,
-                            std::string_view PathPrefix) const;
+  /// Counts the active jobs of the queue of which no task has begun. A start is
+  /// recorded before its worker begins it, so that \p Begun names the jobs of
+  /// which a task is known to have begun.
+  std::uint64_t countPending(std::string_view Host, std::string_view PathPrefix,
+                             const std::set<std::string> &Begun) const;
 
   /// Makes the derived parts anew, after the rows were read.
   void rebuild();
--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -7,6 +7,7 @@
 #include "control/WorkerSessions.h"
 #include "dragonfly/base/Log.h"
 
+#include <algorithm>
 #include <deque>
 #include <set>
 #include <string_view>
@@ -44,6 +45,14 @@
   std::deque<std::string> Order_;
 };
 
+/// Returns whether a run of the step has finished or failed.
+bool hasEndedRun(const jobs::StepRow &Step) {
+  return Step.Finished_ > 0 ||
+         std::ranges::any_of(Step.Tasks_, [](const jobs::TaskRow &Task) {
+           return Task.Failures_ > 0;
+         });
+}
+
 } // namespace
 
 struct JobService::Impl {
@@ -53,15 +62,34 @@
         Batch_(Options_,
                [this](const jobs::EndRow &Row) { handleRunEnd(Row); }),
         Interference_(Table_),
-        Sessions_(Options_, Table_, Batch_,
-                  [this](const std::string &Worker) {
-                    return Interference_.lossesOn(Worker);
-                  }),
+        Sessions_(
+            Options_, Table_, Batch_,
+            [this](const std::string &Worker) {
+              return Interference_.lossesOn(Worker);
+            },
+            [this](const jobs::RunName &Run) { noteBegun(Run); }),
         RunTimes_(Table_), Dispatcher_(Table_, Sessions_, Interference_,
                                        RunTimes_, Batch_, *Options_.Metrics_) {}
 
+  void noteBegun(const jobs::RunName &Run) {
+    BegunJobs_.insert(Run.Task_.Job_);
+  }
+
+  /// What has ended tells of jobs that have begun; of the others, agents report
+  /// their runs within a reporting period.
+  void restoreBegunJobs() {
+    BegunJobs_.clear();
+    for (const auto &[Id, Job] : Table_.jobs())
+      if (Job.active() && std::ranges::any_of(Job.Steps_, hasEndedRun))
+        BegunJobs_.insert(Id);
+  }
+
   void handleRunEnd(const jobs::EndRow &Row) {
     const jobs::TaskName &Task = Row.Run_.Task_;
+    // A run that was lost, or never began, may not have been on its worker.
+    if (Row.How_ != jobs::RunEnd::NotStarted &&
+        Row.How_ != jobs::RunEnd::LeaseExpired)
+      noteBegun(Row.Run_);
     Options_.Metrics_->count("runs_ended", enumName(Row.How_));
     Dispatcher_.handleRunEnd(Now_, Row);
     logEvent(Event::RunEnded, {{"job", Task.Job_},
@@ -192,9 +220,10 @@
     if (Queue == nullptr)
       Answer(wire::QueueDepth{.Status_ = missingQueueStatus()});
     else
-      Answer(wire::QueueDepth{
-          .Status_ = JobStatus::Known,
-          .Queued_ = Table_.countQueued(Queue->Host_, Queue->PathPrefix_)});
+      Answer(wire::QueueDepth{.Status_ = JobStatus::Known,
+                              .Queued_ = Table_.countPending(Queue->Host_,
+                                                             Queue->PathPrefix_,
+                                                             BegunJobs_)});
   }
 
   void putConfiguration(wire::PutConfiguration Request, Reply Answer) {
@@ -224,6 +253,10 @@
       return;
     NextLossReplicationAt_ = Now_ + LossReplicationInterval;
     RunTimes_.pruneEndedJobs();
+    std::erase_if(BegunJobs_, [this](const std::string &Id) {
+      const jobs::JobRow *Job = Table_.find(Id);
+      return Job == nullptr || !Job->active();
+    });
     std::vector<jobs::ImageLoss> Rows = Interference_.consumeChangedLosses();
     for (const jobs::ImageLoss &Row : Rows)
       logEvent(Event::ImageLossLearnt,
@@ -243,6 +276,8 @@
   TimePoint NextLossReplicationAt_;
   JobBatch Batch_;
   RecentNames ReportedJobs_;
+  /// Active jobs of which a task is known to have begun.
+  std::set<std::string> BegunJobs_;
   WorkerInterference Interference_;
   WorkerSessions Sessions_;
   RunTimeEstimator RunTimes_;
@@ -257,6 +292,7 @@
 
 void JobService::startLeading(TimePoint Now, Term Led) {
   Impl_->Interference_.restore(Impl_->ReplicatedLosses_.rows());
+  Impl_->restoreBegunJobs();
   Impl_->Sessions_.startLeading(Now, Led);
   Impl_->Dispatcher_.startLeading();
 }
--- a/src/control/WorkerSessions.h
+++ b/src/control/WorkerSessions.h
@@ -6,6 +6,7 @@
 #include "dragonfly/control/JobService.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -66,10 +67,13 @@
   using ImageLossHook =
       std::function<std::vector<wire::Disturbance>(const std::string &Worker)>;
 
+  /// \p OnRunBegun is called once a run is first reported to be on its worker.
   WorkerSessions(const JobServiceOptions &Options, const jobs::JobTable &Table,
-                 JobBatch &Batch, ImageLossHook ImageLossesOn)
+                 JobBatch &Batch, ImageLossHook ImageLossesOn,
+                 std::function<void(const jobs::RunName &)> OnRunBegun)
       : Options_(Options), Table_(Table), Batch_(Batch),
-        ImageLossesOn_(std::move(ImageLossesOn)) {}
+        ImageLossesOn_(std::move(ImageLossesOn)),
+        OnRunBegun_(std::move(OnRunBegun)) {}
 
   void startLeading(TimePoint Now, Term Led);
   void stopLeading();
@@ -130,6 +134,7 @@
   const jobs::JobTable &Table_;
   JobBatch &Batch_;
   ImageLossHook ImageLossesOn_;
+  std::function<void(const jobs::RunName &)> OnRunBegun_;
   std::map<std::string, WorkerSession> Sessions_;
   std::uint64_t LastNumber_ = 0;
   bool Changed_ = true;
--- a/src/jobs/JobTable.cpp
+++ b/src/jobs/JobTable.cpp
@@ -159,13 +159,14 @@
   return It == Workers_.end() ? nullptr : &It->second;
 }
 
-std::uint64_t JobTable::countQueued(std::string_view Host,
-                                    std::string_view PathPrefix) const {
+std::uint64_t JobTable::countPending(std::string_view Host,
+                                     std::string_view PathPrefix,
+                                     const std::set<std::string> &Begun) const {
   return static_cast<std::uint64_t>(
       std::ranges::count_if(Jobs_, [&](const auto &Each) {
         const JobRow &Job = Each.second;
-        return Job.State_ == JobState::Queued && Job.Queue_.Host_ == Host &&
-               Job.Queue_.PathPrefix_ == PathPrefix;
+        return Job.active() && Job.Queue_.Host_ == Host &&
+               Job.Queue_.PathPrefix_ == PathPrefix && !Begun.contains(Job.Id_);
       }));
 }
 
--- a/tests/control/JobServiceTest.cpp
+++ b/tests/control/JobServiceTest.cpp
@@ -76,6 +76,48 @@
             .Status_ == JobStatus::NoQueue);
 }
 
+// Guards against MIXED: jobs counted as begun once a start had been decided,
+// also where the worker was cut off and never began it (review, wrong-pending).
+TEST_CASE("a job counts as pending until one of its tasks has begun",
+          "[control][jobs]") {
+  JobCluster Cluster;
+  const auto Pending = [&Cluster] {
+    return Cluster
+        .askLeader<wire::QueueDepth>(
+            wire::QueueDepthRequest{.Host_ = "a.example", .Path_ = "/checks/"})
+        .Queued_;
+  };
+  TestAgent Agent(Cluster, "w1");
+  Agent.attachAndReportNoRuns();
+  REQUIRE(Cluster.submit({makeStep(2)}) == JobStatus::Accepted);
+  REQUIRE(Agent.consumeStarts().size() == 2);
+  CHECK(Pending() == 1);
+
+  SECTION("its worker is lost before it begins") {
+    Cluster.run(seconds(6));
+    CHECK(Pending() == 1);
+  }
+  SECTION("a run is reported") {
+    REQUIRE(Agent.report(false, {makeRun(1, 0)}));
+    CHECK(Pending() == 0);
+    // It has begun, whatever becomes of the run.
+    Cluster.run(seconds(6));
+    CHECK(Pending() == 0);
+  }
+  SECTION("a run has ended before it was reported") {
+    const RunEnd How = GENERATE(RunEnd::Finished, RunEnd::Failed);
+    REQUIRE(Agent.report(false, {}, {makeEnd(makeRun(1, 0), How)}));
+    CHECK(Pending() == 0);
+  }
+  SECTION("the leader changes") {
+    REQUIRE(Agent.report(false, {makeRun(1, 0)}));
+    Cluster.kill(Cluster.leader());
+    Agent.attach();
+    REQUIRE(Agent.report(true, {makeRun(1, 0), makeRun(1, 1)}));
+    CHECK(Pending() == 0);
+  }
+}
+
 TEST_CASE("a configuration that is not newer is acknowledged but not applied",
           "[control][jobs]") {
   JobCluster Cluster;
