--- a/tests/control/JobServiceFaultTest.cpp
+++ b/tests/control/JobServiceFaultTest.cpp
@@ -214,20 +214,6 @@
   CHECK(Cluster.jobState() == JobState::Completed);
 }
 
-// Guards against LOST: a start that the agent never got is repeated after the
-// first complete report of its next session.
-TEST_CASE("a start that was lost with its session runs in the next one",
-          "[control][jobs]") {
-  JobCluster Cluster;
-  TestAgent Agent(Cluster, "w1");
-  Agent.attachAndReportNoRuns();
-  Cluster.submit({makeStep()});
-  REQUIRE(Agent.consumeStarts().size() == 1);
-  Agent.attach();
-  REQUIRE(Agent.report(true));
-  CHECK(Agent.consumeStarts() == std::vector<RunName>{makeRun(2)});
-}
-
 TEST_CASE("a report on an ended session has no effect", "[control][jobs]") {
   JobCluster Cluster;
   TestAgent OldAgent(Cluster, "w1");
