--- a/tests/control/JobFixture.h
+++ b/tests/control/JobFixture.h
@@ -112,8 +112,8 @@
   }
 
   /// Attaches and reports that no runs are on the worker.
-  void attachAndReportNoRuns() {
-    attach();
+  void attachAndReportNoRuns(const std::string &Vm = {}) {
+    attach(10, 1, Vm);
     REQUIRE(report(true));
   }
 
--- a/tests/control/JobServiceFaultTest.cpp
+++ b/tests/control/JobServiceFaultTest.cpp
@@ -63,8 +63,7 @@
           "[control][jobs]") {
   JobCluster Cluster;
   TestAgent OldAgent(Cluster, "w1");
-  OldAgent.attach(10, 1, "vm-1");
-  OldAgent.report(true);
+  OldAgent.attachAndReportNoRuns("vm-1");
   Cluster.submit({makeStep()});
   REQUIRE(OldAgent.consumeStarts().size() == 1);
   OldAgent.disconnect();
@@ -84,8 +83,7 @@
           "[control][jobs]") {
   JobCluster Cluster;
   TestAgent Agent(Cluster, "w1");
-  Agent.attach(10, 1, "vm-1");
-  Agent.report(true);
+  Agent.attachAndReportNoRuns("vm-1");
   TestAgent Elsewhere(Cluster, "w2");
   Elsewhere.attach(10, 1, "vm-2");
   Cluster.submit({makeStep()});
@@ -337,15 +335,13 @@
           "[control][jobs]") {
   JobCluster Cluster;
   TestAgent Agent(Cluster, "w1");
-  Agent.attach(10, 1, "vm-1");
-  Agent.report(true);
+  Agent.attachAndReportNoRuns("vm-1");
   Cluster.node(Cluster.leader())
       .handle(Cluster.now(), wire::WorkerGone{.Worker_ = "w1", .Born_ = 10},
               [](const wire::Message &) {});
   Agent.attach(10, 1, "vm-1");
   CHECK(Agent.streamEnded());
-  Agent.attach(10, 1, "vm-1");
-  REQUIRE(Agent.report(true));
+  Agent.attachAndReportNoRuns("vm-1");
   Cluster.submit({makeStep()});
   CHECK(Agent.consumeStarts() == std::vector<RunName>{makeRun()});
 }
--- a/tests/link/LeaderClientTest.cpp
+++ b/tests/link/LeaderClientTest.cpp
@@ -61,24 +61,35 @@
   std::string Address_;
 };
 
-void run(net::EventLoop &Loop, Duration By) {
-  constexpr int Polls = 12;
-  for (const TimePoint End = Clock::now() + By; Clock::now() < End;) {
-    for (int I = 0; I < Polls; ++I)
-      Loop.poll();
-    Clock::advance(milliseconds(5));
+/// Pauses the clock for as long as it lives.
+struct PausedLoop {
+  PausedLoop() {
+    configureLog({.Sink_ = [](std::string_view) {}});
+    Clock::pause(TimePoint(seconds(100)));
   }
-}
+  ~PausedLoop() { Clock::resume(); }
 
-bool isAnswered(net::EventLoop &Loop, LeaderClient &Client) {
-  bool Answered = false;
-  Client.call(wire::FetchConfiguration{}, seconds(3),
-              [&Answered](const LeaderResult &Result) {
-                Answered = Result.Status_ == net::CallStatus::Answered;
-              });
-  run(Loop, seconds(4));
-  return Answered;
-}
+  void run(Duration By) {
+    constexpr int Polls = 12;
+    for (const TimePoint End = Clock::now() + By; Clock::now() < End;) {
+      for (int I = 0; I < Polls; ++I)
+        Loop_.poll();
+      Clock::advance(milliseconds(5));
+    }
+  }
+
+  bool isAnswered(LeaderClient &Client) {
+    bool Answered = false;
+    Client.call(wire::FetchConfiguration{}, seconds(3),
+                [&Answered](const LeaderResult &Result) {
+                  Answered = Result.Status_ == net::CallStatus::Answered;
+                });
+    run(seconds(4));
+    return Answered;
+  }
+
+  net::EventLoop Loop_;
+};
 
 } // namespace
 
@@ -86,51 +97,42 @@
 // led, took the place of all members that the client knew.
 TEST_CASE("a replica without a leader does not replace the known members",
           "[link][leader]") {
-  configureLog({.Sink_ = [](std::string_view) {}});
-  Clock::pause(TimePoint(seconds(100)));
-  {
-    net::EventLoop Loop;
-    FakeMember Seed(Loop);
-    FakeMember Leader(Loop);
-    Seed.tell({Seed.address(), Leader.address()}, Leader.address());
-    Leader.tell({Leader.address()}, Leader.address());
-    LeaderClient Client(Loop, {.Self_ = {1}, .Seeds_ = {Seed.address()}});
-    run(Loop, seconds(3));
-    REQUIRE(isAnswered(Loop, Client));
-    // The seed has been removed, and knows the group of before.
-    Seed.tell({Seed.address()}, "");
-    Leader.stop();
-    run(Loop, seconds(8));
-    Leader.restart();
-    CHECK(isAnswered(Loop, Client));
-  }
-  Clock::resume();
+  PausedLoop On;
+  FakeMember Seed(On.Loop_);
+  FakeMember Leader(On.Loop_);
+  Seed.tell({Seed.address(), Leader.address()}, Leader.address());
+  Leader.tell({Leader.address()}, Leader.address());
+  LeaderClient Client(On.Loop_, {.Self_ = {1}, .Seeds_ = {Seed.address()}});
+  On.run(seconds(3));
+  REQUIRE(On.isAnswered(Client));
+  // The seed has been removed, and knows the group of before.
+  Seed.tell({Seed.address()}, "");
+  Leader.stop();
+  On.run(seconds(8));
+  Leader.restart();
+  CHECK(On.isAnswered(Client));
 }
 
 // A member that the group has removed is forgotten again, so that nobody waits
 // for it.
 TEST_CASE("the leader's word about the members replaces the known ones",
           "[link][leader]") {
-  configureLog({.Sink_ = [](std::string_view) {}});
-  Clock::pause(TimePoint(seconds(100)));
-  {
-    net::EventLoop Loop;
-    FakeMember Leader(Loop);
-    Leader.tell({Leader.address(), "127.0.0.1:1"}, Leader.address());
-    std::size_t Known = 0;
-    LeaderClient Client(Loop, {.Self_ = {1},
-                               .Seeds_ = {Leader.address()},
-                               .OnGroup_ = [&Known](const wire::Group &Group) {
-                                 Known = Group.Rows_.size();
-                               }});
-    run(Loop, seconds(2));
-    CHECK(Known == 2);
-    Leader.tell({Leader.address()}, Leader.address());
-    run(Loop, seconds(2));
-    CHECK(Known == 1);
-    CHECK(isAnswered(Loop, Client));
-  }
-  Clock::resume();
+  PausedLoop On;
+  FakeMember Leader(On.Loop_);
+  Leader.tell({Leader.address(), "127.0.0.1:1"}, Leader.address());
+  std::size_t Known = 0;
+  LeaderClient Client(On.Loop_,
+                      {.Self_ = {1},
+                       .Seeds_ = {Leader.address()},
+                       .OnGroup_ = [&Known](const wire::Group &Group) {
+                         Known = Group.Rows_.size();
+                       }});
+  On.run(seconds(2));
+  CHECK(Known == 2);
+  Leader.tell({Leader.address()}, Leader.address());
+  On.run(seconds(2));
+  CHECK(Known == 1);
+  CHECK(On.isAnswered(Client));
 }
 
 } // namespace dragonfly::link
--- /dev/null
+++ b/tests/soak/Soak.cpp
@@ -0,0 +1,316 @@
+#include "soak/Soak.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <iostream>
+#include <utility>
+
+namespace dragonfly::soak {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration RetryDelay = milliseconds(300);
+constexpr Duration PollPeriod = milliseconds(400);
+constexpr Duration ConfigurationPeriod = milliseconds(1500);
+/// Before the first job: elections, the first configuration, heartbeats.
+constexpr Duration StartTime = milliseconds(4000);
+constexpr int MaxAttempts = 5;
+constexpr std::size_t WideTasksPerWorker = 700;
+/// They run until all of them do, and over the time without control.
+constexpr Duration WideTaskTime = milliseconds(9000);
+
+boost::json::object route(const std::string &Name) {
+  return {{"Name", Name},
+          {"Host", "a.example"},
+          {"PathPrefix", "/" + Name + "/"},
+          {"Kind", "unsafe"},
+          {"TimeoutMs", 3000},
+          {"TargetLatencyMs", 250},
+          {"Priority", 0},
+          {"Service", "sorting"},
+          {"MaxAttempts", 100},
+          {"SlackFactor", 2.0}};
+}
+
+} // namespace
+
+Soak::Soak(FleetOptions Options, std::uint64_t Seed)
+    : Random_(Seed), Fleet_(std::move(Options)) {
+  const FleetOptions &Sizes = Fleet_.options();
+  for (std::size_t I = 1; I <= Sizes.Agents_; ++I)
+    addWorker(I);
+  for (std::size_t I = 1; I <= Sizes.Entries_; ++I)
+    addEntryClient(I);
+  for (std::size_t I = 1; I <= Sizes.Controls_; ++I)
+    Operators_.push_back(makeClient(Fleet::Role::Control, I));
+  for (std::size_t I = 1; I <= Sizes.Agents_; ++I)
+    OtherWriters_.push_back(makeClient(Fleet::Role::Agent, I));
+}
+
+std::size_t Soak::run(Duration Length, Duration Settle, double Rate) {
+  for (std::size_t I = 0; I < Fleet_.size(); ++I)
+    Fleet_.start(I);
+  const net::Timer Reaps =
+      Loop_.every(milliseconds(50), [this] { OwnEnds_ += Fleet_.reap(); });
+  const net::Timer Changes =
+      Loop_.every(ConfigurationPeriod, [this] { changeConfiguration(); });
+  changeConfiguration();
+  const net::Timer Polls = Loop_.every(PollPeriod, [this] { poll(); });
+  net::Timer Load;
+  const net::Timer Begin = Loop_.after(StartTime, [&] {
+    Load = Loop_.every(std::chrono::duration_cast<Duration>(
+                           std::chrono::duration<double>(1 / Rate)),
+                       [this] { submitNext(); });
+    submitWide();
+    nextFault();
+    nextFullDisk(1);
+  });
+  const net::Timer Outage =
+      Loop_.after(StartTime + Length / 3, [this] { loseControl(); });
+  const net::Timer End = Loop_.after(StartTime + Length, [&] {
+    Load.cancel();
+    Faulting_ = false;
+    heal();
+  });
+  const TimePoint Last = Clock::now() + StartTime + Length + Settle;
+  const net::Timer Watch = Loop_.every(milliseconds(100), [&] {
+    const bool IsOver = !Faulting_ && Clock::now() > Last - Settle &&
+                        Seen_.pending().empty() && OpenSubmits_ == 0 &&
+                        Seen_.isChangeAccepted();
+    if (IsOver || Clock::now() >= Last)
+      Loop_.stop();
+  });
+  Loop_.run();
+  Seen_.checkEnd();
+  for (const std::string &What : Seen_.broken())
+    std::cout << "BROKEN " << What << "\n";
+  std::cout << Seen_.acceptedCount() << " jobs accepted, " << Seen_.startCount()
+            << " starts, " << FaultCount_ << " faults, " << OwnEnds_
+            << " processes ended by themselves, " << Seen_.broken().size()
+            << " promises broken\n";
+  // A run that accepts nothing shows nothing.
+  return Seen_.broken().size() + OwnEnds_ +
+         (Seen_.acceptedCount() == 0 ? 1 : 0);
+}
+
+void Soak::addWorker(std::size_t I) {
+  const std::string Number = std::to_string(I);
+  const std::string &Net = Fleet_.options().Network_;
+  const net::Endpoint Own{Net + ".4." + Number, WorkerPort};
+  Workers_.push_back(std::make_unique<StandInWorker>(
+      Loop_, Seen_,
+      StandInWorkerOptions{
+          .Name_ = "i-" + Number,
+          .Service_ = "sorting",
+          .Zone_ = "zone-a",
+          .Listen_ = Own,
+          .Agent_ = {Fleet_.ip(Fleet::Role::Agent, I), ControlPort},
+          .Seed_ = Random_()}));
+  Proxies_.push_back(std::make_unique<LoopbackProxy>(
+      Loop_, net::Endpoint{Net + ".5." + Number, WorkerPort}, Own));
+}
+
+void Soak::addEntryClient(std::size_t I) {
+  const net::Endpoint Front{
+      Fleet_.options().Network_ + ".6." + std::to_string(I), CallerPort};
+  Proxies_.push_back(std::make_unique<LoopbackProxy>(
+      Loop_, Front,
+      net::Endpoint{Fleet_.ip(Fleet::Role::Entry, I), CallerPort}));
+  Callers_.push_back(std::make_unique<net::HttpClient>(
+      Loop_, net::HttpClientOptions{.Peer_ = Front}));
+}
+
+std::unique_ptr<net::HttpClient> Soak::makeClient(Fleet::Role Kind,
+                                                  std::size_t Index) {
+  return std::make_unique<net::HttpClient>(
+      Loop_,
+      net::HttpClientOptions{.Peer_ = {Fleet_.ip(Kind, Index), ControlPort}});
+}
+
+std::size_t Soak::pick(std::size_t Count) { return Random_() % Count; }
+
+Duration Soak::between(std::int64_t LeastMs, std::int64_t MostMs) {
+  return milliseconds(
+      LeastMs + static_cast<std::int64_t>(
+                    pick(static_cast<std::size_t>(MostMs - LeastMs + 1))));
+}
+
+void Soak::later(Duration Delay, std::function<void()> Work) {
+  Later_.push_back(Loop_.after(Delay, std::move(Work)));
+}
+
+net::HttpRequest Soak::request(std::string Method, std::string Target,
+                               std::string Body) {
+  return {.Method_ = std::move(Method),
+          .Target_ = std::move(Target),
+          .Headers_ = {{"Host", "a.example"},
+                       {"Content-Type", "application/json"},
+                       {"X-Dragonflyproxy-Deadline-Ms", "2500"}},
+          .Body_ = std::move(Body)};
+}
+
+std::string Soak::drawJobId() {
+  std::string Job(16, '0');
+  std::ranges::generate(Job,
+                        [this] { return "0123456789abcdef"[Random_() % 16]; });
+  return Job;
+}
+
+void Soak::submitNext() {
+  const std::string Job = drawJobId();
+  PlannedJob Plan{.Spec_ = "spec of " + Job,
+                  .Counts_ = std::vector<std::uint32_t>(1 + pick(2)),
+                  .MilliProcessors_ =
+                      500 + 250 * static_cast<std::int64_t>(pick(5)),
+                  .TaskTime_ = between(80, 500)};
+  for (std::uint32_t &Count : Plan.Counts_)
+    Count = static_cast<std::uint32_t>(1 + pick(4));
+  submitPlanned(Job, std::move(Plan), 64);
+}
+
+void Soak::submitWide() {
+  const std::string Job = drawJobId();
+  const auto Tasks =
+      static_cast<std::uint32_t>(WideTasksPerWorker * Workers_.size());
+  submitPlanned(Job,
+                {.Spec_ = "spec of " + Job,
+                 .Counts_ = {Tasks},
+                 .MilliProcessors_ = 1,
+                 .TaskTime_ = WideTaskTime,
+                 .MayFail_ = false},
+                1);
+}
+
+void Soak::submitPlanned(const std::string &Job, PlannedJob Plan,
+                         std::int64_t MemoryMb) {
+  boost::json::array Steps;
+  for (std::size_t I = 0; I < Plan.Counts_.size(); ++I) {
+    boost::json::object Step{{"Count", Plan.Counts_[I]},
+                             {"Cpu", Plan.MilliProcessors_},
+                             {"MemMb", MemoryMb},
+                             {"EstimateMs", 300}};
+    if (I > 0)
+      Step["DependsOn"] = boost::json::array{I - 1};
+    Steps.push_back(Step);
+  }
+  const std::string Body = boost::json::serialize(
+      boost::json::object{{"Spec", Plan.Spec_}, {"Steps", Steps}});
+  Seen_.planned(Job, std::move(Plan));
+  ++OpenSubmits_;
+  // Some jobs go to a queue that comes and goes, with one attempt.
+  const bool IsOther = pick(5) == 0;
+  Prefixes_[Job] = IsOther ? "/other/" : "/checks/";
+  submit(Job, Body, IsOther ? MaxAttempts : 1, true);
+}
+
+std::string Soak::targetOf(const std::string &Job) const {
+  return Prefixes_.at(Job) + Job;
+}
+
+void Soak::submit(const std::string &Job, const std::string &Body, int Attempt,
+                  bool AllRefused) {
+  Callers_[pick(Callers_.size())]->request(
+      request("POST", targetOf(Job), Body), CallTimeout,
+      [this, Job, Body, Attempt, AllRefused](const net::HttpResult &Result) {
+        const bool Answered = Result.Status_ == net::CallStatus::Answered;
+        const std::uint16_t Status = Result.Response_.Status_;
+        if (Answered && Status / 100 == 2) {
+          Seen_.accepted(Job);
+          --OpenSubmits_;
+          return;
+        }
+        const bool Refused =
+            AllRefused &&
+            (Result.Status_ == net::CallStatus::NeverSent ||
+             (Answered && (Status == 404 || Status == 429 || Status == 503)));
+        if (Attempt < MaxAttempts) {
+          later(RetryDelay, [this, Job, Body, Attempt, Refused] {
+            submit(Job, Body, Attempt + 1, Refused);
+          });
+          return;
+        }
+        --OpenSubmits_;
+        if (Refused)
+          Seen_.refused(Job);
+      });
+}
+
+void Soak::poll() {
+  for (const std::string &Job : Seen_.pending()) {
+    const std::size_t At = pick(Callers_.size());
+    Callers_[At]->request(
+        request("GET", targetOf(Job)), CallTimeout,
+        [this, Job, At](const net::HttpResult &Result) {
+          if (Result.Status_ != net::CallStatus::Answered)
+            return;
+          if (Result.Response_.Status_ == 410)
+            Seen_.unknown(Job, "entry-" + std::to_string(At + 1));
+          if (Result.Response_.Status_ == 200 && Seen_.isPending(Job) &&
+              Result.Response_.Body_.find("completed") != std::string::npos)
+            Seen_.completed(Job);
+        });
+  }
+}
+
+std::string Soak::configuration(std::uint64_t Version, bool HasOther) {
+  boost::json::array Routes{route("checks")};
+  if (HasOther)
+    Routes.push_back(route("other"));
+  return boost::json::serialize(boost::json::object{
+      {"Version", Version},
+      {"Routes", Routes},
+      {"Services",
+       boost::json::array{boost::json::object{{"Name", "sorting"},
+                                              {"HealthPath", "/healthz"},
+                                              {"MaxConnections", 64},
+                                              {"Protocol", "h1"},
+                                              {"Tls", false},
+                                              {"AdmissionCheck", false},
+                                              {"Standby", false}}}},
+      {"Limits", boost::json::object{{"MaxHeaderBytes", 16384},
+                                     {"MaxBodyBytes", 262144},
+                                     {"HeaderTimeoutMs", 3000},
+                                     {"IdleTimeoutMs", 15000}}}});
+}
+
+void Soak::changeConfiguration() {
+  const std::uint64_t Version = NextVersion_;
+  NextVersion_ += 1 + pick(3);
+  const bool HasOther = !Faulting_ || pick(2) == 0;
+  putConfiguration(Version, configuration(Version, HasOther), 0);
+}
+
+void Soak::putConfiguration(std::uint64_t Version, const std::string &Body,
+                            int Attempt) {
+  Operators_[pick(Operators_.size())]->request(
+      request("PUT", "/v1/config", Body), CallTimeout,
+      [this, Version, Body, Attempt](const net::HttpResult &Result) {
+        if (Result.Status_ == net::CallStatus::Answered &&
+            Result.Response_.Status_ == 200) {
+          Seen_.configurationAcked(Version);
+          readConfiguration();
+        } else if (Attempt < MaxAttempts) {
+          later(RetryDelay, [this, Version, Body, Attempt] {
+            putConfiguration(Version, Body, Attempt + 1);
+          });
+        }
+      });
+}
+
+void Soak::readConfiguration() {
+  Operators_[pick(Operators_.size())]->request(
+      request("GET", "/v1/config"), CallTimeout,
+      [this](const net::HttpResult &Result) {
+        boost::system::error_code Fault;
+        const boost::json::value Body =
+            boost::json::parse(Result.Response_.Body_, Fault);
+        if (Result.Status_ == net::CallStatus::Answered &&
+            Result.Response_.Status_ == 200 && !Fault)
+          Seen_.configurationRead(
+              Body.at("Version").to_number<std::uint64_t>());
+      });
+}
+
+} // namespace dragonfly::soak
--- /dev/null
+++ b/tests/soak/Soak.h
@@ -0,0 +1,120 @@
+/// Load, faults and checks of one run of the soak.
+#ifndef DRAGONFLY_TESTS_SOAK_SOAK_H
+#define DRAGONFLY_TESTS_SOAK_SOAK_H
+
+#include "dragonfly/base/Random.h"
+#include "dragonfly/net/EventLoop.h"
+#include "dragonfly/net/HttpClient.h"
+#include "soak/Fleet.h"
+#include "soak/LoopbackProxy.h"
+#include "soak/Promises.h"
+#include "soak/StandInWorker.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace dragonfly::soak {
+
+/// How long a call of the soak's own clients may take.
+inline constexpr Duration CallTimeout = std::chrono::milliseconds(2500);
+
+/// Soak.cpp hands in jobs and changes of the configuration; SoakFaults.cpp
+/// disturbs the programs.
+class Soak {
+public:
+  Soak(FleetOptions Options, std::uint64_t Seed);
+  /// Returns the number of broken promises.
+  std::size_t run(Duration Length, Duration Settle, double Rate);
+
+private:
+  std::unique_ptr<net::HttpClient> makeClient(Fleet::Role Kind,
+                                              std::size_t Index);
+  std::size_t pick(std::size_t Count);
+  Duration between(std::int64_t LeastMs, std::int64_t MostMs);
+  /// Calls \p Work later, for as long as this object lives.
+  void later(Duration Delay, std::function<void()> Work);
+  static net::HttpRequest request(std::string Method, std::string Target,
+                                  std::string Body = {});
+
+  // Load.
+
+  void addWorker(std::size_t I);
+  void addEntryClient(std::size_t I);
+  std::string drawJobId();
+  void submitNext();
+  /// A job of which each worker has more runs than one list of ends holds.
+  void submitWide();
+  void submitPlanned(const std::string &Job, PlannedJob Plan,
+                     std::int64_t MemoryMb);
+  /// The path that names the job to entries.
+  std::string targetOf(const std::string &Job) const;
+  /// \p AllRefused is true while each attempt was answered as not run.
+  void submit(const std::string &Job, const std::string &Body, int Attempt,
+              bool AllRefused);
+  /// Asks for the state of what has been accepted.
+  void poll();
+  /// A configuration with the queue "checks" and, where \p HasOther, "other".
+  static std::string configuration(std::uint64_t Version, bool HasOther);
+  void changeConfiguration();
+  void putConfiguration(std::uint64_t Version, const std::string &Body,
+                        int Attempt);
+  void readConfiguration();
+
+  // Faults.
+
+  /// Starts process \p I once its last run has ended.
+  void restart(std::size_t I);
+  /// Counts and prints a disturbance.
+  void log(const std::string &What);
+  void strikeProcess();
+  void strikeConnections();
+  void crashWorker(std::size_t I);
+  /// Kills the agent beside worker \p I and leaves calls of its successor
+  /// unanswered.
+  void killAgentOf(std::size_t I);
+  /// Sends a heartbeat or a notice of departure to the agent of worker \p I, as
+  /// another writer would.
+  void writeToAgent(std::size_t I);
+  /// Sends bodies that are to be refused whichever value is replaced in them.
+  void sendOddBodies();
+  /// Adds odd rows to the lists of worker \p I for a while.
+  void listOddRows(std::size_t I);
+  /// Writes odd seeds into the settings of process \p I for a while.
+  void writeOddSettings(std::size_t I);
+  /// Kills all control processes for longer than a lease.
+  void loseControl();
+  void nextFault();
+  /// The disks of control's processes are full one after another, never two at
+  /// once, round after round.
+  void nextFullDisk(std::size_t Index);
+  /// Ends all disturbances.
+  void heal();
+
+  RandomEngine Random_;
+  net::EventLoop Loop_;
+  Promises Seen_;
+  Fleet Fleet_;
+  std::vector<std::unique_ptr<StandInWorker>> Workers_;
+  std::vector<std::unique_ptr<LoopbackProxy>> Proxies_;
+  std::vector<std::unique_ptr<net::HttpClient>> Callers_;
+  std::vector<std::unique_ptr<net::HttpClient>> Operators_;
+  /// One for each agent.
+  std::vector<std::unique_ptr<net::HttpClient>> OtherWriters_;
+  /// Path prefix of each job's queue.
+  std::map<std::string, std::string> Prefixes_;
+  std::vector<net::Timer> Later_;
+  TimePoint Began_ = Clock::now();
+  std::uint64_t NextVersion_ = 1;
+  std::size_t OpenSubmits_ = 0;
+  std::size_t FaultCount_ = 0;
+  std::size_t OwnEnds_ = 0;
+  bool Faulting_ = true;
+};
+
+} // namespace dragonfly::soak
+
+#endif // DRAGONFLY_TESTS_SOAK_SOAK_H
--- /dev/null
+++ b/tests/soak/SoakFaults.cpp
@@ -0,0 +1,216 @@
+#include "soak/OddBodies.h"
+#include "soak/Soak.h"
+
+#include <boost/json.hpp>
+
+#include <csignal>
+#include <iostream>
+#include <iterator>
+
+namespace dragonfly::soak {
+
+using std::chrono::milliseconds;
+
+void Soak::restart(std::size_t I) {
+  if (Fleet_.isRunning(I))
+    later(milliseconds(100), [this, I] { restart(I); });
+  else
+    Fleet_.start(I);
+}
+
+void Soak::log(const std::string &What) {
+  ++FaultCount_;
+  std::cout << static_cast<std::int64_t>(toMilliseconds(Clock::now() - Began_))
+            << " ms: " << What << "\n";
+}
+
+void Soak::strikeProcess() {
+  const std::size_t I = pick(Fleet_.size());
+  if (!Fleet_.isRunning(I))
+    return;
+  const Duration Length = between(200, 3500);
+  switch (pick(3)) {
+  case 0:
+    log(Fleet_.name(I) + " killed");
+    Fleet_.expectEnd(I);
+    Fleet_.signal(I, SIGKILL);
+    later(Length, [this, I] { restart(I); });
+    break;
+  case 1:
+    log(Fleet_.name(I) + " told to stop");
+    Fleet_.expectEnd(I);
+    Fleet_.signal(I, SIGTERM);
+    later(milliseconds(100), [this, I] { restart(I); });
+    break;
+  default:
+    log(Fleet_.name(I) + " paused");
+    Fleet_.signal(I, SIGSTOP);
+    later(Length, [this, I] { Fleet_.signal(I, SIGCONT); });
+  }
+}
+
+void Soak::strikeConnections() {
+  LoopbackProxy &Proxy = *Proxies_[pick(Proxies_.size())];
+  const std::size_t Kind = pick(4);
+  if (Kind == 0) {
+    log("connections reset");
+    Proxy.reset();
+    return;
+  }
+  log(Kind == 1   ? "connections delayed"
+      : Kind == 2 ? "connections cut one way"
+                  : "connections silenced");
+  const bool CutsRequests = Kind == 3 || (Kind == 2 && pick(2) == 0);
+  Proxy.setHarm({.Delay_ = Kind == 1 ? between(20, 400) : Duration{},
+                 .CutsRequests_ = CutsRequests,
+                 .CutsAnswers_ = Kind == 3 || (Kind == 2 && !CutsRequests)});
+  // Harmed connections stay silent; new ones work again.
+  later(between(300, 4000), [&Proxy] { Proxy.setHarm({}); });
+}
+
+void Soak::crashWorker(std::size_t I) {
+  log("worker " + std::to_string(I + 1) + " crashes");
+  // The proxy of a worker has its number.
+  Workers_[I]->crash();
+  Proxies_[I]->setHarm({.Refuses_ = true});
+  Proxies_[I]->reset();
+  later(between(0, 1500), [this, I] {
+    Workers_[I]->restart();
+    Proxies_[I]->setHarm({});
+  });
+}
+
+void Soak::killAgentOf(std::size_t I) {
+  const FleetOptions &Sizes = Fleet_.options();
+  const std::size_t Agent = Sizes.Controls_ + Sizes.Entries_ + I;
+  if (!Fleet_.isRunning(Agent))
+    return;
+  log(Fleet_.name(Agent) + " killed, and calls to its worker unanswered");
+  Fleet_.expectEnd(Agent);
+  Fleet_.signal(Agent, SIGKILL);
+  later(milliseconds(300), [this, Agent] { restart(Agent); });
+  later(between(300, 1200),
+        [this, I] { Workers_[I]->leaveUnanswered(between(500, 2500)); });
+}
+
+void Soak::writeToAgent(std::size_t I) {
+  const std::string Own = "/v1/instances/i-" + std::to_string(I + 1);
+  const std::string Other = "/v1/instances/i-other";
+  boost::json::object Body =
+      boost::json::parse(Workers_[I]->heartbeat()).as_object();
+  const auto Born = Body["born"].to_number<std::uint64_t>();
+  std::string Method = "PUT";
+  std::string Target = pick(2) == 0 ? Own : Other;
+  std::string Text;
+  switch (pick(5)) {
+  case 0:
+    // A worker that is not there, or a life that has not begun.
+    Body["born"] = Born + 1 + pick(100000);
+    break;
+  case 1:
+    Target = Own;
+    Body["Service"] = "unnamed";
+    Body["Sequence"] = 1000000;
+    break;
+  case 2:
+    Method = "DELETE";
+    break;
+  default:
+    Text = makeOdd(boost::json::serialize(Body), Random_);
+  }
+  log("another writer: " + Method + " " + Target + " at agent-" +
+      std::to_string(I + 1));
+  if (Text.empty() && Method == "PUT")
+    Text = boost::json::serialize(Body);
+  OtherWriters_[I]->request(request(Method, Target, Text), CallTimeout,
+                            [](const net::HttpResult &) {});
+}
+
+void Soak::sendOddBodies() {
+  log("odd bodies for an entry and control");
+  Callers_[pick(Callers_.size())]->request(
+      request(
+          "POST", "/checks/00000000000000ff",
+          makeOdd(R"({"Spec":"x","Steps":[{"Count":0,"Cpu":1}]})", Random_)),
+      CallTimeout, [](const net::HttpResult &) {});
+  Operators_[pick(Operators_.size())]->request(
+      request("PUT", "/v1/config", makeOdd(configuration(0, true), Random_)),
+      CallTimeout, [](const net::HttpResult &) {});
+}
+
+void Soak::listOddRows(std::size_t I) {
+  log("odd rows in the lists of worker " + std::to_string(I + 1));
+  Workers_[I]->setOddRows(true);
+  later(between(500, 4000), [this, I] { Workers_[I]->setOddRows(false); });
+}
+
+void Soak::writeOddSettings(std::size_t I) {
+  log("odd seeds in the settings of " + Fleet_.name(I));
+  const std::string Seeds = Fleet_.seeds();
+  const std::string Odd[]{"", Seeds.substr(0, pick(Seeds.size())),
+                          "300.1.1.1:70000," + Seeds,
+                          Seeds + "," + oddValue(Random_)};
+  Fleet_.writeSettings(I, Odd[pick(std::size(Odd))]);
+  Fleet_.signal(I, SIGHUP);
+  later(between(500, 3000),
+        [this, I] { Fleet_.writeSettings(I, Fleet_.seeds()); });
+}
+
+void Soak::loseControl() {
+  log("all control processes killed");
+  for (std::size_t I = 0; I < Fleet_.options().Controls_; ++I) {
+    if (!Fleet_.isRunning(I))
+      continue;
+    Fleet_.expectEnd(I);
+    Fleet_.signal(I, SIGKILL);
+    later(between(5000, 6500), [this, I] { restart(I); });
+  }
+}
+
+void Soak::nextFault() {
+  if (!Faulting_)
+    return;
+  const std::size_t Kind = pick(15);
+  if (Kind < 5)
+    strikeProcess();
+  else if (Kind < 9)
+    strikeConnections();
+  else if (Kind < 10)
+    crashWorker(pick(Workers_.size()));
+  else if (Kind < 11)
+    killAgentOf(pick(Workers_.size()));
+  else if (Kind < 13)
+    writeToAgent(pick(Workers_.size()));
+  else if (Kind < 14)
+    sendOddBodies();
+  else if (pick(2) == 0)
+    listOddRows(pick(Workers_.size()));
+  else
+    writeOddSettings(pick(Fleet_.size()));
+  later(between(150, 1500), [this] { nextFault(); });
+}
+
+void Soak::nextFullDisk(std::size_t Index) {
+  if (!Faulting_ || Fleet_.options().FullDiskLibrary_.empty())
+    return;
+  log("disk of control-" + std::to_string(Index) + " full");
+  Fleet_.setDiskFull(Index, true);
+  later(between(300, 3500), [this, Index] {
+    Fleet_.setDiskFull(Index, false);
+    later(between(50, 800), [this, Index] {
+      nextFullDisk(Index % Fleet_.options().Controls_ + 1);
+    });
+  });
+}
+
+void Soak::heal() {
+  Seen_.expectChange(NextVersion_);
+  for (std::size_t I = 1; I <= Fleet_.options().Controls_; ++I)
+    Fleet_.setDiskFull(I, false);
+  for (const auto &Proxy : Proxies_)
+    Proxy->setHarm({});
+  for (std::size_t I = 0; I < Fleet_.size(); ++I)
+    Fleet_.signal(I, SIGCONT);
+}
+
+} // namespace dragonfly::soak
--- a/tests/soak/StandInWorker.cpp
+++ b/tests/soak/StandInWorker.cpp
@@ -30,11 +30,12 @@
 constexpr std::uint16_t Conflict = 409;
 constexpr std::uint16_t Misdirected = 421;
 
+/// The Unix time at which lives begin, as far as agents can tell: it rises, in
+/// milliseconds, with the runtime's clock.
 std::uint64_t unixMilliseconds() {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<milliseconds>(
-          std::chrono::system_clock::now().time_since_epoch())
-          .count());
+  constexpr std::uint64_t Base = 1'780'000'000'000;
+  return Base + static_cast<std::uint64_t>(
+                    toMilliseconds(Clock::now().time_since_epoch()));
 }
 
 std::uint64_t numberOf(const boost::json::object &Body, const char *Name) {
