Pending: a run that is being stopped has not shown that it began

Cause: found while the change was read again. A start that got no answer is settled by a stop; its report in that phase counted its job as begun, though nothing of it may have been on the worker.

Change: only a run that is reported as running counts. Comments of the agent's header say one thing each.

--- a/src/agent/WorkerAgentImpl.h
+++ b/src/agent/WorkerAgentImpl.h
@@ -59,8 +59,8 @@
   /// Takes another description of the current life once it is repeated before
   /// the known one is: a single one may be another writer's.
   void updateDescription(const WorkerAnnouncement &Value);
-  /// A worker that has left announces nothing more, least of all that it is
-  /// ready: another writer gave notice of its departure.
+  /// Takes a departure back: a worker that has left does not announce itself as
+  /// ready, so that the notice was another writer's.
   void retractDeparture(const WorkerAnnouncement &Value);
   /// Asks the worker on the VM whether it is the announced one.
   void probeCandidate();
@@ -122,9 +122,9 @@
   std::uint64_t Fence_ = 0;
   /// Control has heard of everything that runs here, in this session.
   bool Complete_ = false;
-  /// The worker has answered a list under the session's token, and one with all
-  /// of its ends.
+  /// The worker has answered a list under the session's token.
   bool Listed_ = false;
+  /// One of these lists held all of its ends.
   bool ListedAll_ = false;
 
   bool HoldOpen_ = false;
--- a/src/control/WorkerSessions.cpp
+++ b/src/control/WorkerSessions.cpp
@@ -317,8 +317,9 @@
     RunInfo &Info = It->second;
     if (IsNew)
       Info.StartOrderedAt_ = Now;
-    if (Run.Phase_ != wire::RunPhase::Starting &&
-        (IsNew || Info.Report_.Phase_ == wire::RunPhase::Starting))
+    // A run that is being stopped may never have been on its worker.
+    if (Run.Phase_ == wire::RunPhase::Running &&
+        (IsNew || Info.Report_.Phase_ != wire::RunPhase::Running))
       OnRunBegun_(Run.Run_);
     const bool IsThrottled = Run.SpeedPercent_ < MinProgressSpeedPercent;
     if (IsNew || IsThrottled || Run.Phase_ != wire::RunPhase::Running ||
--- a/tests/agent/AgentFixture.h
+++ b/tests/agent/AgentFixture.h
@@ -59,7 +59,7 @@
     return Self_;
   }
 
-  /// While set, calls get no answer; they are carried out \p After later.
+  /// While set, calls get no answer and are not carried out.
   void setSilent(bool Silent) { Silent_ = Silent; }
 
   bool isRunning(const jobs::RunName &Run) {
@@ -121,7 +121,6 @@
     }
     if (Fence < Fence_)
       return HoldStatus::Fenced;
-    // What is not answered is not carried out here: later calls overtake it.
     if (Silent_)
       return HoldStatus::NoAnswer;
     Fence_ = Fence;
--- a/tests/control/JobFixture.h
+++ b/tests/control/JobFixture.h
@@ -80,7 +80,7 @@
                               .Ends_ = std::move(Ends)};
     for (const RunName &Run : Runs)
       Report.Runs_.push_back({.Run_ = Run,
-                              .Phase_ = wire::RunPhase::Running,
+                              .Phase_ = Phase_,
                               .ProgressPercent_ = ProgressPercents_[Run],
                               .Load_ = Loads_[Run],
                               .SpeedPercent_ = SpeedPercents_.contains(Run)
@@ -126,6 +126,8 @@
   bool streamEnded() const { return Stream_->Ended_; }
   void disconnect() { Stream_->Connected_ = false; }
   void startDraining() { Draining_ = true; }
+  /// Sets the phase of all runs in later reports.
+  void setPhase(wire::RunPhase Phase) { Phase_ = Phase; }
   /// Sets the load of \p Run in later reports.
   void setLoad(const RunName &Run, std::uint64_t Load) { Loads_[Run] = Load; }
   /// Sets the speed and the progress of \p Run in later reports, in percent.
@@ -163,6 +165,7 @@
   std::string Worker_;
   std::shared_ptr<Stream> Stream_ = std::make_shared<Stream>();
   bool Draining_ = false;
+  wire::RunPhase Phase_ = wire::RunPhase::Running;
   static constexpr std::uint32_t FullSpeed = 100;
   std::map<RunName, std::uint64_t> Loads_;
   std::map<RunName, std::uint32_t> SpeedPercents_;
--- a/tests/control/JobServiceTest.cpp
+++ b/tests/control/JobServiceTest.cpp
@@ -97,6 +97,11 @@
     Cluster.run(seconds(6));
     CHECK(Pending() == 1);
   }
+  SECTION("a start without an answer is being settled") {
+    Agent.setPhase(wire::RunPhase::Stopping);
+    REQUIRE(Agent.report(false, {makeRun(1, 0), makeRun(1, 1)}));
+    CHECK(Pending() == 1);
+  }
   SECTION("a run is reported") {
     REQUIRE(Agent.report(false, {makeRun(1, 0)}));
     CHECK(Pending() == 0);
