Log why a change of the group's members has to wait

A replica that had lost its disk became a learner at 32.81 s and no voter by 34.31 s, when another disk was lost. Three hypotheses predict the same log lines: the learner had not caught up, the leader had no committed record of its own term, or the planner waited after a refusal.

ReplicatedLog::changeObstacle names the reason for which a change would be refused; changeMember uses the same function. GroupKeeper logs it as event 3027, member-change-delayed, once for each reason. No behaviour changes.

So the first attempt came 6 ms after the admission, before the learner had acknowledged anything, and no second one followed in 1.5 s: the planner's pause, not the learner, held the promotion up. Ruled out: an uncommitted term (the admission had been committed) and a learner that lags (its log was shipped within 70 ms).

--- a/include/dragonfly/base/Event.h
+++ b/include/dragonfly/base/Event.h
@@ -56,6 +56,7 @@
   ImageLossLearnt = 3024,
   RunMoved = 3025,
   RunRelocated = 3026,
+  MemberChangeDelayed = 3027,
   // consensus
   LeaderElected = 4001,
   LeaderLost = 4002,
--- a/include/dragonfly/consensus/ReplicatedLog.h
+++ b/include/dragonfly/consensus/ReplicatedLog.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -56,6 +57,18 @@
   Unknown    ///< Leadership was lost while it was under way.
 };
 
+/// Why a change of the members is refused for now.
+enum class ChangeObstacle : std::uint8_t {
+  NotLeader,          ///< This replica does not lead, or hands over.
+  TermNotCommitted,   ///< No record of the leader's own term is committed yet.
+  ChangeNotCommitted, ///< The last change is not committed yet.
+  LastVoter,          ///< No other voter would be left.
+  UnknownMember,      ///< There is no such member.
+  UnknownStore,       ///< The member's data folder is not known.
+  NotLearner,         ///< A member has to be a learner before it may vote.
+  NotCaughtUp         ///< The learner lags too far behind the leader.
+};
+
 struct ProposeResult {
   ProposeStatus Status_ = ProposeStatus::NotLeader;
   LogIndex Index_;
@@ -132,6 +145,11 @@
   void changeMember(Member Target, bool Remove,
                     std::function<void(ProposeResult)> Done);
 
+  /// Returns why `changeMember` would refuse the change now, or nothing if it
+  /// would propose it.
+  std::optional<ChangeObstacle> changeObstacle(const Member &Target,
+                                               bool Remove) const;
+
   /// Calls \p Visit with each command that is in this replica's log and not
   /// applied yet, committed or not, in order.
   void visitUnapplied(
@@ -163,6 +181,20 @@
   }};
 };
 
+template <> struct EnumTable<consensus::ChangeObstacle> {
+  using Obstacle = consensus::ChangeObstacle;
+  static constexpr std::array<EnumName<Obstacle>, 8> Rows{{
+      {Obstacle::NotLeader, "not-leader"},
+      {Obstacle::TermNotCommitted, "term-not-committed"},
+      {Obstacle::ChangeNotCommitted, "change-not-committed"},
+      {Obstacle::LastVoter, "last-voter"},
+      {Obstacle::UnknownMember, "unknown-member"},
+      {Obstacle::UnknownStore, "unknown-store"},
+      {Obstacle::NotLearner, "not-learner"},
+      {Obstacle::NotCaughtUp, "not-caught-up"},
+  }};
+};
+
 template <> struct EnumTable<consensus::RaftRole> {
   static constexpr std::array<EnumName<consensus::RaftRole>, 4> Rows{{
       {consensus::RaftRole::Follower, "follower"},
--- a/src/base/Event.cpp
+++ b/src/base/Event.cpp
@@ -98,6 +98,9 @@
     {Event::RunRelocated, Severity::Info, "run-relocated",
      "A latency-critical run is stopped, to go on where its image excludes "
      "fewer batch runs."},
+    {Event::MemberChangeDelayed, Severity::Info, "member-change-delayed",
+     "A change of the group's members is due and cannot be made yet; the "
+     "reason is given."},
     {Event::LeaderElected, Severity::Info, "leader-elected",
      "This replica leads the replicated log in a new term."},
     {Event::LeaderLost, Severity::Warning, "leader-lost",
--- a/src/consensus/Commit.cpp
+++ b/src/consensus/Commit.cpp
@@ -45,10 +45,10 @@
 void RaftCore::changeMember(Member Target, bool Remove, ProposeHandler Done) {
   if (!Target.Store_ && Observed_.contains(Target.Id_))
     Target.Store_ = Observed_[Target.Id_];
-  const bool Leads = Role_ == RaftRole::Leader && !TransferBegan_;
-  if (!Leads || !changeIsAllowed(Target, Remove)) {
-    const ProposeStatus Status =
-        Leads ? ProposeStatus::Refused : ProposeStatus::NotLeader;
+  if (const auto Obstacle = changeObstacle(Target, Remove)) {
+    const ProposeStatus Status = *Obstacle == ChangeObstacle::NotLeader
+                                     ? ProposeStatus::NotLeader
+                                     : ProposeStatus::Refused;
     later([Done = std::move(Done), Status] { Done({Status, {}, {}}); });
     return;
   }
@@ -69,28 +69,42 @@
 
 /// One change at a time, each moving at most one voter, and only after a
 /// record of this term has been committed.
-bool RaftCore::changeIsAllowed(const Member &Target, bool Remove) const {
-  if (Commit_ < TermStart_ || Members_.index() > Commit_)
-    return false;
+std::optional<ChangeObstacle> RaftCore::changeObstacle(Member Target,
+                                                       bool Remove) const {
+  if (Role_ != RaftRole::Leader || TransferBegan_)
+    return ChangeObstacle::NotLeader;
+  if (Commit_ < TermStart_)
+    return ChangeObstacle::TermNotCommitted;
+  if (Members_.index() > Commit_)
+    return ChangeObstacle::ChangeNotCommitted;
+  const auto Observed = Observed_.find(Target.Id_);
+  if (!Target.Store_ && Observed != Observed_.end())
+    Target.Store_ = Observed->second;
   const Member *Row = Members_.find(Target.Id_);
   const bool OtherVoter =
       std::ranges::any_of(members(), [&](const Member &Other) {
         return Other.Voter_ && Other.Id_ != Target.Id_;
       });
-  if (Remove)
-    return Row && OtherVoter;
-  if (!Target.Store_)
-    return false;
-  if (!Target.Voter_)
-    return OtherVoter;
+  if (Remove && !Row)
+    return ChangeObstacle::UnknownMember;
+  if (!Remove && !Target.Store_)
+    return ChangeObstacle::UnknownStore;
+  if ((Remove || !Target.Voter_) && !OtherVoter)
+    return ChangeObstacle::LastVoter;
+  if (Remove || !Target.Voter_)
+    return std::nullopt;
   if (!Row || Row->Store_ != Target.Store_)
-    return false;
-  const auto Progress = Peers_.find(Target.Id_);
-  return Row->Voter_ ||
-         (Progress != Peers_.end() &&
-          Progress->second.Match_.Value_ + MaxPromotionLagRecords >=
-              Commit_.Value_ &&
-          Progress->second.Match_);
+    return ChangeObstacle::NotLearner;
+  if (!Row->Voter_ && !hasCaughtUp(Target.Id_))
+    return ChangeObstacle::NotCaughtUp;
+  return std::nullopt;
+}
+
+bool RaftCore::hasCaughtUp(ReplicaId Id) const {
+  const auto Progress = Peers_.find(Id);
+  return Progress != Peers_.end() && Progress->second.Match_ &&
+         Progress->second.Match_.Value_ + MaxPromotionLagRecords >=
+             Commit_.Value_;
 }
 
 /// Only records of the present term are committed by counting; they carry
--- a/src/consensus/RaftCore.h
+++ b/src/consensus/RaftCore.h
@@ -67,6 +67,8 @@
   void propose(std::string Command, ProposeHandler Done);
   void readBarrier(ReadHandler Done);
   void changeMember(Member Target, bool Remove, ProposeHandler Done);
+  std::optional<ChangeObstacle> changeObstacle(Member Target,
+                                               bool Remove) const;
   void transferLeadership();
 
   void visitUnapplied(
@@ -168,7 +170,7 @@
   void applyRecord(const Record &Value);
   void finishBarriers();
   void failPending();
-  bool changeIsAllowed(const Member &Target, bool Remove) const;
+  bool hasCaughtUp(ReplicaId Id) const;
 
   ReplicatedLogOptions Options_;
   std::unique_ptr<Storage> Disk_;
--- a/src/consensus/ReplicatedLog.cpp
+++ b/src/consensus/ReplicatedLog.cpp
@@ -35,6 +35,11 @@
   Impl_->Core_.changeMember(std::move(Target), Remove, std::move(Done));
 }
 
+std::optional<ChangeObstacle>
+ReplicatedLog::changeObstacle(const Member &Target, bool Remove) const {
+  return Impl_->Core_.changeObstacle(Target, Remove);
+}
+
 void ReplicatedLog::transferLeadership() { Impl_->Core_.transferLeadership(); }
 
 void ReplicatedLog::visitUnapplied(
--- a/src/control/GroupKeeper.cpp
+++ b/src/control/GroupKeeper.cpp
@@ -4,8 +4,19 @@
 
 namespace dragonfly::control {
 
+using consensus::ChangeObstacle;
 using consensus::ProposeStatus;
 
+namespace {
+
+std::string_view roleOf(const GroupChange &Change) {
+  if (Change.Remove_)
+    return "none";
+  return Change.Target_.Voter_ ? "voter" : "learner";
+}
+
+} // namespace
+
 void GroupKeeper::lead(TimePoint Now) {
   LeaderSince_ = Now;
   Seen_.clear();
@@ -25,6 +36,7 @@
                                       LeaderSince_, Now, Refused_);
   if (!Change)
     return;
+  noteDelay(*Change, Log_.changeObstacle(Change->Target_, Change->Remove_));
   ChangeInProgress_ = true;
   Log_.changeMember(
       Change->Target_, Change->Remove_,
@@ -34,6 +46,16 @@
       });
 }
 
+void GroupKeeper::noteDelay(const GroupChange &Change,
+                            std::optional<ChangeObstacle> Obstacle) {
+  if (Obstacle && Obstacle != LastObstacle_)
+    logEvent(Event::MemberChangeDelayed,
+             {{"replica", Change.Target_.Id_.Value_},
+              {"role", roleOf(Change)},
+              {"reason", enumName(*Obstacle)}});
+  LastObstacle_ = Obstacle;
+}
+
 void GroupKeeper::finishChange(TimePoint RetryAt, const GroupChange &Change,
                                ProposeStatus Status) {
   ChangeInProgress_ = false;
@@ -44,9 +66,7 @@
   }
   logEvent(Event::MemberChanged, {{"replica", Change.Target_.Id_.Value_},
                                   {"store", Change.Target_.Store_.Value_},
-                                  {"role", Change.Remove_          ? "none"
-                                           : Change.Target_.Voter_ ? "voter"
-                                                                   : "learner"},
+                                  {"role", roleOf(Change)},
                                   {"address", Change.Target_.Address_}});
 }
 
--- a/src/control/GroupKeeper.h
+++ b/src/control/GroupKeeper.h
@@ -8,6 +8,7 @@
 #include "dragonfly/wire/Messages.h"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace dragonfly::control {
@@ -25,6 +26,9 @@
   void tick(TimePoint Now, const GroupPlanOptions &Options);
 
 private:
+  /// Logs why \p Change has to wait, once for each reason.
+  void noteDelay(const GroupChange &Change,
+                 std::optional<consensus::ChangeObstacle> Obstacle);
   void finishChange(TimePoint RetryAt, const GroupChange &Change,
                     consensus::ProposeStatus Status);
 
@@ -35,6 +39,7 @@
   std::vector<ReplicaId> Refused_;
   TimePoint RefusedUntil_;
   bool ChangeInProgress_ = false;
+  std::optional<consensus::ChangeObstacle> LastObstacle_;
 };
 
 } // namespace dragonfly::control
