Promote a learner as soon as it has caught up

Cause: GroupKeeper took a refused change for a failed one and passed the replica over for 1.5 s. A learner that was admitted a moment ago is always refused, since nothing has reached it yet; until the next attempt two voters of two are needed.

Change: the keeper proposes only what ReplicatedLog::changeObstacle lets pass, and looks again with each tick. While one learner lags another one may be promoted.

Measured: GroupRepairTest fails before with 1,430 ms (300 allowed) and passes.

Walked: promotion in place of an absent voter and beside one (GroupPlanTest), several learners, changes that fail with their leader. The planner's test keeps its checks; what it lists are now learners that lag, not replicas whose change failed.

--- a/include/dragonfly/control/GroupPlan.h
+++ b/include/dragonfly/control/GroupPlan.h
@@ -47,13 +47,13 @@
 /// \p Seen has no entry for replicas that were never seen. \p LeaderSince is
 /// when this replica became leader; absence is counted from then at the
 /// earliest.
-/// \p Refused lists replicas whose last change failed; they are not promoted.
+/// \p Lagging lists learners that cannot be promoted yet.
 std::optional<GroupChange>
 planGroupChange(const GroupPlanOptions &Options,
                 const std::vector<consensus::Member> &Members,
                 const std::map<ReplicaId, ReplicaSighting> &Seen,
                 TimePoint LeaderSince, TimePoint Now,
-                const std::vector<ReplicaId> &Refused = {});
+                const std::vector<ReplicaId> &Lagging = {});
 
 } // namespace dragonfly::control
 
--- a/src/control/GroupKeeper.cpp
+++ b/src/control/GroupKeeper.cpp
@@ -2,6 +2,10 @@
 
 #include "dragonfly/base/Log.h"
 
+#include <string_view>
+#include <utility>
+#include <vector>
+
 namespace dragonfly::control {
 
 using consensus::ChangeObstacle;
@@ -30,40 +34,50 @@
 void GroupKeeper::tick(TimePoint Now, const GroupPlanOptions &Options) {
   if (ChangeInProgress_)
     return;
-  if (Now >= RefusedUntil_)
-    Refused_.clear();
-  const auto Change = planGroupChange(Options, Log_.members(), Seen_,
-                                      LeaderSince_, Now, Refused_);
+  const auto Change = nextChange(Now, Options);
   if (!Change)
     return;
-  noteDelay(*Change, Log_.changeObstacle(Change->Target_, Change->Remove_));
   ChangeInProgress_ = true;
   Log_.changeMember(
       Change->Target_, Change->Remove_,
-      [this, Change = *Change, RetryAt = Now + Options.PresentTime_](
-          const consensus::ProposeResult &Result) {
-        finishChange(RetryAt, Change, Result.Status_);
+      [this, Change = *Change](const consensus::ProposeResult &Result) {
+        finishChange(Change, Result.Status_);
       });
 }
 
+std::optional<GroupChange>
+GroupKeeper::nextChange(TimePoint Now, const GroupPlanOptions &Options) {
+  std::vector<ReplicaId> Lagging;
+  while (const auto Change = planGroupChange(Options, Log_.members(), Seen_,
+                                             LeaderSince_, Now, Lagging)) {
+    const auto Obstacle = Log_.changeObstacle(Change->Target_, Change->Remove_);
+    if (!Obstacle) {
+      LastObstacle_.reset();
+      return Change;
+    }
+    noteDelay(*Change, *Obstacle);
+    // Until a learner has caught up, another one may be promoted.
+    if (*Obstacle != ChangeObstacle::NotCaughtUp)
+      return std::nullopt;
+    Lagging.push_back(Change->Target_.Id_);
+  }
+  return std::nullopt;
+}
+
 void GroupKeeper::noteDelay(const GroupChange &Change,
-                            std::optional<ChangeObstacle> Obstacle) {
-  if (Obstacle && Obstacle != LastObstacle_)
-    logEvent(Event::MemberChangeDelayed,
-             {{"replica", Change.Target_.Id_.Value_},
-              {"role", roleOf(Change)},
-              {"reason", enumName(*Obstacle)}});
-  LastObstacle_ = Obstacle;
+                            ChangeObstacle Obstacle) {
+  if (std::exchange(LastObstacle_, Obstacle) == Obstacle)
+    return;
+  logEvent(Event::MemberChangeDelayed, {{"replica", Change.Target_.Id_.Value_},
+                                        {"role", roleOf(Change)},
+                                        {"reason", enumName(Obstacle)}});
 }
 
-void GroupKeeper::finishChange(TimePoint RetryAt, const GroupChange &Change,
+void GroupKeeper::finishChange(const GroupChange &Change,
                                ProposeStatus Status) {
   ChangeInProgress_ = false;
-  if (Status != ProposeStatus::Committed) {
-    Refused_.push_back(Change.Target_.Id_);
-    RefusedUntil_ = RetryAt;
+  if (Status != ProposeStatus::Committed)
     return;
-  }
   logEvent(Event::MemberChanged, {{"replica", Change.Target_.Id_.Value_},
                                   {"store", Change.Target_.Store_.Value_},
                                   {"role", roleOf(Change)},
--- a/src/control/GroupKeeper.h
+++ b/src/control/GroupKeeper.h
@@ -9,7 +9,6 @@
 
 #include <map>
 #include <optional>
-#include <vector>
 
 namespace dragonfly::control {
 
@@ -26,18 +25,16 @@
   void tick(TimePoint Now, const GroupPlanOptions &Options);
 
 private:
+  /// Returns the next change that the log would propose now, if any.
+  std::optional<GroupChange> nextChange(TimePoint Now,
+                                        const GroupPlanOptions &Options);
   /// Logs why \p Change has to wait, once for each reason.
-  void noteDelay(const GroupChange &Change,
-                 std::optional<consensus::ChangeObstacle> Obstacle);
-  void finishChange(TimePoint RetryAt, const GroupChange &Change,
-                    consensus::ProposeStatus Status);
+  void noteDelay(const GroupChange &Change, consensus::ChangeObstacle Obstacle);
+  void finishChange(const GroupChange &Change, consensus::ProposeStatus Status);
 
   consensus::ReplicatedLog &Log_;
   TimePoint LeaderSince_;
   std::map<ReplicaId, ReplicaSighting> Seen_;
-  /// Replicas whose last change failed, as when a learner has not caught up.
-  std::vector<ReplicaId> Refused_;
-  TimePoint RefusedUntil_;
   bool ChangeInProgress_ = false;
   std::optional<consensus::ChangeObstacle> LastObstacle_;
 };
--- a/src/control/GroupPlan.cpp
+++ b/src/control/GroupPlan.cpp
@@ -13,9 +13,9 @@
   Planner(const GroupPlanOptions &Options, const std::vector<Member> &Members,
           const std::map<ReplicaId, ReplicaSighting> &Seen,
           TimePoint LeaderSince, TimePoint Now,
-          const std::vector<ReplicaId> &Refused)
+          const std::vector<ReplicaId> &Lagging)
       : Options_(Options), Members_(Members), Seen_(Seen),
-        LeaderSince_(LeaderSince), Now_(Now), Refused_(Refused) {}
+        LeaderSince_(LeaderSince), Now_(Now), Lagging_(Lagging) {}
 
   std::optional<GroupChange> plan() const {
     if (auto Change = admitNewStore())
@@ -91,7 +91,7 @@
     const auto Row =
         std::ranges::find_if(Members_, [this](const Member &Candidate) {
           return !Candidate.Voter_ && isPresent(Candidate) &&
-                 std::ranges::find(Refused_, Candidate.Id_) == Refused_.end();
+                 std::ranges::find(Lagging_, Candidate.Id_) == Lagging_.end();
         });
     return Row == Members_.end() ? nullptr : &*Row;
   }
@@ -120,7 +120,7 @@
   const std::map<ReplicaId, ReplicaSighting> &Seen_;
   TimePoint LeaderSince_;
   TimePoint Now_;
-  const std::vector<ReplicaId> &Refused_;
+  const std::vector<ReplicaId> &Lagging_;
 };
 
 } // namespace
@@ -128,8 +128,8 @@
 std::optional<GroupChange> planGroupChange(
     const GroupPlanOptions &Options, const std::vector<Member> &Members,
     const std::map<ReplicaId, ReplicaSighting> &Seen, TimePoint LeaderSince,
-    TimePoint Now, const std::vector<ReplicaId> &Refused) {
-  return Planner(Options, Members, Seen, LeaderSince, Now, Refused).plan();
+    TimePoint Now, const std::vector<ReplicaId> &Lagging) {
+  return Planner(Options, Members, Seen, LeaderSince, Now, Lagging).plan();
 }
 
 } // namespace dragonfly::control
--- a/tests/control/GroupPlanTest.cpp
+++ b/tests/control/GroupPlanTest.cpp
@@ -38,8 +38,8 @@
 std::optional<GroupChange>
 plan(const std::vector<Member> &Members,
      const std::map<ReplicaId, ReplicaSighting> &Seen, TimePoint Now,
-     const std::vector<ReplicaId> &Refused = {}) {
-  return planGroupChange({.Self_ = Self}, Members, Seen, Start, Now, Refused);
+     const std::vector<ReplicaId> &Lagging = {}) {
+  return planGroupChange({.Self_ = Self}, Members, Seen, Start, Now, Lagging);
 }
 
 const std::vector<Member> CompleteGroup{member(1), member(2), member(3),
@@ -98,8 +98,7 @@
   CHECK_FALSE(plan(CompleteGroup, {}, Start + seconds(10)));
 }
 
-TEST_CASE("a learner whose promotion failed is not chosen again",
-          "[control][group]") {
+TEST_CASE("a learner that lags is not promoted", "[control][group]") {
   const TimePoint Now = Start + seconds(3);
   auto Seen = allSeen(Now);
   Seen[{3}].SeenAt_ = Start;
--- /dev/null
+++ b/tests/control/GroupRepairTest.cpp
@@ -0,0 +1,98 @@
+/// What the group bears while its leader replaces a replica that lost its disk.
+#include "control/ServiceCluster.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+namespace dragonfly::control {
+namespace {
+
+using namespace std::chrono_literals;
+
+PutList change(std::uint64_t Expected, std::string Id) {
+  return {settings::ListName::Plans, {Expected}, std::move(Id), "gold"};
+}
+
+/// Returns whether the leader has committed that replica \p I votes with the
+/// data folder that it has now, as the replica knows.
+bool votes(ServiceCluster &Cluster, std::size_t I) {
+  const consensus::ReplicatedLog &Log = Cluster.node(I).log();
+  const consensus::ReplicatedLog &Leader = Cluster.node(Cluster.leader()).log();
+  return Log.commitIndex() == Leader.commitIndex() &&
+         std::ranges::any_of(Log.members(), [&](const consensus::Member &Row) {
+           return Row.Id_ == ReplicaId{I + 1} && Row.Voter_ &&
+                  Row.Store_ == Log.store();
+         });
+}
+
+bool isLearner(ServiceCluster &Cluster, std::size_t I) {
+  const auto &Members = Cluster.node(Cluster.leader()).log().members();
+  return std::ranges::any_of(Members, [&](const consensus::Member &Row) {
+    return Row.Id_ == ReplicaId{I + 1} && !Row.Voter_;
+  });
+}
+
+std::size_t follower(ServiceCluster &Cluster) {
+  return Cluster.leader() == 0 ? 1 : 0;
+}
+
+/// Returns the time until replica \p I votes, or nothing after \p Limit.
+std::optional<Duration> timeUntilVotes(ServiceCluster &Cluster, std::size_t I,
+                                       Duration Limit) {
+  const TimePoint Began = Cluster.now();
+  for (; Cluster.now() - Began < Limit; Cluster.run(10ms))
+    if (votes(Cluster, I))
+      return Cluster.now() - Began;
+  return std::nullopt;
+}
+
+} // namespace
+
+// Guards against LOST: a replica that came back with an empty disk stayed a
+// learner for 1.5 s after it had caught up. A second disk that was lost
+// meanwhile left one voter of two, and the group never elected a leader again.
+TEST_CASE("a replica that lost its disk votes as soon as it has caught up",
+          "[control][group]") {
+  ServiceCluster Cluster;
+  Cluster.repairGroup();
+  REQUIRE(Cluster.put(Cluster.leader(), change(1, "a")));
+  const std::size_t Wiped = follower(Cluster);
+  const std::size_t Leader = Cluster.leader();
+  Cluster.loseDisk(Wiped);
+  while (!isLearner(Cluster, Wiped))
+    Cluster.run(2ms);
+  // What the new learner acknowledges takes longer than the next look at the
+  // members.
+  Cluster.cut(Wiped, Leader);
+  Cluster.run(100ms);
+  Cluster.heal();
+  const auto Took = timeUntilVotes(Cluster, Wiped, 5s);
+  REQUIRE(Took);
+  // The leader sends again after half an election timeout.
+  CHECK(*Took <= 300ms);
+
+  SECTION("and then the disk of the leader may be lost") {
+    const std::size_t Second = Cluster.leader();
+    Cluster.loseDisk(Second);
+    REQUIRE(timeUntilVotes(Cluster, Second, 10s));
+  }
+  SECTION("and then the other disk may be lost while all others are down") {
+    const std::size_t Second = 3 - Wiped - Cluster.leader();
+    for (std::size_t I = 0; I < 3; ++I)
+      Cluster.kill(I);
+    Cluster.run(1s);
+    for (std::size_t I = 0; I < 3; ++I)
+      if (I != Second)
+        Cluster.start(I);
+    Cluster.loseDisk(Second);
+    REQUIRE(timeUntilVotes(Cluster, Second, 10s));
+  }
+  CHECK(Cluster.node(Cluster.leader())
+            .state()
+            .lists()
+            .list(settings::ListName::Plans)
+            .Version_ == ListVersion{2});
+}
+
+} // namespace dragonfly::control
--- a/tests/control/ServiceCluster.h
+++ b/tests/control/ServiceCluster.h
@@ -41,6 +41,16 @@
       loseDisk(I);
   }
 
+  /// From now on leaders change the group's members themselves, and replicas
+  /// announce themselves to them.
+  void repairGroup() {
+    RepairsGroup_ = true;
+    for (std::size_t I = 0; I < Nodes_.size(); ++I) {
+      kill(I);
+      start(I);
+    }
+  }
+
   void start(std::size_t I) {
     Nodes_[I].Service_ = std::make_unique<ControlService>(
         optionsOf(I), bench::openMemoryStorage(Nodes_[I].Disk_), Now_);
@@ -72,6 +82,8 @@
     for (const TimePoint End = Now_ + By; Now_ < End;) {
       Now_ += Step;
       deliver();
+      if (RepairsGroup_ && Now_ >= AnnounceAt_)
+        announceReplicas();
       for (Node &Each : Nodes_)
         if (Each.Service_)
           Each.Service_->tick(Now_);
@@ -162,11 +174,27 @@
                                    .OperatorAddress_ = Address + ":7001"});
     }
     Options.Machine_.Validator_ = Validator_;
+    Options.RepairsGroup_ = RepairsGroup_;
     Options.LeaseTerm_ = Term;
     Options.DriftMargin_ = Margin;
     return Options;
   }
 
+  void announceReplicas() {
+    AnnounceAt_ = Now_ + AnnouncePeriod;
+    for (std::size_t To = 0; To < Nodes_.size(); ++To)
+      for (std::size_t From = 0; From < Nodes_.size(); ++From)
+        if (Nodes_[To].Service_ && Nodes_[From].Service_ && To != From &&
+            !Cut_.contains({From, To}))
+          node(To).handle(Now_,
+                          wire::JoinGroup{.Id_ = {From + 1},
+                                          .Store_ = node(From).log().store(),
+                                          .Address_ = "127.0.2." +
+                                                      std::to_string(From + 1) +
+                                                      ":7000"},
+                          [](const wire::Message &) {});
+  }
+
   void deliver() {
     for (const RoutedBytes &Each : std::exchange(UnderWay_, {}))
       if (!Cut_.contains({Each.From_, Each.To_}) && Nodes_[Each.To_].Service_)
@@ -178,6 +206,9 @@
   std::vector<Node> Nodes_;
   std::vector<RoutedBytes> UnderWay_;
   std::set<std::pair<std::size_t, std::size_t>> Cut_;
+  static constexpr Duration AnnouncePeriod = std::chrono::milliseconds(500);
+  bool RepairsGroup_ = false;
+  TimePoint AnnounceAt_;
   std::uint64_t Stores_ = 0;
   std::uint64_t Beats_ = 0;
 };
