Give up unconfirmed starts when a worker announces that it leaves

Cause: the agent asked whether a worker drains when it took an order. A start that got no answer waited in the book while the worker was silent, and was repeated with its first answer, whatever had been announced meanwhile.

Change: the notice gives up what is not confirmed (RunBook::giveUpStarts): never sent, so not started; sent without an answer, settled by a stop; an open call may still be confirmed. No start leaves while the worker drains.

Ruled out from the log: a placement after the notice (the last is 1.1 s before it) and a late execution of the first call.

--- a/include/dragonfly/agent/RunBook.h
+++ b/include/dragonfly/agent/RunBook.h
@@ -58,13 +58,16 @@
   void order(TimePoint Now, wire::StartOrder Order);
   /// Takes an order to stop a run, known or not: it must not appear later.
   void stop(TimePoint Now, const jobs::RunName &Run);
+  /// Gives up the starts that the worker has not confirmed. One that was never
+  /// sent has not started; the others are settled by a stop.
+  void giveUpStarts(TimePoint Now);
   /// Adds to a listed run what its order would have told.
   void describe(const wire::StartOrder &Order);
   /// Ends a run that was never ordered from the worker.
   void refuse(const jobs::RunName &Run);
 
   /// Returns the calls that are due and marks them as open. Starts stay due
-  /// unless \p MayStart: without a lease the worker would refuse them.
+  /// unless \p MayStart.
   std::vector<DueCall> takeDueCalls(TimePoint Now, bool MayStart);
   /// When the next call is due, or nothing.
   std::optional<TimePoint> nextCallAt() const;
--- a/src/agent/RunBook.cpp
+++ b/src/agent/RunBook.cpp
@@ -28,6 +28,22 @@
     beginStop(Now, Each);
 }
 
+void RunBook::giveUpStarts(TimePoint Now) {
+  std::vector<RunName> NeverSent;
+  for (auto &[Run, Each] : Rows_) {
+    if (Each.Phase_ != RunPhase::Starting || Each.ConfirmedAt_)
+      continue;
+    if (Each.Tries_ == 0)
+      NeverSent.push_back(Run);
+    else if (Each.CallOpen_)
+      Each.Tries_ = Options_.MaxStartTries_;
+    else
+      beginStop(Now, Each);
+  }
+  for (const RunName &Run : NeverSent)
+    endRun(Run, RunEnd::NotStarted);
+}
+
 void RunBook::describe(const wire::StartOrder &Order) {
   const auto It = Rows_.find(Order.Run_);
   if (It == Rows_.end())
--- a/src/agent/WorkerAgentCalls.cpp
+++ b/src/agent/WorkerAgentCalls.cpp
@@ -101,7 +101,8 @@
   const TimePoint Now = Clock::now();
   // The lease may have run out since the order came, in a pause of this process
   // or behind a cut.
-  const bool MayStart = !Silent_ && Lease_.left(Now) >= Options_.LeastLease_;
+  const bool MayStart = !Silent_ && !Worker_.Draining_ &&
+                        Lease_.left(Now) >= Options_.LeastLease_;
   for (const DueCall &Due : Book_.takeDueCalls(Now, MayStart))
     if (Due.Kind_ == DueCall::Kind::Start)
       callStart(Due.Run_);
--- a/src/agent/WorkerAgentIdentity.cpp
+++ b/src/agent/WorkerAgentIdentity.cpp
@@ -65,7 +65,9 @@
   Worker_.Draining_ = Value.Draining_ || Departed_;
   if (BeginsToDrain) {
     logEvent(Event::WorkerDraining, {{"worker", Worker_.Worker_}});
+    Book_.giveUpStarts(Clock::now());
     sendReport();
+    pump();
   }
 }
 
--- a/tests/agent/RunBookTest.cpp
+++ b/tests/agent/RunBookTest.cpp
@@ -73,6 +73,51 @@
   CHECK(Book.takeDueCalls(Start, true).size() == 1);
 }
 
+// Guards against DRAIN: a start that had got no answer was tried again seconds
+// after its worker had announced that it leaves.
+TEST_CASE("a start that is given up is not tried again", "[agent][runs]") {
+  RunBook Book;
+  const TimePoint Again = Start + seconds(3);
+  SECTION("one that was never sent has not started") {
+    Book.order(Start, order(run(1)));
+    Book.giveUpStarts(Start);
+    REQUIRE(Book.pendingEnds() == 1);
+    CHECK(Book.endReports().front().How_ == RunEnd::NotStarted);
+    CHECK(Book.takeDueCalls(Again, true).empty());
+  }
+  SECTION("one without an answer is settled by a stop") {
+    Book = ordered(run(1));
+    Book.startAnswered(Start, run(1), StartStatus::NoAnswer);
+    Book.giveUpStarts(Start);
+    const auto Due = Book.takeDueCalls(Again, true);
+    REQUIRE(Due.size() == 1);
+    CHECK(Due.front().Kind_ == DueCall::Kind::Stop);
+    CHECK(Book.pendingEnds() == 0);
+  }
+  SECTION("one whose call is open may still be confirmed") {
+    Book = ordered(run(1));
+    Book.giveUpStarts(Start);
+    Book.startAnswered(Start, run(1), StartStatus::Started);
+    CHECK(Book.runReports().front().Phase_ == RunPhase::Running);
+    CHECK(Book.takeDueCalls(Again, true).empty());
+  }
+  SECTION("one whose call is open is not tried after it") {
+    Book = ordered(run(1));
+    Book.giveUpStarts(Start);
+    Book.startAnswered(Start, run(1), StartStatus::NoAnswer);
+    const auto Due = Book.takeDueCalls(Again, true);
+    REQUIRE(Due.size() == 1);
+    CHECK(Due.front().Kind_ == DueCall::Kind::Stop);
+  }
+  SECTION("a confirmed run goes on") {
+    Book = ordered(run(1));
+    Book.startAnswered(Start, run(1), StartStatus::Started);
+    Book.giveUpStarts(Start);
+    CHECK(Book.takeDueCalls(Again, true).empty());
+    CHECK(Book.runReports().front().Phase_ == RunPhase::Running);
+  }
+}
+
 TEST_CASE("an end that is listed again counts once", "[agent][runs]") {
   RunBook Book = ordered(run(1));
   Book.startAnswered(Start, run(1), StartStatus::Started);
--- a/tests/agent/WorkerAgentTest.cpp
+++ b/tests/agent/WorkerAgentTest.cpp
@@ -240,6 +240,31 @@
   CHECK(On.Worker_->isRunning(makeRun(7)));
 }
 
+// Guards against DRAIN: a worker was silent for seconds and had announced
+// meanwhile that it leaves. Once it answered, its agent repeated a start.
+TEST_CASE("nothing is started on a worker that has announced that it leaves",
+          "[agent][worker]") {
+  AgentFixture On;
+  On.startRuns(1);
+  On.Worker_->setSilent(true);
+  On.Leader_->order({.Starts_ = {{.Run_ = makeRun(7)}}});
+  On.run(milliseconds(1000));
+  WorkerAnnouncement Draining = On.Worker_->announce();
+  Draining.Draining_ = true;
+  On.announce(Draining);
+  On.run(milliseconds(500));
+  On.Worker_->setSilent(false);
+  bool Started = false;
+  On.runUntil(
+      [&] { return Started = Started || On.Worker_->isRunning(makeRun(7)); },
+      seconds(4));
+  CHECK_FALSE(Started);
+  CHECK(On.Worker_->isRunning(makeRun(0)));
+  REQUIRE(On.Leader_->Ends_.size() == 1);
+  CHECK(On.Leader_->Ends_.front().Run_ == makeRun(7));
+  CHECK(On.Leader_->Ends_.front().How_ == jobs::RunEnd::NotStarted);
+}
+
 // Guards against LOST: an agent whose token the worker refuses kept the session
 // with that token for as long as the leader did.
 TEST_CASE("an agent whose token is refused registers anew", "[agent][worker]") {
