Give up unconfirmed starts when a session begins

Cause: a start that got no answer stayed in the agent's book across sessions. While no session was open nobody could stop it, and once the worker answered again it was repeated, although its job might have been cancelled at another leader since. The lease bounded that to 4 s, which is longer than the 3 s in which a cancel takes effect.

Change: a start leaves only while a session is open, and a new session gives up what its predecessor has not had confirmed. Control orders again what is still wanted.

Measured: "a start of an earlier session is not tried again" fails before, in both halves, and passes; the next order in the new session is carried out within 100 ms.

--- a/src/agent/WorkerAgent.cpp
+++ b/src/agent/WorkerAgent.cpp
@@ -59,6 +59,9 @@
     Listed_ = false;
     ListedAll_ = false;
     Known_.clear();
+    // A cancel that was recorded between the sessions has not reached this
+    // agent. Control orders again what is still wanted.
+    Book_.giveUpStarts(Now);
     NextHoldAt_ = Now;
   }
   for (const wire::Disturbance &Row : Orders.Disturbances_)
--- a/src/agent/WorkerAgentCalls.cpp
+++ b/src/agent/WorkerAgentCalls.cpp
@@ -99,9 +99,9 @@
   if (!mayCall() || !Lease_.knowsClock())
     return;
   const TimePoint Now = Clock::now();
-  // The lease may have run out since the order came, in a pause of this process
-  // or behind a cut.
-  const bool MayStart = !Silent_ && !Worker_.Draining_ &&
+  // The lease or the session may have ended since the order came, in a pause of
+  // this process or behind a cut.
+  const bool MayStart = !Silent_ && !Worker_.Draining_ && Session_ != 0 &&
                         Lease_.left(Now) >= Options_.LeastLease_;
   for (const DueCall &Due : Book_.takeDueCalls(Now, MayStart))
     if (Due.Kind_ == DueCall::Kind::Start)
--- a/tests/agent/WorkerAgentTest.cpp
+++ b/tests/agent/WorkerAgentTest.cpp
@@ -265,6 +265,32 @@
   CHECK(On.Leader_->Ends_.front().How_ == jobs::RunEnd::NotStarted);
 }
 
+// Guards against UNASKED: what is cancelled between two sessions is stopped in
+// the later one, while a start of the earlier one was tried again there.
+TEST_CASE("a start of an earlier session is not tried again",
+          "[agent][worker]") {
+  AgentFixture On;
+  On.startRuns(1);
+  On.Worker_->setSilent(true);
+  On.Leader_->order({.Starts_ = {{.Run_ = makeRun(7)}}});
+  On.run(milliseconds(1000));
+  On.Leader_->refuseSession();
+  On.Worker_->setSilent(false);
+  bool Started = false;
+  On.runUntil(
+      [&] { return Started = Started || On.Worker_->isRunning(makeRun(7)); },
+      seconds(4));
+  CHECK_FALSE(Started);
+  REQUIRE(On.Leader_->Hellos_.size() == 2);
+  // Back to work: the next order is carried out at once.
+  On.Leader_->order({.Starts_ = {{.Run_ = makeRun(8)}}});
+  const auto Took = On.runUntil(
+      [&] { return On.Worker_->isRunning(makeRun(8)); }, seconds(2));
+  REQUIRE(Took);
+  CHECK(*Took <= milliseconds(100));
+  CHECK(On.Worker_->isRunning(makeRun(0)));
+}
+
 // Guards against LOST: an agent whose token the worker refuses kept the session
 // with that token for as long as the leader did.
 TEST_CASE("an agent whose token is refused registers anew", "[agent][worker]") {
