Give up tasks that crash worker after worker

Cause: JobTable::end counts only ends that the worker itself lists as failed. A run that takes its worker down ends with the lease or with the next worker on the VM, and counted nowhere.

Evidence: an agent that finds another life of its worker, or another worker, in place of one that had not announced that it leaves tells control which runs had begun less than 200 ms before the worker fell silent (wire::WorkerCrashed, until it is answered). Cuts, silence, notice and a loss of power with the agent are no evidence. Blame (CrashTable): suspects of an earlier crash take it from the others; a task is given up, and its job fails, after two crashes if nothing else had begun beside it at the second, after three if no other suspect had, after five in any case. What it explains is forgotten of the others; a listed end clears a task. Placement: suspects are spread and come away from recent starts; a third of a service's workers at most are closed to other starts for 450 ms, and only a task that is suspected twice waits for one.

Ruled out: counting every lost run (crash, cut, reclaim and power look alike at the leader) and refused connections as proof of a crash (a cut may refuse too).

--- a/include/dragonfly/agent/RunBook.h
+++ b/include/dragonfly/agent/RunBook.h
@@ -23,6 +23,9 @@
   /// Pause between tries of a start or a stop; the worker answers within
   /// milliseconds where it answers at all.
   Duration RetryDelay_ = std::chrono::milliseconds(150);
+  /// A run that is listed so long after its start has not crashed the worker by
+  /// starting. Lists arrive within milliseconds of being made.
+  Duration ProofTime_ = std::chrono::milliseconds(200);
 };
 
 /// A call to the worker that is due.
@@ -45,6 +48,11 @@
     /// The worker has confirmed that the run is there, or that it is stopped.
     std::optional<TimePoint> ConfirmedAt_;
     ListedRun Listed_;
+    /// When a run of this book was first known to be there.
+    std::optional<TimePoint> StartedAt_;
+    /// The worker has listed the run `ProofTime_` after its start, or before
+    /// this book began.
+    bool Proven_ = false;
     /// Share of full speed that the worker was last told, in percent.
     std::uint32_t SpeedPercent_ = 100;
   };
@@ -87,6 +95,8 @@
   void beginLife();
 
   const std::map<jobs::RunName, Row> &rows() const { return Rows_; }
+  /// Returns the runs that may have begun on the worker and are not proven.
+  std::vector<jobs::RunName> unprovenRuns() const;
   void setSpeed(const jobs::RunName &Run, std::uint32_t SpeedPercent);
   std::vector<wire::RunReport> runReports() const;
 
@@ -116,6 +126,7 @@
 
   void endRun(const jobs::RunName &Run, jobs::RunEnd How);
   void beginStop(TimePoint Now, Row &Each);
+  static bool mayHaveBegun(const Row &Each);
 
   RunBookOptions Options_;
   std::map<jobs::RunName, Row> Rows_;
--- a/include/dragonfly/base/Event.h
+++ b/include/dragonfly/base/Event.h
@@ -57,6 +57,7 @@
   RunMoved = 3025,
   RunRelocated = 3026,
   MemberChangeDelayed = 3027,
+  CrashSuspected = 3028,
   // consensus
   LeaderElected = 4001,
   LeaderLost = 4002,
--- a/include/dragonfly/control/Command.h
+++ b/include/dragonfly/control/Command.h
@@ -234,11 +234,18 @@
   template <typename Archive> void serialize(Archive &Ar) { Ar(Rows_); }
 };
 
+/// Records that a worker crashed under runs that had just begun.
+struct RecordCrash {
+  jobs::WorkerCrash Crash_;
+
+  template <typename Archive> void serialize(Archive &Ar) { Ar(Crash_); }
+};
+
 /// A type's position is its number in the log, so new types go at the end.
 using CommandBody =
     std::variant<PutList, ClaimRequests, MergeReceipts, AcceptTasks, PlaceTasks,
                  ReportTasks, LoseTasks, CancelTasks, ParkTasks, PutQueues,
-                 UpdateJobs, RecordImageLosses>;
+                 UpdateJobs, RecordImageLosses, RecordCrash>;
 
 /// One record of the log.
 struct Command {
--- a/include/dragonfly/control/JobService.h
+++ b/include/dragonfly/control/JobService.h
@@ -84,6 +84,8 @@
                           Reply Answer);
   void handleWorkerGone(TimePoint Now, const wire::WorkerGone &Notice,
                         Reply Answer);
+  /// Answers once the crash is recorded.
+  void handleWorkerCrashed(const wire::WorkerCrashed &Notice, Reply Answer);
 
 private:
   struct Impl;
--- a/include/dragonfly/control/StateMachine.h
+++ b/include/dragonfly/control/StateMachine.h
@@ -35,7 +35,9 @@
 /// the same state on every replica, so nothing here reads a clock.
 class StateMachine {
 public:
-  static constexpr std::uint32_t SnapshotFormat = 3;
+  static constexpr std::uint32_t SnapshotFormat = 4;
+  /// Format of snapshots without crashes of workers.
+  static constexpr std::uint32_t SnapshotFormatWithoutCrashes = 3;
   /// Format of snapshots without headroom losses of images.
   static constexpr std::uint32_t SnapshotFormatWithoutLosses = 2;
   /// Format of snapshots with neither jobs nor headroom losses of images.
@@ -79,6 +81,7 @@
   CommandOutput applyBody(const PutQueues &Body);
   CommandOutput applyBody(const UpdateJobs &Body);
   CommandOutput applyBody(const RecordImageLosses &Body);
+  CommandOutput applyBody(const RecordCrash &Body);
   void countEndedTask(const TaskRecord &Task);
 
   StateMachineOptions Options_;
--- a/include/dragonfly/decide/JobPlacement.h
+++ b/include/dragonfly/decide/JobPlacement.h
@@ -44,6 +44,12 @@
   /// Runs fail or stall more often than on other workers; used only where no
   /// other worker fits but one that the task avoids.
   bool Suspect_ = false;
+  /// Takes no further tasks for now.
+  bool Closed_ = false;
+  /// Was given a task a moment ago.
+  bool StartedRecently_ = false;
+  /// Tasks that may crash it, placed in this round.
+  std::uint32_t SuspectTasks_ = 0;
 };
 
 /// Requirements of one task on its worker.
@@ -71,12 +77,16 @@
   /// The task runs on `AvoidedWorker_` and is to move: only another worker that
   /// is not suspect fits, with enough headroom not to throttle the task again.
   bool IsMove_ = false;
+  /// The task may crash its worker. Such tasks are spread, and away from recent
+  /// starts, so that few are suspected of one crash.
+  bool IsSuspect_ = false;
 };
 
 /// Number of workers on which a task cannot be placed, by the first reason that
 /// applies.
 struct PlacementObstacles {
   std::uint64_t OtherService_ = 0;
+  std::uint64_t Closed_ = 0;
   std::uint64_t Label_ = 0;
   std::uint64_t TooManyOfStep_ = 0;
   std::uint64_t Memory_ = 0;
@@ -122,6 +132,9 @@
   std::optional<std::size_t> placeReserved(const PlacementRequest &Task,
                                            std::size_t Index);
 
+  /// Places nothing more on the worker \p Index.
+  void close(std::size_t Index) { Workers_[Index].Closed_ = true; }
+
   /// Counts why each worker cannot run \p Task. Valid only after `place` has
   /// found no worker for it.
   PlacementObstacles countObstacles(const PlacementRequest &Task) const;
--- a/include/dragonfly/jobs/JobTable.h
+++ b/include/dragonfly/jobs/JobTable.h
@@ -5,6 +5,7 @@
 
 #include "dragonfly/base/Ids.h"
 #include "dragonfly/jobs/Configuration.h"
+#include "dragonfly/jobs/CrashTable.h"
 #include "dragonfly/jobs/Job.h"
 
 #include <cstdint>
@@ -12,6 +13,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace dragonfly::jobs {
@@ -166,6 +168,8 @@
   /// Returns false where the row has no effect.
   bool start(const StartRow &Row);
   bool end(Duration At, const EndRow &Row);
+  /// Records the crash, and fails the jobs of tasks that are given up.
+  void recordCrash(Duration At, const WorkerCrash &Crash);
   /// Returns false where there is no such job.
   bool cancel(Duration At, const std::string &Job);
   /// Returns the fence of \p Life, which is a new one unless it is registered.
@@ -174,6 +178,9 @@
   bool forgetWorker(const std::string &Worker);
 
   const Configuration &configuration() const { return Configuration_; }
+  const CrashTable &crashes() const { return Crashes_; }
+  /// Takes what a snapshot holds beside the table.
+  void restoreCrashes(CrashTable Value) { Crashes_ = std::move(Value); }
   const JobRow *find(const std::string &Job) const;
   const WorkerRow *findWorker(const std::string &Worker) const;
   const std::map<std::string, WorkerRow> &workers() const { return Workers_; }
@@ -193,6 +200,8 @@
   }
 
 private:
+  /// Returns whether \p Run was started, and its task has not finished.
+  bool isOfUnfinishedTask(const RunName &Run) const;
   void forgetEnded(Duration At);
   void setReady(const JobRow &Job);
   void clearReady(const JobRow &Job);
@@ -206,6 +215,7 @@
   std::map<std::string, WorkerRow> Workers_;
   std::uint64_t LastSequence_ = 0;
   std::uint64_t LastFence_ = 0;
+  CrashTable Crashes_;
   std::set<ReadyStep> Ready_;
 };
 
--- a/include/dragonfly/wire/JobMessages.h
+++ b/include/dragonfly/wire/JobMessages.h
@@ -6,6 +6,7 @@
 #include "dragonfly/base/Ids.h"
 #include "dragonfly/base/Resources.h"
 #include "dragonfly/jobs/Configuration.h"
+#include "dragonfly/jobs/CrashTable.h"
 #include "dragonfly/jobs/Job.h"
 
 #include <chrono>
@@ -191,6 +192,12 @@
   std::uint64_t Born_ = 0;
 };
 
+/// Another life of the worker, or another worker, answers on its VM, and it had
+/// not announced that it leaves. Counts once, however often it is told.
+struct WorkerCrashed {
+  jobs::WorkerCrash Crash_;
+};
+
 // Group of control, over TCP.
 
 /// A replica makes itself known to the leader, to become or stay a member.
--- a/include/dragonfly/wire/Messages.h
+++ b/include/dragonfly/wire/Messages.h
@@ -344,16 +344,15 @@
 
 /// Every message; the position of a type is its number on the wire, so new
 /// types go at the end.
-using Message =
-    std::variant<Execute, ExecutePart, ExecuteResult, CancelExecute, Heartbeat,
-                 HeartbeatAck, FetchLists, Lists, FetchUpstreams, Upstreams,
-                 Claim, ClaimReply, ReceiptBatch, ReceiptAck, SubmitTask,
-                 QueryTask, CancelTask, TaskReply, FetchDirectives, Directives,
-                 TaskReports, TaskReportsAck, ReplicaTraffic, Refusal,
-                 SubmitJob, JobRequest, JobReply, QueueDepthRequest, QueueDepth,
-                 PutConfiguration, PutConfigurationAck, FetchConfiguration,
-                 CurrentConfiguration, WorkerHello, WorkerOrders, WorkerReport,
-                 WorkerReportAck, WorkerGone, JoinGroup, FetchGroup, Group>;
+using Message = std::variant<
+    Execute, ExecutePart, ExecuteResult, CancelExecute, Heartbeat, HeartbeatAck,
+    FetchLists, Lists, FetchUpstreams, Upstreams, Claim, ClaimReply,
+    ReceiptBatch, ReceiptAck, SubmitTask, QueryTask, CancelTask, TaskReply,
+    FetchDirectives, Directives, TaskReports, TaskReportsAck, ReplicaTraffic,
+    Refusal, SubmitJob, JobRequest, JobReply, QueueDepthRequest, QueueDepth,
+    PutConfiguration, PutConfigurationAck, FetchConfiguration,
+    CurrentConfiguration, WorkerHello, WorkerOrders, WorkerReport,
+    WorkerReportAck, WorkerGone, JoinGroup, FetchGroup, Group, WorkerCrashed>;
 
 } // namespace dragonfly::wire
 
--- a/src/agent/RunBook.cpp
+++ b/src/agent/RunBook.cpp
@@ -108,6 +108,8 @@
   case StartStatus::Started:
     Each.Phase_ = RunPhase::Running;
     Each.ConfirmedAt_ = Now;
+    if (!Each.StartedAt_)
+      Each.StartedAt_ = Now;
     return;
   case StartStatus::NoAnswer:
     Each.NextCallAt_ = Now + Options_.RetryDelay_;
@@ -173,7 +175,12 @@
     if (IsNew) {
       Each.ConfirmedAt_ = Now;
       Each.SpeedPercent_ = UnknownSpeed;
+      Each.Proven_ = true;
     }
+    if (!Each.StartedAt_)
+      Each.StartedAt_ = Now;
+    if (Now - *Each.StartedAt_ >= Options_.ProofTime_)
+      Each.Proven_ = true;
     if (Each.Phase_ == RunPhase::Starting)
       Each.Phase_ = RunPhase::Running;
     if (Each.Phase_ == RunPhase::Running && !Each.ConfirmedAt_)
@@ -219,6 +226,20 @@
                                    Ended.mapped().Listed_.Checkpoint_)}});
 }
 
+bool RunBook::mayHaveBegun(const Row &Each) {
+  const bool WasSent = Each.Phase_ == RunPhase::Starting &&
+                       !Each.ConfirmedAt_ && Each.Tries_ > 0;
+  return Each.StartedAt_ || Each.MayAppear_ || WasSent;
+}
+
+std::vector<RunName> RunBook::unprovenRuns() const {
+  std::vector<RunName> Result;
+  for (const auto &[Run, Each] : Rows_)
+    if (mayHaveBegun(Each) && !Each.Proven_)
+      Result.push_back(Run);
+  return Result;
+}
+
 void RunBook::setSpeed(const RunName &Run, std::uint32_t SpeedPercent) {
   if (const auto It = Rows_.find(Run); It != Rows_.end())
     It->second.SpeedPercent_ = SpeedPercent;
--- a/src/agent/WorkerAgent.cpp
+++ b/src/agent/WorkerAgent.cpp
@@ -105,6 +105,7 @@
   if (Now - ReportedAt_ >= Options_.ReportPeriod_)
     sendReport();
   pump();
+  reportCrash();
   retryProbe(Now);
   finishDeparture();
 }
--- a/src/agent/WorkerAgentCalls.cpp
+++ b/src/agent/WorkerAgentCalls.cpp
@@ -22,9 +22,7 @@
       // After silence another life may answer, with ends of its own.
       .LastDurableEnd_ = Silent_ ? 0 : Book_.endsToForget(),
       .LeaseUntil_ = Lease_.grant(Clock::now()),
-      .Wait_ = Prompt                 ? Duration::zero()
-               : Book_.rows().empty() ? Options_.IdleWait_
-                                      : Options_.BusyWait_};
+      .Wait_ = Prompt ? Duration::zero() : listWait()};
   Options_.Calls_.Hold_(
       Worker_.Worker_, Call,
       [Self = weak_from_this(), SentAt, Life = Life_, Fence = Fence_,
@@ -40,6 +38,14 @@
       });
 }
 
+Duration WorkerAgent::Impl::listWait() const {
+  if (Book_.rows().empty())
+    return Options_.IdleWait_;
+  return Book_.unprovenRuns().empty()
+             ? Options_.BusyWait_
+             : std::min(Options_.BusyWait_, Options_.Runs_.ProofTime_);
+}
+
 void WorkerAgent::Impl::holdAnswered(TimePoint SentAt, std::uint64_t Fence,
                                      std::uint64_t Session,
                                      const HoldAnswer &Answer) {
@@ -90,6 +96,7 @@
   Lease_.setSilent(Silent);
   if (std::exchange(Silent_, Silent) == Silent)
     return;
+  Suspects_ = Silent ? Book_.unprovenRuns() : std::vector<jobs::RunName>();
   logEvent(Silent ? Event::WorkerSilent : Event::WorkerAnswers,
            {{"worker", Worker_.Worker_}, {"runs", Book_.rows().size()}});
   sendReport();
--- a/src/agent/WorkerAgentIdentity.cpp
+++ b/src/agent/WorkerAgentIdentity.cpp
@@ -140,6 +140,8 @@
                                     {"born", Worker_.Born_},
                                     {"address", Worker_.Address_}});
   ++Life_;
+  if (Confirmed_ && !Before.Draining_)
+    noteCrash(Before);
   // What an announcement that never was confirmed left behind is not true of
   // any worker.
   if (Confirmed_)
@@ -149,6 +151,7 @@
   Confirmed_ = false;
   Lease_ = WorkerLease(Options_.Lease_, ProcessStart_);
   Silent_ = false;
+  Suspects_.clear();
   HoldOpen_ = false;
   Session_ = 0;
   Fence_ = 0;
@@ -163,6 +166,32 @@
   openSession();
 }
 
+void WorkerAgent::Impl::noteCrash(const WorkerAnnouncement &Crashed) {
+  if (!Silent_)
+    Suspects_ = Book_.unprovenRuns();
+  if (Suspects_.empty())
+    return;
+  Crashes_.push_back({{.Worker_ = Crashed.Worker_,
+                       .Born_ = Crashed.Born_,
+                       .Suspects_ = std::move(Suspects_)}});
+  reportCrash();
+}
+
+void WorkerAgent::Impl::reportCrash() {
+  if (Crashes_.empty() || std::exchange(CrashReportOpen_, true))
+    return;
+  Leader_.call(
+      Crashes_.front(), Options_.ReportTimeout_,
+      [Self = weak_from_this()](const link::LeaderResult &Result) {
+        const auto Agent = Self.lock();
+        if (!Agent)
+          return;
+        Agent->CrashReportOpen_ = false;
+        if (std::holds_alternative<wire::WorkerReportAck>(Result.Answer_))
+          Agent->Crashes_.pop_front();
+      });
+}
+
 void WorkerAgent::Impl::departed(const std::string &Worker) {
   if (Worker != Worker_.Worker_ || std::exchange(Departed_, true))
     return;
--- a/src/agent/WorkerAgentImpl.h
+++ b/src/agent/WorkerAgentImpl.h
@@ -9,9 +9,11 @@
 #include "dragonfly/link/LeaderClient.h"
 #include "dragonfly/net/EventLoop.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace dragonfly::agent {
 
@@ -72,6 +74,10 @@
   /// The worker ends once it has its answer, or some seconds later: until its
   /// lease is over, its runs may go on.
   void departed(const std::string &Worker);
+  /// Notes that the worker \p Crashed has been replaced without notice.
+  void noteCrash(const WorkerAnnouncement &Crashed);
+  /// Tells control of the oldest crash that it has not recorded.
+  void reportCrash();
   /// Tells control that a departed worker has no runs any more.
   void finishDeparture();
 
@@ -81,6 +87,8 @@
   bool mayCall() const { return Fence_ != 0; }
 
   void hold();
+  /// How long the worker may hold back its next list.
+  Duration listWait() const;
   void holdAnswered(TimePoint SentAt, std::uint64_t Fence,
                     std::uint64_t Session, const HoldAnswer &Answer);
   void noteSilence(bool Silent);
@@ -134,6 +142,12 @@
   bool Silent_ = false;
   /// The worker has said that it ends.
   bool Departed_ = false;
+  /// Unproven runs when the worker fell silent. If it has crashed, one of them
+  /// may be the cause.
+  std::vector<jobs::RunName> Suspects_;
+  /// Crashes that control has not recorded yet, oldest first.
+  std::deque<wire::WorkerCrashed> Crashes_;
+  bool CrashReportOpen_ = false;
   WorkerLease Lease_;
 
   bool ReportOpen_ = false;
--- a/src/base/Event.cpp
+++ b/src/base/Event.cpp
@@ -101,6 +101,9 @@
     {Event::MemberChangeDelayed, Severity::Info, "member-change-delayed",
      "A change of the group's members is due and cannot be made yet; the "
      "reason is given."},
+    {Event::CrashSuspected, Severity::Warning, "crash-suspected",
+     "A worker crashed soon after this run had begun there. A task that "
+     "remains suspect is given up, and its job fails."},
     {Event::LeaderElected, Severity::Info, "leader-elected",
      "This replica leads the replicated log in a new term."},
     {Event::LeaderLost, Severity::Warning, "leader-lost",
--- a/src/control/ControlService.cpp
+++ b/src/control/ControlService.cpp
@@ -334,6 +334,9 @@
   void serveRequest(const wire::WorkerGone &Request, Reply Answer) {
     Jobs_.handleWorkerGone(Now_, Request, std::move(Answer));
   }
+  void serveRequest(const wire::WorkerCrashed &Request, Reply Answer) {
+    Jobs_.handleWorkerCrashed(Request, std::move(Answer));
+  }
   void serveRequest(const wire::JoinGroup &Request, Reply Answer) {
     Group_.sighted(Now_, Request);
     Answer(group());
--- a/src/control/JobDispatcher.cpp
+++ b/src/control/JobDispatcher.cpp
@@ -38,6 +38,8 @@
 /// more than half of the processors are unreserved; the platform allows three
 /// seconds.
 constexpr Duration MaxStarvationTime = std::chrono::milliseconds(1200);
+/// A run that was ordered so long ago has shown that its worker bears it.
+constexpr Duration RecentStartTime = std::chrono::milliseconds(500);
 /// Limit of proposed starts in one tick; bounds the duration of a tick.
 constexpr std::size_t MaxStartsPerTick = 256;
 
@@ -92,6 +94,9 @@
                 .ProposedStartVersion_ = ProposedStartVersions_[Name],
                 .Worker_ = makePlacementWorker(Now, Session, *Row)};
     Cached.Worker_.Suspect_ = Suspicion_.isSuspect(Now, Name);
+    Cached.Worker_.Closed_ = Probation_.isClosed(Now, Name);
+    Cached.Worker_.StartedRecently_ =
+        Now - Session.LastStartAt_ < RecentStartTime;
     Workers.push_back(Cached.Worker_);
   }
   return Workers;
@@ -225,6 +230,9 @@
   std::erase_if(ProposedStartVersions_, [this](const auto &Entry) {
     return !Sessions_.sessions().contains(Entry.first);
   });
+  std::erase_if(SuspectSince_, [this](const auto &Entry) {
+    return !Table_.crashes().isSuspect(Entry.first);
+  });
   std::erase_if(IdleSince_, [this](const auto &Entry) {
     const JobRow *Job = Table_.find(Entry.first);
     return Job == nullptr || !Job->active();
@@ -275,6 +283,7 @@
   logEvent(Event::TaskWaits, {{"job", Ready.Job_},
                               {"step", Ready.Step_},
                               {"other_service", Obstacles.OtherService_},
+                              {"closed", Obstacles.Closed_},
                               {"label", Obstacles.Label_},
                               {"too_many_of_step", Obstacles.TooManyOfStep_},
                               {"memory", Obstacles.Memory_},
@@ -376,6 +385,12 @@
     RunName Next{{Job.Id_, Ready.Step_, Index}, Task.Run_ + 1};
     if (Task.Phase_ != TaskPhase::Waiting || ProposedStarts_.contains(Next))
       continue;
+    Need.IsSuspect_ = Table_.crashes().isSuspect(Next.Task_);
+    const bool MayClose =
+        Need.IsSuspect_ &&
+        Probation_.mayClose(Placement.workers(), Need.Service_);
+    if (Need.IsSuspect_ && !MayClose && mustWait(Now, Next.Task_))
+      continue;
     Need.AvoidedWorker_ = Task.Worker_;
     const auto Chosen = placeTask(Next.Task_, Need, Placement);
     if (!Chosen) {
@@ -385,6 +400,11 @@
     if (!Need.StepRunsPerWorker_.empty())
       ++Need.StepRunsPerWorker_[*Chosen];
     Relocator_.finish(Next.Task_);
+    SuspectSince_.erase(Next.Task_);
+    if (MayClose) {
+      Probation_.close(Now, Placement.workers()[*Chosen].Name_);
+      Placement.close(*Chosen);
+    }
     proposeStart(Now, Job, std::move(Next), Placement.workers()[*Chosen].Name_);
     Need.MayOvercommit_ = false;
     if (Batch_.record().Starts_.size() >= MaxStartsPerTick)
@@ -392,6 +412,13 @@
   }
 }
 
+/// Returns whether the suspect task goes on waiting for a worker that may be
+/// closed.
+bool JobDispatcher::mustWait(TimePoint Now, const jobs::TaskName &Task) {
+  const TimePoint Since = SuspectSince_.try_emplace(Task, Now).first->second;
+  return Probation_.mustWait(Table_.crashes().crashes(Task), Now - Since);
+}
+
 /// Places the task on the worker where room is reserved for it, if any.
 std::optional<std::size_t>
 JobDispatcher::placeTask(const jobs::TaskName &Task,
--- a/src/control/JobDispatcher.h
+++ b/src/control/JobDispatcher.h
@@ -9,6 +9,7 @@
 #include "control/WorkerInterference.h"
 #include "control/WorkerSessions.h"
 #include "dragonfly/decide/JobPlacement.h"
+#include "dragonfly/decide/WorkerProbation.h"
 #include "dragonfly/decide/WorkerSuspicion.h"
 
 #include <cstdint>
@@ -35,6 +36,8 @@
     ProposedStartVersions_.clear();
     CachedWorkers_.clear();
     IdleSince_.clear();
+    Probation_.clear();
+    SuspectSince_.clear();
     Relocator_.startLeading();
     NeedsPlacement_ = true;
   }
@@ -80,6 +83,7 @@
   countRunsPerWorker(const jobs::ReadyStep &Ready,
                      const std::vector<jobs::TaskRow> &Tasks,
                      const decide::JobPlacement &Placement) const;
+  bool mustWait(TimePoint Now, const jobs::TaskName &Task);
   std::optional<std::size_t> placeTask(const jobs::TaskName &Task,
                                        const decide::PlacementRequest &Need,
                                        decide::JobPlacement &Placement) const;
@@ -123,6 +127,10 @@
   /// Placement inputs by worker.
   std::map<std::string, CachedWorker> CachedWorkers_;
   decide::WorkerSuspicion Suspicion_;
+  /// Workers that have just been given a task under which others crashed.
+  decide::WorkerProbation Probation_;
+  /// Since when suspect tasks have waited for a worker.
+  std::map<jobs::TaskName, TimePoint> SuspectSince_;
   /// Active jobs with a ready step but no task on a worker, by id, with the
   /// time of the first placement that found them so.
   std::map<std::string, TimePoint> IdleSince_;
--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -98,7 +98,13 @@
                                {"run", Row.Run_.Run_},
                                {"worker", Row.Worker_},
                                {"how", enumName(Row.How_)}});
-    const jobs::JobRow *Job = Table_.find(Task.Job_);
+    noteEnded(Task.Job_);
+  }
+
+  /// Logs and counts the end of the job, if it has ended other than by a
+  /// cancel.
+  void noteEnded(const std::string &Id) {
+    const jobs::JobRow *Job = Table_.find(Id);
     if (Job == nullptr || Job->active() ||
         Job->State_ == jobs::JobState::Cancelled ||
         !ReportedJobs_.insert(Job->Id_))
@@ -246,6 +252,41 @@
                       });
   }
 
+  void recordCrash(const wire::WorkerCrashed &Notice, Reply Answer) {
+    Options_.Propose_(RecordCrash{Notice.Crash_},
+                      [this, Notice, Answer = std::move(Answer)](
+                          ProposeStatus Status, const CommandOutput &) {
+                        if (Status != ProposeStatus::Committed) {
+                          refuseIfNotLeader(Status, Answer);
+                          return;
+                        }
+                        noteCrash(Notice.Crash_);
+                        Answer(wire::WorkerReportAck{});
+                      });
+  }
+
+  std::string_view crashOutcome(const jobs::TaskName &Task) const {
+    const jobs::JobRow *Job = Table_.find(Task.Job_);
+    if (Job != nullptr && Job->State_ == jobs::JobState::Failed)
+      return "given-up";
+    return Table_.crashes().isSuspect(Task) ? "suspect" : "not-blamed";
+  }
+
+  void noteCrash(const jobs::WorkerCrash &Crash) {
+    Options_.Metrics_->count("workers", "crashed");
+    for (const jobs::RunName &Run : Crash.Suspects_) {
+      logEvent(Event::CrashSuspected, {{"job", Run.Task_.Job_},
+                                       {"step", Run.Task_.Step_},
+                                       {"index", Run.Task_.Index_},
+                                       {"run", Run.Run_},
+                                       {"worker", Crash.Worker_},
+                                       {"suspects", Crash.Suspects_.size()},
+                                       {"outcome", crashOutcome(Run.Task_)}});
+      noteEnded(Run.Task_.Job_);
+    }
+    Dispatcher_.notifyJobsChanged();
+  }
+
   /// Replicates the learnt headroom losses and prunes the run times of ended
   /// jobs, once per interval.
   void replicateLossesAndPrune() {
@@ -357,4 +398,9 @@
   Impl_->Sessions_.handleWorkerGone(Notice, std::move(Answer));
 }
 
+void JobService::handleWorkerCrashed(const wire::WorkerCrashed &Notice,
+                                     Reply Answer) {
+  Impl_->recordCrash(Notice, std::move(Answer));
+}
+
 } // namespace dragonfly::control
--- a/src/control/StateMachine.cpp
+++ b/src/control/StateMachine.cpp
@@ -118,6 +118,11 @@
   });
 }
 
+CommandOutput StateMachine::applyBody(const RecordCrash &Body) {
+  Jobs_.recordCrash(LogTime_, Body.Crash_);
+  return RowsApplied{.Count_ = 1};
+}
+
 /// Counts an ended task like a request, under the request id of its caller.
 void StateMachine::countEndedTask(const TaskRecord &Task) {
   ReceiptRow Row;
@@ -130,7 +135,7 @@
 
 std::string StateMachine::snapshot() const {
   return encodeValues(SnapshotFormat, LogTime_, Lists_, Claims_, Counts_,
-                      Tasks_, Jobs_, ImageLosses_);
+                      Tasks_, Jobs_, ImageLosses_, Jobs_.crashes());
 }
 
 void StateMachine::restore(std::string_view Bytes) {
@@ -141,10 +146,14 @@
   TaskTable Tasks = Tasks_;
   jobs::JobTable Jobs;
   jobs::ImageLosses Losses;
+  jobs::CrashTable Crashes;
   std::uint32_t Format = 0;
   try {
     decodeValues(Bytes, Format);
     if (Format == SnapshotFormat)
+      decodeValues(Bytes, Format, At, Lists, Claims, Counts, Tasks, Jobs,
+                   Losses, Crashes);
+    else if (Format == SnapshotFormatWithoutCrashes)
       decodeValues(Bytes, Format, At, Lists, Claims, Counts, Tasks, Jobs,
                    Losses);
     else if (Format == SnapshotFormatWithoutLosses)
@@ -159,6 +168,7 @@
                      "unsupported snapshot format " + std::to_string(Format));
   Tasks.rebuildIndexes();
   Jobs.rebuild();
+  Jobs.restoreCrashes(std::move(Crashes));
   LogTime_ = At;
   Lists_ = std::move(Lists);
   Claims_ = std::move(Claims);
--- a/src/control/WorkerSessions.cpp
+++ b/src/control/WorkerSessions.cpp
@@ -204,6 +204,8 @@
                                .StopSentAt_ = {},
                                .LastProgressAt_ = Now};
   Session.LastSentAt_ = Now;
+  if (!Orders.Starts_.empty())
+    Session.LastStartAt_ = Now;
   Orders.Session_ = Number;
   Orders.Fence_ = Session.FencingToken_;
   Session.Stream_.SendPart_(std::move(Orders));
--- a/src/control/WorkerSessions.h
+++ b/src/control/WorkerSessions.h
@@ -47,6 +47,7 @@
   TimePoint LeaseExpiresAt_;
   TimePoint LastContactAt_;
   TimePoint LastSentAt_;
+  TimePoint LastStartAt_;
   std::map<jobs::RunName, RunInfo> Runs_;
 
   /// Records that the agent was heard from. After a gap in the reports the
--- a/src/decide/JobPlacement.cpp
+++ b/src/decide/JobPlacement.cpp
@@ -36,6 +36,7 @@
 struct JobPlacement::Rank {
   bool Avoided_ = false;
   bool Suspect_ = false;
+  std::uint32_t OtherSuspects_ = 0;
   bool FarFromData_ = false;
   /// For a latency-critical task: its image is not on the worker. For a batch
   /// task: a latency-critical job would keep less than `PreferredHeadroom_`.
@@ -146,8 +147,8 @@
   const PlacementWorker &Row = Workers_[Index];
   if (Task.IsMove_ && (Row.Suspect_ || Row.Name_ == Task.AvoidedWorker_))
     return false;
-  return Row.Service_ == Task.Service_ && hasRequiredLabel(Row, Task) &&
-         hasSpreadLeft(Index, Task);
+  return !Row.Closed_ && Row.Service_ == Task.Service_ &&
+         hasRequiredLabel(Row, Task) && hasSpreadLeft(Index, Task);
 }
 
 PlacementObstacles
@@ -158,6 +159,8 @@
     const bool NeedsReserve = !Task.UsesSpareProcessors_;
     if (Row.Service_ != Task.Service_)
       ++Count.OtherService_;
+    else if (Row.Closed_)
+      ++Count.Closed_;
     else if (!hasRequiredLabel(Row, Task))
       ++Count.Label_;
     else if (!hasSpreadLeft(Index, Task))
@@ -181,6 +184,10 @@
   const PlacementWorker &Row = Workers_[Index];
   Rank Result{.Avoided_ = Row.Name_ == Task.AvoidedWorker_,
               .Suspect_ = Row.Suspect_,
+              .OtherSuspects_ =
+                  Task.IsSuspect_
+                      ? Row.SuspectTasks_ + (Row.StartedRecently_ ? 1 : 0)
+                      : 0,
               .FarFromData_ =
                   !Task.DataRack_.empty() && !hasLabel(Row, Task.DataRack_)};
   if (Task.IsServing_) {
@@ -255,6 +262,8 @@
     Reserve.MilliProcessors_ = 0;
   }
   Row.Reserved_ += Reserve;
+  Row.StartedRecently_ = true;
+  Row.SuspectTasks_ += Task.IsSuspect_ ? 1 : 0;
   if (Task.IsServing_) {
     Row.ServingMilliProcessors_ += Reserve.MilliProcessors_;
     Row.Serving_.push_back({.Image_ = std::string(Task.Image_)});
--- /dev/null
+++ b/src/jobs/CrashTable.cpp
@@ -0,0 +1,78 @@
+#include "dragonfly/jobs/CrashTable.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace dragonfly::jobs {
+
+std::vector<TaskName>
+CrashTable::record(Duration At, const WorkerCrash &Crash,
+                   const std::vector<TaskName> &Candidates) {
+  if (isRecorded({Crash.Worker_, Crash.Born_}))
+    return {};
+  std::erase_if(Rows_, [At](const auto &Each) {
+    return At - Each.second.At_ > SuspicionTime;
+  });
+  std::vector<TaskName> Blamed;
+  std::ranges::copy_if(
+      Candidates, std::back_inserter(Blamed),
+      [this](const TaskName &Task) { return isSuspect(Task); });
+  if (Blamed.empty())
+    Blamed = Candidates;
+  ++LastCrash_;
+  const std::size_t Limit = limitOf(Crash, Blamed.size());
+  std::vector<TaskName> GivenUp;
+  for (const TaskName &Task : Blamed) {
+    Row &Each = Rows_[Task];
+    Each.At_ = At;
+    Each.Crashes_.push_back(LastCrash_);
+    if (Each.Crashes_.size() >= Limit)
+      GivenUp.push_back(Task);
+  }
+  for (const TaskName &Task : GivenUp)
+    explain(Task);
+  return GivenUp;
+}
+
+std::size_t CrashTable::limitOf(const WorkerCrash &Crash, std::size_t Blamed) {
+  if (Crash.Suspects_.size() == 1)
+    return MaxAlone;
+  return Blamed == 1 ? MaxOnlySuspect : MaxShared;
+}
+
+void CrashTable::explain(const TaskName &Culprit) {
+  const auto Found = Rows_.extract(Culprit);
+  if (Found.empty())
+    return;
+  for (auto &[Task, Each] : Rows_)
+    std::erase_if(Each.Crashes_, [&Found](std::uint64_t Number) {
+      return std::ranges::find(Found.mapped().Crashes_, Number) !=
+             Found.mapped().Crashes_.end();
+    });
+  std::erase_if(Rows_,
+                [](const auto &Each) { return Each.second.Crashes_.empty(); });
+}
+
+bool CrashTable::isRecorded(const Life &Crashed) {
+  if (std::ranges::find(Recorded_, Crashed) != Recorded_.end())
+    return true;
+  if (Recorded_.size() == MaxRecorded)
+    Recorded_.erase(Recorded_.begin());
+  Recorded_.push_back(Crashed);
+  return false;
+}
+
+void CrashTable::removeJob(const std::string &Job) {
+  const auto First = Rows_.lower_bound({.Job_ = Job});
+  const auto Last = std::find_if(First, Rows_.end(), [&Job](const auto &Each) {
+    return Each.first.Job_ != Job;
+  });
+  Rows_.erase(First, Last);
+}
+
+std::size_t CrashTable::crashes(const TaskName &Task) const {
+  const auto It = Rows_.find(Task);
+  return It == Rows_.end() ? 0 : It->second.Crashes_.size();
+}
+
+} // namespace dragonfly::jobs
--- a/src/jobs/JobTable.cpp
+++ b/src/jobs/JobTable.cpp
@@ -100,6 +100,10 @@
   if (!Row.Checkpoint_.empty())
     Task.Checkpoint_ = Row.Checkpoint_;
   const StepSpec &Spec = Job.Spec_.Steps_[Name.Step_];
+  // The worker itself has listed such an end.
+  if (Row.How_ == RunEnd::Finished || Row.How_ == RunEnd::Failed ||
+      Row.How_ == RunEnd::Stopped)
+    Crashes_.clear(Name);
   if (Row.How_ == RunEnd::Finished && !Spec.LongRunning_) {
     Task.Phase_ = TaskPhase::Finished;
     ++Step.Finished_;
@@ -123,6 +127,26 @@
   return true;
 }
 
+void JobTable::recordCrash(Duration At, const WorkerCrash &Crash) {
+  std::vector<TaskName> Candidates;
+  for (const RunName &Run : Crash.Suspects_)
+    if (isOfUnfinishedTask(Run))
+      Candidates.push_back(Run.Task_);
+  for (const TaskName &Task : Crashes_.record(At, Crash, Candidates))
+    if (JobRow &Job = Jobs_.at(Task.Job_); Job.active())
+      finish(At, Job, JobState::Failed);
+}
+
+bool JobTable::isOfUnfinishedTask(const RunName &Run) const {
+  const TaskName &Name = Run.Task_;
+  const JobRow *Job = find(Name.Job_);
+  if (Job == nullptr || !Job->active() || Name.Step_ >= Job->Steps_.size() ||
+      Name.Index_ >= Job->Steps_[Name.Step_].Tasks_.size())
+    return false;
+  const TaskRow &Task = Job->Steps_[Name.Step_].Tasks_[Name.Index_];
+  return Task.Phase_ != TaskPhase::Finished && Run.Run_ <= Task.Run_;
+}
+
 bool JobTable::cancel(Duration At, const std::string &Job) {
   const auto It = Jobs_.find(Job);
   if (It == Jobs_.end())
@@ -222,6 +246,7 @@
   Job.State_ = State;
   Job.EndedAt_ = At;
   clearReady(Job);
+  Crashes_.removeJob(Job.Id_);
 }
 
 void JobTable::addRun(const JobRow &Job, const RunName &Run,
--- a/src/wire/Serialize.h
+++ b/src/wire/Serialize.h
@@ -236,6 +236,10 @@
   Ar(Row.LeaseTerm_, Row.SessionEnded_);
 }
 
+template <typename Archive> void serialize(Archive &Ar, WorkerCrashed &Row) {
+  Ar(Row.Crash_);
+}
+
 template <typename Archive> void serialize(Archive &Ar, WorkerGone &Row) {
   Ar(Row.Worker_, Row.Born_);
 }
--- a/tests/agent/AgentFixture.h
+++ b/tests/agent/AgentFixture.h
@@ -273,6 +273,9 @@
   std::vector<wire::WorkerReport> Reports_;
   std::vector<wire::EndReport> Ends_;
   std::vector<wire::WorkerGone> Gone_;
+  std::vector<wire::WorkerCrashed> Crashes_;
+  /// Notices of a crash that get no answer and are not kept.
+  int LostCrashes_ = 0;
   Duration LeaseTerm_ = milliseconds(4000);
   /// Ends told until the first complete report of the newest session.
   std::size_t EndsWhenReconciled_ = 0;
@@ -306,6 +309,13 @@
         EndsWhenReconciled_ = Ends_.size();
       Reports_.push_back(std::move(*Report));
       To.answer(wire::WorkerReportAck{.LeaseTerm_ = LeaseTerm_});
+    } else if (auto *Crashed = std::get_if<wire::WorkerCrashed>(&Request)) {
+      if (LostCrashes_ > 0) {
+        --LostCrashes_;
+        return;
+      }
+      Crashes_.push_back(std::move(*Crashed));
+      To.answer(wire::WorkerReportAck{});
     } else if (auto *Gone = std::get_if<wire::WorkerGone>(&Request)) {
       if (!Hellos_.empty() && Hellos_.back().Worker_ == Gone->Worker_)
         Streams_.clear();
--- /dev/null
+++ b/tests/agent/WorkerCrashTest.cpp
@@ -0,0 +1,120 @@
+/// What an agent tells control after its worker has crashed.
+#include "agent/AgentFixture.h"
+
+#include <catch2/catch.hpp>
+
+namespace dragonfly::agent {
+namespace {
+
+/// The worker crashes \p Delay after the order to start \p Run has arrived, and
+/// is back after three seconds.
+void crashAfterStart(AgentFixture &On, const jobs::RunName &Run, Duration Delay,
+                     std::string Name = "w2", std::uint64_t Born = 20) {
+  On.Leader_->order({.Starts_ = {{.Run_ = Run}}});
+  On.run(milliseconds(30));
+  REQUIRE(On.Worker_->isRunning(Run));
+  On.run(Delay);
+  On.Worker_->setSilent(true);
+  On.run(seconds(3));
+  On.Worker_->restart(std::move(Name), Born);
+  On.Worker_->setSilent(false);
+  On.announce(On.Worker_->announce());
+  On.run(milliseconds(300));
+}
+
+} // namespace
+
+// Guards against BUDGET: a run that takes its worker down counted nowhere.
+TEST_CASE("the runs that have just begun are suspected of a crash",
+          "[agent][worker][crash]") {
+  AgentFixture On;
+  On.startRuns(3);
+  const std::string Name = GENERATE("w1", "w2");
+  crashAfterStart(On, makeRun(7), milliseconds(20), Name);
+  REQUIRE(On.Leader_->Crashes_.size() == 1);
+  const jobs::WorkerCrash &Told = On.Leader_->Crashes_.front().Crash_;
+  CHECK(Told.Worker_ == "w1");
+  CHECK(Told.Born_ == 10);
+  CHECK(Told.Suspects_ == std::vector{makeRun(7)});
+  // The next life begins without suspects.
+  On.Worker_->restart("w9", 30);
+  On.announce(On.Worker_->announce());
+  On.run(seconds(1));
+  CHECK(On.Leader_->Crashes_.size() == 1);
+}
+
+// Guards against BUDGET: the lease of the lost runs may end before the worker
+// is back.
+TEST_CASE("a crash is told also where the worker is back late",
+          "[agent][worker][crash]") {
+  AgentFixture On;
+  On.startRuns(1);
+  On.Leader_->order({.Starts_ = {{.Run_ = makeRun(7)}}});
+  On.run(milliseconds(30));
+  On.Worker_->setSilent(true);
+  On.run(seconds(8));
+  REQUIRE(On.Leader_->Ends_.size() == 2);
+  On.Worker_->restart("w1", 20);
+  On.Worker_->setSilent(false);
+  On.announce(On.Worker_->announce());
+  On.run(milliseconds(300));
+  REQUIRE(On.Leader_->Crashes_.size() == 1);
+  CHECK(On.Leader_->Crashes_.front().Crash_.Suspects_ == std::vector{makeRun(7)});
+}
+
+// Guards against a job that fails without cause: a run that was at work before
+// its worker crashed.
+TEST_CASE("a run that has been at work for a while is not suspected",
+          "[agent][worker][crash]") {
+  AgentFixture On;
+  On.startRuns(1);
+  crashAfterStart(On, makeRun(7), milliseconds(1000));
+  CHECK(On.Leader_->Crashes_.empty());
+}
+
+TEST_CASE("a worker that was only silent has not crashed",
+          "[agent][worker][crash]") {
+  AgentFixture On;
+  On.startRuns(1);
+  On.Leader_->order({.Starts_ = {{.Run_ = makeRun(7)}}});
+  On.run(milliseconds(30));
+  On.Worker_->setSilent(true);
+  On.run(seconds(2));
+  On.Worker_->setSilent(false);
+  On.run(seconds(2));
+  // It leaves later for another reason.
+  On.Worker_->restart("w2", 20);
+  On.announce(On.Worker_->announce());
+  On.run(seconds(1));
+  CHECK(On.Leader_->Crashes_.empty());
+}
+
+TEST_CASE("a worker that had announced that it leaves has not crashed",
+          "[agent][worker][crash]") {
+  AgentFixture On;
+  On.startRuns(1);
+  On.Leader_->order({.Starts_ = {{.Run_ = makeRun(7)}}});
+  On.run(milliseconds(30));
+  WorkerAnnouncement Draining = On.Worker_->announce();
+  Draining.Draining_ = true;
+  On.announce(Draining);
+  On.run(milliseconds(50));
+  On.Worker_->restart("w2", 20);
+  On.announce(On.Worker_->announce());
+  On.run(seconds(1));
+  CHECK(On.Leader_->Crashes_.empty());
+}
+
+TEST_CASE("a crash is told again until control has recorded it",
+          "[agent][worker][crash]") {
+  AgentFixture On;
+  On.startRuns(1);
+  On.Leader_->LostCrashes_ = 2;
+  crashAfterStart(On, makeRun(7), milliseconds(20));
+  REQUIRE(On.runUntil([&] { return On.Leader_->Crashes_.size() == 1; },
+                      seconds(5)));
+  On.run(seconds(3));
+  CHECK(On.Leader_->Crashes_.size() == 1);
+}
+
+} // namespace dragonfly::agent
