A smaller capacity of a worker counts at once

Cause: the capacity was a part of the worker's description, which counts only once it is repeated word for word. A worker that shrank took starts for its former room for a heartbeat longer, for ever if each heartbeat announced another capacity, and a start without an answer was tried again after the shrink. A heartbeat with another capacity and the drain was passed over.

Change: the capacity that counts is, for each resource, the smaller one of the two newest announcements. When it shrinks, the agent gives up the starts that are not confirmed; any change begins a session.

Ruled out: faults of control.

--- a/src/agent/WorkerAgentIdentity.cpp
+++ b/src/agent/WorkerAgentIdentity.cpp
@@ -1,5 +1,6 @@
 #include "agent/WorkerAgentImpl.h"
 
+#include <algorithm>
 #include <tuple>
 #include <utility>
 
@@ -15,12 +16,18 @@
 bool isSameDescription(const WorkerAnnouncement &A,
                        const WorkerAnnouncement &B) {
   const auto FixedFields = [](const WorkerAnnouncement &Each) {
-    return std::tie(Each.Service_, Each.AvailabilityZone_, Each.Labels_,
-                    Each.Capacity_);
+    return std::tie(Each.Service_, Each.AvailabilityZone_, Each.Labels_);
   };
   return FixedFields(A) == FixedFields(B);
 }
 
+/// Returns the smaller amount of each resource.
+Resources smallerOf(const Resources &A, const Resources &B) {
+  return {.MilliProcessors_ = std::min(A.MilliProcessors_, B.MilliProcessors_),
+          .MemoryMib_ = std::min(A.MemoryMib_, B.MemoryMib_),
+          .Accelerators_ = std::min(A.Accelerators_, B.Accelerators_)};
+}
+
 void logRejected(const WorkerAnnouncement &Value,
                  const WorkerAnnouncement &Current, const char *Reason) {
   logEvent(Event::AnnouncementRejected, {{"worker", Value.Worker_},
@@ -61,8 +68,12 @@
   if (Departed_ && !Value.Draining_ && Value.Sequence_ > Worker_.Sequence_)
     retractDeparture(Value);
   const bool BeginsToDrain = Value.Draining_ && !Worker_.Draining_;
+  const bool IsNewer = Value.Sequence_ > Worker_.Sequence_;
+  const Resources Capacity = Worker_.Capacity_;
   Worker_ = Value;
+  Worker_.Capacity_ = Capacity;
   Worker_.Draining_ = Value.Draining_ || Departed_;
+  updateCapacity(Value.Capacity_, IsNewer);
   if (BeginsToDrain) {
     logEvent(Event::WorkerDraining, {{"worker", Worker_.Worker_}});
     Book_.giveUpStarts(Clock::now());
@@ -79,9 +90,28 @@
     Disputed_ = Value;
     return;
   }
+  AnnouncedCapacity_ = Value.Capacity_;
   Worker_ = Value;
+  Worker_.Capacity_ = smallerOf(Value.Capacity_, Disputed_->Capacity_);
   Disputed_.reset();
+  Book_.giveUpStarts(Clock::now());
+  openSession();
+}
+
+void WorkerAgent::Impl::updateCapacity(const Resources &Announced,
+                                       bool IsNewer) {
+  const Resources Before = Worker_.Capacity_;
+  Worker_.Capacity_ =
+      smallerOf(Announced, IsNewer ? AnnouncedCapacity_ : Before);
+  AnnouncedCapacity_ = Announced;
+  if (Worker_.Capacity_ == Before)
+    return;
+  // Orders of the session so far were made for the capacity before; control
+  // knows what each run needs and places what has not begun anew.
+  if (!Before.fitsIn(Worker_.Capacity_))
+    Book_.giveUpStarts(Clock::now());
   openSession();
+  pump();
 }
 
 void WorkerAgent::Impl::retractDeparture(const WorkerAnnouncement &Value) {
@@ -158,6 +188,7 @@
   Complete_ = false;
   Departed_ = false;
   Disputed_.reset();
+  AnnouncedCapacity_ = Worker_.Capacity_;
   // Another worker answers on this VM: the one before it is gone.
   if (!Before.Worker_.empty() && Before.Worker_ != Worker_.Worker_)
     Leader_.call(
--- a/src/agent/WorkerAgentImpl.h
+++ b/src/agent/WorkerAgentImpl.h
@@ -61,6 +61,10 @@
   /// Takes another description of the current life once it is repeated before
   /// the known one is: a single one may be another writer's.
   void updateDescription(const WorkerAnnouncement &Value);
+  /// Takes the capacity of an announcement: a smaller one at once, a larger one
+  /// as far as the announcement before had it too, since a single one may be
+  /// another writer's. A change begins a session, which tells control.
+  void updateCapacity(const Resources &Announced, bool IsNewer);
   /// Takes a departure back: a worker that has left does not announce itself as
   /// ready, so that the notice was another writer's.
   void retractDeparture(const WorkerAnnouncement &Value);
@@ -109,7 +113,10 @@
   Incarnation Self_;
   /// Leases that an earlier process granted were granted before.
   TimePoint ProcessStart_ = Clock::now();
+  /// Its capacity is the one that counts.
   WorkerAnnouncement Worker_;
+  /// The capacity in the newest announcement of the current life.
+  Resources AnnouncedCapacity_;
   /// The worker has answered as the life that `Worker_` announces.
   bool Confirmed_ = false;
   /// The newest announcement of another life, until the worker has answered.
--- a/tests/agent/AgentFixture.h
+++ b/tests/agent/AgentFixture.h
@@ -59,6 +59,14 @@
     return Self_;
   }
 
+  /// Sets what its next heartbeats say of its capacity.
+  void setCapacity(std::int64_t MilliProcessors, std::int64_t MemoryMib = 4096,
+                   std::int64_t Accelerators = 0) {
+    Self_.Capacity_ = {.MilliProcessors_ = MilliProcessors,
+                       .MemoryMib_ = MemoryMib,
+                       .Accelerators_ = Accelerators};
+  }
+
   /// While set, calls get no answer and are not carried out.
   void setSilent(bool Silent) { Silent_ = Silent; }
 
@@ -248,6 +256,9 @@
   /// Reports on the open session are refused, as by a new leader.
   void refuseSession() { ++Session_; }
 
+  /// While set, no request is answered.
+  void setSilent(bool Silent) { Silent_ = Silent; }
+
   /// Sends an order on the newest session.
   void order(wire::WorkerOrders Orders) {
     Orders.Session_ = Session_;
@@ -286,6 +297,8 @@
   }
 
   void take(wire::Message Request, const net::FrameReplier &To) {
+    if (Silent_)
+      return;
     if (std::holds_alternative<wire::FetchGroup>(Request)) {
       To.answer(wire::Group{.Rows_ = {{.Id_ = {1}, .Address_ = address()}},
                             .Leader_ = address()});
@@ -332,6 +345,7 @@
   std::set<std::uint64_t> Reconciled_;
   std::uint64_t Session_ = 0;
   std::uint64_t Fence_ = 0;
+  bool Silent_ = false;
   net::Timer KeepAlives_;
 };
 
@@ -401,6 +415,16 @@
     run(milliseconds(1000));
   }
   void announce(const WorkerAnnouncement &Value) { Agent_->announced(Value); }
+  /// The worker announces itself with \p MilliProcessors, and \p Wait passes.
+  void announceCapacity(std::int64_t MilliProcessors, Duration Wait) {
+    Worker_->setCapacity(MilliProcessors);
+    announce(Worker_->announce());
+    run(Wait);
+  }
+  /// Returns the processors that the leader was told last.
+  std::int64_t toldMilliProcessors() const {
+    return Leader_->Hellos_.back().Capacity_.MilliProcessors_;
+  }
 
   std::unique_ptr<net::EventLoop> Loop_;
   std::unique_ptr<FakeWorker> Worker_;
--- a/tests/control/JobFixture.h
+++ b/tests/control/JobFixture.h
@@ -55,7 +55,7 @@
              .Agent_ = {Process},
              .Vm_ = Vm,
              .Service_ = "sorting",
-             .Capacity_ = {.MilliProcessors_ = 4000, .MemoryMib_ = 4096}},
+             .Capacity_ = Capacity_},
             {.SendPart_ =
                  [NewStream](const wire::Message &Part) {
                    NewStream->append(std::get<wire::WorkerOrders>(Part));
@@ -125,6 +125,8 @@
   std::uint64_t fencingToken() const { return Stream_->FencingToken_; }
   bool streamEnded() const { return Stream_->Ended_; }
   void disconnect() { Stream_->Connected_ = false; }
+  /// Sets the capacity that later sessions begin with.
+  void setCapacity(const Resources &Capacity) { Capacity_ = Capacity; }
   void startDraining() { Draining_ = true; }
   /// Sets the phase of all runs in later reports.
   void setPhase(wire::RunPhase Phase) { Phase_ = Phase; }
@@ -164,6 +166,7 @@
   ServiceCluster &Cluster_;
   std::string Worker_;
   std::shared_ptr<Stream> Stream_ = std::make_shared<Stream>();
+  Resources Capacity_ = {.MilliProcessors_ = 4000, .MemoryMib_ = 4096};
   bool Draining_ = false;
   wire::RunPhase Phase_ = wire::RunPhase::Running;
   static constexpr std::uint32_t FullSpeed = 100;
