Ignore announcements without a data folder

Callers would see a group that is not repaired: a process that is still founding announces itself to the seeds without a store. The planner then wanted to admit it before any other change, the log refused that, and no replica was admitted or promoted for as long as the announcement counted.

Cause: the keeper took a sighting without a store for a replica with a new one.

Change: such an announcement has no effect.

Measured: "a process without a data folder does not hold up the repair" passes within 700 ms. Ruled out: a harm to the log, which had refused the change all along.

--- a/src/control/GroupKeeper.cpp
+++ b/src/control/GroupKeeper.cpp
@@ -27,6 +27,9 @@
 }
 
 void GroupKeeper::sighted(TimePoint Now, const wire::JoinGroup &Notice) {
+  // A process that is still founding a group has no data folder yet.
+  if (!Notice.Store_)
+    return;
   Seen_[Notice.Id_] = {
       .Store_ = Notice.Store_, .Address_ = Notice.Address_, .SeenAt_ = Now};
 }
--- a/tests/control/GroupRepairTest.cpp
+++ b/tests/control/GroupRepairTest.cpp
@@ -95,4 +95,22 @@
             .Version_ == ListVersion{2});
 }
 
+// Guards against LOST: the announcement of a process without a data folder kept
+// the leader from every other change of the members.
+TEST_CASE("a process without a data folder does not hold up the repair",
+          "[control][group]") {
+  ServiceCluster Cluster;
+  Cluster.repairGroup();
+  REQUIRE(Cluster.put(Cluster.leader(), change(1, "a")));
+  Cluster.node(Cluster.leader())
+      .handle(Cluster.now(),
+              wire::JoinGroup{.Id_ = {9}, .Address_ = "127.0.2.9:7000"},
+              [](const wire::Message &) {});
+  const std::size_t Wiped = follower(Cluster);
+  Cluster.loseDisk(Wiped);
+  const auto Took = timeUntilVotes(Cluster, Wiped, 5s);
+  REQUIRE(Took);
+  CHECK(*Took <= 700ms);
+}
+
 } // namespace dragonfly::control
