Announce a replica more often until it votes

Cause: one period for all replicas, chosen for those that vote.

Change: a replica that does not vote announces itself to the leader each 100 ms. The seeds are told as often as before.

What was ruled out: admitting it from the log's own messages, which name a store but no address.

--- a/include/dragonfly/control/ControlService.h
+++ b/include/dragonfly/control/ControlService.h
@@ -94,6 +94,8 @@
 
   /// True while this replica leads and has applied what earlier terms left.
   bool serving() const;
+  /// Returns whether this replica votes with the data folder that it has.
+  bool isVoter() const;
   /// Lets another replica lead, where this one does; for one that stops.
   void transferLeadership();
   /// The leader as far as this replica knows.
--- a/src/control/Control.cpp
+++ b/src/control/Control.cpp
@@ -25,8 +25,11 @@
 /// How often a replica makes itself known to the leader; a third of the time
 /// after which it would no longer count as present.
 constexpr Duration JoinPeriod = std::chrono::milliseconds(500);
+/// A replica that does not vote makes itself known more often: until it does,
+/// the group may bear no further loss.
+constexpr Duration LearnerJoinPeriod = std::chrono::milliseconds(100);
 /// The seeds, which may be no replicas, are told less often.
-constexpr std::uint64_t JoinsPerAnnouncement = 4;
+constexpr Duration AnnouncePeriod = 4 * JoinPeriod;
 
 const settings::ReplicaSettings &
 selfOf(const settings::ControlSettings &Settings) {
@@ -137,16 +140,22 @@
                                 for (const wire::GroupRow &Row : Known.Rows_)
                                   Known_[Row.Id_] = Row.Address_;
                               }});
-    Joins_ = Loop.every(JoinPeriod, [this] { join(); });
+    Joins_ = Loop.every(LearnerJoinPeriod, [this] {
+      if (Clock::now() >= JoinAt_ || !Service_.isVoter())
+        join();
+    });
   }
 
   void join() {
+    JoinAt_ = Clock::now() + JoinPeriod;
     const wire::JoinGroup Notice{.Id_ = Settings_.Replica_,
                                  .Store_ = Service_.log().store(),
                                  .Address_ = Listen_.text()};
     Leader_->call(Notice, JoinPeriod, [](const link::LeaderResult &) {});
-    if (++Joined_ % JoinsPerAnnouncement == 0)
-      Leader_->announce(Notice);
+    if (Clock::now() < AnnounceAt_)
+      return;
+    AnnounceAt_ = Clock::now() + AnnouncePeriod;
+    Leader_->announce(Notice);
   }
 
   ControlServiceOptions serviceOptions() {
@@ -278,7 +287,8 @@
   net::Timer Ticks_;
   std::optional<link::LeaderClient> Leader_;
   net::Timer Joins_;
-  std::uint64_t Joined_ = 0;
+  TimePoint JoinAt_;
+  TimePoint AnnounceAt_;
   net::Timer Stops_;
 };
 
--- a/src/control/ControlService.cpp
+++ b/src/control/ControlService.cpp
@@ -470,6 +470,8 @@
                            });
 }
 
+bool ControlService::isVoter() const { return Impl_->isVoter(); }
+
 bool ControlService::serving() const { return Impl_->Serving_; }
 
 void ControlService::transferLeadership() { Impl_->Log_.transferLeadership(); }
