Record a cancel also where its job or queue is not known

Cause: the leader answered "no such job" from its table without recording anything. A submission in the same batch, in the log or behind a cut was accepted afterwards and its tasks started. And a cancel after the job's queue had been removed was answered with "no such queue" and had no effect, so that the tasks went on.

Change: a cancel is recorded in any case and answered after that. A job whose queue is gone is cancelled at the place where it was submitted and answered as unknown, which acknowledges it without serving a queue that is not there.

Measured: three tests in JobServiceTest fail before (the task starts, also after a change of leader; the job is shown as running; nothing is stopped) and pass. Ruled out by reading: a job that was cancelled after it was accepted does not start (its row is kept for 150 s), nor on a new leader, a restarted agent or a worker that was silent.

--- a/include/dragonfly/control/StateMachine.h
+++ b/include/dragonfly/control/StateMachine.h
@@ -36,7 +36,7 @@
 class StateMachine {
 public:
   static constexpr std::uint32_t SnapshotFormat = 4;
-  /// Format of snapshots without crashes of workers.
+  /// Format of snapshots without crashes of workers and early cancels.
   static constexpr std::uint32_t SnapshotFormatWithoutCrashes = 3;
   /// Format of snapshots without headroom losses of images.
   static constexpr std::uint32_t SnapshotFormatWithoutLosses = 2;
--- a/include/dragonfly/jobs/JobTable.h
+++ b/include/dragonfly/jobs/JobTable.h
@@ -161,6 +161,11 @@
   /// How long an ended job's state can be read, in log time; the platform asks
   /// for two minutes.
   static constexpr Duration EndedJobRetention = std::chrono::seconds(150);
+  /// How long a cancel of an unknown job holds, in log time: longer than a
+  /// submission is tried again.
+  static constexpr Duration EarlyCancelRetention = std::chrono::seconds(30);
+  /// Cancels of unknown jobs that are kept.
+  static constexpr std::size_t MaxEarlyCancels = 4096;
 
   /// Takes \p Value where its version is the highest one; returns whether.
   bool putConfiguration(Configuration Value);
@@ -170,7 +175,8 @@
   bool end(Duration At, const EndRow &Row);
   /// Records the crash, and fails the jobs of tasks that are given up.
   void recordCrash(Duration At, const WorkerCrash &Crash);
-  /// Returns false where there is no such job.
+  /// Returns false where there is no such job. A submission of it that is
+  /// still on its way is then accepted as cancelled.
   bool cancel(Duration At, const std::string &Job);
   /// Returns the fence of \p Life, which is a new one unless it is registered.
   std::uint64_t registerWorker(const WorkerLife &Life);
@@ -179,8 +185,16 @@
 
   const Configuration &configuration() const { return Configuration_; }
   const CrashTable &crashes() const { return Crashes_; }
+  /// Log times of cancels of unknown jobs, by id.
+  const std::map<std::string, Duration> &earlyCancels() const {
+    return EarlyCancels_;
+  }
   /// Takes what a snapshot holds beside the table.
-  void restoreCrashes(CrashTable Value) { Crashes_ = std::move(Value); }
+  void restore(CrashTable Crashes,
+               std::map<std::string, Duration> EarlyCancels) {
+    Crashes_ = std::move(Crashes);
+    EarlyCancels_ = std::move(EarlyCancels);
+  }
   const JobRow *find(const std::string &Job) const;
   const WorkerRow *findWorker(const std::string &Worker) const;
   const std::map<std::string, WorkerRow> &workers() const { return Workers_; }
@@ -203,6 +217,7 @@
   /// Returns whether \p Run was started, and its task has not finished.
   bool isOfUnfinishedTask(const RunName &Run) const;
   void forgetEnded(Duration At);
+  void noteEarlyCancel(Duration At, const std::string &Job);
   void setReady(const JobRow &Job);
   void clearReady(const JobRow &Job);
   void finish(Duration At, JobRow &Job, JobState State);
@@ -216,6 +231,7 @@
   std::uint64_t LastSequence_ = 0;
   std::uint64_t LastFence_ = 0;
   CrashTable Crashes_;
+  std::map<std::string, Duration> EarlyCancels_;
   std::set<ReadyStep> Ready_;
 };
 
--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -190,32 +190,50 @@
   }
 
   void handleJobRequest(const wire::JobRequest &Request, Reply Answer) {
-    if (findQueue(Request.Host_, Request.Path_, Request.Job_) == nullptr) {
+    const bool HasQueue =
+        findQueue(Request.Host_, Request.Path_, Request.Job_) != nullptr;
+    const jobs::JobRow *Job = Table_.find(Request.Job_);
+    const bool IsCancel = Request.Action_ == wire::JobAction::Cancel;
+    // A job outlives its queue, and its caller may still cancel it.
+    if (!HasQueue &&
+        !(IsCancel && Job != nullptr && wasSubmittedAt(*Job, Request))) {
       Answer(wire::JobReply{.Status_ = missingQueueStatus(),
                             .RetryAfter_ = Options_.RetryAfter_});
-      return;
-    }
-    const jobs::JobRow *Job = Table_.find(Request.Job_);
-    if (Job == nullptr) {
-      Answer(wire::JobReply{.Status_ = JobStatus::UnknownJob});
-      return;
-    }
-    if (Request.Action_ == wire::JobAction::Query || !Job->active()) {
+    } else if (Job != nullptr && (!IsCancel || !Job->active())) {
       Answer(
           wire::JobReply{.Status_ = JobStatus::Known, .State_ = Job->State_});
-      return;
+    } else if (!IsCancel) {
+      Answer(wire::JobReply{.Status_ = JobStatus::UnknownJob});
+    } else {
+      cancelJob(Request.Job_, HasQueue, std::move(Answer));
     }
-    Batch_.record().Cancels_.push_back(Request.Job_);
-    Batch_.onOutcome([this, Id = Request.Job_, Answer = std::move(Answer)](
+  }
+
+  static bool wasSubmittedAt(const jobs::JobRow &Job,
+                             const wire::JobRequest &Request) {
+    return Job.Queue_.Host_ == Request.Host_ &&
+           Job.Queue_.PathPrefix_ + Job.Id_ == Request.Path_;
+  }
+
+  /// Also where the job is unknown: its submission may be on its way, and must
+  /// not begin after the cancel was answered.
+  void cancelJob(const std::string &Id, bool HasQueue, Reply Answer) {
+    const std::size_t Index = Batch_.record().Cancels_.size();
+    Batch_.record().Cancels_.push_back(Id);
+    Batch_.onOutcome([this, Id, Index, HasQueue, Answer = std::move(Answer)](
                          ProposeStatus Status, const JobOutcomes *Outcomes) {
       if (Outcomes == nullptr) {
         refuseIfNotLeader(Status, Answer);
         return;
       }
+      const bool IsKnown = Outcomes->Cancels_.at(Index) != 0;
       logEvent(Event::JobCancelled, {{"job", Id}});
       Options_.Metrics_->count("jobs", "cancelled");
       Dispatcher_.notifyJobsChanged();
-      Answer(wire::JobReply{.Status_ = JobStatus::Known,
+      // Without its queue the caller finds no job there any more.
+      Answer(wire::JobReply{.Status_ = IsKnown && HasQueue
+                                           ? JobStatus::Known
+                                           : JobStatus::UnknownJob,
                             .State_ = jobs::JobState::Cancelled});
     });
   }
--- a/src/control/StateMachine.cpp
+++ b/src/control/StateMachine.cpp
@@ -3,6 +3,8 @@
 #include "control/Archive.h"
 
 #include <algorithm>
+#include <map>
+#include <string>
 #include <utility>
 
 namespace dragonfly::control {
@@ -135,7 +137,8 @@
 
 std::string StateMachine::snapshot() const {
   return encodeValues(SnapshotFormat, LogTime_, Lists_, Claims_, Counts_,
-                      Tasks_, Jobs_, ImageLosses_, Jobs_.crashes());
+                      Tasks_, Jobs_, ImageLosses_, Jobs_.crashes(),
+                      Jobs_.earlyCancels());
 }
 
 void StateMachine::restore(std::string_view Bytes) {
@@ -147,12 +150,13 @@
   jobs::JobTable Jobs;
   jobs::ImageLosses Losses;
   jobs::CrashTable Crashes;
+  std::map<std::string, Duration> EarlyCancels;
   std::uint32_t Format = 0;
   try {
     decodeValues(Bytes, Format);
     if (Format == SnapshotFormat)
       decodeValues(Bytes, Format, At, Lists, Claims, Counts, Tasks, Jobs,
-                   Losses, Crashes);
+                   Losses, Crashes, EarlyCancels);
     else if (Format == SnapshotFormatWithoutCrashes)
       decodeValues(Bytes, Format, At, Lists, Claims, Counts, Tasks, Jobs,
                    Losses);
@@ -168,7 +172,7 @@
                      "unsupported snapshot format " + std::to_string(Format));
   Tasks.rebuildIndexes();
   Jobs.rebuild();
-  Jobs.restoreCrashes(std::move(Crashes));
+  Jobs.restore(std::move(Crashes), std::move(EarlyCancels));
   LogTime_ = At;
   Lists_ = std::move(Lists);
   Claims_ = std::move(Claims);
--- a/src/jobs/JobTable.cpp
+++ b/src/jobs/JobTable.cpp
@@ -52,7 +52,10 @@
     Job.Steps_.push_back({.Tasks_ = std::vector<TaskRow>(Step.Count_),
                           .Finished_ = 0,
                           .Waiting_ = Step.Count_});
-  setReady(Job);
+  if (EarlyCancels_.erase(Job.Id_) > 0)
+    finish(At, Job, JobState::Cancelled);
+  else
+    setReady(Job);
   return SubmitStatus::Accepted;
 }
 
@@ -149,13 +152,23 @@
 
 bool JobTable::cancel(Duration At, const std::string &Job) {
   const auto It = Jobs_.find(Job);
-  if (It == Jobs_.end())
+  if (It == Jobs_.end()) {
+    noteEarlyCancel(At, Job);
     return false;
+  }
   if (It->second.active())
     finish(At, It->second, JobState::Cancelled);
   return true;
 }
 
+void JobTable::noteEarlyCancel(Duration At, const std::string &Job) {
+  std::erase_if(EarlyCancels_, [At](const auto &Each) {
+    return Each.second + EarlyCancelRetention < At;
+  });
+  if (EarlyCancels_.size() < MaxEarlyCancels)
+    EarlyCancels_[Job] = At;
+}
+
 std::uint64_t JobTable::registerWorker(const WorkerLife &Life) {
   WorkerRow &Row = Workers_[Life.Worker_];
   if (Row.Fence_ == 0 || Row.Life_ != Life) {
--- a/tests/control/JobServiceTest.cpp
+++ b/tests/control/JobServiceTest.cpp
@@ -76,6 +76,77 @@
             .Status_ == JobStatus::NoQueue);
 }
 
+// Guards against UNASKED: a caller that got no answer cancelled its job, was
+// told that there is none, and the submission arrived after that.
+TEST_CASE("a job that is submitted after its cancel does not start",
+          "[control][jobs]") {
+  JobCluster Cluster;
+  TestAgent Agent(Cluster, "w1");
+  Agent.attachAndReportNoRuns();
+  CHECK(Cluster.requestJob(wire::JobAction::Cancel).Status_ ==
+        JobStatus::UnknownJob);
+  const bool LeaderChanges = GENERATE(false, true);
+  if (LeaderChanges) {
+    Cluster.isolate(Cluster.leader());
+    Cluster.run(seconds(2));
+    Agent.attachAndReportNoRuns();
+  }
+  REQUIRE(Cluster.submit({makeStep()}) == JobStatus::Accepted);
+  Cluster.run(seconds(1));
+  CHECK(Agent.consumeStarts().empty());
+  CHECK(Cluster.jobState() == JobState::Cancelled);
+  REQUIRE(Cluster.submit({makeStep()}) == JobStatus::Accepted);
+  CHECK(Cluster.jobState() == JobState::Cancelled);
+}
+
+// Guards against UNASKED: both are under way at the same time.
+TEST_CASE("a cancel that overtakes its submission holds", "[control][jobs]") {
+  JobCluster Cluster;
+  TestAgent Agent(Cluster, "w1");
+  Agent.attachAndReportNoRuns();
+  ControlService &Leader = Cluster.node(Cluster.leader());
+  const auto Drop = [](const wire::Message &) {};
+  Leader.handle(Cluster.now(),
+                wire::SubmitJob{.Job_ = JobId,
+                                .Host_ = "a.example",
+                                .Path_ = Path,
+                                .Spec_ = {.Steps_ = {makeStep()}}},
+                Drop);
+  Leader.handle(Cluster.now(),
+                wire::JobRequest{.Action_ = wire::JobAction::Cancel,
+                                 .Job_ = JobId,
+                                 .Host_ = "a.example",
+                                 .Path_ = Path},
+                Drop);
+  Cluster.run(seconds(1));
+  CHECK(Agent.consumeStarts().empty());
+  CHECK(Cluster.jobState() == JobState::Cancelled);
+}
+
+// Guards against UNASKED: the cancel of a job found no queue and had no effect.
+TEST_CASE("a job can be cancelled after its queue was removed",
+          "[control][jobs]") {
+  JobCluster Cluster;
+  TestAgent Agent(Cluster, "w1");
+  Agent.attachAndReportNoRuns();
+  REQUIRE(Cluster.submit({makeStep()}) == JobStatus::Accepted);
+  REQUIRE(Agent.consumeStarts().size() == 1);
+  jobs::Configuration Without = configuration(8);
+  Without.Queues_.clear();
+  Cluster.askLeader<wire::PutConfigurationAck>(wire::PutConfiguration{Without});
+  CHECK(Cluster.requestJob(wire::JobAction::Query).Status_ ==
+        JobStatus::NoQueue);
+  CHECK(Cluster.requestJob(wire::JobAction::Cancel).Status_ ==
+        JobStatus::UnknownJob);
+  Cluster.run(seconds(1));
+  REQUIRE_FALSE(Agent.stops().empty());
+  CHECK(Agent.stops().front() == makeRun());
+  const jobs::JobRow *Job =
+      Cluster.node(Cluster.leader()).state().jobs().find(JobId);
+  REQUIRE(Job != nullptr);
+  CHECK(Job->State_ == JobState::Cancelled);
+}
+
 // Guards against MIXED: jobs counted as begun once a start had been decided,
 // also where the worker was cut off and never began it (review, wrong-pending).
 TEST_CASE("a job counts as pending until one of its tasks has begun",
