Let tasks crash workers and capacities shrink in the soak

Cause: the users' new rules (BUDGET, LIMIT) were not disturbed or checked by the soak.

Change: one job in 16 has a task that crashes its worker 1 to 10 ms after its start; the worker is back after 1 to 3 s as another life, one time in three under another id. Workers announce 500 to 1500 of 4000 for 5 to 9 s. Promises check the starts after the third crash, that only jobs that may fail do, and each start against the capacity in force. "completes" became "ends": a job without a deadly task still has to complete, since a failure of it is a broken promise of its own. A worker that is down takes no calls and does not crash again; before, healing its proxy let it answer.

--- a/tests/soak/Promises.cpp
+++ b/tests/soak/Promises.cpp
@@ -5,6 +5,23 @@
 #include <utility>
 
 namespace dragonfly::soak {
+namespace {
+
+/// A task under which so many workers have crashed may be given up.
+constexpr std::uint32_t CrashesToGiveUp = 2;
+/// After so many crashes, a deadly task is started fewer than so many times.
+constexpr std::uint32_t CrashBudget = 3;
+
+std::uint32_t mostOfJob(const std::map<TaskId, std::uint32_t> &Counts,
+                        const std::string &Job) {
+  std::uint32_t Most = 0;
+  for (auto It = Counts.lower_bound({.Job_ = Job});
+       It != Counts.end() && It->first.Job_ == Job; ++It)
+    Most = std::max(Most, It->second);
+  return Most;
+}
+
+} // namespace
 
 std::string TaskId::text() const {
   return Job_ + ".0." + std::to_string(Step_) + "." + std::to_string(Index_);
@@ -26,7 +43,7 @@
 }
 
 void Promises::completed(const std::string &Job) {
-  Completed_.insert(Job);
+  Ended_.insert(Job);
   const PlannedJob &Plan = Plans_.at(Job);
   for (std::uint32_t Step = 0; Step < Plan.Counts_.size(); ++Step)
     for (std::uint32_t Index = 0; Index < Plan.Counts_[Step]; ++Index)
@@ -35,6 +52,18 @@
               TaskId{Job, Step, Index}.text());
 }
 
+void Promises::failed(const std::string &Job) {
+  Ended_.insert(Job);
+  Failed_.insert(Job);
+  const std::uint32_t Crashes = mostOfJob(Crashes_, Job);
+  const bool MayBeGivenUp =
+      Plans_.at(Job).Deadly_ && Crashes >= CrashesToGiveUp;
+  require(MayBeGivenUp || mostOfJob(OwnFailures_, Job) >= MaxTaskAttempts,
+          "a job fails only by its own tasks",
+          Job + (Plans_.at(Job).Deadly_ ? ", deadly" : "") + ", " +
+              std::to_string(Crashes) + " crashes under a task");
+}
+
 void Promises::unknown(const std::string &Job, const std::string &Where) {
   require(!Accepted_.contains(Job), "an accepted job is not forgotten",
           Job + " at " + Where);
@@ -51,11 +80,17 @@
     return;
   Started_.insert(Task.Job_);
   require(Plan->MilliProcessors_ <= Room,
-          "a worker is not committed beyond its processors", What);
+          "LIMIT: a worker is not committed beyond its processors",
+          What + " with " + std::to_string(Room) + " free for " +
+              std::to_string(Plan->MilliProcessors_));
   const auto [It, IsNew] = RunningOn_.try_emplace(Task, Worker);
   require(IsNew, "a task does not run in two places",
           What + " and " + It->second);
   It->second = Worker;
+  const bool IsLate = Plan->Deadly_ == Task && Crashes_[Task] >= CrashBudget;
+  require(!IsLate || ++LateStarts_[Task] < CrashBudget,
+          "BUDGET: a task that crashes workers is given up",
+          What + " after " + std::to_string(Crashes_[Task]) + " crashes");
   require(!Noted_.contains(Task), "a finished task is not started again", What);
   for (std::uint32_t Index = 0;
        Task.Step_ > 0 && Index < Plan->Counts_[Task.Step_ - 1]; ++Index)
@@ -80,7 +115,7 @@
 
 std::vector<std::string> Promises::pending() const {
   std::vector<std::string> Left;
-  std::ranges::set_difference(Accepted_, Completed_, std::back_inserter(Left));
+  std::ranges::set_difference(Accepted_, Ended_, std::back_inserter(Left));
   return Left;
 }
 
@@ -90,7 +125,8 @@
   require(isChangeAccepted(), "changes are accepted once faults are over",
           std::to_string(ExpectedChange_));
   for (const std::string &Job : pending())
-    require(false, "an accepted job completes once faults are over", Job);
+    require(false, "an accepted job ends once faults are over",
+            Job + (Plans_.at(Job).Deadly_ ? ", deadly" : ""));
 }
 
 } // namespace dragonfly::soak
--- a/tests/soak/Promises.h
+++ b/tests/soak/Promises.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -31,16 +32,23 @@
   Duration TaskTime_{};
   /// Whether runs may fail by themselves.
   bool MayFail_ = true;
+  /// A task that crashes each worker that starts it.
+  std::optional<TaskId> Deadly_;
 };
 
+/// A task whose runs fail by themselves so often fails its job.
+inline constexpr std::uint32_t MaxTaskAttempts = 100;
+
 class Promises {
 public:
   void planned(const std::string &Job, PlannedJob Plan);
-  /// A submission was answered with success; the job must complete.
+  /// A submission was answered with success; the job must complete, or fail
+  /// where it may.
   void accepted(const std::string &Job) { Accepted_.insert(Job); }
   /// Each attempt was answered as not run.
   void refused(const std::string &Job) { Refused_.insert(Job); }
   void completed(const std::string &Job);
+  void failed(const std::string &Job);
   void unknown(const std::string &Job, const std::string &Where);
 
   /// A worker with \p Room free starts a run.
@@ -48,6 +56,10 @@
               const std::string &Spec, std::int64_t Room);
   /// The run is gone from the worker; \p Done where it has finished.
   void ends(const TaskId &Task, bool Done);
+  /// The run has failed by itself.
+  void failsByItself(const TaskId &Task) { ++OwnFailures_[Task]; }
+  /// A worker crashed while it ran the task.
+  void crashesUnder(const TaskId &Task) { ++Crashes_[Task]; }
   /// The end of a run that has finished was taken note of.
   void endNoted(const TaskId &Task) { Noted_.insert(Task); }
 
@@ -59,11 +71,12 @@
 
   const PlannedJob *plan(const std::string &Job) const;
   bool isPending(const std::string &Job) const {
-    return Accepted_.contains(Job) && !Completed_.contains(Job);
+    return Accepted_.contains(Job) && !Ended_.contains(Job);
   }
   std::vector<std::string> pending() const;
   std::size_t acceptedCount() const { return Accepted_.size(); }
   std::size_t startCount() const { return Starts_; }
+  std::size_t failedCount() const { return Failed_.size(); }
   /// Jobs that have been told both ways.
   void checkEnd();
   const std::vector<std::string> &broken() const { return Broken_; }
@@ -74,11 +87,16 @@
   std::map<std::string, PlannedJob> Plans_;
   std::set<std::string> Accepted_;
   std::set<std::string> Refused_;
-  std::set<std::string> Completed_;
+  std::set<std::string> Ended_;
+  std::set<std::string> Failed_;
   std::set<std::string> Started_;
   std::map<TaskId, std::string> RunningOn_;
   std::set<TaskId> Done_;
   std::set<TaskId> Noted_;
+  std::map<TaskId, std::uint32_t> OwnFailures_;
+  std::map<TaskId, std::uint32_t> Crashes_;
+  /// Starts of deadly tasks after the third crash.
+  std::map<TaskId, std::uint32_t> LateStarts_;
   std::uint64_t NewestAcked_ = 0;
   std::uint64_t ExpectedChange_ = 0;
   std::size_t Starts_ = 0;
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -18,6 +18,8 @@
 constexpr Duration StartTime = milliseconds(4000);
 constexpr int MaxAttempts = 5;
 constexpr std::size_t WideTasksPerWorker = 700;
+/// One job in so many has a task that crashes workers.
+constexpr std::size_t JobsPerDeadly = 16;
 /// They run until all of them do, and over the time without control.
 constexpr Duration WideTaskTime = milliseconds(9000);
 
@@ -30,7 +32,7 @@
           {"TargetLatencyMs", 250},
           {"Priority", 0},
           {"Service", "sorting"},
-          {"MaxAttempts", 100},
+          {"MaxAttempts", MaxTaskAttempts},
           {"SlackFactor", 2.0}};
 }
 
@@ -87,7 +89,8 @@
   for (const std::string &What : Seen_.broken())
     std::cout << "BROKEN " << What << "\n";
   std::cout << Seen_.acceptedCount() << " jobs accepted, " << Seen_.startCount()
-            << " starts, " << FaultCount_ << " faults, " << OwnEnds_
+            << " starts, " << Seen_.failedCount() << " jobs failed, "
+            << FaultCount_ << " faults, " << OwnEnds_
             << " processes ended by themselves, " << Seen_.broken().size()
             << " promises broken\n";
   // A run that accepts nothing shows nothing.
@@ -107,7 +110,10 @@
           .Zone_ = "zone-a",
           .Listen_ = Own,
           .Agent_ = {Fleet_.ip(Fleet::Role::Agent, I), ControlPort},
-          .Seed_ = Random_()}));
+          .Seed_ = Random_(),
+          .OnDeadly_ = [this, I] {
+            crashWorker(I - 1, between(1000, 3000));
+          }}));
   Proxies_.push_back(std::make_unique<LoopbackProxy>(
       Loop_, net::Endpoint{Net + ".5." + Number, WorkerPort}, Own));
 }
@@ -167,6 +173,13 @@
                   .TaskTime_ = between(80, 500)};
   for (std::uint32_t &Count : Plan.Counts_)
     Count = static_cast<std::uint32_t>(1 + pick(4));
+  if (pick(JobsPerDeadly) == 0) {
+    const std::size_t Step = pick(Plan.Counts_.size());
+    Plan.Deadly_ =
+        TaskId{.Job_ = Job,
+               .Step_ = static_cast<std::uint32_t>(Step),
+               .Index_ = static_cast<std::uint32_t>(pick(Plan.Counts_[Step]))};
+  }
   submitPlanned(Job, std::move(Plan), 64);
 }
 
@@ -250,6 +263,9 @@
           if (Result.Response_.Status_ == 200 && Seen_.isPending(Job) &&
               Result.Response_.Body_.find("completed") != std::string::npos)
             Seen_.completed(Job);
+          if (Result.Response_.Status_ == 200 && Seen_.isPending(Job) &&
+              Result.Response_.Body_.find("failed") != std::string::npos)
+            Seen_.failed(Job);
         });
   }
 }
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -72,7 +72,12 @@
   void log(const std::string &What);
   void strikeProcess();
   void strikeConnections();
-  void crashWorker(std::size_t I);
+  /// Ends the disturbance of a proxy; one before a worker that is down refuses.
+  void healProxy(std::size_t I);
+  /// Worker \p I crashes, and comes back after \p Length as another life.
+  void crashWorker(std::size_t I, Duration Length);
+  /// Worker \p I announces a smaller capacity for a while.
+  void shrinkWorker(std::size_t I);
   /// Kills the agent beside worker \p I and leaves calls of its successor
   /// unanswered.
   void killAgentOf(std::size_t I);
@@ -111,6 +116,8 @@
   std::uint64_t NextVersion_ = 1;
   std::size_t OpenSubmits_ = 0;
   std::size_t FaultCount_ = 0;
+  /// Ids given to workers that came back as others.
+  std::size_t NewIds_ = 0;
   std::size_t OwnEnds_ = 0;
   bool Faulting_ = true;
 };
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -50,7 +50,8 @@
 }
 
 void Soak::strikeConnections() {
-  LoopbackProxy &Proxy = *Proxies_[pick(Proxies_.size())];
+  const std::size_t I = pick(Proxies_.size());
+  LoopbackProxy &Proxy = *Proxies_[I];
   const std::size_t Kind = pick(4);
   if (Kind == 0) {
     log("connections reset");
@@ -65,21 +66,41 @@
                  .CutsRequests_ = CutsRequests,
                  .CutsAnswers_ = Kind == 3 || (Kind == 2 && !CutsRequests)});
   // Harmed connections stay silent; new ones work again.
-  later(between(300, 4000), [&Proxy] { Proxy.setHarm({}); });
+  later(between(300, 4000), [this, I] { healProxy(I); });
 }
 
-void Soak::crashWorker(std::size_t I) {
-  log("worker " + std::to_string(I + 1) + " crashes");
+void Soak::healProxy(std::size_t I) {
   // The proxy of a worker has its number.
+  Proxies_[I]->setHarm(
+      {.Refuses_ = I < Workers_.size() && Workers_[I]->isDown()});
+}
+
+void Soak::crashWorker(std::size_t I, Duration Length) {
+  if (Workers_[I]->isDown())
+    return;
+  log("worker " + std::to_string(I + 1) + " crashes");
   Workers_[I]->crash();
-  Proxies_[I]->setHarm({.Refuses_ = true});
+  healProxy(I);
   Proxies_[I]->reset();
-  later(between(0, 1500), [this, I] {
-    Workers_[I]->restart();
-    Proxies_[I]->setHarm({});
+  std::string Name = Workers_[I]->name();
+  if (pick(3) == 0)
+    Name = "i-" + std::to_string(I + 1) + "-" + std::to_string(++NewIds_);
+  later(Length, [this, I, Name] {
+    Workers_[I]->restart(Name);
+    healProxy(I);
   });
 }
 
+void Soak::shrinkWorker(std::size_t I) {
+  const std::int64_t Left = 500 + 250 * static_cast<std::int64_t>(pick(5));
+  log("worker " + std::to_string(I + 1) + " shrinks to " +
+      std::to_string(Left));
+  Workers_[I]->setCapacity(Left);
+  // Longer than the time after which it counts.
+  later(between(5000, 9000),
+        [this, I] { Workers_[I]->setCapacity(WorkerMilliProcessors); });
+}
+
 void Soak::killAgentOf(std::size_t I) {
   const FleetOptions &Sizes = Fleet_.options();
   const std::size_t Agent = Sizes.Controls_ + Sizes.Entries_ + I;
@@ -94,7 +115,7 @@
 }
 
 void Soak::writeToAgent(std::size_t I) {
-  const std::string Own = "/v1/instances/i-" + std::to_string(I + 1);
+  const std::string Own = "/v1/instances/" + Workers_[I]->name();
   const std::string Other = "/v1/instances/i-other";
   boost::json::object Body =
       boost::json::parse(Workers_[I]->heartbeat()).as_object();
@@ -170,19 +191,21 @@
 void Soak::nextFault() {
   if (!Faulting_)
     return;
-  const std::size_t Kind = pick(15);
+  const std::size_t Kind = pick(17);
   if (Kind < 5)
     strikeProcess();
   else if (Kind < 9)
     strikeConnections();
   else if (Kind < 10)
-    crashWorker(pick(Workers_.size()));
+    crashWorker(pick(Workers_.size()), between(0, 1500));
   else if (Kind < 11)
     killAgentOf(pick(Workers_.size()));
   else if (Kind < 13)
     writeToAgent(pick(Workers_.size()));
   else if (Kind < 14)
     sendOddBodies();
+  else if (Kind < 16)
+    shrinkWorker(pick(Workers_.size()));
   else if (pick(2) == 0)
     listOddRows(pick(Workers_.size()));
   else
@@ -207,8 +230,8 @@
   Seen_.expectChange(NextVersion_);
   for (std::size_t I = 1; I <= Fleet_.options().Controls_; ++I)
     Fleet_.setDiskFull(I, false);
-  for (const auto &Proxy : Proxies_)
-    Proxy->setHarm({});
+  for (std::size_t I = 0; I < Proxies_.size(); ++I)
+    healProxy(I);
   for (std::size_t I = 0; I < Fleet_.size(); ++I)
     Fleet_.signal(I, SIGCONT);
 }
--- a/tests/soak/StandInWorker.cpp
+++ b/tests/soak/StandInWorker.cpp
@@ -27,6 +27,10 @@
 /// A call without an answer may be carried out so much later.
 constexpr Duration LateTime = milliseconds(2000);
 constexpr std::uint64_t LateSpreadMs = 2000;
+/// A deadly task crashes its worker within so many milliseconds.
+constexpr std::uint64_t DeadlyMs = 10;
+/// A capacity that has shrunk counts 3 s and one heartbeat later.
+constexpr Duration ShrinkGrace = milliseconds(3000) + HeartbeatPeriod;
 constexpr std::uint16_t Conflict = 409;
 constexpr std::uint16_t Misdirected = 421;
 
@@ -83,11 +87,14 @@
 
   void crash() {
     Waiting_.clear();
+    for (const auto &[Name, Each] : Runs_)
+      Seen_.crashesUnder(Each.Task_);
     beginLife();
     IsDown_ = true;
   }
 
-  void restart() {
+  void restart(const std::string &Name) {
+    Options_.Name_ = Name;
     beginLife();
     IsDown_ = false;
     beat();
@@ -122,8 +129,18 @@
     return static_cast<std::int64_t>(toMilliseconds(Clock::now() - StartedAt_));
   }
 
-  std::int64_t room() const {
+  void setCapacity(std::int64_t MilliProcessors) {
+    Capacities_.emplace_back(Clock::now() + ShrinkGrace,
+                             Options_.MilliProcessors_);
+    Options_.MilliProcessors_ = MilliProcessors;
+  }
+
+  std::int64_t room() {
     std::int64_t Left = Options_.MilliProcessors_;
+    std::erase_if(Capacities_,
+                  [](const auto &Each) { return Clock::now() >= Each.first; });
+    for (const auto &[Until, MilliProcessors] : Capacities_)
+      Left = std::max(Left, MilliProcessors);
     for (const auto &[Name, Each] : Runs_)
       Left -= Each.MilliProcessors_;
     return Left;
@@ -158,6 +175,8 @@
   }
 
   void take(const net::HttpRequest &Request, const net::HttpReplier &To) {
+    if (IsDown_)
+      return;
     if (Clock::now() >= UnansweredUntil_ || Random_() % 2 == 0) {
       carryOut(Request, To);
       return;
@@ -235,16 +254,23 @@
     if (Plan == nullptr)
       return refuse(To, "room");
     const TimePoint Now = Clock::now();
-    Runs_[Task] = {.Task_ = Task,
-                   .Number_ = Number,
-                   .MilliProcessors_ = Plan->MilliProcessors_,
-                   .EndsAt_ = Now + Plan->TaskTime_,
-                   .BeganAt_ = Now,
-                   .Fails_ = Plan->MayFail_ &&
-                             Random_() % 1000 < Options_.FailPermille_,
-                   .StopAt_ = {}};
+    const bool IsDeadly = Plan->Deadly_ == Task;
+    Runs_[Task] = {
+        .Task_ = Task,
+        .Number_ = Number,
+        .MilliProcessors_ = Plan->MilliProcessors_,
+        .EndsAt_ = IsDeadly ? TimePoint::max() : Now + Plan->TaskTime_,
+        .BeganAt_ = Now,
+        .Fails_ = Plan->MayFail_ && Random_() % 1000 < Options_.FailPermille_,
+        .StopAt_ = {}};
     Newest_[Task] = Number;
     reply(To, {});
+    if (IsDeadly)
+      Late_.push_back(Loop_.after(milliseconds(1 + Random_() % DeadlyMs),
+                                  [this, Born = Born_] {
+                                    if (Born == Born_)
+                                      Options_.OnDeadly_();
+                                  }));
   }
 
   void stopRun(const boost::json::object &Call, const net::HttpReplier &To) {
@@ -311,6 +337,8 @@
         return false;
       Ends_.push_back({NextEnd_++, Each, How, Lapsed});
       Seen_.ends(Each.Task_, std::string_view(How) == "done");
+      if (std::string_view(How) == "failed")
+        Seen_.failsByItself(Each.Task_);
       return true;
     });
     std::erase_if(Waiting_, [&](const Waiting &Row) {
@@ -332,6 +360,8 @@
   bool IsDown_ = false;
   bool HasOddRows_ = false;
   TimePoint UnansweredUntil_;
+  /// Larger capacities that still count, and until when.
+  std::vector<std::pair<TimePoint, std::int64_t>> Capacities_;
   std::vector<net::Timer> Late_;
   std::map<TaskId, Run> Runs_;
   /// The highest run that was started or stopped, by task.
@@ -358,7 +388,12 @@
 }
 
 void StandInWorker::crash() { Impl_->crash(); }
-void StandInWorker::restart() { Impl_->restart(); }
+bool StandInWorker::isDown() const { return Impl_->IsDown_; }
+void StandInWorker::restart(const std::string &Name) { Impl_->restart(Name); }
+const std::string &StandInWorker::name() const { return Impl_->Options_.Name_; }
+void StandInWorker::setCapacity(std::int64_t MilliProcessors) {
+  Impl_->setCapacity(MilliProcessors);
+}
 void StandInWorker::leaveUnanswered(Duration Time) {
   Impl_->UnansweredUntil_ = Clock::now() + Time;
 }
--- a/tests/soak/StandInWorker.h
+++ b/tests/soak/StandInWorker.h
@@ -17,6 +17,8 @@
 
 namespace dragonfly::soak {
 
+inline constexpr std::int64_t WorkerMilliProcessors = 4000;
+
 struct StandInWorkerOptions {
   std::string Name_;
   std::string Service_;
@@ -25,10 +27,12 @@
   net::Endpoint Listen_;
   /// Its agent, for heartbeats.
   net::Endpoint Agent_;
-  std::int64_t MilliProcessors_ = 4000;
+  std::int64_t MilliProcessors_ = WorkerMilliProcessors;
   /// Share of runs that fail by themselves, in thousandths.
   std::uint32_t FailPermille_ = 20;
   std::uint64_t Seed_ = 1;
+  /// A deadly task crashes the worker.
+  std::function<void()> OnDeadly_;
 };
 
 /// Runs tasks for as long as their job's plan says, under leases and fences.
@@ -41,8 +45,12 @@
   /// Ends everything that runs and sends nothing. Whoever calls it has to break
   /// the connections.
   void crash();
-  /// Comes back under the same id, with nothing.
-  void restart();
+  bool isDown() const;
+  /// Comes back as the worker \p Name, with nothing.
+  void restart(const std::string &Name);
+  const std::string &name() const;
+  /// Announces another capacity from the next heartbeat on.
+  void setCapacity(std::int64_t MilliProcessors);
   /// Leaves half of the calls of the next \p Time unanswered, and carries them
   /// out 2 to 4 s later.
   void leaveUnanswered(Duration Time);
