Announce more often only while the group lacks voters

Where more replicas have a disk than vote, as on the grown sites, learners are a lasting state: three of them would have told the leader of themselves ten times a second for ever.

Cause: the period depended on whether the replica votes.

Change: it depends on whether the group lacks voters as well, by the replica's own log. A replica with an empty log knows of none, so that one with a new disk still announces itself each 100 ms until it votes.

--- a/src/control/Control.cpp
+++ b/src/control/Control.cpp
@@ -25,9 +25,9 @@
 /// How often a replica makes itself known to the leader; a third of the time
 /// after which it would no longer count as present.
 constexpr Duration JoinPeriod = std::chrono::milliseconds(500);
-/// A replica that does not vote makes itself known more often: until it does,
-/// the group may bear no further loss.
-constexpr Duration LearnerJoinPeriod = std::chrono::milliseconds(100);
+/// A replica that is to become a voter makes itself known more often: until it
+/// is one, the group may bear no further loss.
+constexpr Duration RepairJoinPeriod = std::chrono::milliseconds(100);
 /// The seeds, which may be no replicas, are told less often.
 constexpr Duration AnnouncePeriod = 4 * JoinPeriod;
 
@@ -140,12 +140,20 @@
                                 for (const wire::GroupRow &Row : Known.Rows_)
                                   Known_[Row.Id_] = Row.Address_;
                               }});
-    Joins_ = Loop.every(LearnerJoinPeriod, [this] {
-      if (Clock::now() >= JoinAt_ || !Service_.isVoter())
+    Joins_ = Loop.every(RepairJoinPeriod, [this] {
+      if (Clock::now() >= JoinAt_ || isWanted())
         join();
     });
   }
 
+  /// Returns whether the group lacks voters and this replica is none.
+  bool isWanted() const {
+    const auto Voters = std::ranges::count(Service_.log().members(), true,
+                                           &consensus::Member::Voter_);
+    return !Service_.isVoter() &&
+           static_cast<std::size_t>(Voters) < Settings_.Voters_;
+  }
+
   void join() {
     JoinAt_ = Clock::now() + JoinPeriod;
     const wire::JoinGroup Notice{.Id_ = Settings_.Replica_,
