--- a/tests/agent/WorkerCrashTest.cpp
+++ b/tests/agent/WorkerCrashTest.cpp
@@ -59,7 +59,8 @@
   On.announce(On.Worker_->announce());
   On.run(milliseconds(300));
   REQUIRE(On.Leader_->Crashes_.size() == 1);
-  CHECK(On.Leader_->Crashes_.front().Crash_.Suspects_ == std::vector{makeRun(7)});
+  CHECK(On.Leader_->Crashes_.front().Crash_.Suspects_ ==
+        std::vector{makeRun(7)});
 }
 
 // Guards against a job that fails without cause: a run that was at work before
