Try the tasks of narrow jobs first where several are suspected

Three crashes had left 148 suspects, all but one of them tasks of one job with 700, and these were tried one by one, 0.45 s each, for 16 s before the one task at fault, of another job, had its turn and was given up.

Cause: which suspect may close a worker followed the order of jobs.

Change: of tasks that are suspected of several crashes, those of the job with the fewest come first, one job in a placement. A wide job delays only itself where the task at fault is its own.

Measured: "of several suspects the tasks of a wide job are tried last" fails without it, with either job as the wide one, and passes.

--- a/src/control/JobDispatcher.cpp
+++ b/src/control/JobDispatcher.cpp
@@ -259,6 +259,7 @@
   }
   IsHalfUnreserved_ = Reserved.MilliProcessors_ * 2 < Capacity.MilliProcessors_;
   pruneStaleEntries();
+  ProbationJob_ = nextProbationJob();
   for (const PlacementWork &JobWork : Work) {
     for (const jobs::ReadyStep &Ready : JobWork.ReadySteps_) {
       if (Batch_.record().Starts_.size() >= MaxStartsPerTick) {
@@ -387,8 +388,7 @@
       continue;
     Need.IsSuspect_ = Table_.crashes().isSuspect(Next.Task_);
     const bool MayClose =
-        Need.IsSuspect_ &&
-        Probation_.mayClose(Placement.workers(), Need.Service_);
+        Need.IsSuspect_ && mayCloseWorkerFor(Next.Task_, Need, Placement);
     if (Need.IsSuspect_ && !MayClose && mustWait(Now, Next.Task_))
       continue;
     Need.AvoidedWorker_ = Task.Worker_;
@@ -412,6 +412,40 @@
   }
 }
 
+/// Returns whether a worker may be closed for the suspect task.
+bool JobDispatcher::mayCloseWorkerFor(
+    const jobs::TaskName &Task, const decide::PlacementRequest &Need,
+    const decide::JobPlacement &Placement) const {
+  const bool IsTurn =
+      ProbationJob_.empty() ||
+      (ProbationJob_ == Task.Job_ && Table_.crashes().crashes(Task) > 1);
+  return IsTurn && Probation_.mayClose(Placement.workers(), Need.Service_);
+}
+
+/// Returns the job with the fewest waiting tasks that are suspected of several
+/// crashes, or an empty name. Where one task crashes workers, the tasks of a
+/// wide job that began beside it are the least likely ones.
+std::string JobDispatcher::nextProbationJob() const {
+  std::map<std::string, std::size_t> Counts;
+  if (Table_.crashes().empty())
+    return {};
+  for (const jobs::ReadyStep &Ready : Table_.readySteps()) {
+    const std::vector<TaskRow> &Tasks =
+        Table_.find(Ready.Job_)->Steps_[Ready.Step_].Tasks_;
+    for (std::uint32_t Index = 0; Index < Tasks.size(); ++Index) {
+      const RunName Next{{Ready.Job_, Ready.Step_, Index},
+                         Tasks[Index].Run_ + 1};
+      if (Tasks[Index].Phase_ == TaskPhase::Waiting &&
+          Table_.crashes().crashes(Next.Task_) > 1 &&
+          !ProposedStarts_.contains(Next))
+        ++Counts[Ready.Job_];
+    }
+  }
+  const auto Fewest = std::ranges::min_element(
+      Counts, {}, [](const auto &Each) { return Each.second; });
+  return Fewest == Counts.end() ? std::string() : Fewest->first;
+}
+
 /// Returns whether the suspect task goes on waiting for a worker that may be
 /// closed.
 bool JobDispatcher::mustWait(TimePoint Now, const jobs::TaskName &Task) {
--- a/src/control/JobDispatcher.h
+++ b/src/control/JobDispatcher.h
@@ -84,6 +84,10 @@
                      const std::vector<jobs::TaskRow> &Tasks,
                      const decide::JobPlacement &Placement) const;
   bool mustWait(TimePoint Now, const jobs::TaskName &Task);
+  bool mayCloseWorkerFor(const jobs::TaskName &Task,
+                         const decide::PlacementRequest &Need,
+                         const decide::JobPlacement &Placement) const;
+  std::string nextProbationJob() const;
   std::optional<std::size_t> placeTask(const jobs::TaskName &Task,
                                        const decide::PlacementRequest &Need,
                                        decide::JobPlacement &Placement) const;
@@ -129,6 +133,8 @@
   decide::WorkerSuspicion Suspicion_;
   /// Workers that have just been given a task under which others crashed.
   decide::WorkerProbation Probation_;
+  /// The job whose tasks may be tried alone in this round, if any has to be.
+  std::string ProbationJob_;
   /// Since when suspect tasks have waited for a worker.
   std::map<jobs::TaskName, TimePoint> SuspectSince_;
   /// Active jobs with a ready step but no task on a worker, by id, with the
--- a/tests/control/WorkerCrashTest.cpp
+++ b/tests/control/WorkerCrashTest.cpp
@@ -94,6 +94,34 @@
   CHECK(Second.consumeStarts() == std::vector{makeRun(2, 1)});
 }
 
+// Guards against LOST: the hundreds of tasks of a wide job that had begun
+// beside the one at fault were tried one by one before it (the soak, seed 10).
+TEST_CASE("of several suspects the tasks of a wide job are tried last",
+          "[control][jobs][crash]") {
+  JobCluster Cluster;
+  TestAgent First = attachOn(Cluster, "w1", "vm-1", 10);
+  const std::string OtherJob = "fc0e7a21d94b36f8";
+  // With this estimate the wide job comes first in the order of jobs.
+  const bool OtherIsWide = GENERATE(false, true);
+  jobs::StepSpec Wide = makeStep(3);
+  Wide.Estimate_ = seconds(60);
+  Cluster.submit({OtherIsWide ? makeStep() : Wide});
+  Cluster.askLeader<wire::JobReply>(
+      wire::SubmitJob{.Job_ = OtherJob,
+                      .Host_ = "a.example",
+                      .Path_ = "/checks/" + OtherJob,
+                      .Spec_ = {.Steps_ = {OtherIsWide ? Wide : makeStep()}}});
+  const std::vector<RunName> All = First.consumeStarts();
+  REQUIRE(All.size() == 4);
+  for (std::uint64_t Born = 10; Born < 13; ++Born)
+    crash(Cluster, All, Born);
+  TestAgent Second = attachOn(Cluster, "w2", "vm-1", 20);
+  Cluster.run(milliseconds(50));
+  const std::vector<RunName> Started = Second.consumeStarts();
+  REQUIRE(Started.size() == 1);
+  CHECK(Started.front().Task_.Job_ == (OtherIsWide ? JobId : OtherJob));
+}
+
 TEST_CASE("a crash under a cancelled or a finished task counts for nothing",
           "[control][jobs][crash]") {
   JobCluster Cluster;
