--- a/src/control/GroupKeeper.cpp
+++ b/src/control/GroupKeeper.cpp
@@ -51,8 +51,8 @@
 std::optional<GroupChange>
 GroupKeeper::nextChange(TimePoint Now, const GroupPlanOptions &Options) {
   std::vector<ReplicaId> Lagging;
-  while (const auto Change = planGroupChange(Options, Log_.members(), Seen_,
-                                             LeaderSince_, Now, Lagging)) {
+  while (auto Change = planGroupChange(Options, Log_.members(), Seen_,
+                                       LeaderSince_, Now, Lagging)) {
     const auto Obstacle = Log_.changeObstacle(Change->Target_, Change->Remove_);
     if (!Obstacle) {
       LastObstacle_.reset();
