Pause the clock in the tests of control

Cause: a placement pauses four times as long as it took on the clock of the process, and ServiceCluster, whose own time is simulated, left that clock running. A test that is preempted within a placement therefore waited longer in simulated time; the verdict depended on the machine.

Change: ServiceCluster pauses the clock and moves it with its own time.

--- a/tests/control/ServiceCluster.h
+++ b/tests/control/ServiceCluster.h
@@ -26,11 +26,17 @@
   static constexpr Duration Step = std::chrono::milliseconds(2);
 
   explicit ServiceCluster(std::size_t Replicas = 3) : Nodes_(Replicas) {
+    // Placements pause in proportion to the time that they took.
+    Clock::pause(Now_);
     configureLog({.Sink_ = [](std::string_view) {}});
     for (std::size_t I = 0; I < Replicas; ++I)
       loseDisk(I);
   }
 
+  ~ServiceCluster() { Clock::resume(); }
+  ServiceCluster(const ServiceCluster &) = delete;
+  ServiceCluster &operator=(const ServiceCluster &) = delete;
+
   ControlService &node(std::size_t I) { return *Nodes_[I].Service_; }
   TimePoint now() const { return Now_; }
 
@@ -81,6 +87,7 @@
   void run(Duration By) {
     for (const TimePoint End = Now_ + By; Now_ < End;) {
       Now_ += Step;
+      Clock::advance(Step);
       deliver();
       if (RepairsGroup_ && Now_ >= AnnounceAt_)
         announceReplicas();
