Give suspect tasks and the dispatch log files of their own

Two of its responsibilities were separable: the placement of tasks under which workers crashed, and the log and gauges of a placement.

Change: SuspectScheduler decides how a suspect task may start (normally, alone on a worker that is then closed, or not in this placement) and holds the probation. It reads the job table, and the dispatcher tells it which starts are proposed. DispatchLog writes the `task-waits` and `dispatch-summary` events and the gauges. No behaviour changes.

--- a/src/control/JobDispatcher.cpp
+++ b/src/control/JobDispatcher.cpp
@@ -31,9 +31,6 @@
 /// times too slow the longest tasks still progress by one percent a second.
 constexpr Duration StallTimeout = std::chrono::milliseconds(2500);
 constexpr std::uint32_t FullProgressPercent = 100;
-constexpr Duration SummaryInterval = std::chrono::seconds(1);
-/// Limit of `task-waits` events between two summaries.
-constexpr std::size_t MaxWaitLines = 8;
 /// A job with a ready step may go without a running task for this long while
 /// more than half of the processors are unreserved; the platform allows three
 /// seconds.
@@ -94,7 +91,7 @@
                 .ProposedStartVersion_ = ProposedStartVersions_[Name],
                 .Worker_ = makePlacementWorker(Now, Session, *Row)};
     Cached.Worker_.Suspect_ = Suspicion_.isSuspect(Now, Name);
-    Cached.Worker_.Closed_ = Probation_.isClosed(Now, Name);
+    Cached.Worker_.Closed_ = Suspects_.isClosed(Now, Name);
     Cached.Worker_.StartedRecently_ =
         Now - Session.LastStartAt_ < RecentStartTime;
     Workers.push_back(Cached.Worker_);
@@ -230,9 +227,6 @@
   std::erase_if(ProposedStartVersions_, [this](const auto &Entry) {
     return !Sessions_.sessions().contains(Entry.first);
   });
-  std::erase_if(SuspectSince_, [this](const auto &Entry) {
-    return !Table_.crashes().isSuspect(Entry.first);
-  });
   std::erase_if(IdleSince_, [this](const auto &Entry) {
     const JobRow *Job = Table_.find(Entry.first);
     return Job == nullptr || !Job->active();
@@ -259,7 +253,8 @@
   }
   IsHalfUnreserved_ = Reserved.MilliProcessors_ * 2 < Capacity.MilliProcessors_;
   pruneStaleEntries();
-  ProbationJob_ = nextProbationJob();
+  Suspects_.beginPlacement(
+      [this](const RunName &Run) { return ProposedStarts_.contains(Run); });
   for (const PlacementWork &JobWork : Work) {
     for (const jobs::ReadyStep &Ready : JobWork.ReadySteps_) {
       if (Batch_.record().Starts_.size() >= MaxStartsPerTick) {
@@ -271,67 +266,7 @@
     for (const RunName &Run : JobWork.ThrottledRuns_)
       moveRun(Now, *JobWork.Job_, Run, Placement);
   }
-  logDispatchSummary(Now, Placement);
-}
-
-void JobDispatcher::logPlacementObstacles(
-    const jobs::ReadyStep &Ready, const decide::JobPlacement &Placement,
-    const decide::PlacementRequest &Need) {
-  if (RemainingWaitLines_ == 0)
-    return;
-  --RemainingWaitLines_;
-  const decide::PlacementObstacles Obstacles = Placement.countObstacles(Need);
-  logEvent(Event::TaskWaits, {{"job", Ready.Job_},
-                              {"step", Ready.Step_},
-                              {"other_service", Obstacles.OtherService_},
-                              {"closed", Obstacles.Closed_},
-                              {"label", Obstacles.Label_},
-                              {"too_many_of_step", Obstacles.TooManyOfStep_},
-                              {"memory", Obstacles.Memory_},
-                              {"processors", Obstacles.Processors_},
-                              {"spare_processors", Obstacles.SpareProcessors_},
-                              {"tail_latency", Obstacles.TailLatency_}});
-}
-
-void JobDispatcher::logDispatchSummary(TimePoint Now,
-                                       const decide::JobPlacement &Placement) {
-  if (Now < NextSummaryAt_)
-    return;
-  NextSummaryAt_ = Now + SummaryInterval;
-  RemainingWaitLines_ = MaxWaitLines;
-  Resources Capacity;
-  Resources Reserved;
-  std::int64_t SpareMilliProcessors = 0;
-  std::uint64_t ServingWorkers = 0;
-  for (const decide::PlacementWorker &Row : Placement.workers()) {
-    Capacity += Row.Capacity_;
-    Reserved += Row.Reserved_;
-    SpareMilliProcessors += Row.SpareMilliProcessors_;
-    ServingWorkers += Row.Serving_.empty() ? 0 : 1;
-  }
-  std::uint64_t WaitingTasks = 0;
-  for (const jobs::ReadyStep &Ready : Table_.readySteps())
-    WaitingTasks += Table_.find(Ready.Job_)->Steps_[Ready.Step_].Waiting_;
-  const auto Unsigned = [](std::int64_t Value) {
-    return static_cast<std::uint64_t>(std::max<std::int64_t>(Value, 0));
-  };
-  Metrics_.set("workers", "open",
-               static_cast<double>(Placement.workers().size()));
-  Metrics_.set("tasks", "waiting", static_cast<double>(WaitingTasks));
-  Metrics_.set("processors", "reserved",
-               static_cast<double>(Reserved.MilliProcessors_));
-  Metrics_.set("processors", "spare_used",
-               static_cast<double>(SpareMilliProcessors));
-  logEvent(Event::DispatchSummary,
-           {{"workers", Placement.workers().size()},
-            {"workers_that_serve", ServingWorkers},
-            {"processors", Unsigned(Capacity.MilliProcessors_)},
-            {"processors_reserved", Unsigned(Reserved.MilliProcessors_)},
-            {"processors_spare_used", Unsigned(SpareMilliProcessors)},
-            {"memory", Unsigned(Capacity.MemoryMib_)},
-            {"memory_reserved", Unsigned(Reserved.MemoryMib_)},
-            {"steps_ready", Table_.readySteps().size()},
-            {"tasks_waiting", WaitingTasks}});
+  Log_.logSummary(Now, Placement);
 }
 
 /// Returns the number of runs of the step, started or proposed, on each worker
@@ -387,24 +322,20 @@
     if (Task.Phase_ != TaskPhase::Waiting || ProposedStarts_.contains(Next))
       continue;
     Need.IsSuspect_ = Table_.crashes().isSuspect(Next.Task_);
-    const bool MayClose =
-        Need.IsSuspect_ && mayCloseWorkerFor(Next.Task_, Need, Placement);
-    if (Need.IsSuspect_ && !MayClose && mustWait(Now, Next.Task_))
+    const SuspectScheduler::Start How =
+        Suspects_.chooseStart(Now, Next.Task_, Need.Service_, Placement);
+    if (How == SuspectScheduler::Start::Postponed)
       continue;
     Need.AvoidedWorker_ = Task.Worker_;
     const auto Chosen = placeTask(Next.Task_, Need, Placement);
     if (!Chosen) {
-      logPlacementObstacles(Ready, Placement, Need);
+      Log_.logObstacles(Ready, Placement, Need);
       return;
     }
     if (!Need.StepRunsPerWorker_.empty())
       ++Need.StepRunsPerWorker_[*Chosen];
     Relocator_.finish(Next.Task_);
-    SuspectSince_.erase(Next.Task_);
-    if (MayClose) {
-      Probation_.close(Now, Placement.workers()[*Chosen].Name_);
-      Placement.close(*Chosen);
-    }
+    Suspects_.finish(Now, Next.Task_, How, *Chosen, Placement);
     proposeStart(Now, Job, std::move(Next), Placement.workers()[*Chosen].Name_);
     Need.MayOvercommit_ = false;
     if (Batch_.record().Starts_.size() >= MaxStartsPerTick)
@@ -412,47 +343,6 @@
   }
 }
 
-/// Returns whether a worker may be closed for the suspect task.
-bool JobDispatcher::mayCloseWorkerFor(
-    const jobs::TaskName &Task, const decide::PlacementRequest &Need,
-    const decide::JobPlacement &Placement) const {
-  const bool IsTurn =
-      ProbationJob_.empty() ||
-      (ProbationJob_ == Task.Job_ && Table_.crashes().crashes(Task) > 1);
-  return IsTurn && Probation_.mayClose(Placement.workers(), Need.Service_);
-}
-
-/// Returns the job with the fewest waiting tasks that are suspected of several
-/// crashes, or an empty name. Where one task crashes workers, the tasks of a
-/// wide job that began beside it are the least likely ones.
-std::string JobDispatcher::nextProbationJob() const {
-  std::map<std::string, std::size_t> Counts;
-  if (Table_.crashes().empty())
-    return {};
-  for (const jobs::ReadyStep &Ready : Table_.readySteps()) {
-    const std::vector<TaskRow> &Tasks =
-        Table_.find(Ready.Job_)->Steps_[Ready.Step_].Tasks_;
-    for (std::uint32_t Index = 0; Index < Tasks.size(); ++Index) {
-      const RunName Next{{Ready.Job_, Ready.Step_, Index},
-                         Tasks[Index].Run_ + 1};
-      if (Tasks[Index].Phase_ == TaskPhase::Waiting &&
-          Table_.crashes().crashes(Next.Task_) > 1 &&
-          !ProposedStarts_.contains(Next))
-        ++Counts[Ready.Job_];
-    }
-  }
-  const auto Fewest = std::ranges::min_element(
-      Counts, {}, [](const auto &Each) { return Each.second; });
-  return Fewest == Counts.end() ? std::string() : Fewest->first;
-}
-
-/// Returns whether the suspect task goes on waiting for a worker that may be
-/// closed.
-bool JobDispatcher::mustWait(TimePoint Now, const jobs::TaskName &Task) {
-  const TimePoint Since = SuspectSince_.try_emplace(Task, Now).first->second;
-  return Probation_.mustWait(Table_.crashes().crashes(Task), Now - Since);
-}
-
 /// Places the task on the worker where room is reserved for it, if any.
 std::optional<std::size_t>
 JobDispatcher::placeTask(const jobs::TaskName &Task,
--- a/src/control/JobDispatcher.h
+++ b/src/control/JobDispatcher.h
@@ -3,13 +3,14 @@
 #ifndef DRAGONFLY_SRC_CONTROL_JOBDISPATCHER_H
 #define DRAGONFLY_SRC_CONTROL_JOBDISPATCHER_H
 
+#include "control/DispatchLog.h"
 #include "control/JobBatch.h"
 #include "control/RunTimeEstimator.h"
 #include "control/ServingRelocator.h"
+#include "control/SuspectScheduler.h"
 #include "control/WorkerInterference.h"
 #include "control/WorkerSessions.h"
 #include "dragonfly/decide/JobPlacement.h"
-#include "dragonfly/decide/WorkerProbation.h"
 #include "dragonfly/decide/WorkerSuspicion.h"
 
 #include <cstdint>
@@ -28,7 +29,8 @@
                 Metrics &JobMetrics)
       : Table_(Table), Sessions_(Sessions), Interference_(Interference),
         RunTimes_(RunTimes), Batch_(Batch), Metrics_(JobMetrics),
-        Relocator_(Table, Sessions, Interference, JobMetrics) {}
+        Relocator_(Table, Sessions, Interference, JobMetrics), Suspects_(Table),
+        Log_(Table, JobMetrics) {}
 
   /// Drops all state of an earlier term as leader.
   void startLeading() {
@@ -36,8 +38,7 @@
     ProposedStartVersions_.clear();
     CachedWorkers_.clear();
     IdleSince_.clear();
-    Probation_.clear();
-    SuspectSince_.clear();
+    Suspects_.startLeading();
     Relocator_.startLeading();
     NeedsPlacement_ = true;
   }
@@ -83,11 +84,6 @@
   countRunsPerWorker(const jobs::ReadyStep &Ready,
                      const std::vector<jobs::TaskRow> &Tasks,
                      const decide::JobPlacement &Placement) const;
-  bool mustWait(TimePoint Now, const jobs::TaskName &Task);
-  bool mayCloseWorkerFor(const jobs::TaskName &Task,
-                         const decide::PlacementRequest &Need,
-                         const decide::JobPlacement &Placement) const;
-  std::string nextProbationJob() const;
   std::optional<std::size_t> placeTask(const jobs::TaskName &Task,
                                        const decide::PlacementRequest &Need,
                                        decide::JobPlacement &Placement) const;
@@ -101,10 +97,6 @@
   void recordRunFailure(TimePoint Now, const std::string &Worker);
   void stopResumableRuns(TimePoint Now, const std::string &Worker,
                          const WorkerSession &Session);
-  void logPlacementObstacles(const jobs::ReadyStep &Ready,
-                             const decide::JobPlacement &Placement,
-                             const decide::PlacementRequest &Need);
-  void logDispatchSummary(TimePoint Now, const decide::JobPlacement &Placement);
   std::vector<decide::PlacementWorker> schedulableWorkers(TimePoint Now);
   decide::PlacementWorker makePlacementWorker(TimePoint Now,
                                               const WorkerSession &Session,
@@ -125,18 +117,14 @@
   JobBatch &Batch_;
   Metrics &Metrics_;
   ServingRelocator Relocator_;
+  SuspectScheduler Suspects_;
+  DispatchLog Log_;
   std::map<jobs::RunName, ProposedStart> ProposedStarts_;
   /// By worker: incremented whenever its entries in `ProposedStarts_` change.
   std::map<std::string, std::uint64_t> ProposedStartVersions_;
   /// Placement inputs by worker.
   std::map<std::string, CachedWorker> CachedWorkers_;
   decide::WorkerSuspicion Suspicion_;
-  /// Workers that have just been given a task under which others crashed.
-  decide::WorkerProbation Probation_;
-  /// The job whose tasks may be tried alone in this round, if any has to be.
-  std::string ProbationJob_;
-  /// Since when suspect tasks have waited for a worker.
-  std::map<jobs::TaskName, TimePoint> SuspectSince_;
   /// Active jobs with a ready step but no task on a worker, by id, with the
   /// time of the first placement that found them so.
   std::map<std::string, TimePoint> IdleSince_;
@@ -148,9 +136,6 @@
   /// at the second.
   TimePoint EarliestPlacementAt_;
   TimePoint LatestPlacementAt_;
-  TimePoint NextSummaryAt_;
-  /// How many more `task-waits` events may be logged before the next summary.
-  std::size_t RemainingWaitLines_ = 0;
 };
 
 } // namespace dragonfly::control
