--- a/tests/agent/AgentFixture.h
+++ b/tests/agent/AgentFixture.h
@@ -9,6 +9,8 @@
 #include "dragonfly/net/EventLoop.h"
 #include "dragonfly/net/FrameServer.h"
 
+#include <catch2/catch.hpp>
+
 #include <algorithm>
 #include <chrono>
 #include <map>
@@ -29,6 +31,16 @@
           .Run_ = Run};
 }
 
+/// An announcement of a worker that is not on the VM.
+inline WorkerAnnouncement foreign(std::string Name, std::uint64_t Born) {
+  return {.Worker_ = std::move(Name),
+          .Born_ = Born,
+          .Sequence_ = 1,
+          .Service_ = "unnamed",
+          .AvailabilityZone_ = "zone-a",
+          .Capacity_ = {.MilliProcessors_ = 16000, .MemoryMib_ = 64000}};
+}
+
 /// Runs what it is told to under a lease, as the platform describes workers.
 class FakeWorker {
 public:
@@ -421,6 +433,34 @@
     announce(Worker_->announce());
     run(Wait);
   }
+  /// The worker announces that it leaves.
+  void announceDraining() {
+    WorkerAnnouncement Draining = Worker_->announce();
+    Draining.Draining_ = true;
+    announce(Draining);
+  }
+  /// Another life of the worker begins and announces itself.
+  void restartWorker(std::string Name, std::uint64_t Born) {
+    Worker_->restart(std::move(Name), Born);
+    announce(Worker_->announce());
+  }
+
+  /// Orders the start of \p Run while the worker is silent.
+  void orderUnansweredStart(const jobs::RunName &Run) {
+    Worker_->setSilent(true);
+    Leader_->order({.Starts_ = {{.Run_ = Run}}});
+    run(milliseconds(1000));
+  }
+  bool isStartedWithin(const jobs::RunName &Run, Duration Limit) {
+    return runUntil([&] { return Worker_->isRunning(Run); }, Limit).has_value();
+  }
+  /// Requires that \p Run is the one run whose end the leader was told.
+  void requireOnlyEnd(const jobs::RunName &Run, jobs::RunEnd How) const {
+    REQUIRE(Leader_->Ends_.size() == 1);
+    CHECK(Leader_->Ends_.front().Run_ == Run);
+    CHECK(Leader_->Ends_.front().How_ == How);
+  }
+
   /// Returns the processors that the leader was told last.
   std::int64_t toldMilliProcessors() const {
     return Leader_->Hellos_.back().Capacity_.MilliProcessors_;
--- a/tests/agent/WorkerCrashTest.cpp
+++ b/tests/agent/WorkerCrashTest.cpp
@@ -6,20 +6,35 @@
 namespace dragonfly::agent {
 namespace {
 
+void startRun(AgentFixture &On, const jobs::RunName &Run) {
+  On.Leader_->order({.Starts_ = {{.Run_ = Run}}});
+  On.run(milliseconds(30));
+}
+
+/// The worker is back after a crash, in another life.
+void comeBack(AgentFixture &On, std::string Name, std::uint64_t Born) {
+  On.Worker_->setSilent(false);
+  On.restartWorker(std::move(Name), Born);
+  On.run(milliseconds(300));
+}
+
+/// Replaces the worker, of which control must not be told as of a crash.
+void replaceWithoutCrash(AgentFixture &On) {
+  On.restartWorker("w2", 20);
+  On.run(seconds(1));
+  CHECK(On.Leader_->Crashes_.empty());
+}
+
 /// The worker crashes \p Delay after the order to start \p Run has arrived, and
 /// is back after three seconds.
 void crashAfterStart(AgentFixture &On, const jobs::RunName &Run, Duration Delay,
                      std::string Name = "w2", std::uint64_t Born = 20) {
-  On.Leader_->order({.Starts_ = {{.Run_ = Run}}});
-  On.run(milliseconds(30));
+  startRun(On, Run);
   REQUIRE(On.Worker_->isRunning(Run));
   On.run(Delay);
   On.Worker_->setSilent(true);
   On.run(seconds(3));
-  On.Worker_->restart(std::move(Name), Born);
-  On.Worker_->setSilent(false);
-  On.announce(On.Worker_->announce());
-  On.run(milliseconds(300));
+  comeBack(On, std::move(Name), Born);
 }
 
 } // namespace
@@ -37,8 +52,7 @@
   CHECK(Told.Born_ == 10);
   CHECK(Told.Suspects_ == std::vector{makeRun(7)});
   // The next life begins without suspects.
-  On.Worker_->restart("w9", 30);
-  On.announce(On.Worker_->announce());
+  On.restartWorker("w9", 30);
   On.run(seconds(1));
   CHECK(On.Leader_->Crashes_.size() == 1);
 }
@@ -49,15 +63,11 @@
           "[agent][worker][crash]") {
   AgentFixture On;
   On.startRuns(1);
-  On.Leader_->order({.Starts_ = {{.Run_ = makeRun(7)}}});
-  On.run(milliseconds(30));
+  startRun(On, makeRun(7));
   On.Worker_->setSilent(true);
   On.run(seconds(8));
   REQUIRE(On.Leader_->Ends_.size() == 2);
-  On.Worker_->restart("w1", 20);
-  On.Worker_->setSilent(false);
-  On.announce(On.Worker_->announce());
-  On.run(milliseconds(300));
+  comeBack(On, "w1", 20);
   REQUIRE(On.Leader_->Crashes_.size() == 1);
   CHECK(On.Leader_->Crashes_.front().Crash_.Suspects_ ==
         std::vector{makeRun(7)});
@@ -77,33 +87,23 @@
           "[agent][worker][crash]") {
   AgentFixture On;
   On.startRuns(1);
-  On.Leader_->order({.Starts_ = {{.Run_ = makeRun(7)}}});
-  On.run(milliseconds(30));
+  startRun(On, makeRun(7));
   On.Worker_->setSilent(true);
   On.run(seconds(2));
   On.Worker_->setSilent(false);
   On.run(seconds(2));
   // It leaves later for another reason.
-  On.Worker_->restart("w2", 20);
-  On.announce(On.Worker_->announce());
-  On.run(seconds(1));
-  CHECK(On.Leader_->Crashes_.empty());
+  replaceWithoutCrash(On);
 }
 
 TEST_CASE("a worker that had announced that it leaves has not crashed",
           "[agent][worker][crash]") {
   AgentFixture On;
   On.startRuns(1);
-  On.Leader_->order({.Starts_ = {{.Run_ = makeRun(7)}}});
-  On.run(milliseconds(30));
-  WorkerAnnouncement Draining = On.Worker_->announce();
-  Draining.Draining_ = true;
-  On.announce(Draining);
+  startRun(On, makeRun(7));
+  On.announceDraining();
   On.run(milliseconds(50));
-  On.Worker_->restart("w2", 20);
-  On.announce(On.Worker_->announce());
-  On.run(seconds(1));
-  CHECK(On.Leader_->Crashes_.empty());
+  replaceWithoutCrash(On);
 }
 
 TEST_CASE("a crash is told again until control has recorded it",
--- a/tests/control/JobFixture.h
+++ b/tests/control/JobFixture.h
@@ -175,18 +175,23 @@
   std::map<RunName, std::uint32_t> ProgressPercents_;
 };
 
+inline wire::SubmitJob makeSubmission(std::vector<jobs::StepSpec> Steps,
+                                      const std::string &Job = JobId) {
+  return {.Job_ = Job,
+          .Host_ = "a.example",
+          .Path_ = "/checks/" + Job,
+          .Spec_ = {.Steps_ = std::move(Steps)}};
+}
+
 struct JobCluster : ServiceCluster {
   JobCluster() {
     askLeader<wire::PutConfigurationAck>(
         wire::PutConfiguration{configuration(7)});
   }
 
-  JobStatus submit(std::vector<jobs::StepSpec> Steps) {
-    return askLeader<wire::JobReply>(
-               wire::SubmitJob{.Job_ = JobId,
-                               .Host_ = "a.example",
-                               .Path_ = Path,
-                               .Spec_ = {.Steps_ = Steps}})
+  JobStatus submit(std::vector<jobs::StepSpec> Steps,
+                   const std::string &Job = JobId) {
+    return askLeader<wire::JobReply>(makeSubmission(std::move(Steps), Job))
         .Status_;
   }
 
@@ -202,6 +207,13 @@
           .Need_ = {.MilliProcessors_ = 1000, .MemoryMib_ = 100}};
 }
 
+/// Submits a job and requires that \p Agent is told to start all of its tasks.
+inline void submitAndStart(JobCluster &Cluster, TestAgent &Agent,
+                           std::uint32_t Count = 1) {
+  Cluster.submit({makeStep(Count)});
+  REQUIRE(Agent.consumeStarts().size() == Count);
+}
+
 inline RunName makeRun(std::uint32_t Run = 1, std::uint32_t Index = 0) {
   return {.Task_ = {.Job_ = JobId, .Step_ = 0, .Index_ = Index}, .Run_ = Run};
 }
--- a/tests/control/JobServiceFaultTest.cpp
+++ b/tests/control/JobServiceFaultTest.cpp
@@ -13,8 +13,7 @@
   JobCluster Cluster;
   TestAgent Agent(Cluster, "w1");
   Agent.attachAndReportNoRuns();
-  Cluster.submit({makeStep()});
-  REQUIRE(Agent.consumeStarts().size() == 1);
+  submitAndStart(Cluster, Agent);
   Cluster.isolate(Cluster.leader());
   Cluster.run(seconds(2));
   const std::uint64_t TokenBefore = Agent.fencingToken();
@@ -32,8 +31,7 @@
   JobCluster Cluster;
   TestAgent Agent(Cluster, "w1");
   Agent.attachAndReportNoRuns();
-  Cluster.submit({makeStep()});
-  REQUIRE(Agent.consumeStarts().size() == 1);
+  submitAndStart(Cluster, Agent);
   Agent.attach();
   REQUIRE(Agent.report(true));
   CHECK(Agent.consumeStarts() == std::vector<RunName>{makeRun(2)});
@@ -44,8 +42,7 @@
   JobCluster Cluster;
   TestAgent FirstAgent(Cluster, "w1");
   FirstAgent.attachAndReportNoRuns();
-  Cluster.submit({makeStep()});
-  REQUIRE(FirstAgent.consumeStarts().size() == 1);
+  submitAndStart(Cluster, FirstAgent);
   FirstAgent.report(false, {makeRun()});
   FirstAgent.disconnect();
   TestAgent SecondAgent(Cluster, "w2");
@@ -64,8 +61,7 @@
   JobCluster Cluster;
   TestAgent OldAgent(Cluster, "w1");
   OldAgent.attachAndReportNoRuns("vm-1");
-  Cluster.submit({makeStep()});
-  REQUIRE(OldAgent.consumeStarts().size() == 1);
+  submitAndStart(Cluster, OldAgent);
   OldAgent.disconnect();
   TestAgent DelayedAgent(Cluster, "w0");
   DelayedAgent.attach(9, 1, "vm-1");
@@ -148,8 +144,7 @@
   JobCluster Cluster;
   TestAgent SilentAgent(Cluster, "w1");
   SilentAgent.attachAndReportNoRuns();
-  Cluster.submit({makeStep()});
-  REQUIRE(SilentAgent.consumeStarts().size() == 1);
+  submitAndStart(Cluster, SilentAgent);
   REQUIRE(SilentAgent.report(false, {makeRun()}));
   SilentAgent.disconnect();
   TestAgent OtherAgent(Cluster, "w2");
@@ -240,8 +235,7 @@
   JobCluster Cluster;
   TestAgent HungAgent(Cluster, "w1");
   HungAgent.attachAndReportNoRuns();
-  Cluster.submit({makeStep()});
-  REQUIRE(HungAgent.consumeStarts().size() == 1);
+  submitAndStart(Cluster, HungAgent);
   TestAgent HealthyAgent(Cluster, "w2");
   HealthyAgent.attachAndReportNoRuns();
   for (int I = 0; I < 20; ++I)
--- a/tests/control/JobServiceTest.cpp
+++ b/tests/control/JobServiceTest.cpp
@@ -68,12 +68,7 @@
   Without.Queues_.clear();
   Cluster.askLeader<wire::PutConfigurationAck>(wire::PutConfiguration{Without});
   CHECK(Cluster.submit({makeStep()}) == JobStatus::AcceptedBefore);
-  CHECK(Cluster
-            .askLeader<wire::JobReply>(
-                wire::SubmitJob{.Job_ = "00000000000000ff",
-                                .Host_ = "a.example",
-                                .Path_ = "/checks/00000000000000ff"})
-            .Status_ == JobStatus::NoQueue);
+  CHECK(Cluster.submit({}, "00000000000000ff") == JobStatus::NoQueue);
 }
 
 // Guards against UNASKED: a caller that got no answer cancelled its job, was
@@ -106,12 +101,7 @@
   Agent.attachAndReportNoRuns();
   ControlService &Leader = Cluster.node(Cluster.leader());
   const auto Drop = [](const wire::Message &) {};
-  Leader.handle(Cluster.now(),
-                wire::SubmitJob{.Job_ = JobId,
-                                .Host_ = "a.example",
-                                .Path_ = Path,
-                                .Spec_ = {.Steps_ = {makeStep()}}},
-                Drop);
+  Leader.handle(Cluster.now(), makeSubmission({makeStep()}), Drop);
   Leader.handle(Cluster.now(),
                 wire::JobRequest{.Action_ = wire::JobAction::Cancel,
                                  .Job_ = JobId,
@@ -297,27 +287,21 @@
   Agent.setCapacity({.MilliProcessors_ = 2000, .MemoryMib_ = 4096});
 
   SECTION("ordered before the new session") {
-    Cluster.submit({makeStep(4)});
-    REQUIRE(Agent.consumeStarts().size() == 4);
+    submitAndStart(Cluster, Agent, 4);
     Agent.attach();
     REQUIRE(Agent.report(true, {makeRun(1, 0)}));
     CHECK(Agent.consumeStarts().size() == 1);
   }
   SECTION("proposed as the new session begins") {
     Cluster.node(Cluster.leader())
-        .handle(Cluster.now(),
-                wire::SubmitJob{.Job_ = JobId,
-                                .Host_ = "a.example",
-                                .Path_ = Path,
-                                .Spec_ = {.Steps_ = {makeStep(4)}}},
+        .handle(Cluster.now(), makeSubmission({makeStep(4)}),
                 [](const wire::Message &) {});
     Agent.attach();
     REQUIRE(Agent.report(true));
     CHECK(Agent.consumeStarts().size() == 2);
   }
   SECTION("ordered in an earlier life of the worker") {
-    Cluster.submit({makeStep(4)});
-    REQUIRE(Agent.consumeStarts().size() == 4);
+    submitAndStart(Cluster, Agent, 4);
     Agent.attach(20);
     REQUIRE(Agent.report(true));
     CHECK(Agent.consumeStarts().size() == 2);
@@ -352,20 +336,13 @@
   JobCluster Cluster;
   TestAgent Agent(Cluster, "w1");
   Agent.attachAndReportNoRuns();
-  const auto Submit = [&Cluster](const std::string &Job, jobs::StepSpec Step) {
-    Cluster.askLeader<wire::JobReply>(
-        wire::SubmitJob{.Job_ = Job,
-                        .Host_ = "a.example",
-                        .Path_ = "/checks/" + Job,
-                        .Spec_ = {.Steps_ = {std::move(Step)}}});
-  };
   // The worker has four processors. Each short task needs one, the watch two.
-  Submit("short-jobs-00000", makeStep(40));
+  Cluster.submit({makeStep(40)}, "short-jobs-00000");
   jobs::StepSpec Watch = makeStep();
   Watch.Need_.MilliProcessors_ = 2000;
   Watch.LongRunning_ = true;
   Watch.TailTarget_ = seconds(1);
-  Submit("a-watch-00000000", Watch);
+  Cluster.submit({Watch}, "a-watch-00000000");
   std::vector<RunName> Running = Agent.consumeStarts();
   REQUIRE(Running.size() == 4);
   bool HasStarted = false;
--- a/tests/control/WorkerCrashTest.cpp
+++ b/tests/control/WorkerCrashTest.cpp
@@ -62,8 +62,7 @@
           "[control][jobs][crash]") {
   JobCluster Cluster;
   TestAgent First = attachOn(Cluster, "w1", "vm-1", 10);
-  Cluster.submit({makeStep()});
-  REQUIRE(First.consumeStarts().size() == 1);
+  submitAndStart(Cluster, First);
   crash(Cluster, {makeRun()});
   TestAgent Second = attachOn(Cluster, "w2", "vm-1", 20);
   Cluster.run(seconds(1));
@@ -82,8 +81,7 @@
           "[control][jobs][crash]") {
   JobCluster Cluster;
   TestAgent First = attachOn(Cluster, "w1", "vm-1", 10);
-  Cluster.submit({makeStep(2)});
-  REQUIRE(First.consumeStarts().size() == 2);
+  submitAndStart(Cluster, First, 2);
   crash(Cluster, {makeRun(1, 0), makeRun(1, 1)});
   TestAgent Second = attachOn(Cluster, "w2", "vm-1", 20);
   Cluster.run(milliseconds(50));
@@ -106,11 +104,7 @@
   jobs::StepSpec Wide = makeStep(3);
   Wide.Estimate_ = seconds(60);
   Cluster.submit({OtherIsWide ? makeStep() : Wide});
-  Cluster.askLeader<wire::JobReply>(
-      wire::SubmitJob{.Job_ = OtherJob,
-                      .Host_ = "a.example",
-                      .Path_ = "/checks/" + OtherJob,
-                      .Spec_ = {.Steps_ = {OtherIsWide ? Wide : makeStep()}}});
+  Cluster.submit({OtherIsWide ? Wide : makeStep()}, OtherJob);
   const std::vector<RunName> All = First.consumeStarts();
   REQUIRE(All.size() == 4);
   for (std::uint64_t Born = 10; Born < 13; ++Born)
@@ -126,8 +120,7 @@
           "[control][jobs][crash]") {
   JobCluster Cluster;
   TestAgent Agent = attachOn(Cluster, "w1", "vm-1", 10);
-  Cluster.submit({makeStep(2)});
-  REQUIRE(Agent.consumeStarts().size() == 2);
+  submitAndStart(Cluster, Agent, 2);
   const bool Cancelled = GENERATE(false, true);
   if (Cancelled)
     Cluster.requestJob(wire::JobAction::Cancel);
