Pass the turn to be tried alone on where a suspect task has no room

Cause: one job at a time has the turn to try its suspects alone, that with the fewest. It kept the turn where none of its tasks could be placed, for want of room or of a label, and it held up the jobs of other services too. A task that is suspected of three crashes waits for its turn without limit.

Change: each service has a turn of its own, and a job without room passes it on at once; for a second it then comes after the others.

Ruled out: a limit on the wait of such a task. It would start it beside others, which are then suspected with it.

--- a/src/control/JobDispatcher.cpp
+++ b/src/control/JobDispatcher.cpp
@@ -253,8 +253,9 @@
   }
   IsHalfUnreserved_ = Reserved.MilliProcessors_ * 2 < Capacity.MilliProcessors_;
   pruneStaleEntries();
-  Suspects_.beginPlacement(
-      [this](const RunName &Run) { return ProposedStarts_.contains(Run); });
+  Suspects_.beginPlacement(Now, [this](const RunName &Run) {
+    return ProposedStarts_.contains(Run);
+  });
   for (const PlacementWork &JobWork : Work) {
     for (const jobs::ReadyStep &Ready : JobWork.ReadySteps_) {
       if (Batch_.record().Starts_.size() >= MaxStartsPerTick) {
@@ -330,6 +331,7 @@
     const auto Chosen = placeTask(Next.Task_, Need, Placement);
     if (!Chosen) {
       Log_.logObstacles(Ready, Placement, Need);
+      NeedsPlacement_ |= Suspects_.passTurn(Now, Job.Id_, How);
       return;
     }
     if (!Need.StepRunsPerWorker_.empty())
--- a/src/control/SuspectScheduler.cpp
+++ b/src/control/SuspectScheduler.cpp
@@ -1,6 +1,8 @@
 #include "control/SuspectScheduler.h"
 
 #include <algorithm>
+#include <chrono>
+#include <utility>
 #include <vector>
 
 namespace dragonfly::control {
@@ -8,12 +10,22 @@
 using jobs::RunName;
 using jobs::TaskName;
 
+namespace {
+
+/// How long a job that passed its turn comes after all others.
+constexpr Duration PassTime = std::chrono::seconds(1);
+
+} // namespace
+
 void SuspectScheduler::beginPlacement(
-    const std::function<bool(const RunName &)> &IsProposed) {
+    TimePoint Now, const std::function<bool(const RunName &)> &IsProposed) {
   std::erase_if(WaitingSince_, [this](const auto &Entry) {
     return !Table_.crashes().isSuspect(Entry.first);
   });
-  ProbationJob_ = nextProbationJob(IsProposed);
+  std::erase_if(PassedAt_, [Now](const auto &Entry) {
+    return Now - Entry.second >= PassTime;
+  });
+  chooseTurns(countSuspects(IsProposed));
 }
 
 SuspectScheduler::Start
@@ -37,13 +49,19 @@
   Placement.close(Index);
 }
 
+bool SuspectScheduler::passTurn(TimePoint Now, const std::string &Job,
+                                Start How) {
+  return How == Start::Alone && PassedAt_.try_emplace(Job, Now).second;
+}
+
 /// Returns whether a worker may be closed for the suspect task.
 bool SuspectScheduler::mayCloseWorkerFor(
     const TaskName &Task, std::string_view Service,
     const decide::JobPlacement &Placement) const {
+  const auto Turn = Turns_.find(Service);
   const bool IsTurn =
-      ProbationJob_.empty() ||
-      (ProbationJob_ == Task.Job_ && Table_.crashes().crashes(Task) > 1);
+      Turn == Turns_.end() ||
+      (Turn->second == Task.Job_ && Table_.crashes().crashes(Task) > 1);
   return IsTurn && Probation_.mayClose(Placement.workers(), Service);
 }
 
@@ -54,14 +72,11 @@
   return Probation_.mustWait(Table_.crashes().crashes(Task), Now - Since);
 }
 
-/// Returns the job with the fewest waiting tasks that are suspected of several
-/// crashes, or an empty name. Where one task crashes workers, the tasks of a
-/// wide job that began beside it are the least likely ones.
-std::string SuspectScheduler::nextProbationJob(
+std::map<std::string, std::size_t> SuspectScheduler::countSuspects(
     const std::function<bool(const RunName &)> &IsProposed) const {
   std::map<std::string, std::size_t> Counts;
   if (Table_.crashes().empty())
-    return {};
+    return Counts;
   for (const jobs::ReadyStep &Ready : Table_.readySteps()) {
     const std::vector<jobs::TaskRow> &Tasks =
         Table_.find(Ready.Job_)->Steps_[Ready.Step_].Tasks_;
@@ -73,9 +88,24 @@
         ++Counts[Ready.Job_];
     }
   }
-  const auto Fewest = std::ranges::min_element(
-      Counts, {}, [](const auto &Each) { return Each.second; });
-  return Fewest == Counts.end() ? std::string() : Fewest->first;
+  return Counts;
+}
+
+/// Gives the turn of each service to the job with the fewest suspects. Where
+/// one task crashes workers, the tasks of a wide job that began beside it are
+/// the least likely ones.
+void SuspectScheduler::chooseTurns(
+    const std::map<std::string, std::size_t> &Suspects) {
+  const auto Rank = [&](const std::string &Job) {
+    return std::pair(PassedAt_.contains(Job), Suspects.at(Job));
+  };
+  Turns_.clear();
+  for (const auto &[Job, Count] : Suspects) {
+    const std::string &Service = Table_.find(Job)->Queue_.Service_;
+    const auto [Turn, IsFirst] = Turns_.try_emplace(Service, Job);
+    if (!IsFirst && Rank(Job) < Rank(Turn->second))
+      Turn->second = Job;
+  }
 }
 
 } // namespace dragonfly::control
--- a/src/control/SuspectScheduler.h
+++ b/src/control/SuspectScheduler.h
@@ -35,11 +35,13 @@
   void startLeading() {
     Probation_.clear();
     WaitingSince_.clear();
+    PassedAt_.clear();
   }
   /// Prepares a placement. \p IsProposed returns whether a start of the run has
   /// been proposed already.
   void
-  beginPlacement(const std::function<bool(const jobs::RunName &)> &IsProposed);
+  beginPlacement(TimePoint Now,
+                 const std::function<bool(const jobs::RunName &)> &IsProposed);
   /// Returns whether \p Worker has just been given a suspect task.
   bool isClosed(TimePoint Now, const std::string &Worker) const {
     return Probation_.isClosed(Now, Worker);
@@ -49,6 +51,9 @@
   Start chooseStart(TimePoint Now, const jobs::TaskName &Task,
                     std::string_view Service,
                     const decide::JobPlacement &Placement);
+  /// Records that no worker has room for a task of \p Job that was to start as
+  /// \p How. Returns whether another job has its turn now.
+  bool passTurn(TimePoint Now, const std::string &Job, Start How);
   /// Records that \p Task was placed on the worker \p Index, and closes that
   /// worker if the task is to start alone.
   void finish(TimePoint Now, const jobs::TaskName &Task, Start How,
@@ -58,15 +63,20 @@
   bool mayCloseWorkerFor(const jobs::TaskName &Task, std::string_view Service,
                          const decide::JobPlacement &Placement) const;
   bool mustWait(TimePoint Now, const jobs::TaskName &Task);
-  std::string nextProbationJob(
+  /// Returns for each job how many of its waiting tasks are suspected of
+  /// several crashes.
+  std::map<std::string, std::size_t> countSuspects(
       const std::function<bool(const jobs::RunName &)> &IsProposed) const;
+  void chooseTurns(const std::map<std::string, std::size_t> &Suspects);
 
   const jobs::JobTable &Table_;
   /// Workers that have just been given a task under which others crashed.
   decide::WorkerProbation Probation_;
-  /// The job whose tasks may be tried alone in this placement, if any has to
-  /// be.
-  std::string ProbationJob_;
+  /// By service: the job whose tasks may be tried alone in this placement, if
+  /// any has to be.
+  std::map<std::string, std::string, std::less<>> Turns_;
+  /// By job: when it passed its turn, for `PassTime` from then on.
+  std::map<std::string, TimePoint> PassedAt_;
   /// Since when suspect tasks have waited for a worker.
   std::map<jobs::TaskName, TimePoint> WaitingSince_;
 };
