--- a/include/dragonfly/decide/JobPlacement.h
+++ b/include/dragonfly/decide/JobPlacement.h
@@ -44,9 +44,9 @@
   /// Runs fail or stall more often than on other workers; used only where no
   /// other worker fits but one that the task avoids.
   bool Suspect_ = false;
-  /// Takes no further tasks for now.
+  /// Excluded from placement, since it has just been given a suspect task.
   bool Closed_ = false;
-  /// Was given a task a moment ago.
+  /// A start was sent to it recently.
   bool StartedRecently_ = false;
   /// Tasks that may crash it, placed in this round.
   std::uint32_t SuspectTasks_ = 0;
--- a/include/dragonfly/decide/WorkerProbation.h
+++ b/include/dragonfly/decide/WorkerProbation.h
@@ -18,10 +18,11 @@
 struct WorkerProbationOptions {
   /// How long a worker is closed after a suspect task was placed there.
   Duration ClosedTime_ = std::chrono::milliseconds(450);
-  /// At most one worker of a service in so many is closed at a time.
+  /// At most one in this many workers of a service is closed at a time, but
+  /// at least one may be.
   std::size_t WorkersPerClosed_ = 3;
-  /// A task that is suspected of one crash does not wait for a worker that may
-  /// be closed, and one of two no longer than this; one of more waits for it.
+  /// How long a task that is suspected of two crashes waits for a worker that
+  /// may be closed. After one crash it does not wait, after more without limit.
   Duration MaxWait_ = std::chrono::milliseconds(1000);
 };
 
--- a/src/control/JobDispatcher.cpp
+++ b/src/control/JobDispatcher.cpp
@@ -35,7 +35,7 @@
 /// more than half of the processors are unreserved; the platform allows three
 /// seconds.
 constexpr Duration MaxStarvationTime = std::chrono::milliseconds(1200);
-/// A run that was ordered so long ago has shown that its worker bears it.
+/// Suspect tasks avoid workers with a start more recent than this.
 constexpr Duration RecentStartTime = std::chrono::milliseconds(500);
 /// Limit of proposed starts in one tick; bounds the duration of a tick.
 constexpr std::size_t MaxStartsPerTick = 256;
--- a/tests/soak/Promises.cpp
+++ b/tests/soak/Promises.cpp
@@ -9,8 +9,10 @@
 
 /// A task under which so many workers have crashed may be given up.
 constexpr std::uint32_t CrashesToGiveUp = 2;
-/// After so many crashes, a deadly task is started fewer than so many times.
-constexpr std::uint32_t CrashBudget = 3;
+/// Crashes under a task after which its starts are counted.
+constexpr std::uint32_t CrashesBeforeCount = 3;
+/// Counted starts that break the promise.
+constexpr std::uint32_t MaxLateStarts = 3;
 
 std::uint32_t mostOfJob(const std::map<TaskId, std::uint32_t> &Counts,
                         const std::string &Job) {
@@ -80,16 +82,17 @@
     return;
   Started_.insert(Task.Job_);
   require(Plan->MilliProcessors_ <= Room,
-          "LIMIT: a worker is not committed beyond its processors",
+          "a worker is not committed beyond its processors",
           What + " with " + std::to_string(Room) + " free for " +
               std::to_string(Plan->MilliProcessors_));
   const auto [It, IsNew] = RunningOn_.try_emplace(Task, Worker);
   require(IsNew, "a task does not run in two places",
           What + " and " + It->second);
   It->second = Worker;
-  const bool IsLate = Plan->Deadly_ == Task && Crashes_[Task] >= CrashBudget;
-  require(!IsLate || ++LateStarts_[Task] < CrashBudget,
-          "BUDGET: a task that crashes workers is given up",
+  const bool IsLate =
+      Plan->Deadly_ == Task && Crashes_[Task] >= CrashesBeforeCount;
+  require(!IsLate || ++LateStarts_[Task] < MaxLateStarts,
+          "a task that crashes workers is given up",
           What + " after " + std::to_string(Crashes_[Task]) + " crashes");
   require(!Noted_.contains(Task), "a finished task is not started again", What);
   for (std::uint32_t Index = 0;
