Connect to a replica as soon as it is heard

Found by reading; no caller has been seen to suffer from it. A follower's disk is wiped and it is down for some seconds under a stable leader. It comes back, announces itself each 100 ms and becomes a learner at once, but the leader connects to it up to 1 s later, so that it can neither catch up nor vote. A second disk lost in that gap ends the group.

Cause: traffic between replicas is one-way. FrameClient resets its backoff when an answer arrives, which never happens on these links, so that it climbs to MaxBackoff_ while a replica is down, and nothing that is heard from the replica ends it.

Change: FrameClient::reconnectNow() ends a backoff, or an attempt that began before the peer was known to be up; such an attempt runs for 500 ms where a dark VM refuses nothing. Attempts begin at least MinBackoff_ apart, however often it is called, and one that it began runs its full time. control/PeerLinks, taken out of Control.cpp, calls it for each JoinGroup notice and all traffic of a replica. FrameClient's timer passes over an expiry that was queued before it was armed anew; for other users this only means that a connection that opens in the turn in which its attempt times out stays open.

Ruled out: resetting the backoff once connected, since an overloaded peer accepts connections and answers nothing (the test for that stays as it was); a smaller MaxBackoff_ on these links, which would still depend on chance and try a dead VM more often for ever.

Not covered: a link that still counts as open because its VM lost power without a FIN.

--- a/include/dragonfly/net/FrameClient.h
+++ b/include/dragonfly/net/FrameClient.h
@@ -60,6 +60,11 @@
   /// Sends a frame that has no answer, if the connection is open.
   void send(const wire::Message &Value);
 
+  /// Connects without waiting for the backoff, as the peer is known to be up.
+  /// However often it is called, attempts begin at least MinBackoff_ apart. An
+  /// open connection stays.
+  void reconnectNow();
+
   bool connected() const;
   std::size_t pendingCalls() const;
   /// Answers that came after their call had ended, and were dropped.
--- a/src/control/Control.cpp
+++ b/src/control/Control.cpp
@@ -1,5 +1,6 @@
 #include "dragonfly/control/Control.h"
 
+#include "control/PeerLinks.h"
 #include "dragonfly/base/Log.h"
 #include "dragonfly/base/Random.h"
 #include "dragonfly/control/ControlService.h"
@@ -7,7 +8,6 @@
 #include "dragonfly/link/LeaderClient.h"
 #include "dragonfly/net/DatagramSocket.h"
 #include "dragonfly/net/EventLoop.h"
-#include "dragonfly/net/FrameClient.h"
 #include "dragonfly/net/FrameServer.h"
 #include "dragonfly/net/HttpServer.h"
 
@@ -106,6 +106,7 @@
       : Loop_(Loop), Settings_(Settings), Counts_(std::move(Counts)),
         Self_(makeFreshId<Incarnation>()),
         Listen_(net::Endpoint::make(selfOf(Settings).Address_)),
+        Peers_(Loop, Self_, [this](ReplicaId Id) { return addressOf(Id); }),
         Service_(serviceOptions(),
                  consensus::openFileStorage(Settings.DataFolder_),
                  Clock::now()),
@@ -170,25 +171,16 @@
     ControlServiceOptions Options = optionsOf(Settings_);
     Options.Metrics_ = Counts_;
     Options.Log_.Send_ = [this](ReplicaId To, std::string Bytes) {
-      sendToPeer(To, std::move(Bytes));
+      Peers_.send(To, wire::ReplicaTraffic{.From_ = Settings_.Replica_,
+                                           .Bytes_ = std::move(Bytes)});
     };
     return Options;
   }
 
-  void sendToPeer(ReplicaId To, std::string Bytes) {
-    std::unique_ptr<net::FrameClient> &Peer = Peers_[To];
-    if (!Peer) {
-      std::string Address = Service_.addressOf(To);
-      if (Address.empty())
-        Address = Known_[To];
-      if (Address.empty())
-        return;
-      Peer = std::make_unique<net::FrameClient>(
-          Loop_, net::FrameClientOptions{.Peer_ = net::Endpoint::make(Address),
-                                         .Self_ = Self_});
-    }
-    Peer->send(wire::ReplicaTraffic{.From_ = Settings_.Replica_,
-                                    .Bytes_ = std::move(Bytes)});
+  std::string addressOf(ReplicaId Id) const {
+    const std::string Address = Service_.addressOf(Id);
+    const auto Heard = Known_.find(Id);
+    return Address.empty() && Heard != Known_.end() ? Heard->second : Address;
   }
 
   void takeHeartbeat(const net::Endpoint &From, const wire::Message &Value) {
@@ -201,10 +193,13 @@
 
   void takeFrame(wire::Message Value, net::FrameReplier To) {
     if (const auto *Traffic = std::get_if<wire::ReplicaTraffic>(&Value)) {
+      Peers_.heardFrom(Traffic->From_);
       Service_.receivePeer(Clock::now(), Traffic->From_, Traffic->Bytes_);
       tickSoon();
       return;
     }
+    if (const auto *Notice = std::get_if<wire::JoinGroup>(&Value))
+      Peers_.heardFrom(Notice->Id_);
     if (Stopping_) {
       To.answer(wire::Refusal{.Reason_ = Reason::Draining});
       return;
@@ -277,7 +272,7 @@
   std::shared_ptr<Metrics> Counts_;
   Incarnation Self_;
   net::Endpoint Listen_;
-  std::map<ReplicaId, std::unique_ptr<net::FrameClient>> Peers_;
+  PeerLinks Peers_;
   /// Addresses that other replicas told.
   std::map<ReplicaId, std::string> Known_;
   std::size_t OperatorCalls_ = 0;
--- /dev/null
+++ b/src/control/PeerLinks.h
@@ -0,0 +1,45 @@
+/// The connections of a control replica to the others. What goes over them has
+/// no answers, so that a link never learns from itself that its peer is back.
+#ifndef DRAGONFLY_SRC_CONTROL_PEERLINKS_H
+#define DRAGONFLY_SRC_CONTROL_PEERLINKS_H
+
+#include "dragonfly/base/Ids.h"
+#include "dragonfly/net/FrameClient.h"
+#include "dragonfly/wire/Messages.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace dragonfly::net {
+class EventLoop;
+} // namespace dragonfly::net
+
+namespace dragonfly::control {
+
+class PeerLinks {
+public:
+  /// Returns the address of a replica, or an empty text.
+  using AddressOf = std::function<std::string(ReplicaId)>;
+
+  PeerLinks(net::EventLoop &Loop, Incarnation Self, AddressOf Find)
+      : Loop_(Loop), Self_(Self), Find_(std::move(Find)) {}
+
+  /// Sends \p Value if the link is open, and opens one if there is none.
+  void send(ReplicaId To, const wire::Message &Value);
+  /// Called with each message of \p From: it is up, so that its link, if it is
+  /// down, is tried now.
+  void heardFrom(ReplicaId From);
+
+private:
+  net::EventLoop &Loop_;
+  Incarnation Self_;
+  AddressOf Find_;
+  std::map<ReplicaId, std::unique_ptr<net::FrameClient>> Links_;
+};
+
+} // namespace dragonfly::control
+
+#endif // DRAGONFLY_SRC_CONTROL_PEERLINKS_H
--- a/src/net/FrameClient.cpp
+++ b/src/net/FrameClient.cpp
@@ -38,6 +38,7 @@
 
   void connect() {
     Link_ = Link::Connecting;
+    AttemptAt_ = Clock::now();
     ++Attempt_;
     Connecting_ = tcp::socket(Context_);
     Connecting_.async_connect(
@@ -49,17 +50,30 @@
     armLink(Options_.ConnectTimeout_, [this] { connected(TimedOutFault); });
   }
 
+  void reconnectNow() {
+    if (Link_ == Link::Open || Link_ == Link::Closed || Hastened_)
+      return;
+    // An attempt that runs may have begun while the peer was down, when nothing
+    // refuses it. The next one runs its full time.
+    Hastened_ = true;
+    const TimePoint At =
+        std::max(Clock::now(), AttemptAt_ + Options_.MinBackoff_);
+    armLink(At - Clock::now(), [this] { connect(); });
+  }
+
   template <typename Work> void armLink(Duration Delay, Work OnExpiry) {
     LinkTimer_.expires_after(Delay);
-    LinkTimer_.async_wait(
-        [Self = shared_from_this(), OnExpiry](const auto &Fault) {
-          if (!Fault && Self->Link_ != Link::Closed)
-            OnExpiry();
-        });
+    LinkTimer_.async_wait([Self = shared_from_this(), OnExpiry,
+                           Number = ++Armings_](const auto &Fault) {
+      // An expiry that is already queued cannot be cancelled.
+      if (!Fault && Self->Link_ != Link::Closed && Number == Self->Armings_)
+        OnExpiry();
+    });
   }
 
   void connected(const boost::system::error_code &Fault) {
     LinkTimer_.cancel();
+    ++Armings_;
     if (Fault) {
       boost::system::error_code Ignored;
       Connecting_.close(Ignored);
@@ -101,6 +115,7 @@
       Stream_->close();
     Stream_.reset();
     Link_ = Link::BackingOff;
+    Hastened_ = false;
     armLink(Backoff_, [this] { connect(); });
     Backoff_ = std::min(Backoff_ * 2, Options_.MaxBackoff_);
     BeforeOpen_.clear();
@@ -241,6 +256,11 @@
   Link Link_ = Link::Connecting;
   Duration Backoff_;
   std::uint64_t Attempt_ = 0;
+  TimePoint AttemptAt_;
+  /// The next attempt, or the one that runs, follows a sign that the peer is
+  /// up.
+  bool Hastened_ = false;
+  std::uint64_t Armings_ = 0;
   tcp::socket Connecting_;
   ClockTimer LinkTimer_;
   ClockTimer CallTimer_;
@@ -275,6 +295,8 @@
     Stream->write(Impl_->encode(wire::FrameKind::OneWay, 0, Value));
 }
 
+void FrameClient::reconnectNow() { Impl_->reconnectNow(); }
+
 bool FrameClient::connected() const { return Impl_->Link_ == Impl::Link::Open; }
 
 std::size_t FrameClient::pendingCalls() const { return Impl_->Calls_.size(); }
--- a/tests/net/FrameClientTest.cpp
+++ b/tests/net/FrameClientTest.cpp
@@ -27,6 +27,68 @@
   REQUIRE(Done());
 }
 
+/// Accepts connections and closes each of them at once.
+class ClosingPeer {
+public:
+  explicit ClosingPeer(EventLoop &Loop)
+      : Acceptor_(Loop.context(),
+                  {boost::asio::ip::make_address("127.0.0.1"), 0}) {
+    accept();
+  }
+
+  Endpoint endpoint() const {
+    return {.Address_ = "127.0.0.1",
+            .Port_ = Acceptor_.local_endpoint().port()};
+  }
+  std::size_t accepted() const { return Accepted_; }
+
+private:
+  void accept() {
+    Acceptor_.async_accept(
+        [this](const auto &Fault, const boost::asio::ip::tcp::socket &) {
+          if (Fault)
+            return;
+          ++Accepted_;
+          accept();
+        });
+  }
+
+  boost::asio::ip::tcp::acceptor Acceptor_;
+  std::size_t Accepted_ = 0;
+};
+
+/// A peer that answers no attempt to connect until it is let: its queue of
+/// connections that wait is full.
+class DarkPeer {
+public:
+  explicit DarkPeer(EventLoop &Loop) : Acceptor_(Loop.context()) {
+    using boost::asio::ip::tcp;
+    const tcp::endpoint Any(boost::asio::ip::make_address("127.0.0.1"), 0);
+    Acceptor_.open(Any.protocol());
+    Acceptor_.bind(Any);
+    Acceptor_.listen(0);
+    tcp::socket Only(Loop.context());
+    Only.connect(Acceptor_.local_endpoint());
+    Waiting_.push_back(std::move(Only));
+  }
+
+  Endpoint endpoint() const {
+    return {.Address_ = "127.0.0.1",
+            .Port_ = Acceptor_.local_endpoint().port()};
+  }
+  void lightUp() { Waiting_.push_back(Acceptor_.accept()); }
+
+private:
+  boost::asio::ip::tcp::acceptor Acceptor_;
+  std::vector<boost::asio::ip::tcp::socket> Waiting_;
+};
+
+void pollAll(EventLoop &Loop) {
+  constexpr int Polls = 20;
+  for (int Count = 0; Count < Polls; ++Count)
+    Loop.poll();
+}
+
 } // namespace
 
 TEST_CASE("answers reach their own callers in any order", "[net][frames]") {
@@ -166,3 +228,83 @@
   }
   Clock::resume();
 }
+
+// Guards against LOST: a link to a replica that had been down for some seconds
+// was next tried up to 1 s after the replica was back.
+TEST_CASE("a peer that is known to be up is connected to at once",
+          "[net][frames]") {
+  Clock::pause(TimePoint(1s));
+  {
+    EventLoop Loop;
+    std::optional<FrameServer> Server;
+    const auto Start = [&](const Endpoint &At) {
+      Server.emplace(Loop, FrameServerOptions{.Listen_ = At,
+                                              .Self_ = {2},
+                                              .OnMessage_ = [](auto, auto) {}});
+    };
+    Start(AnyPort);
+    const Endpoint At = Server->endpoint();
+    Server.reset();
+    FrameClient Client(Loop, {.Peer_ = At, .Self_ = {1}});
+    for (int Step = 0; Step < 2500; ++Step) {
+      pollAll(Loop);
+      Clock::advance(2ms);
+    }
+    Start(At);
+    pollAll(Loop);
+    REQUIRE(!Client.connected());
+    Client.reconnectNow();
+    pollAll(Loop);
+    CHECK(Client.connected());
+    // And an open connection stays.
+    Clock::advance(1s);
+    Client.reconnectNow();
+    pollAll(Loop);
+    CHECK(Client.connected());
+    CHECK(Server->connections() == 1);
+  }
+  Clock::resume();
+}
+
+// Guards against LOST: an attempt that began while the peer's VM was dark runs
+// for 500 ms, as nothing refuses it.
+TEST_CASE("a peer that is known to be up ends an attempt that began before",
+          "[net][frames]") {
+  Clock::pause(TimePoint(1s));
+  {
+    EventLoop Loop;
+    DarkPeer Peer(Loop);
+    FrameClient Client(Loop, {.Peer_ = Peer.endpoint(), .Self_ = {1}});
+    pollAll(Loop);
+    Clock::advance(100ms);
+    pollAll(Loop);
+    REQUIRE(!Client.connected());
+    Peer.lightUp();
+    Client.reconnectNow();
+    pollAll(Loop);
+    CHECK(Client.connected());
+  }
+  Clock::resume();
+}
+
+// Guards against a storm of connections: replicas hear each other hundreds of
+// times a second, also while a link cannot be opened.
+TEST_CASE("repeated signs of a peer cause one attempt each backoff",
+          "[net][frames]") {
+  Clock::pause(TimePoint(1s));
+  {
+    EventLoop Loop;
+    ClosingPeer Peer(Loop);
+    FrameClient Client(
+        Loop, {.Peer_ = Peer.endpoint(), .Self_ = {1}, .MinBackoff_ = 20ms});
+    for (int Step = 0; Step < 1000; ++Step) {
+      Client.reconnectNow();
+      pollAll(Loop);
+      Clock::advance(1ms);
+    }
+    // One second holds 50 times the smallest backoff.
+    CHECK(Peer.accepted() >= 45);
+    CHECK(Peer.accepted() <= 51);
+  }
+  Clock::resume();
+}
