Let another writer's capacity not lock the worker out

Callers would have seen, after one heartbeat of another writer with the worker's own name, birth, service, zone and labels, another capacity and a sequence far ahead, a worker whose own heartbeats count no more for the rest of its life: starts beyond a capacity that has shrunk since (LIMIT), starts while it drains (DRAIN), or no work at all where the foreign capacity is small. With a second foreign heartbeat a larger capacity counted too. A new process of the agent took sequence and capacity from whichever heartbeat came first.

Cause: the capacity has stopped telling writers apart, but the sequence was still taken from each announcement.

Change: the sequence advances only with an announcement that repeats the capacity of the one before it. The first announcement of a life advances it not at all. Where the newest one is more than three numbers ahead of that sequence, the worker's own ones with lower numbers take its place. Where it is less, they may be late: they add no room, contradict no drain and no departure, and only a smaller capacity and a drain in them count. Another writer's heartbeat takes room until the worker's second one after it, as before.

Ruled out: updateDescription() locks nobody out, since it looks at no sequence. A drain that is announced with another capacity counts at once, as before. Not covered: a writer who copies the capacity as well, or repeats its own before the worker's next heartbeat, cannot be told from the worker.

--- a/src/agent/WorkerAgentIdentity.cpp
+++ b/src/agent/WorkerAgentIdentity.cpp
@@ -7,6 +7,10 @@
 namespace dragonfly::agent {
 namespace {
 
+/// Heartbeats of a worker that may be overtaken by its next one; they are
+/// seconds apart.
+constexpr std::uint64_t MaxLateHeartbeats = 3;
+
 bool isSameLife(const WorkerAnnouncement &A, const WorkerAnnouncement &B) {
   return A.Worker_ == B.Worker_ && A.Born_ == B.Born_;
 }
@@ -65,16 +69,28 @@
   if (Value.Sequence_ < Worker_.Sequence_)
     return;
   Disputed_.reset();
-  if (Departed_ && !Value.Draining_ && Value.Sequence_ > Worker_.Sequence_)
+  const bool IsInOrder = Value.Sequence_ >= AnnouncedSequence_;
+  // An announcement with a number far ahead may be another writer's, and those
+  // with lower numbers the worker's.
+  const bool IsLate =
+      !IsInOrder && AnnouncedSequence_ - Worker_.Sequence_ <= MaxLateHeartbeats;
+  const bool IsNewest = !IsLate && Value.Sequence_ != AnnouncedSequence_;
+  const bool IsRepeated = IsNewest && Value.Capacity_ == AnnouncedCapacity_;
+  if (Departed_ && !Value.Draining_ && IsNewest && IsInOrder)
     retractDeparture(Value);
-  const bool BeginsToDrain = Value.Draining_ && !Worker_.Draining_;
-  const bool IsNewer = Value.Sequence_ > Worker_.Sequence_;
-  const Resources Capacity = Worker_.Capacity_;
-  Worker_ = Value;
-  Worker_.Capacity_ = Capacity;
-  Worker_.Draining_ = Value.Draining_ || Departed_;
-  updateCapacity(Value.Capacity_, IsNewer);
-  if (BeginsToDrain) {
+  const WorkerAnnouncement Before = std::exchange(Worker_, Value);
+  if (!IsRepeated)
+    Worker_.Sequence_ = Before.Sequence_;
+  Worker_.Capacity_ = Before.Capacity_;
+  if (!Value.Draining_ && !IsInOrder) {
+    Worker_.Draining_ = Before.Draining_;
+    Worker_.DrainTimeLeft_ = Before.DrainTimeLeft_;
+  }
+  Worker_.Draining_ = Worker_.Draining_ || Departed_;
+  updateCapacity(Value.Capacity_, IsNewest);
+  if (IsNewest)
+    AnnouncedSequence_ = Value.Sequence_;
+  if (Value.Draining_ && !Before.Draining_) {
     logEvent(Event::WorkerDraining, {{"worker", Worker_.Worker_}});
     Book_.giveUpStarts(Clock::now());
     sendReport();
@@ -91,6 +107,7 @@
     return;
   }
   AnnouncedCapacity_ = Value.Capacity_;
+  AnnouncedSequence_ = Value.Sequence_;
   Worker_ = Value;
   Worker_.Capacity_ = smallerOf(Value.Capacity_, Disputed_->Capacity_);
   Disputed_.reset();
@@ -99,11 +116,12 @@
 }
 
 void WorkerAgent::Impl::updateCapacity(const Resources &Announced,
-                                       bool IsNewer) {
+                                       bool IsNewest) {
   const Resources Before = Worker_.Capacity_;
   Worker_.Capacity_ =
-      smallerOf(Announced, IsNewer ? AnnouncedCapacity_ : Before);
-  AnnouncedCapacity_ = Announced;
+      smallerOf(Announced, IsNewest ? AnnouncedCapacity_ : Before);
+  AnnouncedCapacity_ =
+      IsNewest ? Announced : smallerOf(Announced, AnnouncedCapacity_);
   if (Worker_.Capacity_ == Before)
     return;
   // Orders of the session so far were made for the capacity before; control
@@ -189,6 +207,7 @@
   Departed_ = false;
   Disputed_.reset();
   AnnouncedCapacity_ = Worker_.Capacity_;
+  AnnouncedSequence_ = std::exchange(Worker_.Sequence_, 0);
   // Another worker answers on this VM: the one before it is gone.
   if (!Before.Worker_.empty() && Before.Worker_ != Worker_.Worker_)
     Leader_.call(
--- a/src/agent/WorkerAgentImpl.h
+++ b/src/agent/WorkerAgentImpl.h
@@ -56,7 +56,9 @@
   /// nothing is reported before that worker has listed its runs; later, only
   /// the answer of a worker replaces the current one.
   void announced(const WorkerAnnouncement &Value);
-  /// Takes an announcement of the current life.
+  /// Takes an announcement of the current life. One with another capacity than
+  /// the newest may be another writer's: the worker's own with lower numbers
+  /// still count after it.
   void update(const WorkerAnnouncement &Value);
   /// Takes another description of the current life once it is repeated before
   /// the known one is: a single one may be another writer's.
@@ -64,7 +66,7 @@
   /// Takes the capacity of an announcement: a smaller one at once, a larger one
   /// as far as the announcement before had it too, since a single one may be
   /// another writer's. A change begins a session, which tells control.
-  void updateCapacity(const Resources &Announced, bool IsNewer);
+  void updateCapacity(const Resources &Announced, bool IsNewest);
   /// Takes a departure back: a worker that has left does not announce itself as
   /// ready, so that the notice was another writer's.
   void retractDeparture(const WorkerAnnouncement &Value);
@@ -113,10 +115,12 @@
   Incarnation Self_;
   /// Leases that an earlier process granted were granted before.
   TimePoint ProcessStart_ = Clock::now();
-  /// Its capacity is the one that counts.
+  /// Its capacity is the one that counts. Its sequence is that of the newest
+  /// announcement that repeated the capacity of the one before it, or 0.
   WorkerAnnouncement Worker_;
-  /// The capacity in the newest announcement of the current life.
+  /// The newest announcement of the current life.
   Resources AnnouncedCapacity_;
+  std::uint64_t AnnouncedSequence_ = 0;
   /// The worker has answered as the life that `Worker_` announces.
   bool Confirmed_ = false;
   /// The newest announcement of another life, until the worker has answered.
