Suspect no start that was not carried out

Cause: the suspects were copied when the worker fell silent. What became of the open starts afterwards changed the book and not the copy.

Change: RunBook::startAnswered() tells whether the run is known not to have begun: the call was refused or never left, and no earlier call of that run is without an answer. The agent takes such a run off its suspects. A start without an answer remains one, as does one that "ended".

Measured: in tests/agent/WorkerCrashTest.cpp "a start that was not carried out is no suspect" failed before in 18 of its 24 combinations (refused connection, no room, lease over; beside a run that has begun and alone; while control stops the run or does not answer) and passes; the other six are starts without an answer, which remain suspects. "a start with an earlier call without an answer remains a suspect" passed before as well and fails where earlier calls are not looked at.

Ruled out: a worker that is back before it was found silent. Its suspects are taken from the book then, which is correct. Not covered: starts still open when the worker is back.

--- a/include/dragonfly/agent/RunBook.h
+++ b/include/dragonfly/agent/RunBook.h
@@ -79,7 +79,8 @@
   std::vector<DueCall> takeDueCalls(TimePoint Now, bool MayStart);
   /// When the next call is due, or nothing.
   std::optional<TimePoint> nextCallAt() const;
-  void startAnswered(TimePoint Now, const jobs::RunName &Run,
+  /// Returns whether the run is known not to have begun.
+  bool startAnswered(TimePoint Now, const jobs::RunName &Run,
                      StartStatus Status);
   void stopAnswered(TimePoint Now, const jobs::RunName &Run, bool Confirmed);
 
--- a/src/agent/RunBook.cpp
+++ b/src/agent/RunBook.cpp
@@ -11,6 +11,16 @@
 using jobs::RunName;
 using wire::RunPhase;
 
+namespace {
+
+/// Returns whether the worker has not carried out the call.
+bool isRefusal(StartStatus Status) {
+  return Status != StartStatus::Started && Status != StartStatus::NoAnswer &&
+         Status != StartStatus::Ended;
+}
+
+} // namespace
+
 void RunBook::order(TimePoint Now, wire::StartOrder Order) {
   const auto [It, IsNew] = Rows_.try_emplace(Order.Run_);
   if (!IsNew)
@@ -92,40 +102,43 @@
   return Earliest;
 }
 
-void RunBook::startAnswered(TimePoint Now, const RunName &Run,
+bool RunBook::startAnswered(TimePoint Now, const RunName &Run,
                             StartStatus Status) {
   const auto It = Rows_.find(Run);
   if (It == Rows_.end())
-    return;
+    return false;
   Row &Each = It->second;
   Each.CallOpen_ = false;
   if (Status == StartStatus::NoAnswer)
     Each.MayAppear_ = true;
+  const bool HasNotBegun =
+      isRefusal(Status) && !Each.MayAppear_ && !Each.StartedAt_;
   // A list has confirmed it in the meantime, or it is being stopped.
   if (Each.Phase_ == RunPhase::Stopping || Each.ConfirmedAt_)
-    return;
+    return HasNotBegun;
   switch (Status) {
   case StartStatus::Started:
     Each.Phase_ = RunPhase::Running;
     Each.ConfirmedAt_ = Now;
     if (!Each.StartedAt_)
       Each.StartedAt_ = Now;
-    return;
+    break;
   case StartStatus::NoAnswer:
     Each.NextCallAt_ = Now + Options_.RetryDelay_;
     if (Each.Tries_ >= Options_.MaxStartTries_)
       beginStop(Now, Each);
-    return;
+    break;
   case StartStatus::Ended:
     // Its end is listed, unless a stop came first.
     beginStop(Now, Each);
-    return;
+    break;
   default:
     if (Each.MayAppear_)
       beginStop(Now, Each);
     else
       endRun(Run, RunEnd::NotStarted);
   }
+  return HasNotBegun;
 }
 
 void RunBook::stopAnswered(TimePoint Now, const RunName &Run, bool Confirmed) {
--- a/src/agent/WorkerAgentCalls.cpp
+++ b/src/agent/WorkerAgentCalls.cpp
@@ -137,7 +137,8 @@
                    {{"run", printRun(Run)},
                     {"worker", Agent->Worker_.Worker_},
                     {"reason", enumName(Status)}});
-        Agent->Book_.startAnswered(Clock::now(), Run, Status);
+        if (Agent->Book_.startAnswered(Clock::now(), Run, Status))
+          std::erase(Agent->Suspects_, Run);
         Agent->afterAnswer();
       });
 }
--- a/src/agent/WorkerAgentImpl.h
+++ b/src/agent/WorkerAgentImpl.h
@@ -153,8 +153,9 @@
   bool Silent_ = false;
   /// The worker has said that it ends.
   bool Departed_ = false;
-  /// Unproven runs when the worker fell silent. If it has crashed, one of them
-  /// may be the cause.
+  /// Unproven runs when the worker fell silent, without those of which it has
+  /// turned out that they had not begun. If it has crashed, one of them may be
+  /// the cause.
   std::vector<jobs::RunName> Suspects_;
   /// Crashes that control has not recorded yet, oldest first.
   std::deque<wire::WorkerCrashed> Crashes_;
--- a/tests/agent/WorkerCrashTest.cpp
+++ b/tests/agent/WorkerCrashTest.cpp
@@ -118,4 +118,93 @@
   CHECK(On.Leader_->Crashes_.size() == 1);
 }
 
+// Guards against BUDGET, and a healthy task that is blamed: starts that were
+// open when the worker fell silent and turned out not to have been carried out
+// remained suspects of its crash.
+TEST_CASE("a start that was not carried out is no suspect",
+          "[agent][worker][crash]") {
+  AgentFixture On;
+  // Of run 8 in each case, and of run 7 where it has not begun.
+  const StartStatus Status =
+      GENERATE(StartStatus::Unhealthy, StartStatus::NoRoom,
+               StartStatus::LeaseOver, StartStatus::NoAnswer);
+  const bool HasBegun = GENERATE(true, false);
+  INFO(enumName(Status) << (HasBegun ? ", beside a run that has begun" : ""));
+  std::vector<net::Timer> Answers;
+  WorkerCalls Calls = On.Worker_->calls();
+  Calls.Start_ = [&, Start = Calls.Start_](
+                     const std::string &Worker, const StartCall &Call,
+                     std::function<void(StartStatus)> OnEnd) {
+    const bool IsDone =
+        Call.Run_ == makeRun(0) || (Call.Run_ == makeRun(7) && HasBegun);
+    if (IsDone)
+      Start(Worker, Call, std::move(OnEnd));
+    else
+      Answers.push_back(On.Loop_->after(milliseconds(700),
+                                        [OnEnd, Status] { OnEnd(Status); }));
+  };
+  On.Agent_ = std::make_unique<WorkerAgent>(
+      *On.Loop_, *On.Link_,
+      WorkerAgentOptions{.Calls_ = std::move(Calls), .Vm_ = "vm-1"});
+  On.startRuns(1);
+  On.Leader_->order({.Starts_ = {{.Run_ = makeRun(7)}, {.Run_ = makeRun(8)}}});
+  On.run(milliseconds(30));
+  REQUIRE(On.Worker_->isRunning(makeRun(7)) == HasBegun);
+  On.Worker_->setSilent(true);
+  On.run(milliseconds(500));
+  const std::string Meanwhile = GENERATE("nothing", "a stop", "no control");
+  INFO("meanwhile " << Meanwhile);
+  if (Meanwhile == "a stop")
+    On.Leader_->order({.Stops_ = {makeRun(8)}});
+  On.Leader_->setSilent(Meanwhile == "no control");
+  On.run(milliseconds(2500));
+  On.Leader_->setSilent(false);
+  On.Worker_->restart("w2", 20);
+  On.Worker_->setSilent(false);
+  On.announce(On.Worker_->announce());
+  On.run(seconds(3));
+
+  std::vector<jobs::RunName> Suspects;
+  if (HasBegun || Status == StartStatus::NoAnswer)
+    Suspects.push_back(makeRun(7));
+  if (Status == StartStatus::NoAnswer)
+    Suspects.push_back(makeRun(8));
+  REQUIRE(On.Leader_->Crashes_.size() == (Suspects.empty() ? 0 : 1));
+  if (!Suspects.empty())
+    CHECK(On.Leader_->Crashes_.front().Crash_.Suspects_ == Suspects);
+}
+
+// Guards against BUDGET: a start that is refused may have been carried out by
+// an earlier call without an answer.
+TEST_CASE("a start with an earlier call without an answer remains a suspect",
+          "[agent][worker][crash]") {
+  AgentFixture On;
+  std::vector<net::Timer> Answers;
+  WorkerCalls Calls = On.Worker_->calls();
+  Calls.Start_ = [&](const std::string &, const StartCall &,
+                     const std::function<void(StartStatus)> &OnEnd) {
+    const bool IsFirst = Answers.empty();
+    Answers.push_back(On.Loop_->after(
+        IsFirst ? milliseconds(50) : milliseconds(700), [OnEnd, IsFirst] {
+          OnEnd(IsFirst ? StartStatus::NoAnswer : StartStatus::Unhealthy);
+        }));
+  };
+  On.Agent_ = std::make_unique<WorkerAgent>(
+      *On.Loop_, *On.Link_,
+      WorkerAgentOptions{.Calls_ = std::move(Calls), .Vm_ = "vm-1"});
+  On.startRuns(0);
+  On.Leader_->order({.Starts_ = {{.Run_ = makeRun(8)}}});
+  On.run(milliseconds(300));
+  REQUIRE(Answers.size() == 2);
+  On.Worker_->setSilent(true);
+  On.run(seconds(3));
+  On.Worker_->restart("w2", 20);
+  On.Worker_->setSilent(false);
+  On.announce(On.Worker_->announce());
+  On.run(milliseconds(300));
+  REQUIRE(On.Leader_->Crashes_.size() == 1);
+  CHECK(On.Leader_->Crashes_.front().Crash_.Suspects_ ==
+        std::vector{makeRun(8)});
+}
+
 } // namespace dragonfly::agent
