Refuse cancels that cannot be recorded, and hold early ones for 30 s

What callers would have seen: with 4,096 cancels of unknown jobs held, one more was answered 410 and dropped, so that its submission, if it came later, started (UNASKED). A job that was submitted more than 30 s after a cancel of its id was accepted and never ran, as long as no later early cancel pruned the old one.

Cause: JobTable::noteEarlyCancel dropped the cancel beyond MaxEarlyCancels, but the outcome in the record was "no such job", as for one that was recorded. JobTable::submit did not look at the age. While the table was full, a cancel that was sent again kept its old time.

Change: the outcome of a cancel in the record is a CancelStatus (RecordedEarly, Known, Refused), decided from the table and log time alone, so the same on all replicas. The leader answers Refused with Rejected and RetryAfter_, which the edge makes a 503 with Retry-After (504 if an earlier try may have counted). Submit takes a cancel into account until exactly EarlyCancelRetention after it. What is known already is refreshed also when full.

Measured, on the code before: "a cancel that cannot be recorded is refused" got UnknownJob without a time to return; "a cancel of an unknown job holds for its retention" found the job cancelled 1 ns after the retention; "a cancel that is sent again counts from then on" found 100 s in place of 120 s. JobTableTest compares the outcome of cancel with Known where it read a bool.

Ruled out: ids without bound. CallerServer takes as an id only the last part of a path that has exactly 16 hexadecimal digits (platform/CallerMessages.cpp, isJobId), so nothing was changed there. Dropping the oldest cancel instead: it was answered, and its submission may still be on its way.

--- a/include/dragonfly/control/Command.h
+++ b/include/dragonfly/control/Command.h
@@ -326,8 +326,7 @@
   /// Fencing tokens of the workers.
   std::vector<std::uint64_t> FencingTokens_;
   std::vector<jobs::SubmitStatus> Submits_;
-  /// 1 if there is such a job, also where it had already ended, else 0.
-  std::vector<std::uint8_t> Cancels_;
+  std::vector<jobs::CancelStatus> Cancels_;
   /// 1 if the row had an effect, else 0.
   std::vector<std::uint8_t> Ends_;
   std::vector<std::uint8_t> Starts_;
--- a/include/dragonfly/entry/JobGateway.h
+++ b/include/dragonfly/entry/JobGateway.h
@@ -24,7 +24,7 @@
   Known,         ///< The state of the job is attached.
   UnknownJob,    ///< There is no such job.
   UnknownQueue,  ///< There is no such queue.
-  RefusedNotRun, ///< The job was not accepted and never runs.
+  RefusedNotRun, ///< Not accepted: a job never runs, a cancel has no effect.
   Unknown        ///< It may have been accepted; asking again is safe.
 };
 
--- a/include/dragonfly/jobs/JobTable.h
+++ b/include/dragonfly/jobs/JobTable.h
@@ -32,6 +32,14 @@
 
 enum class SubmitStatus : std::uint8_t { Accepted, NoQueue };
 
+enum class CancelStatus : std::uint8_t {
+  /// There is no such job; a submission of it that is still on its way is
+  /// accepted as cancelled.
+  RecordedEarly,
+  Known,  ///< There is such a job, which may have ended before.
+  Refused ///< There is no such job and no room to record the cancel.
+};
+
 /// Starts a waiting task on a worker. The run number is the task's next one.
 struct StartRow {
   RunName Run_;
@@ -164,7 +172,7 @@
   /// How long a cancel of an unknown job holds, in log time: longer than a
   /// submission is tried again.
   static constexpr Duration EarlyCancelRetention = std::chrono::seconds(30);
-  /// Cancels of unknown jobs that are kept.
+  /// Cancels of unknown jobs that are kept. Callers' ids have a fixed length.
   static constexpr std::size_t MaxEarlyCancels = 4096;
 
   /// Takes \p Value where its version is the highest one; returns whether.
@@ -175,9 +183,7 @@
   bool end(Duration At, const EndRow &Row);
   /// Records the crash, and fails the jobs of tasks that are given up.
   void recordCrash(Duration At, const WorkerCrash &Crash);
-  /// Returns false where there is no such job. A submission of it that is
-  /// still on its way is then accepted as cancelled.
-  bool cancel(Duration At, const std::string &Job);
+  CancelStatus cancel(Duration At, const std::string &Job);
   /// Returns the fence of \p Life, which is a new one unless it is registered.
   std::uint64_t registerWorker(const WorkerLife &Life);
   /// Forgets a worker that has no runs.
@@ -217,7 +223,9 @@
   /// Returns whether \p Run was started, and its task has not finished.
   bool isOfUnfinishedTask(const RunName &Run) const;
   void forgetEnded(Duration At);
-  void noteEarlyCancel(Duration At, const std::string &Job);
+  CancelStatus recordEarlyCancel(Duration At, const std::string &Job);
+  /// Forgets the early cancel of \p Job; returns whether it held at \p At.
+  bool consumeEarlyCancel(Duration At, const std::string &Job);
   void setReady(const JobRow &Job);
   void clearReady(const JobRow &Job);
   void finish(Duration At, JobRow &Job, JobState State);
--- a/include/dragonfly/wire/JobMessages.h
+++ b/include/dragonfly/wire/JobMessages.h
@@ -42,7 +42,9 @@
   Known,      ///< `State_` holds the job's state.
   UnknownJob, ///< There is no such job.
   NoQueue,    ///< No queue has this host and path.
-  Rejected,   ///< Not accepted; it never runs. `RetryAfter_` tells when to ask.
+  /// Not accepted: a job never runs, a cancel has no effect. `RetryAfter_`
+  /// tells when to ask.
+  Rejected,
   NoConfiguration,
   /// The job is durable, and its queue has been removed since.
   AcceptedBefore
--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -226,7 +226,14 @@
         refuseIfNotLeader(Status, Answer);
         return;
       }
-      const bool IsKnown = Outcomes->Cancels_.at(Index) != 0;
+      const jobs::CancelStatus Outcome = Outcomes->Cancels_.at(Index);
+      if (Outcome == jobs::CancelStatus::Refused) {
+        Options_.Metrics_->count("jobs", "cancel-refused");
+        Answer(wire::JobReply{.Status_ = JobStatus::Rejected,
+                              .RetryAfter_ = Options_.RetryAfter_});
+        return;
+      }
+      const bool IsKnown = Outcome == jobs::CancelStatus::Known;
       logEvent(Event::JobCancelled, {{"job", Id}});
       Options_.Metrics_->count("jobs", "cancelled");
       Dispatcher_.notifyJobsChanged();
--- a/src/control/StateMachine.cpp
+++ b/src/control/StateMachine.cpp
@@ -104,7 +104,7 @@
   for (const jobs::SubmitRow &Row : Body.Submits_)
     Result.Submits_.push_back(Jobs_.submit(LogTime_, Row));
   for (const std::string &Job : Body.Cancels_)
-    Result.Cancels_.push_back(Jobs_.cancel(LogTime_, Job) ? 1 : 0);
+    Result.Cancels_.push_back(Jobs_.cancel(LogTime_, Job));
   for (const jobs::EndRow &Row : Body.Ends_)
     Result.Ends_.push_back(Jobs_.end(LogTime_, Row) ? 1 : 0);
   for (const jobs::StartRow &Row : Body.Starts_)
--- a/src/jobs/JobTable.cpp
+++ b/src/jobs/JobTable.cpp
@@ -52,7 +52,7 @@
     Job.Steps_.push_back({.Tasks_ = std::vector<TaskRow>(Step.Count_),
                           .Finished_ = 0,
                           .Waiting_ = Step.Count_});
-  if (EarlyCancels_.erase(Job.Id_) > 0)
+  if (consumeEarlyCancel(At, Job.Id_))
     finish(At, Job, JobState::Cancelled);
   else
     setReady(Job);
@@ -150,23 +150,28 @@
   return Task.Phase_ != TaskPhase::Finished && Run.Run_ <= Task.Run_;
 }
 
-bool JobTable::cancel(Duration At, const std::string &Job) {
+CancelStatus JobTable::cancel(Duration At, const std::string &Job) {
   const auto It = Jobs_.find(Job);
-  if (It == Jobs_.end()) {
-    noteEarlyCancel(At, Job);
-    return false;
-  }
+  if (It == Jobs_.end())
+    return recordEarlyCancel(At, Job);
   if (It->second.active())
     finish(At, It->second, JobState::Cancelled);
-  return true;
+  return CancelStatus::Known;
 }
 
-void JobTable::noteEarlyCancel(Duration At, const std::string &Job) {
+CancelStatus JobTable::recordEarlyCancel(Duration At, const std::string &Job) {
   std::erase_if(EarlyCancels_, [At](const auto &Each) {
     return Each.second + EarlyCancelRetention < At;
   });
-  if (EarlyCancels_.size() < MaxEarlyCancels)
-    EarlyCancels_[Job] = At;
+  if (EarlyCancels_.size() >= MaxEarlyCancels && !EarlyCancels_.contains(Job))
+    return CancelStatus::Refused;
+  EarlyCancels_[Job] = At;
+  return CancelStatus::RecordedEarly;
+}
+
+bool JobTable::consumeEarlyCancel(Duration At, const std::string &Job) {
+  const auto Found = EarlyCancels_.extract(Job);
+  return !Found.empty() && Found.mapped() + EarlyCancelRetention >= At;
 }
 
 std::uint64_t JobTable::registerWorker(const WorkerLife &Life) {
--- a/tests/control/JobServiceTest.cpp
+++ b/tests/control/JobServiceTest.cpp
@@ -123,6 +123,32 @@
   CHECK(Cluster.jobState() == JobState::Cancelled);
 }
 
+// Guards against UNASKED: cancels of unknown jobs beyond those that are kept
+// were answered as if they had been recorded.
+TEST_CASE("a cancel that cannot be recorded is refused until there is room",
+          "[control][jobs]") {
+  JobCluster Cluster;
+  ControlService &Leader = Cluster.node(Cluster.leader());
+  for (std::size_t I = 0; I < jobs::JobTable::MaxEarlyCancels; ++I) {
+    const std::string Id = "other-job-" + std::to_string(I);
+    Leader.handle(Cluster.now(),
+                  wire::JobRequest{.Action_ = wire::JobAction::Cancel,
+                                   .Job_ = Id,
+                                   .Host_ = "a.example",
+                                   .Path_ = "/checks/" + Id},
+                  [](const wire::Message &) {});
+  }
+  Cluster.run(seconds(1));
+  const wire::JobReply Refused = Cluster.requestJob(wire::JobAction::Cancel);
+  CHECK(Refused.Status_ == JobStatus::Rejected);
+  CHECK(Refused.RetryAfter_ > Duration::zero());
+  Cluster.run(jobs::JobTable::EarlyCancelRetention);
+  CHECK(Cluster.requestJob(wire::JobAction::Cancel).Status_ ==
+        JobStatus::UnknownJob);
+  REQUIRE(Cluster.submit({makeStep()}) == JobStatus::Accepted);
+  CHECK(Cluster.jobState() == JobState::Cancelled);
+}
+
 // Guards against UNASKED: the cancel of a job found no queue and had no effect.
 TEST_CASE("a job can be cancelled after its queue was removed",
           "[control][jobs]") {
--- a/tests/jobs/JobTableTest.cpp
+++ b/tests/jobs/JobTableTest.cpp
@@ -102,6 +102,40 @@
                                   .Path_ = "/none/"}) == SubmitStatus::NoQueue);
 }
 
+// Guards against REFUSED: a cancel held until a later one pruned it, so that a
+// job that was accepted long after it never ran.
+TEST_CASE("a cancel of an unknown job holds for its retention", "[jobs]") {
+  JobTable Table;
+  Table.putConfiguration(configuration());
+  const Duration CancelledAt = seconds(100);
+  Table.cancel(CancelledAt, JobId);
+  const bool IsLate = GENERATE(false, true);
+  Table.submit(CancelledAt + JobTable::EarlyCancelRetention +
+                   Duration(IsLate ? 1 : 0),
+               {.Job_ = JobId,
+                .Host_ = "a.example",
+                .Path_ = std::string("/checks/") + JobId,
+                .Spec_ = {.Steps_ = {step(1)}}});
+  REQUIRE(Table.find(JobId) != nullptr);
+  CHECK(Table.find(JobId)->State_ ==
+        (IsLate ? JobState::Queued : JobState::Cancelled));
+  CHECK(Table.earlyCancels().empty());
+}
+
+// Guards against UNASKED: while as many cancels are kept as may be, one that
+// was sent again did not count from then on.
+TEST_CASE("a cancel that is sent again counts from then on", "[jobs]") {
+  JobTable Table;
+  Table.putConfiguration(configuration());
+  Table.cancel(seconds(100), JobId);
+  for (std::size_t I = 1; I < JobTable::MaxEarlyCancels; ++I)
+    Table.cancel(seconds(100), "other-job-" + std::to_string(I));
+  CHECK(Table.cancel(seconds(100), "one-more-job") == CancelStatus::Refused);
+  CHECK(Table.cancel(seconds(120), JobId) == CancelStatus::RecordedEarly);
+  REQUIRE(Table.earlyCancels().size() == JobTable::MaxEarlyCancels);
+  CHECK(Table.earlyCancels().at(JobId) == seconds(120));
+}
+
 TEST_CASE("a task has one run at a time", "[jobs]") {
   Fixture On({step(1)});
   REQUIRE(On.start(On.run(0, 0)));
@@ -168,7 +202,7 @@
           "[jobs]") {
   Fixture On({step(2)});
   On.start(On.run(0, 0));
-  REQUIRE(On.Table_.cancel(seconds(2), JobId));
+  REQUIRE(On.Table_.cancel(seconds(2), JobId) == CancelStatus::Known);
   CHECK_FALSE(On.start(On.run(0, 1)));
   CHECK(On.Table_.findWorker("w1")->Runs_.size() == 1);
   On.end(On.run(0, 0), RunEnd::Finished);
