Count a crash once for each task, however many of its runs had begun

What callers would have seen: a job that fails after fewer crashes than it may be suspected of. Two runs of one task that have not proved themselves on a worker (one that is being stopped, or whose start got no answer, and the next one) both stand in the agent's notice.

Cause: CrashTable::record pushed the number of the crash for each suspect run, so that one crash counted as two against the task. And such a crash did not count as one under a single task, since the runs were counted.

Change: the candidates of a crash are a set of tasks, and a task was alone if all suspect runs are its own.

Ruled out: removing duplicates in the agent's notice. It names runs on purpose, and notices of agents without the change would count twice all the same.

--- a/src/jobs/CrashTable.cpp
+++ b/src/jobs/CrashTable.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 
 namespace dragonfly::jobs {
 
@@ -13,12 +14,14 @@
   std::erase_if(Rows_, [At](const auto &Each) {
     return At - Each.second.At_ > SuspicionTime;
   });
+  // Several runs of a task may be among the suspects.
+  const std::set<TaskName> Tasks(Candidates.begin(), Candidates.end());
   std::vector<TaskName> Blamed;
   std::ranges::copy_if(
-      Candidates, std::back_inserter(Blamed),
+      Tasks, std::back_inserter(Blamed),
       [this](const TaskName &Task) { return isSuspect(Task); });
   if (Blamed.empty())
-    Blamed = Candidates;
+    Blamed.assign(Tasks.begin(), Tasks.end());
   ++LastCrash_;
   const std::size_t Limit = limitOf(Crash, Blamed.size());
   std::vector<TaskName> GivenUp;
@@ -35,7 +38,11 @@
 }
 
 std::size_t CrashTable::limitOf(const WorkerCrash &Crash, std::size_t Blamed) {
-  if (Crash.Suspects_.size() == 1)
+  const bool IsOneTask =
+      std::ranges::all_of(Crash.Suspects_, [&Crash](const RunName &Run) {
+        return Run.Task_ == Crash.Suspects_.front().Task_;
+      });
+  if (IsOneTask)
     return MaxAlone;
   return Blamed == 1 ? MaxOnlySuspect : MaxShared;
 }
--- a/tests/jobs/CrashTableTest.cpp
+++ b/tests/jobs/CrashTableTest.cpp
@@ -93,6 +93,25 @@
   CHECK(On.Table_.crashes(task(1)) == 2);
 }
 
+// Guards against a job that fails without cause: two runs of one task that had
+// begun on the worker made one crash count as two.
+TEST_CASE("several runs of a task are one suspect of a crash",
+          "[jobs][crash]") {
+  Fixture On;
+  SECTION("beside another task") {
+    CHECK(On.crash({task(1), task(1), task(2)}).empty());
+    CHECK(On.Table_.crashes(task(1)) == 1);
+    CHECK(On.crash({task(1), task(1), task(2)}).empty());
+    CHECK(On.Table_.crashes(task(1)) == 2);
+  }
+  SECTION("alone") {
+    CHECK(On.crash({task(1), task(1)}).empty());
+    CHECK(On.Table_.crashes(task(1)) == 1);
+    // No other task had begun beside it.
+    CHECK(On.crash({task(1), task(1)}) == std::vector{task(1)});
+  }
+}
+
 TEST_CASE("a crash that is told again counts once", "[jobs][crash]") {
   Fixture On;
   CHECK(On.crash({task(1)}).empty());
