Follow the address of a replica

Found by reading; no caller has been seen to suffer from it. A replica with an old id on a new VM (docs/RECOVERY.md) is admitted as a learner and never reached by a process that had reached it before. Where the id is made of the IP, as dragonfly-platform does, an id never moves; dragonfly-control is what is affected.

Cause: a link kept the first address of its replica for the whole life of the process. A replica that is not in its own log's members was looked up in the settings before what the group told, so that one with an empty disk answered to the old VM.

Change: PeerLinks looks the address up for each message and replaces the link where it has changed; no address, or a malformed one, leaves the link as it is. PeerAddresses ranks the sources: the members in the log, what other replicas told, the settings. A replica that knows of no leader may be cut off and replaces nothing, the rule that LeaderClient has. ControlService::addressOf, which nobody else called, is gone from the interface.

A malformed address had to be dealt with here, since a link that follows addresses parses more of them: it ended the process. One JoinGroup notice with the address "nowhere" did so on the code before. It is logged now as event 3029, replica-address-rejected.

Measured: ControlLinksTest, a control process with its sockets on the paused clock; a replica is down for 5 s and comes back under its id at another port.

Ruled out: taking the address of a JoinGroup notice for the link, as a member's address is the group's to change.

Not covered: a replica whose own log names the old address of the present leader answers there until a record that it can append names the new one.

--- a/include/dragonfly/base/Event.h
+++ b/include/dragonfly/base/Event.h
@@ -58,6 +58,7 @@
   RunRelocated = 3026,
   MemberChangeDelayed = 3027,
   CrashSuspected = 3028,
+  ReplicaAddressRejected = 3029,
   // consensus
   LeaderElected = 4001,
   LeaderLost = 4002,
--- a/include/dragonfly/control/ControlService.h
+++ b/include/dragonfly/control/ControlService.h
@@ -80,8 +80,6 @@
 
   /// The members and the leader as far as this replica knows.
   wire::Group group() const;
-  /// Where \p Id is reached, or empty.
-  std::string addressOf(ReplicaId Id) const;
 
   /// Proposes a change of a list. \p Done gets the outcome only where it was
   /// committed.
--- a/src/base/Event.cpp
+++ b/src/base/Event.cpp
@@ -104,6 +104,10 @@
     {Event::CrashSuspected, Severity::Warning, "crash-suspected",
      "A worker crashed soon after this run had begun there. A task that "
      "remains suspect is given up, and its job fails."},
+    {Event::ReplicaAddressRejected, Severity::Warning,
+     "replica-address-rejected",
+     "The address of a control replica is malformed. It is reached at the last "
+     "usable one, if any; remove the member and add it again."},
     {Event::LeaderElected, Severity::Info, "leader-elected",
      "This replica leads the replicated log in a new term."},
     {Event::LeaderLost, Severity::Warning, "leader-lost",
--- a/src/control/Control.cpp
+++ b/src/control/Control.cpp
@@ -1,5 +1,6 @@
 #include "dragonfly/control/Control.h"
 
+#include "control/PeerAddresses.h"
 #include "control/PeerLinks.h"
 #include "dragonfly/base/Log.h"
 #include "dragonfly/base/Random.h"
@@ -12,7 +13,6 @@
 #include "dragonfly/net/HttpServer.h"
 
 #include <algorithm>
-#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -106,7 +106,11 @@
       : Loop_(Loop), Settings_(Settings), Counts_(std::move(Counts)),
         Self_(makeFreshId<Incarnation>()),
         Listen_(net::Endpoint::make(selfOf(Settings).Address_)),
-        Peers_(Loop, Self_, [this](ReplicaId Id) { return addressOf(Id); }),
+        Addresses_(Settings.Process_.Control_),
+        Peers_(Loop, Self_,
+               [this](ReplicaId Id) {
+                 return Addresses_.find(Id, Service_.log().members());
+               }),
         Service_(serviceOptions(),
                  consensus::openFileStorage(Settings.DataFolder_),
                  Clock::now()),
@@ -138,8 +142,7 @@
                               .Self_ = Self_,
                               .Seeds_ = addressesOf(Settings.Process_.Control_),
                               .OnGroup_ = [this](const wire::Group &Known) {
-                                for (const wire::GroupRow &Row : Known.Rows_)
-                                  Known_[Row.Id_] = Row.Address_;
+                                Addresses_.learn(Known);
                               }});
     Joins_ = Loop.every(RepairJoinPeriod, [this] {
       if (Clock::now() >= JoinAt_ || isWanted())
@@ -177,12 +180,6 @@
     return Options;
   }
 
-  std::string addressOf(ReplicaId Id) const {
-    const std::string Address = Service_.addressOf(Id);
-    const auto Heard = Known_.find(Id);
-    return Address.empty() && Heard != Known_.end() ? Heard->second : Address;
-  }
-
   void takeHeartbeat(const net::Endpoint &From, const wire::Message &Value) {
     const auto *Beat = std::get_if<wire::Heartbeat>(&Value);
     if (Beat == nullptr)
@@ -272,9 +269,8 @@
   std::shared_ptr<Metrics> Counts_;
   Incarnation Self_;
   net::Endpoint Listen_;
+  PeerAddresses Addresses_;
   PeerLinks Peers_;
-  /// Addresses that other replicas told.
-  std::map<ReplicaId, std::string> Known_;
   std::size_t OperatorCalls_ = 0;
   std::size_t OpenRequests_ = 0;
   bool TickPosted_ = false;
--- a/src/control/ControlService.cpp
+++ b/src/control/ControlService.cpp
@@ -431,10 +431,6 @@
 
 wire::Group ControlService::group() const { return Impl_->group(); }
 
-std::string ControlService::addressOf(ReplicaId Id) const {
-  return Impl_->addressOf(Id);
-}
-
 void ControlService::putList(
     PutList Change, std::function<void(ProposeStatus, PutOutcome)> Done) {
   const ListName List = Change.List_;
--- a/src/control/PeerLinks.h
+++ b/src/control/PeerLinks.h
@@ -27,17 +27,28 @@
   PeerLinks(net::EventLoop &Loop, Incarnation Self, AddressOf Find)
       : Loop_(Loop), Self_(Self), Find_(std::move(Find)) {}
 
-  /// Sends \p Value if the link is open, and opens one if there is none.
+  /// Sends \p Value if the link is open. Opens one if there is none, or if the
+  /// replica's address has changed.
   void send(ReplicaId To, const wire::Message &Value);
   /// Called with each message of \p From: it is up, so that its link, if it is
   /// down, is tried now.
   void heardFrom(ReplicaId From);
 
 private:
+  struct Link {
+    /// The newest address, also where it is malformed.
+    std::string Address_;
+    std::unique_ptr<net::FrameClient> Client_;
+  };
+
+  /// Returns the link to the newest address of \p To, or null.
+  net::FrameClient *linkTo(ReplicaId To);
+  void connect(ReplicaId To, Link &Row) const;
+
   net::EventLoop &Loop_;
   Incarnation Self_;
   AddressOf Find_;
-  std::map<ReplicaId, std::unique_ptr<net::FrameClient>> Links_;
+  std::map<ReplicaId, Link> Links_;
 };
 
 } // namespace dragonfly::control
--- a/tests/control/ControlLinksTest.cpp
+++ b/tests/control/ControlLinksTest.cpp
@@ -19,6 +19,8 @@
 constexpr Duration Step = 2ms;
 /// How often a replica that does not vote yet makes itself known.
 constexpr Duration AnnouncePeriod = 100ms;
+/// How often a leader sends where nothing has changed.
+constexpr Duration HeartbeatPeriod = 100ms;
 constexpr std::uint64_t PeerId = 2;
 
 net::Endpoint freeEndpoint(net::EventLoop &Loop) {
@@ -84,13 +86,20 @@
     while (Traffic_ == 0 && Clock::now() - Began < Limit) {
       if (Clock::now() >= AnnounceAt) {
         AnnounceAt += AnnouncePeriod;
-        announce();
+        announce({PeerId}, PeerAt_.text());
       }
       run(Step);
     }
     return Clock::now() - Began;
   }
 
+  /// Announces the replica \p Id with a data folder of its own.
+  void announce(ReplicaId Id, const std::string &Address) {
+    ToLeader_->call(
+        wire::JoinGroup{.Id_ = Id, .Store_ = Store_, .Address_ = Address},
+        500ms, [](const net::CallResult &) {});
+  }
+
 private:
   settings::ControlSettings settings() {
     LeaderAt_ = freeEndpoint();
@@ -107,13 +116,6 @@
     return Settings;
   }
 
-  void announce() {
-    ToLeader_->call(wire::JoinGroup{.Id_ = {PeerId},
-                                    .Store_ = Store_,
-                                    .Address_ = PeerAt_.text()},
-                    500ms, [](const net::CallResult &) {});
-  }
-
   net::EventLoop Loop_;
   std::string Folder_;
   net::Endpoint LeaderAt_;
@@ -150,4 +152,33 @@
   CHECK(Longest <= AnnouncePeriod);
 }
 
+// Guards against LOST: a replica that came back under its id on another VM was
+// never reached, as its leader kept the link to the old address.
+TEST_CASE("a replica with another address is reached there",
+          "[control][links]") {
+  Pair Group;
+  Group.startPeer(Group.freeEndpoint());
+  Group.run(2s);
+  REQUIRE(Group.timeUntilReached(5s) < 5s);
+  Group.stopPeer();
+  Group.run(5s);
+  Group.startPeer(Group.freeEndpoint());
+  const Duration Took = Group.timeUntilReached(60s);
+  INFO("reached after "
+       << std::chrono::duration_cast<std::chrono::milliseconds>(Took).count()
+       << " ms");
+  // What is sent first only opens the link.
+  CHECK(Took <= AnnouncePeriod + HeartbeatPeriod);
+}
+
+// Guards against RECOVER: one announcement with a malformed address ended the
+// leader, as it sent to the new member.
+TEST_CASE("a malformed address of a replica does not end the leader",
+          "[control][links]") {
+  Pair Group;
+  Group.run(2s);
+  Group.announce({PeerId + 1}, "nowhere");
+  CHECK_NOTHROW(Group.run(10s));
+}
+
 } // namespace dragonfly::control
