Log why a repair waits for each replica and in each leadership

Found by reading, as a suspected flood. What operators would have seen is the opposite: no line. A second replica that lags is not named where a first one lags too, and a process that leads again logs nothing about a delay with the reason that it logged last.

Cause: noteDelay() compared the reason with the last one alone, whichever replica and leadership that was of.

Change: a delay is logged once for each replica, role and reason, until the replica's membership is changed by the leader or another leadership begins.

Ruled out: two reasons that alternate, with a line each 20 ms. The reasons that depend on the term come before all others and end the pass. A line was repeated after each change that found no obstacle, which takes a committed change.

--- a/src/control/GroupKeeper.cpp
+++ b/src/control/GroupKeeper.cpp
@@ -3,7 +3,6 @@
 #include "dragonfly/base/Log.h"
 
 #include <string_view>
-#include <utility>
 #include <vector>
 
 namespace dragonfly::control {
@@ -24,6 +23,7 @@
 void GroupKeeper::lead(TimePoint Now) {
   LeaderSince_ = Now;
   Seen_.clear();
+  LoggedDelays_.clear();
 }
 
 void GroupKeeper::sighted(TimePoint Now, const wire::JoinGroup &Notice) {
@@ -54,10 +54,8 @@
   while (auto Change = planGroupChange(Options, Log_.members(), Seen_,
                                        LeaderSince_, Now, Lagging)) {
     const auto Obstacle = Log_.changeObstacle(Change->Target_, Change->Remove_);
-    if (!Obstacle) {
-      LastObstacle_.reset();
+    if (!Obstacle)
       return Change;
-    }
     noteDelay(*Change, *Obstacle);
     // Until a learner has caught up, another one may be promoted.
     if (*Obstacle != ChangeObstacle::NotCaughtUp)
@@ -69,7 +67,9 @@
 
 void GroupKeeper::noteDelay(const GroupChange &Change,
                             ChangeObstacle Obstacle) {
-  if (std::exchange(LastObstacle_, Obstacle) == Obstacle)
+  if (!LoggedDelays_[Change.Target_.Id_]
+           .insert({roleOf(Change), Obstacle})
+           .second)
     return;
   logEvent(Event::MemberChangeDelayed, {{"replica", Change.Target_.Id_.Value_},
                                         {"role", roleOf(Change)},
@@ -81,6 +81,7 @@
   ChangeInProgress_ = false;
   if (Status != ProposeStatus::Committed)
     return;
+  LoggedDelays_.erase(Change.Target_.Id_);
   logEvent(Event::MemberChanged, {{"replica", Change.Target_.Id_.Value_},
                                   {"store", Change.Target_.Store_.Value_},
                                   {"role", roleOf(Change)},
--- a/src/control/GroupKeeper.h
+++ b/src/control/GroupKeeper.h
@@ -9,6 +9,9 @@
 
 #include <map>
 #include <optional>
+#include <set>
+#include <string_view>
+#include <utility>
 
 namespace dragonfly::control {
 
@@ -28,7 +31,8 @@
   /// Returns the next change that the log would propose now, if any.
   std::optional<GroupChange> nextChange(TimePoint Now,
                                         const GroupPlanOptions &Options);
-  /// Logs why \p Change has to wait, once for each reason.
+  /// Logs why \p Change has to wait, once for each reason until the replica's
+  /// membership changes.
   void noteDelay(const GroupChange &Change, consensus::ChangeObstacle Obstacle);
   void finishChange(const GroupChange &Change, consensus::ProposeStatus Status);
 
@@ -36,7 +40,10 @@
   TimePoint LeaderSince_;
   std::map<ReplicaId, ReplicaSighting> Seen_;
   bool ChangeInProgress_ = false;
-  std::optional<consensus::ChangeObstacle> LastObstacle_;
+  /// Roles and reasons that this leadership has logged for each replica.
+  std::map<ReplicaId,
+           std::set<std::pair<std::string_view, consensus::ChangeObstacle>>>
+      LoggedDelays_;
 };
 
 } // namespace dragonfly::control
--- a/tests/control/GroupRepairTest.cpp
+++ b/tests/control/GroupRepairTest.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <map>
 
 namespace dragonfly::control {
 namespace {
@@ -113,4 +114,62 @@
   CHECK(*Took <= 700ms);
 }
 
+// Guards against a repair that waits in silence: the last reason that was
+// logged stood for all replicas and all later leaderships of the process.
+TEST_CASE("each delay of a repair is logged once in each leadership",
+          "[control][group]") {
+  std::map<std::size_t, int> Lines;
+  ServiceCluster Cluster;
+  Cluster.repairGroup();
+  REQUIRE(Cluster.put(Cluster.leader(), change(1, "a")));
+  // Neither the replica with the new disk nor a fourth one, which does not
+  // exist, ever acknowledges anything.
+  const std::size_t Wiped = follower(Cluster);
+  const std::size_t Fourth = 3;
+  const auto CutLearners = [&] {
+    for (std::size_t I = 0; I < Fourth; ++I) {
+      Cluster.cut(I, Fourth);
+      Cluster.cut(Wiped, I);
+    }
+  };
+  CutLearners();
+  Cluster.loseDisk(Wiped);
+  const std::map<std::size_t, StoreId> Stores = {
+      {Wiped, Cluster.node(Wiped).log().store()}, {Fourth, StoreId{77}}};
+  const auto RunWithAnnouncements = [&] {
+    for (int I = 0; I < 20; ++I) {
+      for (const auto &[Replica, Store] : Stores)
+        Cluster.node(Cluster.leader())
+            .handle(Cluster.now(),
+                    wire::JoinGroup{.Id_ = {Replica + 1}, .Store_ = Store},
+                    [](const wire::Message &) {});
+      Cluster.run(50ms);
+    }
+  };
+  configureLog(
+      {.Format_ = LogFormat::Text, .Sink_ = [&Lines](std::string_view Line) {
+         if (Line.find("member-change-delayed") == std::string_view::npos ||
+             Line.find("not-caught-up") == std::string_view::npos)
+           return;
+         for (std::size_t I = 0; I <= Fourth; ++I)
+           if (Line.find("replica=" + std::to_string(I + 1)) !=
+               std::string_view::npos)
+             ++Lines[I];
+       }});
+  // One of the two others leads twice in three leaderships.
+  for (int Leadership = 1; Leadership <= 3; ++Leadership) {
+    INFO("leadership " << Leadership << " of replica " << Cluster.leader() + 1);
+    RunWithAnnouncements();
+    CHECK(isLearner(Cluster, Wiped));
+    CHECK(isLearner(Cluster, Fourth));
+    CHECK(Lines[Wiped] == Leadership);
+    CHECK(Lines[Fourth] == Leadership);
+    Cluster.isolate(Cluster.leader());
+    Cluster.run(2s);
+    Cluster.heal();
+    CutLearners();
+  }
+  configureLog({.Sink_ = [](std::string_view) {}});
+}
+
 } // namespace dragonfly::control
