Replace the link to a replica that announces another data folder

A VM that loses power closes no connection.

Cause: reconnectNow() leaves an open link alone, since an open one is taken for one that works.

Change: an announcement with another data folder than the one before replaces the link.

Measured: without the replacement the new test fails, CHECK_FALSE( First.connected()); with it the old connection is closed and what is sent next arrives on a new one. An announcement of the same folder keeps the link.

Ruled out: replacing the link on silence. A follower's traffic has no answers that would tell a silent link from a quiet one.

--- a/src/control/Control.cpp
+++ b/src/control/Control.cpp
@@ -196,7 +196,7 @@
       return;
     }
     if (const auto *Notice = std::get_if<wire::JoinGroup>(&Value))
-      Peers_.heardFrom(Notice->Id_);
+      Peers_.announcedBy(Notice->Id_, Notice->Store_);
     if (Stopping_) {
       To.answer(wire::Refusal{.Reason_ = Reason::Draining});
       return;
--- a/src/control/PeerLinks.cpp
+++ b/src/control/PeerLinks.cpp
@@ -18,6 +18,14 @@
     Client->reconnectNow();
 }
 
+void PeerLinks::announcedBy(ReplicaId From, StoreId Store) {
+  Link &Row = Links_[From];
+  const StoreId Before = std::exchange(Row.Store_, Store);
+  if (Before && Before != Store)
+    Row = {.Store_ = Store};
+  heardFrom(From);
+}
+
 net::FrameClient *PeerLinks::linkTo(ReplicaId To) {
   std::string Address = Find_(To);
   Link &Row = Links_[To];
--- a/src/control/PeerLinks.h
+++ b/src/control/PeerLinks.h
@@ -33,12 +33,18 @@
   /// Called with each message of \p From: it is up, so that its link, if it is
   /// down, is tried now.
   void heardFrom(ReplicaId From);
+  /// Called with each announcement of \p From. One with another data folder
+  /// than before replaces an open link as well: the VM may have lost power
+  /// without closing it.
+  void announcedBy(ReplicaId From, StoreId Store);
 
 private:
   struct Link {
     /// The newest address, also where it is malformed.
     std::string Address_;
     std::unique_ptr<net::FrameClient> Client_;
+    /// The data folder that the replica announced last.
+    StoreId Store_;
   };
 
   /// Returns the link to the newest address of \p To, or null.
--- a/tests/control/PeerLinksTest.cpp
+++ b/tests/control/PeerLinksTest.cpp
@@ -6,6 +6,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <optional>
+#include <utility>
+
 namespace dragonfly::control {
 namespace {
 
@@ -16,9 +19,14 @@
   explicit Listener(net::EventLoop &Loop)
       : Server_(Loop, {.Listen_ = {.Address_ = "127.0.0.1", .Port_ = 0},
                        .Self_ = {2},
-                       .OnMessage_ = [this](auto, auto) { ++Received_; }}) {}
+                       .OnMessage_ = [this](auto, net::FrameReplier From) {
+                         ++Received_;
+                         Last_ = std::move(From);
+                       }}) {}
 
   std::size_t Received_ = 0;
+  /// The sender of the last frame, on its connection.
+  std::optional<net::FrameReplier> Last_;
   net::FrameServer Server_;
 };
 
@@ -71,6 +79,30 @@
   }
 }
 
+// Guards against LOST: a VM that lost power leaves a link that looks open, over
+// which a replica that is back with an empty disk is reached only once a packet
+// is sent again.
+TEST_CASE("a replica with another data folder is reached by a new link",
+          "[control][links]") {
+  net::EventLoop Loop;
+  Listener Replica(Loop);
+  const std::string Address = Replica.Server_.endpoint().text();
+  PeerLinks Links(Loop, {1}, [&](ReplicaId) { return Address; });
+  Links.announcedBy(Peer, StoreId{7});
+  sendSome(Loop, Links);
+  REQUIRE(Replica.Last_);
+  const net::FrameReplier First = *Replica.Last_;
+  Links.announcedBy(Peer, StoreId{7});
+  sendSome(Loop, Links);
+  CHECK(First.connected());
+  const std::size_t Before = Replica.Received_;
+  Links.announcedBy(Peer, StoreId{8});
+  sendSome(Loop, Links);
+  CHECK_FALSE(First.connected());
+  CHECK(Replica.Server_.connections() == 1);
+  CHECK(Replica.Received_ > Before);
+}
+
 // Guards against RECOVER: an address that cannot be parsed ended the process
 // that was to send there.
 TEST_CASE("a malformed address opens no link", "[control][links]") {
