--- a/include/dragonfly/agent/RunBook.h
+++ b/include/dragonfly/agent/RunBook.h
@@ -23,8 +23,8 @@
   /// Pause between tries of a start or a stop; the worker answers within
   /// milliseconds where it answers at all.
   Duration RetryDelay_ = std::chrono::milliseconds(150);
-  /// A run that is listed so long after its start has not crashed the worker by
-  /// starting. Lists arrive within milliseconds of being made.
+  /// A run that is still listed this long after its start is not suspected of a
+  /// crash.
   Duration ProofTime_ = std::chrono::milliseconds(200);
 };
 
@@ -75,7 +75,7 @@
   void refuse(const jobs::RunName &Run);
 
   /// Returns the calls that are due and marks them as open. Starts stay due
-  /// unless \p MayStart.
+  /// unless \p MayStart, e.g. without a lease.
   std::vector<DueCall> takeDueCalls(TimePoint Now, bool MayStart);
   /// When the next call is due, or nothing.
   std::optional<TimePoint> nextCallAt() const;
--- a/include/dragonfly/jobs/JobTable.h
+++ b/include/dragonfly/jobs/JobTable.h
@@ -169,8 +169,8 @@
   /// How long an ended job's state can be read, in log time; the platform asks
   /// for two minutes.
   static constexpr Duration EndedJobRetention = std::chrono::seconds(150);
-  /// How long a cancel of an unknown job holds, in log time: longer than a
-  /// submission is tried again.
+  /// How long a cancel of an unknown job holds, in log time. It must
+  /// exceed the time for which entries retry a submission.
   static constexpr Duration EarlyCancelRetention = std::chrono::seconds(30);
   /// Cancels of unknown jobs that are kept. Callers' ids have a fixed length.
   static constexpr std::size_t MaxEarlyCancels = 4096;
@@ -195,7 +195,7 @@
   const std::map<std::string, Duration> &earlyCancels() const {
     return EarlyCancels_;
   }
-  /// Takes what a snapshot holds beside the table.
+  /// Restores what the table itself does not serialize.
   void restore(CrashTable Crashes,
                std::map<std::string, Duration> EarlyCancels) {
     Crashes_ = std::move(Crashes);
--- a/src/agent/WorkerAgent.cpp
+++ b/src/agent/WorkerAgent.cpp
@@ -59,8 +59,8 @@
     Listed_ = false;
     ListedAll_ = false;
     Known_.clear();
-    // A cancel that was recorded between the sessions has not reached this
-    // agent. Control orders again what is still wanted.
+    // Cancels recorded between sessions were never delivered. Control orders
+    // again what is still wanted.
     Book_.giveUpStarts(Now);
     NextHoldAt_ = Now;
   }
--- a/src/agent/WorkerAgentIdentity.cpp
+++ b/src/agent/WorkerAgentIdentity.cpp
@@ -124,8 +124,8 @@
       IsNewest ? Announced : smallerOf(Announced, AnnouncedCapacity_);
   if (Worker_.Capacity_ == Before)
     return;
-  // Orders of the session so far were made for the capacity before; control
-  // knows what each run needs and places what has not begun anew.
+  // Unconfirmed starts were sized for the old capacity; control places them
+  // again.
   if (!Before.fitsIn(Worker_.Capacity_))
     Book_.giveUpStarts(Clock::now());
   openSession();
--- a/src/control/Control.cpp
+++ b/src/control/Control.cpp
@@ -25,8 +25,7 @@
 /// How often a replica makes itself known to the leader; a third of the time
 /// after which it would no longer count as present.
 constexpr Duration JoinPeriod = std::chrono::milliseconds(500);
-/// A replica that is to become a voter makes itself known more often: until it
-/// is one, the group may bear no further loss.
+/// Shorter while the group lacks voters, as it may tolerate no other failure.
 constexpr Duration RepairJoinPeriod = std::chrono::milliseconds(100);
 /// The seeds, which may be no replicas, are told less often.
 constexpr Duration AnnouncePeriod = 4 * JoinPeriod;
--- a/src/control/GroupKeeper.cpp
+++ b/src/control/GroupKeeper.cpp
@@ -27,7 +27,7 @@
 }
 
 void GroupKeeper::sighted(TimePoint Now, const wire::JoinGroup &Notice) {
-  // A process that is still founding a group has no data folder yet.
+  // A process that is still bootstrapping has no data folder.
   if (!Notice.Store_)
     return;
   Seen_[Notice.Id_] = {
--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -215,8 +215,8 @@
            Job.Queue_.PathPrefix_ + Job.Id_ == Request.Path_;
   }
 
-  /// Also where the job is unknown: its submission may be on its way, and must
-  /// not begin after the cancel was answered.
+  /// Recorded even if the job is unknown: a submission in flight must not start
+  /// after its cancel was acknowledged.
   void cancelJob(const std::string &Id, bool HasQueue, Reply Answer) {
     const std::size_t Index = Batch_.record().Cancels_.size();
     Batch_.record().Cancels_.push_back(Id);
