Revert the bound on the starts of several tasks that crash workers

Cause: a crash had 844 suspects, all tasks of one wide job. With the crashes counted against each of them, whoever took the blame, they had three after two more faults, and the leader tried them one by one, two a second. The log shows `crash-suspected ... suspects=844 outcome=not-blamed`, and after that one `task-placed` of the job each 0.5 s until the end.

A limit on the number of suspects that count was not tried.

--- a/src/jobs/CrashTable.cpp
+++ b/src/jobs/CrashTable.cpp
@@ -11,22 +11,15 @@
                    const std::vector<TaskName> &Candidates) {
   if (isRecorded({Crash.Worker_, Crash.Born_}))
     return {};
-  const auto IsOver = [At](const auto &Each) {
+  std::erase_if(Rows_, [At](const auto &Each) {
     return At - Each.second.At_ > SuspicionTime;
-  };
-  std::erase_if(Rows_, IsOver);
-  std::erase_if(Exposures_, IsOver);
+  });
   // Several runs of a task may be among the suspects.
   const std::set<TaskName> Tasks(Candidates.begin(), Candidates.end());
-  for (const TaskName &Task : Tasks) {
-    Exposure &Each = Exposures_[Task];
-    Each.At_ = At;
-    ++Each.Crashes_;
-  }
   std::vector<TaskName> Blamed;
   std::ranges::copy_if(
       Tasks, std::back_inserter(Blamed),
-      [this](const TaskName &Task) { return Rows_.contains(Task); });
+      [this](const TaskName &Task) { return isSuspect(Task); });
   if (Blamed.empty())
     Blamed.assign(Tasks.begin(), Tasks.end());
   ++LastCrash_;
@@ -55,7 +48,6 @@
 }
 
 void CrashTable::explain(const TaskName &Culprit) {
-  Exposures_.erase(Culprit);
   const auto Found = Rows_.extract(Culprit);
   if (Found.empty())
     return;
@@ -78,30 +70,16 @@
 }
 
 void CrashTable::removeJob(const std::string &Job) {
-  const auto EraseFrom = [&Job](auto &Tasks) {
-    const auto First = Tasks.lower_bound({.Job_ = Job});
-    const auto Last =
-        std::find_if(First, Tasks.end(), [&Job](const auto &Each) {
-          return Each.first.Job_ != Job;
-        });
-    Tasks.erase(First, Last);
-  };
-  EraseFrom(Rows_);
-  EraseFrom(Exposures_);
+  const auto First = Rows_.lower_bound({.Job_ = Job});
+  const auto Last = std::find_if(First, Rows_.end(), [&Job](const auto &Each) {
+    return Each.first.Job_ != Job;
+  });
+  Rows_.erase(First, Last);
 }
 
 std::size_t CrashTable::crashes(const TaskName &Task) const {
-  const auto Exposed = Exposures_.find(Task);
-  if (Exposed != Exposures_.end() && Exposed->second.Crashes_ >= MinExposures)
-    return Exposed->second.Crashes_;
   const auto It = Rows_.find(Task);
   return It == Rows_.end() ? 0 : It->second.Crashes_.size();
 }
 
-void CrashTable::deriveExposures() {
-  Exposures_.clear();
-  for (const auto &[Task, Each] : Rows_)
-    Exposures_[Task] = {.Crashes_ = Each.Crashes_.size(), .At_ = Each.At_};
-}
-
 } // namespace dragonfly::jobs
