--- a/include/dragonfly/control/StateMachine.h
+++ b/include/dragonfly/control/StateMachine.h
@@ -35,7 +35,10 @@
 /// the same state on every replica, so nothing here reads a clock.
 class StateMachine {
 public:
-  static constexpr std::uint32_t SnapshotFormat = 4;
+  static constexpr std::uint32_t SnapshotFormat = 5;
+  /// Format of snapshots without tasks under which workers crashed that were
+  /// not blamed.
+  static constexpr std::uint32_t SnapshotFormatWithoutExposures = 4;
   /// Format of snapshots without crashes of workers and early cancels.
   static constexpr std::uint32_t SnapshotFormatWithoutCrashes = 3;
   /// Format of snapshots without headroom losses of images.
--- a/include/dragonfly/jobs/CrashTable.h
+++ b/include/dragonfly/jobs/CrashTable.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -30,6 +31,18 @@
 
 class CrashTable {
 public:
+  /// The crashes under one task, whoever took the blame.
+  struct Exposure {
+    std::uint64_t Crashes_ = 0;
+    /// Log time of the newest one.
+    Duration At_{};
+
+    template <typename Archive> void serialize(Archive &Ar) {
+      Ar(Crashes_, At_);
+    }
+  };
+  using Exposures = std::map<TaskName, Exposure>;
+
   /// Crashes after which a task is given up, if no other run had just begun
   /// beside it at the last one. A single crash may be a coincidence.
   static constexpr std::size_t MaxAlone = 2;
@@ -37,6 +50,14 @@
   static constexpr std::size_t MaxOnlySuspect = 3;
   /// The same, if it was one of several suspects.
   static constexpr std::size_t MaxShared = 5;
+  /// Crashes under a task, whoever took the blame, from which on it counts as
+  /// suspect of all of them until it is cleared. Such a task is started alone,
+  /// so that two more crashes are proof.
+  static constexpr std::size_t MinExposures = 3;
+  /// A crash with more suspects than this does not count against tasks that are
+  /// not blamed: trying hundreds of tasks one by one would keep their workers
+  /// idle.
+  static constexpr std::size_t MaxExposed = 16;
   /// A task is suspect for this long after a crash, in log time.
   static constexpr Duration SuspicionTime = std::chrono::seconds(60);
 
@@ -48,14 +69,23 @@
                                const std::vector<TaskName> &Candidates);
 
   /// The worker has outlived a run of the task.
-  void clear(const TaskName &Task) { Rows_.erase(Task); }
+  void clear(const TaskName &Task) {
+    Rows_.erase(Task);
+    Exposures_.erase(Task);
+  }
   void removeJob(const std::string &Job);
 
-  /// Returns whether a worker crashed when it had started the task.
-  bool isSuspect(const TaskName &Task) const { return Rows_.contains(Task); }
+  /// Returns whether the task is suspected of a crash.
+  bool isSuspect(const TaskName &Task) const { return crashes(Task) > 0; }
   /// Returns how many crashes the task is suspected of.
   std::size_t crashes(const TaskName &Task) const;
-  bool empty() const { return Rows_.empty(); }
+  bool empty() const { return Rows_.empty() && Exposures_.empty(); }
+
+  const Exposures &exposures() const { return Exposures_; }
+  /// Restores what the table itself does not serialize.
+  void restore(Exposures Value) { Exposures_ = std::move(Value); }
+  /// For snapshots without exposures: there are those that are blamed.
+  void deriveExposures();
 
   template <typename Archive> void serialize(Archive &Ar) {
     Ar(Rows_, Recorded_, LastCrash_);
@@ -80,13 +110,16 @@
   bool isRecorded(const Life &Crashed);
   /// Returns the crashes after which a suspect of \p Crash is given up.
   static std::size_t limitOf(const WorkerCrash &Crash, std::size_t Blamed);
+  void expose(Duration At, const std::set<TaskName> &Tasks);
   /// The task has caused all the crashes that it is suspected of.
   void explain(const TaskName &Culprit);
 
+  /// Tasks that are blamed.
   std::map<TaskName, Row> Rows_;
   /// Lives whose crash was recorded, oldest first.
   std::vector<Life> Recorded_;
   std::uint64_t LastCrash_ = 0;
+  Exposures Exposures_;
 };
 
 } // namespace dragonfly::jobs
--- a/src/control/StateMachine.cpp
+++ b/src/control/StateMachine.cpp
@@ -138,7 +138,7 @@
 std::string StateMachine::snapshot() const {
   return encodeValues(SnapshotFormat, LogTime_, Lists_, Claims_, Counts_,
                       Tasks_, Jobs_, ImageLosses_, Jobs_.crashes(),
-                      Jobs_.earlyCancels());
+                      Jobs_.earlyCancels(), Jobs_.crashes().exposures());
 }
 
 void StateMachine::restore(std::string_view Bytes) {
@@ -151,10 +151,14 @@
   jobs::ImageLosses Losses;
   jobs::CrashTable Crashes;
   std::map<std::string, Duration> EarlyCancels;
+  jobs::CrashTable::Exposures Exposures;
   std::uint32_t Format = 0;
   try {
     decodeValues(Bytes, Format);
     if (Format == SnapshotFormat)
+      decodeValues(Bytes, Format, At, Lists, Claims, Counts, Tasks, Jobs,
+                   Losses, Crashes, EarlyCancels, Exposures);
+    else if (Format == SnapshotFormatWithoutExposures)
       decodeValues(Bytes, Format, At, Lists, Claims, Counts, Tasks, Jobs,
                    Losses, Crashes, EarlyCancels);
     else if (Format == SnapshotFormatWithoutCrashes)
@@ -172,6 +176,10 @@
                      "unsupported snapshot format " + std::to_string(Format));
   Tasks.rebuildIndexes();
   Jobs.rebuild();
+  if (Format == SnapshotFormat)
+    Crashes.restore(std::move(Exposures));
+  else
+    Crashes.deriveExposures();
   Jobs.restore(std::move(Crashes), std::move(EarlyCancels));
   LogTime_ = At;
   Lists_ = std::move(Lists);
--- a/src/jobs/CrashTable.cpp
+++ b/src/jobs/CrashTable.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <set>
 
 namespace dragonfly::jobs {
 
@@ -11,15 +10,19 @@
                    const std::vector<TaskName> &Candidates) {
   if (isRecorded({Crash.Worker_, Crash.Born_}))
     return {};
-  std::erase_if(Rows_, [At](const auto &Each) {
+  const auto IsOver = [At](const auto &Each) {
     return At - Each.second.At_ > SuspicionTime;
-  });
+  };
+  std::erase_if(Rows_, IsOver);
+  std::erase_if(Exposures_, IsOver);
   // Several runs of a task may be among the suspects.
   const std::set<TaskName> Tasks(Candidates.begin(), Candidates.end());
+  if (Tasks.size() <= MaxExposed)
+    expose(At, Tasks);
   std::vector<TaskName> Blamed;
   std::ranges::copy_if(
       Tasks, std::back_inserter(Blamed),
-      [this](const TaskName &Task) { return isSuspect(Task); });
+      [this](const TaskName &Task) { return Rows_.contains(Task); });
   if (Blamed.empty())
     Blamed.assign(Tasks.begin(), Tasks.end());
   ++LastCrash_;
@@ -37,6 +40,14 @@
   return GivenUp;
 }
 
+void CrashTable::expose(Duration At, const std::set<TaskName> &Tasks) {
+  for (const TaskName &Task : Tasks) {
+    Exposure &Each = Exposures_[Task];
+    Each.At_ = At;
+    ++Each.Crashes_;
+  }
+}
+
 std::size_t CrashTable::limitOf(const WorkerCrash &Crash, std::size_t Blamed) {
   const bool IsOneTask =
       std::ranges::all_of(Crash.Suspects_, [&Crash](const RunName &Run) {
@@ -48,6 +59,7 @@
 }
 
 void CrashTable::explain(const TaskName &Culprit) {
+  Exposures_.erase(Culprit);
   const auto Found = Rows_.extract(Culprit);
   if (Found.empty())
     return;
@@ -70,16 +82,30 @@
 }
 
 void CrashTable::removeJob(const std::string &Job) {
-  const auto First = Rows_.lower_bound({.Job_ = Job});
-  const auto Last = std::find_if(First, Rows_.end(), [&Job](const auto &Each) {
-    return Each.first.Job_ != Job;
-  });
-  Rows_.erase(First, Last);
+  const auto EraseFrom = [&Job](auto &Tasks) {
+    const auto First = Tasks.lower_bound({.Job_ = Job});
+    const auto Last =
+        std::find_if(First, Tasks.end(), [&Job](const auto &Each) {
+          return Each.first.Job_ != Job;
+        });
+    Tasks.erase(First, Last);
+  };
+  EraseFrom(Rows_);
+  EraseFrom(Exposures_);
 }
 
 std::size_t CrashTable::crashes(const TaskName &Task) const {
+  const auto Exposed = Exposures_.find(Task);
+  if (Exposed != Exposures_.end() && Exposed->second.Crashes_ >= MinExposures)
+    return Exposed->second.Crashes_;
   const auto It = Rows_.find(Task);
   return It == Rows_.end() ? 0 : It->second.Crashes_.size();
 }
 
+void CrashTable::deriveExposures() {
+  Exposures_.clear();
+  for (const auto &[Task, Each] : Rows_)
+    Exposures_[Task] = {.Crashes_ = Each.Crashes_.size(), .At_ = Each.At_};
+}
+
 } // namespace dragonfly::jobs
--- a/tests/control/WorkerCrashTest.cpp
+++ b/tests/control/WorkerCrashTest.cpp
@@ -116,6 +116,35 @@
   CHECK(Started.front().Task_.Job_ == (OtherIsWide ? JobId : OtherJob));
 }
 
+// Guards against BUDGET: one that was never blamed, since other tasks explained
+// its crashes, was started among others each time.
+TEST_CASE("a task under which workers crashed four times is started alone",
+          "[control][jobs][crash]") {
+  JobCluster Cluster;
+  TestAgent First = attachOn(Cluster, "w1", "vm-1", 10);
+  Cluster.submit({makeStep(2)});
+  const std::vector<std::string> Culprits = {"ac0e7a21d94b36f8",
+                                             "bc0e7a21d94b36f8"};
+  for (const std::string &Job : Culprits)
+    Cluster.askLeader<wire::JobReply>(
+        wire::SubmitJob{.Job_ = Job,
+                        .Host_ = "a.example",
+                        .Path_ = "/checks/" + Job,
+                        .Spec_ = {.Steps_ = {makeStep()}}});
+  REQUIRE(First.consumeStarts().size() == 4);
+  std::uint64_t Born = 10;
+  for (const std::string &Job : Culprits) {
+    const RunName Run{.Task_ = {.Job_ = Job}, .Run_ = 1};
+    crash(Cluster, {Run}, Born++);
+    crash(Cluster, {Run, makeRun()}, Born++);
+    crash(Cluster, {Run, makeRun()}, Born++);
+  }
+  TestAgent Second = attachOn(Cluster, "w2", "vm-1", 20);
+  Cluster.run(milliseconds(50));
+  CHECK(Second.consumeStarts() == std::vector{makeRun(2)});
+  CHECK(Cluster.jobState() == JobState::Running);
+}
+
 TEST_CASE("a crash under a cancelled or a finished task counts for nothing",
           "[control][jobs][crash]") {
   JobCluster Cluster;
@@ -153,6 +182,20 @@
   StateMachine Same({.Validator_ = validateWords});
   Same.restore(Machine.snapshot());
   CHECK(Same.jobs().crashes().crashes(makeRun().Task_) == 1);
+  REQUIRE(Same.jobs().crashes().exposures().size() == 1);
+  CHECK(Same.jobs().crashes().exposures().begin()->second.Crashes_ == 1);
+  StateMachine WithoutExposures({.Validator_ = validateWords});
+  WithoutExposures.restore(encodeValues(
+      StateMachine::SnapshotFormatWithoutExposures, Duration(5),
+      Machine.lists(), Machine.claims(), Machine.counts(), Machine.tasks(),
+      Machine.jobs(), Machine.imageLosses(), Machine.jobs().crashes(),
+      std::map<std::string, Duration>{{"one-more-job", Duration(5)}}));
+  CHECK(WithoutExposures.jobs().crashes().crashes(makeRun().Task_) == 1);
+  REQUIRE(WithoutExposures.jobs().crashes().exposures().size() == 1);
+  CHECK(
+      WithoutExposures.jobs().crashes().exposures().begin()->second.Crashes_ ==
+      1);
+  CHECK(WithoutExposures.jobs().earlyCancels().size() == 1);
   StateMachine Older({.Validator_ = validateWords});
   Older.restore(encodeValues(StateMachine::SnapshotFormatWithoutCrashes,
                              Duration(5), Machine.lists(), Machine.claims(),
