--- a/tests/jobs/CrashTableTest.cpp
+++ b/tests/jobs/CrashTableTest.cpp
@@ -36,10 +36,12 @@
 /// task that is suspected of \p AloneFrom crashes is started alone.
 class RandomDay {
 public:
-  RandomDay(std::uint64_t Seed, std::size_t AloneFrom)
+  RandomDay(std::uint64_t Seed, std::size_t AloneFrom,
+            std::size_t MaxHealthy = 6)
       : Random_(Seed), AloneFrom_(AloneFrom),
         DeadlyTasks_(2 + static_cast<std::uint32_t>(below(4))) {
-    const auto Tasks = DeadlyTasks_ + static_cast<std::uint32_t>(below(7));
+    const auto Tasks =
+        DeadlyTasks_ + static_cast<std::uint32_t>(below(MaxHealthy + 1));
     for (std::uint32_t Index = 0; Index < Tasks; ++Index)
       Waiting_.push_back(task(Index));
   }
@@ -227,6 +229,22 @@
   CHECK(DaysWithDeadlyLeft == 0);
 }
 
+// Guards against BUDGET: the same where dozens of tasks begin on one worker, so
+// that a crash counts only against those that are blamed.
+TEST_CASE("after its third crash a task among dozens is started twice at most",
+          "[jobs][crash]") {
+  constexpr std::uint64_t Days = 200;
+  constexpr std::size_t MaxStarts = 3 + 2;
+  constexpr std::size_t MaxHealthy = 60;
+  std::size_t DaysBeyond = 0;
+  for (std::uint64_t Seed = 1; Seed <= Days; ++Seed) {
+    RandomDay Day(Seed, 2, MaxHealthy);
+    Day.run();
+    DaysBeyond += Day.mostStarts() > MaxStarts ? 1 : 0;
+  }
+  CHECK(DaysBeyond == 0);
+}
+
 // Guards against LOST: the tasks of a wide job, of which hundreds had begun
 // where workers crashed, were all tried one by one (the soak, seed 1).
 TEST_CASE("a crash with many suspects counts only against those blamed",
