--- a/tests/control/PeerLinksTest.cpp
+++ b/tests/control/PeerLinksTest.cpp
@@ -86,8 +86,8 @@
           "[control][links]") {
   net::EventLoop Loop;
   Listener Replica(Loop);
-  const std::string Address = Replica.Server_.endpoint().text();
-  PeerLinks Links(Loop, {1}, [&](ReplicaId) { return Address; });
+  PeerLinks Links(Loop, {1},
+                  [&](ReplicaId) { return Replica.Server_.endpoint().text(); });
   Links.announcedBy(Peer, StoreId{7});
   sendSome(Loop, Links);
   REQUIRE(Replica.Last_);
