Log runs that an agent did not expect, and why runs lapse

Three causes predict the same lines at control (run-ended how=lease-expired, then a start elsewhere): a restarted agent that forgets its predecessor's lease, a start that is carried out after its lease has lapsed, and a late start in the worker's next life that is reported as ended. The logs did not tell them apart.

run-unexpected tells of each listed run that the agent did not order in this session or takes for ended. runs-lapsed gains the number of starts that may still be carried out and the age of the agent's process: the first cause shows as an age below the longest lease, the second as unsettled starts that appear later, the third as end=concluded.

No behaviour changes.

--- a/include/dragonfly/agent/RunBook.h
+++ b/include/dragonfly/agent/RunBook.h
@@ -5,14 +5,17 @@
 
 #include "dragonfly/agent/WorkerCalls.h"
 #include "dragonfly/base/Clock.h"
+#include "dragonfly/base/EnumTable.h"
 #include "dragonfly/jobs/Job.h"
 #include "dragonfly/wire/Messages.h"
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace dragonfly::agent {
@@ -88,6 +91,11 @@
   /// an order of an earlier life can reach the next one. Only for ends that
   /// have not been reported yet.
   void retractEnds(const HoldAnswer &Answer);
+  /// What the book knows of the end of a run that has no row.
+  enum class EndKnown : std::uint8_t { None, Concluded, Listed };
+  /// Returns the listed runs without a row.
+  std::vector<std::pair<jobs::RunName, EndKnown>>
+  unknownRuns(const HoldAnswer &Answer) const;
   /// Takes both lists, as answered to a call that was made at \p SentAt.
   void listed(TimePoint Now, TimePoint SentAt, const HoldAnswer &Answer);
   /// Nothing can run on the worker any more: every run has ended.
@@ -96,6 +104,9 @@
   void beginLife();
 
   const std::map<jobs::RunName, Row> &rows() const { return Rows_; }
+  /// Returns the number of starts that may still be carried out: a call for
+  /// them has no answer, and the run has neither been listed nor stopped.
+  std::size_t unsettledStarts() const;
   /// Returns the runs that may have begun on the worker and are not proven.
   std::vector<jobs::RunName> unprovenRuns() const;
   void setSpeed(const jobs::RunName &Run, std::uint32_t SpeedPercent);
@@ -128,6 +139,7 @@
   void endRun(const jobs::RunName &Run, jobs::RunEnd How);
   void beginStop(TimePoint Now, Row &Each);
   static bool mayHaveBegun(const Row &Each);
+  static bool isUnsettled(const Row &Each);
 
   RunBookOptions Options_;
   std::map<jobs::RunName, Row> Rows_;
@@ -139,4 +151,17 @@
 
 } // namespace dragonfly::agent
 
+namespace dragonfly {
+
+template <> struct EnumTable<agent::RunBook::EndKnown> {
+  using EndKnown = agent::RunBook::EndKnown;
+  static constexpr std::array<EnumName<EndKnown>, 3> Rows{{
+      {EndKnown::None, "none"},
+      {EndKnown::Concluded, "concluded"},
+      {EndKnown::Listed, "listed"},
+  }};
+};
+
+} // namespace dragonfly
+
 #endif // DRAGONFLY_AGENT_RUNBOOK_H
--- a/include/dragonfly/base/Event.h
+++ b/include/dragonfly/base/Event.h
@@ -83,6 +83,7 @@
   SpeedChanged = 5010,
   WorkerDraining = 5011,
   AnnouncementRejected = 5012,
+  RunUnexpected = 5013,
   // net
   ConnectionOpened = 6001,
   ConnectionClosed = 6002,
--- a/src/agent/RunBook.cpp
+++ b/src/agent/RunBook.cpp
@@ -161,6 +161,21 @@
   });
 }
 
+std::vector<std::pair<RunName, RunBook::EndKnown>>
+RunBook::unknownRuns(const HoldAnswer &Answer) const {
+  std::vector<std::pair<RunName, EndKnown>> Unknown;
+  for (const ListedRun &Run : Answer.Runs_) {
+    if (Rows_.contains(Run.Run_))
+      continue;
+    const auto Ended = std::ranges::find(
+        Ends_, Run.Run_, [](const End &Each) { return Each.Report_.Run_; });
+    Unknown.emplace_back(Run.Run_, Ended == Ends_.end()  ? EndKnown::None
+                                   : Ended->Number_ == 0 ? EndKnown::Concluded
+                                                         : EndKnown::Listed);
+  }
+  return Unknown;
+}
+
 void RunBook::listed(TimePoint Now, TimePoint SentAt,
                      const HoldAnswer &Answer) {
   for (const ListedEnd &End : Answer.Ends_) {
@@ -245,6 +260,19 @@
   return Each.StartedAt_ || Each.MayAppear_ || WasSent;
 }
 
+bool RunBook::isUnsettled(const Row &Each) {
+  const bool IsStopping = Each.Phase_ == RunPhase::Stopping;
+  // No stop has been sent yet where the open call is that of a start.
+  const bool IsStartOpen = Each.CallOpen_ && (!IsStopping || Each.Tries_ == 0);
+  return !Each.StartedAt_ && !(IsStopping && Each.ConfirmedAt_) &&
+         (Each.MayAppear_ || IsStartOpen);
+}
+
+std::size_t RunBook::unsettledStarts() const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      Rows_, [](const auto &Each) { return isUnsettled(Each.second); }));
+}
+
 std::vector<RunName> RunBook::unprovenRuns() const {
   std::vector<RunName> Result;
   for (const auto &[Run, Each] : Rows_)
--- a/src/agent/WorkerAgent.cpp
+++ b/src/agent/WorkerAgent.cpp
@@ -97,7 +97,11 @@
     return;
   if (Silent_ && Lease_.isOver(Now) && !Book_.rows().empty()) {
     logEvent(Event::RunsLapsed,
-             {{"worker", Worker_.Worker_}, {"runs", Book_.rows().size()}});
+             {{"worker", Worker_.Worker_},
+              {"runs", Book_.rows().size()},
+              {"unsettled", Book_.unsettledStarts()},
+              {"process_ms", static_cast<std::uint64_t>(
+                                 toMilliseconds(Now - ProcessStart_))}});
     Book_.lapse();
   }
   if (mayCall() && !HoldOpen_ && Now >= NextHoldAt_)
--- a/src/agent/WorkerAgentCalls.cpp
+++ b/src/agent/WorkerAgentCalls.cpp
@@ -74,6 +74,7 @@
   }
   Confirmed_ = true;
   Lease_.clockRead(Now, Answer.Clock_);
+  logUnexpectedRuns(Answer);
   if (!ReportOpen_)
     Book_.retractEnds(Answer);
   Book_.listed(Now, SentAt, Answer);
@@ -92,6 +93,17 @@
     hold();
 }
 
+void WorkerAgent::Impl::logUnexpectedRuns(const HoldAnswer &Answer) const {
+  for (const auto &[Run, Known] : Book_.unknownRuns(Answer)) {
+    const bool IsFirstList = !ListedAll_ && Known == RunBook::EndKnown::None;
+    if (!IsFirstList)
+      logEvent(Event::RunUnexpected, {{"run", printRun(Run)},
+                                      {"worker", Worker_.Worker_},
+                                      {"end", enumName(Known)},
+                                      {"fence", Fence_}});
+  }
+}
+
 void WorkerAgent::Impl::noteSilence(bool Silent) {
   Lease_.setSilent(Silent);
   if (std::exchange(Silent_, Silent) == Silent)
--- a/src/agent/WorkerAgentImpl.h
+++ b/src/agent/WorkerAgentImpl.h
@@ -97,6 +97,7 @@
   Duration listWait() const;
   void holdAnswered(TimePoint SentAt, std::uint64_t Fence,
                     std::uint64_t Session, const HoldAnswer &Answer);
+  void logUnexpectedRuns(const HoldAnswer &Answer) const;
   void noteSilence(bool Silent);
   /// Carries out the calls that are due.
   void pump();
--- a/src/base/Event.cpp
+++ b/src/base/Event.cpp
@@ -157,6 +157,9 @@
     {Event::AnnouncementRejected, Severity::Warning, "announcement-rejected",
      "An announcement contradicts what the worker on the VM answers or has "
      "announced."},
+    {Event::RunUnexpected, Severity::Warning, "run-unexpected",
+     "The worker lists a run that its agent did not order in this session or "
+     "takes for ended; `end` tells which end the agent knows."},
     {Event::ConnectionOpened, Severity::Debug, "connection-opened",
      "A connection between two of the system's processes is open."},
     {Event::ConnectionClosed, Severity::Debug, "connection-closed",
