Take back no end that control may have recorded

What callers could see: a task that runs on a worker begins on another one and runs twice for as long as the report with its wrong end takes to be recorded.

Cause: an order of an earlier life of a worker can be carried out by the next one. The agent has taken the run for ended by then and takes that back when the new life lists the run, but only while no report was open. A report to a leader that had been replaced can stay open for 1.2 s, longer than the new session needs for its first list. The list was then passed over, the end was reported, and the run went on without a row in the book. An end that had been reported in an open report could be taken back as well, once its answer was lost.

Change: each end knows whether an agent concluded it and whether a report has held it. Only ends that were concluded and never reported are taken back, at any time. A run that is listed although its end was reported, or was listed by an earlier life, is stopped at once. So is a listed run that is not in the book after the first list of a session: its end is durable. Before, such a run went on until control had read the next report, up to 0.45 s.

Ruled out: that endsDurable() drops the wrong ends, since only unreported ends, which follow the reported ones, are taken back.

--- a/include/dragonfly/agent/RunBook.h
+++ b/include/dragonfly/agent/RunBook.h
@@ -87,9 +87,8 @@
                      StartStatus Status);
   void stopAnswered(TimePoint Now, const jobs::RunName &Run, bool Confirmed);
 
-  /// Drops ends that the agent concluded itself and that \p Answer disproves:
-  /// an order of an earlier life can reach the next one. Only for ends that
-  /// have not been reported yet.
+  /// Drops ends that the agent concluded itself, has not reported, and that
+  /// \p Answer disproves: an order of an earlier life can reach the next one.
   void retractEnds(const HoldAnswer &Answer);
   /// What the book knows of the end of a run that has no row.
   enum class EndKnown : std::uint8_t { None, Concluded, Listed };
@@ -114,6 +113,8 @@
 
   /// Ends that are not durable yet, oldest first.
   std::vector<wire::EndReport> endReports() const;
+  /// All of them have been sent to control, which may record them from now on.
+  void endsReported();
   /// The first \p Count ends are durable.
   void endsDurable(std::size_t Count);
   std::size_t pendingEnds() const { return Ends_.size(); }
@@ -131,11 +132,15 @@
 
 private:
   struct End {
-    /// The worker's number, or 0 where the agent concluded the end itself.
+    /// The number that the worker's current life gave the end, or 0.
     std::uint64_t Number_ = 0;
     wire::EndReport Report_;
+    /// No life of the worker has listed the end.
+    bool Concluded_ = false;
+    bool Reported_ = false;
   };
 
+  std::vector<End>::const_iterator findEnd(const jobs::RunName &Run) const;
   void endRun(const jobs::RunName &Run, jobs::RunEnd How);
   void beginStop(TimePoint Now, Row &Each);
   static bool mayHaveBegun(const Row &Each);
--- a/src/agent/RunBook.cpp
+++ b/src/agent/RunBook.cpp
@@ -66,8 +66,8 @@
 
 void RunBook::refuse(const RunName &Run) {
   if (!Rows_.contains(Run))
-    Ends_.push_back(
-        {.Number_ = 0, .Report_ = {.Run_ = Run, .How_ = RunEnd::NotStarted}});
+    Ends_.push_back({.Report_ = {.Run_ = Run, .How_ = RunEnd::NotStarted},
+                     .Concluded_ = true});
 }
 
 void RunBook::beginStop(TimePoint Now, Row &Each) {
@@ -155,20 +155,26 @@
 
 void RunBook::retractEnds(const HoldAnswer &Answer) {
   std::erase_if(Ends_, [&Answer](const End &Each) {
-    return Each.Number_ == 0 &&
+    return Each.Concluded_ && !Each.Reported_ &&
            std::ranges::find(Answer.Runs_, Each.Report_.Run_,
                              &ListedRun::Run_) != Answer.Runs_.end();
   });
 }
 
+std::vector<RunBook::End>::const_iterator
+RunBook::findEnd(const RunName &Run) const {
+  return std::ranges::find(Ends_, Run, [](const End &Each) -> const RunName & {
+    return Each.Report_.Run_;
+  });
+}
+
 std::vector<std::pair<RunName, RunBook::EndKnown>>
 RunBook::unknownRuns(const HoldAnswer &Answer) const {
   std::vector<std::pair<RunName, EndKnown>> Unknown;
   for (const ListedRun &Run : Answer.Runs_) {
     if (Rows_.contains(Run.Run_))
       continue;
-    const auto Ended = std::ranges::find(
-        Ends_, Run.Run_, [](const End &Each) { return Each.Report_.Run_; });
+    const auto Ended = findEnd(Run.Run_);
     Unknown.emplace_back(Run.Run_, Ended == Ends_.end()  ? EndKnown::None
                                    : Ended->Number_ == 0 ? EndKnown::Concluded
                                                          : EndKnown::Listed);
@@ -191,11 +197,13 @@
   std::set<RunName> Present;
   for (const ListedRun &Run : Answer.Runs_) {
     Present.insert(Run.Run_);
-    // An end that is listed is newer than a list of runs that came late.
-    if (std::ranges::find(Ends_, Run.Run_, [](const End &Each) {
-          return Each.Report_.Run_;
-        }) != Ends_.end())
+    if (const auto Ended = findEnd(Run.Run_); Ended != Ends_.end()) {
+      // An end of this life is newer than the list. Of any other, control may
+      // know already, and the task may run elsewhere.
+      if (Ended->Number_ == 0)
+        stop(Now, Run.Run_);
       continue;
+    }
     const auto [It, IsNew] = Rows_.try_emplace(Run.Run_);
     Row &Each = It->second;
     Each.Order_.Run_ = Run.Run_;
@@ -247,11 +255,11 @@
 void RunBook::endRun(const RunName &Run, RunEnd How) {
   // The caller's name may be the row's own.
   auto Ended = Rows_.extract(Run);
-  Ends_.push_back({.Number_ = 0,
-                   .Report_ = {.Run_ = std::move(Ended.key()),
+  Ends_.push_back({.Report_ = {.Run_ = std::move(Ended.key()),
                                .How_ = How,
                                .Checkpoint_ = std::move(
-                                   Ended.mapped().Listed_.Checkpoint_)}});
+                                   Ended.mapped().Listed_.Checkpoint_)},
+                   .Concluded_ = true});
 }
 
 bool RunBook::mayHaveBegun(const Row &Each) {
@@ -307,6 +315,10 @@
   return Reports;
 }
 
+void RunBook::endsReported() {
+  std::ranges::for_each(Ends_, [](End &Each) { Each.Reported_ = true; });
+}
+
 void RunBook::endsDurable(std::size_t Count) {
   const auto Last = Ends_.begin() +
                     static_cast<std::ptrdiff_t>(std::min(Count, Ends_.size()));
--- a/src/agent/WorkerAgent.cpp
+++ b/src/agent/WorkerAgent.cpp
@@ -129,6 +129,7 @@
                             .Silent_ = Silent_,
                             .Runs_ = Book_.runReports(),
                             .Ends_ = Book_.endReports()};
+  Book_.endsReported();
   const SentReport Sent{.SentAt_ = ReportedAt_,
                         .Ends_ = Report.Ends_.size(),
                         .Complete_ = Report.Complete_,
--- a/src/agent/WorkerAgentCalls.cpp
+++ b/src/agent/WorkerAgentCalls.cpp
@@ -74,9 +74,8 @@
   }
   Confirmed_ = true;
   Lease_.clockRead(Now, Answer.Clock_);
-  logUnexpectedRuns(Answer);
-  if (!ReportOpen_)
-    Book_.retractEnds(Answer);
+  handleUnexpectedRuns(Now, Answer);
+  Book_.retractEnds(Answer);
   Book_.listed(Now, SentAt, Answer);
   for (const auto &[Run, Order] : Known_)
     Book_.describe(Order);
@@ -93,14 +92,19 @@
     hold();
 }
 
-void WorkerAgent::Impl::logUnexpectedRuns(const HoldAnswer &Answer) const {
+void WorkerAgent::Impl::handleUnexpectedRuns(TimePoint Now,
+                                             const HoldAnswer &Answer) {
   for (const auto &[Run, Known] : Book_.unknownRuns(Answer)) {
-    const bool IsFirstList = !ListedAll_ && Known == RunBook::EndKnown::None;
-    if (!IsFirstList)
-      logEvent(Event::RunUnexpected, {{"run", printRun(Run)},
-                                      {"worker", Worker_.Worker_},
-                                      {"end", enumName(Known)},
-                                      {"fence", Fence_}});
+    // The first list of a session tells what earlier processes started.
+    if (!ListedAll_ && Known == RunBook::EndKnown::None)
+      continue;
+    logEvent(Event::RunUnexpected, {{"run", printRun(Run)},
+                                    {"worker", Worker_.Worker_},
+                                    {"end", enumName(Known)},
+                                    {"fence", Fence_}});
+    // Its end is durable: the task may run elsewhere.
+    if (Known == RunBook::EndKnown::None)
+      Book_.stop(Now, Run);
   }
 }
 
--- a/src/agent/WorkerAgentImpl.h
+++ b/src/agent/WorkerAgentImpl.h
@@ -97,7 +97,9 @@
   Duration listWait() const;
   void holdAnswered(TimePoint SentAt, std::uint64_t Fence,
                     std::uint64_t Session, const HoldAnswer &Answer);
-  void logUnexpectedRuns(const HoldAnswer &Answer) const;
+  /// Logs listed runs that are not in the book, and stops those whose ends
+  /// control has recorded.
+  void handleUnexpectedRuns(TimePoint Now, const HoldAnswer &Answer);
   void noteSilence(bool Silent);
   /// Carries out the calls that are due.
   void pump();
--- a/tests/agent/AgentFixture.h
+++ b/tests/agent/AgentFixture.h
@@ -60,6 +60,7 @@
     StartedAt_ = Clock::now();
     Runs_.clear();
     Ends_.clear();
+    Settled_.clear();
     NextEnd_ = 1;
     Fence_ = 0;
     LeaseUntil_ = {};
@@ -81,6 +82,9 @@
 
   /// While set, calls get no answer and are not carried out.
   void setSilent(bool Silent) { Silent_ = Silent; }
+  /// While positive, starts and stops get no answer and are carried out so much
+  /// later, also by a later life of the same name.
+  void setOrderDelay(Duration Delay) { OrderDelay_ = Delay; }
 
   bool isRunning(const jobs::RunName &Run) {
     expireLease();
@@ -90,6 +94,10 @@
     expireLease();
     return Runs_.size();
   }
+  /// How often the run has begun, in all lives.
+  std::size_t starts(const jobs::RunName &Run) const {
+    return static_cast<std::size_t>(std::ranges::count(Started_, Run));
+  }
   void finish(const jobs::RunName &Run) { endRun(Run, jobs::RunEnd::Finished); }
   std::uint64_t fence() const { return Fence_; }
   void raiseFence(std::uint64_t Fence) { Fence_ = Fence; }
@@ -100,6 +108,11 @@
     return {.Start_ =
                 [this](const std::string &Worker, const StartCall &Call,
                        std::function<void(StartStatus)> OnEnd) {
+                  if (OrderDelay_ > Duration::zero()) {
+                    carryOutLate([this, Worker, Call] { start(Worker, Call); },
+                                 [OnEnd] { OnEnd(StartStatus::NoAnswer); });
+                    return;
+                  }
                   const StartStatus Status = start(Worker, Call);
                   reply([OnEnd, Status] { OnEnd(Status); },
                         [OnEnd] { OnEnd(StartStatus::NoAnswer); });
@@ -107,10 +120,12 @@
             .Stop_ =
                 [this](const std::string &Worker, const StopCall &Call,
                        std::function<void(bool)> OnEnd) {
-                  const bool Done =
-                      takes(Worker, Call.Fence_) == HoldStatus::Listed;
-                  if (Done)
-                    endRun(Call.Run_, jobs::RunEnd::Stopped);
+                  if (OrderDelay_ > Duration::zero()) {
+                    carryOutLate([this, Worker, Call] { stop(Worker, Call); },
+                                 [OnEnd] { OnEnd(false); });
+                    return;
+                  }
+                  const bool Done = stop(Worker, Call);
                   reply([OnEnd, Done] { OnEnd(Done); },
                         [OnEnd] { OnEnd(false); });
                 },
@@ -128,6 +143,7 @@
 
 private:
   static constexpr Duration CallTimeout = milliseconds(800);
+  static constexpr WorkerTime MaxLease = seconds(10);
 
   WorkerTime clock() const {
     return std::chrono::duration_cast<WorkerTime>(Clock::now() - StartedAt_);
@@ -158,18 +174,50 @@
     case HoldStatus::NoAnswer:
       return StartStatus::NoAnswer;
     }
-    LeaseUntil_ = std::max(LeaseUntil_, Call.LeaseUntil_);
+    // A lease applies to everything on the worker and never shortens.
+    LeaseUntil_ =
+        std::max(LeaseUntil_, std::min(Call.LeaseUntil_, clock() + MaxLease));
+    if (Runs_.contains(Call.Run_))
+      return StartStatus::Started;
+    if (isSettled(Call.Run_))
+      return StartStatus::Ended;
     if (clock() >= LeaseUntil_)
       return StartStatus::LeaseOver;
     Runs_.insert(Call.Run_);
+    Started_.push_back(Call.Run_);
     return StartStatus::Started;
   }
 
+  bool stop(const std::string &Worker, const StopCall &Call) {
+    if (takes(Worker, Call.Fence_) != HoldStatus::Listed)
+      return false;
+    endRun(Call.Run_, jobs::RunEnd::Stopped);
+    settle(Call.Run_);
+    return true;
+  }
+
+  /// Whether the run, or a later one of its task, was stopped or has ended.
+  bool isSettled(const jobs::RunName &Run) const {
+    const auto It = Settled_.find(Run.Task_);
+    return It != Settled_.end() && Run.Run_ <= It->second;
+  }
+  void settle(const jobs::RunName &Run) {
+    std::uint32_t &Newest = Settled_[Run.Task_];
+    Newest = std::max(Newest, Run.Run_);
+  }
+
+  void carryOutLate(std::function<void()> CarryOut,
+                    std::function<void()> OnTimeout) {
+    Pending_.push_back(Loop_.after(OrderDelay_, std::move(CarryOut)));
+    Pending_.push_back(Loop_.after(CallTimeout, std::move(OnTimeout)));
+  }
+
   void hold(const std::string &Worker, const HoldCall &Call,
             std::function<void(HoldAnswer)> OnEnd) {
     const HoldStatus Status = takes(Worker, Call.Fence_);
     if (Status == HoldStatus::Listed) {
-      LeaseUntil_ = std::max(LeaseUntil_, Call.LeaseUntil_);
+      LeaseUntil_ =
+          std::max(LeaseUntil_, std::min(Call.LeaseUntil_, clock() + MaxLease));
       std::erase_if(Ends_, [&Call](const ListedEnd &Each) {
         return Each.Number_ <= Call.LastDurableEnd_;
       });
@@ -226,21 +274,26 @@
 
   void endRun(const jobs::RunName &Run, jobs::RunEnd How) {
     auto Ended = Runs_.extract(Run);
-    if (!Ended.empty())
-      Ends_.push_back({.Number_ = NextEnd_++,
-                       .Run_ = std::move(Ended.value()),
-                       .How_ = How});
+    if (Ended.empty())
+      return;
+    settle(Ended.value());
+    Ends_.push_back(
+        {.Number_ = NextEnd_++, .Run_ = std::move(Ended.value()), .How_ = How});
   }
 
   net::EventLoop &Loop_;
   WorkerAnnouncement Self_;
   TimePoint StartedAt_;
   std::set<jobs::RunName> Runs_;
+  std::vector<jobs::RunName> Started_;
   std::vector<ListedEnd> Ends_;
+  /// The highest run that was stopped or has ended here, by task.
+  std::map<jobs::TaskName, std::uint32_t> Settled_;
   std::uint64_t NextEnd_ = 1;
   std::uint64_t Fence_ = 0;
   WorkerTime LeaseUntil_{};
   bool Silent_ = false;
+  Duration OrderDelay_{};
   std::size_t Misdirected_ = 0;
   std::vector<net::Timer> Pending_;
 };
@@ -270,6 +323,9 @@
 
   /// While set, no request is answered.
   void setSilent(bool Silent) { Silent_ = Silent; }
+  /// Reports on the open session get no answer, as from a leader that has been
+  /// replaced and does not know it.
+  void loseReports() { LostSession_ = Session_; }
 
   /// Sends an order on the newest session.
   void order(wire::WorkerOrders Orders) {
@@ -325,6 +381,8 @@
       To.part(orders(Session_));
       Hellos_.push_back(std::move(*Hello));
     } else if (auto *Report = std::get_if<wire::WorkerReport>(&Request)) {
+      if (Report->Session_ == LostSession_)
+        return;
       if (Report->Session_ != Session_) {
         To.answer(wire::WorkerReportAck{.SessionEnded_ = true});
         return;
@@ -356,6 +414,7 @@
       Tokens_;
   std::set<std::uint64_t> Reconciled_;
   std::uint64_t Session_ = 0;
+  std::optional<std::uint64_t> LostSession_;
   std::uint64_t Fence_ = 0;
   bool Silent_ = false;
   net::Timer KeepAlives_;
--- a/tests/agent/RunBookTest.cpp
+++ b/tests/agent/RunBookTest.cpp
@@ -268,6 +268,47 @@
   CHECK(Book.rows().contains(run(1)));
 }
 
+// Guards against two runs of one task: once control may know of an end, a run
+// that is listed all the same does not go on.
+TEST_CASE("a run whose end has been reported is stopped when it is listed",
+          "[agent][runs]") {
+  RunBook Book = ordered(run(1));
+  SECTION("one that the agent had taken for lapsed") {
+    Book.startAnswered(Start, run(1), StartStatus::NoAnswer);
+    Book.beginLife();
+    Book.endsReported();
+  }
+  SECTION("one that had finished in the life before, reported or not") {
+    Book.listed(Start, Start, lists({}, {{.Number_ = 4, .Run_ = run(1)}}));
+    if (GENERATE(false, true))
+      Book.endsReported();
+    Book.beginLife();
+  }
+  const HoldAnswer Answer = lists({{.Run_ = run(1)}});
+  Book.retractEnds(Answer);
+  Book.listed(Start, Start, Answer);
+  CHECK(Book.pendingEnds() == 1);
+  const auto Due = Book.takeDueCalls(Start, true);
+  REQUIRE(Due.size() == 1);
+  CHECK(Due.front().Kind_ == DueCall::Kind::Stop);
+  CHECK(Book.runReports().front().Phase_ == RunPhase::Stopping);
+}
+
+// Guards against two runs of one task: only what control cannot have recorded
+// is taken back, whichever report is open.
+TEST_CASE("an end that has been reported is not taken back", "[agent][runs]") {
+  RunBook Book = ordered(run(1));
+  Book.order(Start, order(run(2)));
+  Book.startAnswered(Start, run(1), StartStatus::NoRoom);
+  Book.endsReported();
+  Book.beginLife();
+  REQUIRE(Book.pendingEnds() == 2);
+  const HoldAnswer Answer = lists({{.Run_ = run(1)}, {.Run_ = run(2)}});
+  Book.retractEnds(Answer);
+  REQUIRE(Book.pendingEnds() == 1);
+  CHECK(Book.endReports().front().Run_ == run(1));
+}
+
 TEST_CASE("a run that vanishes is stopped before its task may run elsewhere",
           "[agent][runs]") {
   RunBook Book = ordered(run(1));
