Grant no new lease while a start of the lapsed one is unsettled

What callers could see: a task whose start a worker had left unanswered runs elsewhere after the lease has expired, and begins on that worker as well when the start is carried out seconds later.

Cause: a lapsed lease was taken as proof that every start under it was over. The row of a start without an answer was dropped, by the agent of a silent worker and, where control had expired the lease, in effect by control. A worker's lease applies to all that runs there and never shortens: a lease that was granted later, under the same fencing token, covers an earlier start that is carried out only then. Only a worker that also compares a start with the lease the start itself names is safe, which the protocol does not promise.

Change: once the lease has run out, the agent grants none and starts nothing until each start that may still be carried out is settled by a confirmed stop, its listed end, or the worker's next life. The rows of such starts outlive the lapse and are stopped as soon as the worker answers. Until then control is told that the worker is silent, so that tasks go elsewhere.

Evidence: 'a start that is carried out after its lease has no effect' (two sections) and '... after a loss of control has no effect' failed before. Both require that the next order after the last stop is carried out within 100 ms. Ruled out: a higher fencing token instead of stops, since it costs a round trip through the log on each return.

--- a/include/dragonfly/agent/RunBook.h
+++ b/include/dragonfly/agent/RunBook.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -58,6 +59,9 @@
     bool Proven_ = false;
     /// Share of full speed that the worker was last told, in percent.
     std::uint32_t SpeedPercent_ = 100;
+    /// The run has been taken for ended with its lease. The row stays until its
+    /// start is settled.
+    bool Lapsed_ = false;
   };
 
   /// Stands for the speed of a run that another process had ordered.
@@ -97,9 +101,11 @@
   unknownRuns(const HoldAnswer &Answer) const;
   /// Takes both lists, as answered to a call that was made at \p SentAt.
   void listed(TimePoint Now, TimePoint SentAt, const HoldAnswer &Answer);
-  /// Nothing can run on the worker any more: every run has ended.
-  void lapse();
-  /// The worker has begun another life, whose ends are numbered anew.
+  /// The worker's lease has run out: every run has ended, and starts without an
+  /// answer are settled by a stop. Returns the number of ended runs.
+  std::size_t lapse(TimePoint Now);
+  /// The worker has begun another life, which runs nothing and numbers its ends
+  /// anew.
   void beginLife();
 
   const std::map<jobs::RunName, Row> &rows() const { return Rows_; }
@@ -141,6 +147,9 @@
   };
 
   std::vector<End>::const_iterator findEnd(const jobs::RunName &Run) const;
+  /// Adds an end that the worker has not listed.
+  void conclude(const jobs::RunName &Run, jobs::RunEnd How,
+                std::string Checkpoint);
   void endRun(const jobs::RunName &Run, jobs::RunEnd How);
   void beginStop(TimePoint Now, Row &Each);
   static bool mayHaveBegun(const Row &Each);
--- a/include/dragonfly/agent/WorkerLease.h
+++ b/include/dragonfly/agent/WorkerLease.h
@@ -49,6 +49,9 @@
   /// True once no lease that was granted can run any more, whichever process of
   /// the agent granted it.
   bool isOver(TimePoint Now) const;
+  /// Whether the worker may still hold a lease that this process granted, or
+  /// that an earlier one may have granted.
+  bool isRunning(TimePoint Now) const { return Now < GrantedUntil_; }
   /// How long runs may go on from \p Now.
   Duration left(TimePoint Now) const { return Until_ - Now; }
   bool knowsClock() const { return ClockKnown_; }
--- a/src/agent/RunBook.cpp
+++ b/src/agent/RunBook.cpp
@@ -66,8 +66,7 @@
 
 void RunBook::refuse(const RunName &Run) {
   if (!Rows_.contains(Run))
-    Ends_.push_back({.Report_ = {.Run_ = Run, .How_ = RunEnd::NotStarted},
-                     .Concluded_ = true});
+    conclude(Run, RunEnd::NotStarted, {});
 }
 
 void RunBook::beginStop(TimePoint Now, Row &Each) {
@@ -239,27 +238,48 @@
   }
 }
 
-void RunBook::lapse() {
-  while (!Rows_.empty())
-    endRun(Rows_.begin()->first, RunEnd::LeaseExpired);
+std::size_t RunBook::lapse(TimePoint Now) {
+  std::vector<RunName> Over;
+  std::size_t Lapsed = 0;
+  for (auto &[Run, Each] : Rows_) {
+    if (Each.Lapsed_)
+      continue;
+    ++Lapsed;
+    if (!isUnsettled(Each)) {
+      Over.push_back(Run);
+      continue;
+    }
+    conclude(Run, RunEnd::LeaseExpired, Each.Listed_.Checkpoint_);
+    Each.Lapsed_ = true;
+    if (Each.Phase_ != RunPhase::Stopping)
+      beginStop(Now, Each);
+  }
+  for (const RunName &Run : Over)
+    endRun(Run, RunEnd::LeaseExpired);
+  return Lapsed;
 }
 
 void RunBook::beginLife() {
-  lapse();
+  while (!Rows_.empty())
+    endRun(Rows_.begin()->first, RunEnd::LeaseExpired);
   std::ranges::for_each(Ends_, [](End &Each) { Each.Number_ = 0; });
   LastListedEnd_ = 0;
   LastDurableEnd_ = 0;
   ForgottenEnd_ = 0;
 }
 
+void RunBook::conclude(const RunName &Run, RunEnd How, std::string Checkpoint) {
+  Ends_.push_back({.Report_ = {.Run_ = Run,
+                               .How_ = How,
+                               .Checkpoint_ = std::move(Checkpoint)},
+                   .Concluded_ = true});
+}
+
 void RunBook::endRun(const RunName &Run, RunEnd How) {
   // The caller's name may be the row's own.
   auto Ended = Rows_.extract(Run);
-  Ends_.push_back({.Report_ = {.Run_ = std::move(Ended.key()),
-                               .How_ = How,
-                               .Checkpoint_ = std::move(
-                                   Ended.mapped().Listed_.Checkpoint_)},
-                   .Concluded_ = true});
+  if (!Ended.mapped().Lapsed_)
+    conclude(Ended.key(), How, std::move(Ended.mapped().Listed_.Checkpoint_));
 }
 
 bool RunBook::mayHaveBegun(const Row &Each) {
--- a/src/agent/WorkerAgent.cpp
+++ b/src/agent/WorkerAgent.cpp
@@ -78,6 +78,7 @@
 void WorkerAgent::Impl::takeStart(TimePoint Now, wire::StartOrder Order) {
   const char *Why = Worker_.Draining_                         ? "draining"
                     : Silent_ || !Lease_.knowsClock()         ? "silent"
+                    : Unsettled_                              ? "unsettled"
                     : Lease_.left(Now) < Options_.LeastLease_ ? "lease"
                                                               : nullptr;
   if (Why == nullptr) {
@@ -95,15 +96,9 @@
   const TimePoint Now = Clock::now();
   if (Worker_.Worker_.empty())
     return;
-  if (Silent_ && Lease_.isOver(Now) && !Book_.rows().empty()) {
-    logEvent(Event::RunsLapsed,
-             {{"worker", Worker_.Worker_},
-              {"runs", Book_.rows().size()},
-              {"unsettled", Book_.unsettledStarts()},
-              {"process_ms", static_cast<std::uint64_t>(
-                                 toMilliseconds(Now - ProcessStart_))}});
-    Book_.lapse();
-  }
+  noteUnsettled(Now);
+  if (Silent_ && Lease_.isOver(Now))
+    lapse(Now);
   if (mayCall() && !HoldOpen_ && Now >= NextHoldAt_)
     hold();
   if (Now - ReportedAt_ >= Options_.ReportPeriod_)
@@ -114,6 +109,28 @@
   finishDeparture();
 }
 
+void WorkerAgent::Impl::lapse(TimePoint Now) {
+  const std::size_t Unsettled = Book_.unsettledStarts();
+  const std::size_t Lapsed = Book_.lapse(Now);
+  if (Lapsed > 0)
+    logEvent(Event::RunsLapsed,
+             {{"worker", Worker_.Worker_},
+              {"runs", Lapsed},
+              {"unsettled", Unsettled},
+              {"process_ms", static_cast<std::uint64_t>(
+                                 toMilliseconds(Now - ProcessStart_))}});
+}
+
+void WorkerAgent::Impl::noteUnsettled(TimePoint Now) {
+  const bool Unsettled = !Lease_.isRunning(Now) && Book_.unsettledStarts() > 0;
+  if (std::exchange(Unsettled_, Unsettled) == Unsettled)
+    return;
+  if (Unsettled)
+    Book_.giveUpStarts(Now);
+  else
+    sendReport();
+}
+
 void WorkerAgent::Impl::sendReport() {
   if (Session_ == 0 || ReportOpen_ || !Listed_)
     return;
@@ -126,7 +143,7 @@
                             // Until all ends are listed, runs may have ended
                             // of which nothing is known yet.
                             .Complete_ = !Complete_ && ListedAll_,
-                            .Silent_ = Silent_,
+                            .Silent_ = Silent_ || Unsettled_,
                             .Runs_ = Book_.runReports(),
                             .Ends_ = Book_.endReports()};
   Book_.endsReported();
--- a/src/agent/WorkerAgentCalls.cpp
+++ b/src/agent/WorkerAgentCalls.cpp
@@ -13,6 +13,11 @@
 
 } // namespace
 
+WorkerTime WorkerAgent::Impl::grantLease(TimePoint Now) {
+  noteUnsettled(Now);
+  return Unsettled_ ? WorkerTime::zero() : Lease_.grant(Now);
+}
+
 void WorkerAgent::Impl::hold() {
   HoldOpen_ = true;
   const TimePoint SentAt = Clock::now();
@@ -21,7 +26,7 @@
       .Fence_ = Fence_,
       // After silence another life may answer, with ends of its own.
       .LastDurableEnd_ = Silent_ ? 0 : Book_.endsToForget(),
-      .LeaseUntil_ = Lease_.grant(Clock::now()),
+      .LeaseUntil_ = grantLease(SentAt),
       .Wait_ = Prompt ? Duration::zero() : listWait()};
   Options_.Calls_.Hold_(
       Worker_.Worker_, Call,
@@ -122,9 +127,11 @@
   if (!mayCall() || !Lease_.knowsClock())
     return;
   const TimePoint Now = Clock::now();
+  noteUnsettled(Now);
   // The lease or the session may have ended since the order came, in a pause of
   // this process or behind a cut.
-  const bool MayStart = !Silent_ && !Worker_.Draining_ && Session_ != 0 &&
+  const bool MayStart = !Silent_ && !Unsettled_ && !Worker_.Draining_ &&
+                        Session_ != 0 &&
                         Lease_.left(Now) >= Options_.LeastLease_;
   for (const DueCall &Due : Book_.takeDueCalls(Now, MayStart))
     if (Due.Kind_ == DueCall::Kind::Start)
--- a/src/agent/WorkerAgentIdentity.cpp
+++ b/src/agent/WorkerAgentIdentity.cpp
@@ -199,6 +199,7 @@
   Confirmed_ = false;
   Lease_ = WorkerLease(Options_.Lease_, ProcessStart_);
   Silent_ = false;
+  Unsettled_ = false;
   Suspects_.clear();
   HoldOpen_ = false;
   Session_ = 0;
--- a/src/agent/WorkerAgentImpl.h
+++ b/src/agent/WorkerAgentImpl.h
@@ -92,6 +92,13 @@
   /// The worker knows, or will learn, the fence that calls carry.
   bool mayCall() const { return Fence_ != 0; }
 
+  /// Returns the lease to name in a call, or zero where none may be granted.
+  WorkerTime grantLease(TimePoint Now);
+  /// Once the lease has run out, control may run the tasks elsewhere. A new
+  /// lease would apply to an old start that is carried out late, so that none
+  /// is granted before all starts are settled.
+  void noteUnsettled(TimePoint Now);
+  void lapse(TimePoint Now);
   void hold();
   /// How long the worker may hold back its next list.
   Duration listWait() const;
@@ -154,6 +161,8 @@
   /// What control knows of runs that it had ordered from another process.
   std::map<jobs::RunName, wire::StartOrder> Known_;
   bool Silent_ = false;
+  /// The lease has run out, and starts may still be carried out.
+  bool Unsettled_ = false;
   /// The worker has said that it ends.
   bool Departed_ = false;
   /// Unproven runs when the worker fell silent, without those of which it has
--- a/tests/agent/LateOrderTest.cpp
+++ b/tests/agent/LateOrderTest.cpp
@@ -21,8 +21,65 @@
   On.run(milliseconds(100));
 }
 
+/// The worker carries out \p Next soon after it was ordered.
+void requireBackToWork(AgentFixture &On, const jobs::RunName &Next) {
+  On.Leader_->order({.Starts_ = {{.Run_ = Next}}});
+  CHECK(On.isStartedWithin(Next, milliseconds(100)));
+}
+
 } // namespace
 
+// Guards against two runs of one task: a start without an answer was dropped
+// with the lease of its silent worker, and was carried out under the next lease
+// while the task ran elsewhere.
+TEST_CASE("a start that is carried out after its lease has no effect",
+          "[agent][worker][late]") {
+  AgentFixture On;
+  On.startRuns(1);
+  orderLateStart(On, seconds(9));
+  On.Worker_->setSilent(true);
+  REQUIRE(On.runUntil([&] { return isToldEnded(On, Late); }, seconds(8)));
+  On.Worker_->setSilent(false);
+
+  SECTION("stops are answered") {
+    On.Worker_->setOrderDelay({});
+    On.run(milliseconds(1500));
+    requireBackToWork(On, makeRun(8));
+  }
+  SECTION("stops get no answer either for a while") {
+    On.run(seconds(4));
+    On.Worker_->setOrderDelay({});
+    On.run(milliseconds(1500));
+    requireBackToWork(On, makeRun(8));
+  }
+  On.run(seconds(8));
+  CHECK(On.Worker_->starts(Late) == 0);
+  CHECK(On.Worker_->isRunning(makeRun(8)));
+}
+
+// Guards against two runs of one task: control took the lease for expired while
+// it did not hear of the agent, and the agent renewed it before an earlier
+// start was settled.
+TEST_CASE("a start that is carried out after a loss of control has no effect",
+          "[agent][worker][late]") {
+  AgentFixture On;
+  On.startRuns(1);
+  orderLateStart(On, seconds(9));
+  On.run(milliseconds(1900));
+  On.Leader_->setSilent(true);
+  On.run(seconds(5));
+  REQUIRE(On.Worker_->running() == 0);
+  On.Leader_->setSilent(false);
+  On.Leader_->refuseSession();
+  On.run(seconds(3));
+  On.Worker_->setOrderDelay({});
+  On.run(milliseconds(1500));
+  requireBackToWork(On, makeRun(8));
+  On.run(seconds(8));
+  CHECK(On.Worker_->starts(Late) == 0);
+  CHECK(On.Worker_->isRunning(makeRun(8)));
+}
+
 // Guards against two runs of one task: a run was reported as ended although the
 // worker's next life had carried out its late start, because a report to an
 // earlier leader was still open when that life listed it.
@@ -42,4 +99,21 @@
   CHECK(isToldEnded(On, Late) != On.Worker_->isRunning(Late));
 }
 
+// Guards against idle workers: the first start of a life is the first call that
+// grants a lease there.
+TEST_CASE("a worker that is back takes its first start at once",
+          "[agent][worker][late]") {
+  AgentFixture On;
+  On.startRuns(1);
+  On.run(seconds(6));
+  On.restartWorker("w1", 20);
+  REQUIRE(On.runUntil(
+      [&] {
+        return On.Leader_->isReconciled("w1") &&
+               On.Leader_->Hellos_.back().Born_ == 20;
+      },
+      seconds(1)));
+  requireBackToWork(On, makeRun(8));
+}
+
 } // namespace dragonfly::agent
--- a/tests/agent/RunBookTest.cpp
+++ b/tests/agent/RunBookTest.cpp
@@ -214,7 +214,7 @@
   Book.listed(Start, Start,
               lists({{.Run_ = run(1), .Checkpoint_ = "one"},
                      {.Run_ = run(2), .Checkpoint_ = "two"}}));
-  Book.lapse();
+  Book.lapse(Start);
   CHECK(Book.rows().empty());
   const auto Ends = Book.endReports();
   REQUIRE(Ends.size() == 2);
