Believe a departure, and a worker's VM, only from who is registered for it

What callers could see: runs on a sound worker are ended as expired and begin elsewhere at once.

Cause, two beliefs of the same kind. A notice that a worker has left named the worker's life only. It is repeated for 1.2 s, over a change of leader as well, so that it could arrive after a session that had begun since, and end its runs: the departure had been another writer's. And whoever said hello for a worker replaced its session and its VM in the log. An agent without a worker of its own believes the first announcement; that of a worker on another VM made control end that worker's runs with the agent's notice, or with the first complete report of the agent's own worker, whose VM the log now named.

Change: the notice carries the agent's process, which must be the registered one; an agent whose worker has not departed after all takes a new name. Only a worker that has answered on the VM is reported as gone; of others, the first complete report tells as before. A hello from another VM is refused while the worker's session is reconciled, connected and not silent (event 3030).

Evidence: 'a late notice of departure ends no runs of a later session', 'an agent on another VM does not take a worker that is at work' and 'only a worker that was on the VM is reported as gone' failed before. Way back: a worker whose session has ended is taken on another VM at once (test).

--- a/include/dragonfly/base/Event.h
+++ b/include/dragonfly/base/Event.h
@@ -59,6 +59,7 @@
   MemberChangeDelayed = 3027,
   CrashSuspected = 3028,
   ReplicaAddressRejected = 3029,
+  WorkerContested = 3030,
   // consensus
   LeaderElected = 4001,
   LeaderLost = 4002,
--- a/include/dragonfly/wire/JobMessages.h
+++ b/include/dragonfly/wire/JobMessages.h
@@ -192,6 +192,9 @@
 struct WorkerGone {
   std::string Worker_;
   std::uint64_t Born_ = 0;
+  /// The process that was registered for the worker when it left. A notice of
+  /// any other has no effect: it may have come late.
+  Incarnation Agent_;
 };
 
 /// Another life of the worker, or another worker, answers on its VM, and it had
--- a/src/agent/WorkerAgentIdentity.cpp
+++ b/src/agent/WorkerAgentIdentity.cpp
@@ -135,6 +135,8 @@
 void WorkerAgent::Impl::retractDeparture(const WorkerAnnouncement &Value) {
   logRejected(Value, Worker_, "departure-contradicted");
   Departed_ = false;
+  // A notice that the worker has left may still be on its way.
+  Self_ = makeFreshId<Incarnation>();
   Lease_.reopen();
   openSession();
 }
@@ -192,11 +194,11 @@
     noteCrash(Before);
   // What an announcement that never was confirmed left behind is not true of
   // any worker.
-  if (Confirmed_)
+  const bool WasHere = std::exchange(Confirmed_, false);
+  if (WasHere)
     Book_.beginLife();
   else
     Book_ = RunBook(Options_.Runs_);
-  Confirmed_ = false;
   Lease_ = WorkerLease(Options_.Lease_, ProcessStart_);
   Silent_ = false;
   Unsettled_ = false;
@@ -209,11 +211,13 @@
   Disputed_.reset();
   AnnouncedCapacity_ = Worker_.Capacity_;
   AnnouncedSequence_ = std::exchange(Worker_.Sequence_, 0);
-  // Another worker answers on this VM: the one before it is gone.
-  if (!Before.Worker_.empty() && Before.Worker_ != Worker_.Worker_)
-    Leader_.call(
-        wire::WorkerGone{.Worker_ = Before.Worker_, .Born_ = Before.Born_},
-        Options_.ReportTimeout_, [](const link::LeaderResult &) {});
+  // Another worker answers on this VM: the one before it is gone, if it was
+  // here.
+  if (WasHere && Before.Worker_ != Worker_.Worker_)
+    Leader_.call(wire::WorkerGone{.Worker_ = Before.Worker_,
+                                  .Born_ = Before.Born_,
+                                  .Agent_ = Self_},
+                 Options_.ReportTimeout_, [](const link::LeaderResult &) {});
   openSession();
 }
 
@@ -260,9 +264,10 @@
       Session_ == 0)
     return;
   Session_ = 0;
-  Leader_.call(
-      wire::WorkerGone{.Worker_ = Worker_.Worker_, .Born_ = Worker_.Born_},
-      Options_.ReportTimeout_, [](const link::LeaderResult &) {});
+  Leader_.call(wire::WorkerGone{.Worker_ = Worker_.Worker_,
+                                .Born_ = Worker_.Born_,
+                                .Agent_ = Self_},
+               Options_.ReportTimeout_, [](const link::LeaderResult &) {});
 }
 
 } // namespace dragonfly::agent
--- a/src/base/Event.cpp
+++ b/src/base/Event.cpp
@@ -108,6 +108,9 @@
      "replica-address-rejected",
      "The address of a control replica is malformed. It is reached at the last "
      "usable one, if any; remove the member and add it again."},
+    {Event::WorkerContested, Severity::Warning, "worker-contested",
+     "An agent on another VM announced a worker that is at work; it was "
+     "refused."},
     {Event::LeaderElected, Severity::Info, "leader-elected",
      "This replica leads the replicated log in a new term."},
     {Event::LeaderLost, Severity::Warning, "leader-lost",
--- a/src/control/WorkerSessions.cpp
+++ b/src/control/WorkerSessions.cpp
@@ -114,8 +114,28 @@
            .Checkpoint_ = latestCheckpoint(Worker, Run)});
 }
 
+/// Returns whether the worker is at work on another VM than that of \p Hello.
+bool WorkerSessions::isElsewhere(const wire::WorkerHello &Hello) const {
+  const auto It = Sessions_.find(Hello.Worker_);
+  if (It == Sessions_.end())
+    return false;
+  const WorkerSession &Session = It->second;
+  return Session.isAttached() && Session.Reconciled_ && !Session.Silent_ &&
+         Session.Stream_.IsConnected_() && Session.Hello_.Vm_ != Hello.Vm_;
+}
+
 void WorkerSessions::attach(TimePoint Now, wire::WorkerHello Hello,
                             WorkerStream Stream) {
+  // Anybody can announce a worker to an agent that has none yet.
+  if (isElsewhere(Hello)) {
+    logEvent(Event::WorkerContested,
+             {{"worker", Hello.Worker_},
+              {"born", Hello.Born_},
+              {"vm", Hello.Vm_},
+              {"current_vm", Sessions_.at(Hello.Worker_).Hello_.Vm_}});
+    Stream.SendEnd_(Options_.MakeRefusal_());
+    return;
+  }
   const std::size_t Index = Batch_.record().Workers_.size();
   Batch_.record().Workers_.push_back({.Worker_ = Hello.Worker_,
                                       .Born_ = Hello.Born_,
@@ -349,7 +369,8 @@
 void WorkerSessions::handleWorkerGone(const wire::WorkerGone &Notice,
                                       JobService::Reply Answer) {
   const jobs::WorkerRow *Row = Table_.findWorker(Notice.Worker_);
-  if (Row == nullptr || Row->Life_.Born_ != Notice.Born_) {
+  if (Row == nullptr || Row->Life_.Born_ != Notice.Born_ ||
+      Row->Life_.Agent_ != Notice.Agent_) {
     Answer(wire::WorkerReportAck{});
     return;
   }
--- a/src/control/WorkerSessions.h
+++ b/src/control/WorkerSessions.h
@@ -117,6 +117,7 @@
   Duration maxLeaseDuration() const;
   std::vector<wire::StartOrder> recordedRuns(const std::string &Worker) const;
   void detach(WorkerSession &Session);
+  bool isElsewhere(const wire::WorkerHello &Hello) const;
   /// Ends the runs of older workers on the VM of \p Hello, which is certain to
   /// be there, and removes these workers.
   void endRunsOfReplacedWorkers(const wire::WorkerHello &Hello);
--- a/src/wire/Serialize.h
+++ b/src/wire/Serialize.h
@@ -241,7 +241,7 @@
 }
 
 template <typename Archive> void serialize(Archive &Ar, WorkerGone &Row) {
-  Ar(Row.Worker_, Row.Born_);
+  Ar(Row.Worker_, Row.Born_, Row.Agent_);
 }
 
 template <typename Archive> void serialize(Archive &Ar, JoinGroup &Row) {
--- a/tests/agent/LateOrderTest.cpp
+++ b/tests/agent/LateOrderTest.cpp
@@ -99,6 +99,20 @@
   CHECK(isToldEnded(On, Late) != On.Worker_->isRunning(Late));
 }
 
+// Guards against two runs of one task: an agent that had been told of a worker
+// on another VM told control that it is gone.
+TEST_CASE("only a worker that was on the VM is reported as gone",
+          "[agent][worker]") {
+  AgentFixture On;
+  On.announce(foreign("w9", 20));
+  On.run(milliseconds(300));
+  On.announce(On.Worker_->announce());
+  REQUIRE(On.runUntil([&] { return On.Leader_->isReconciled("w1"); },
+                      milliseconds(200)));
+  On.run(seconds(1));
+  CHECK(On.Leader_->Gone_.empty());
+}
+
 // Guards against idle workers: the first start of a life is the first call that
 // grants a lease there.
 TEST_CASE("a worker that is back takes its first start at once",
--- a/tests/control/JobServiceFaultTest.cpp
+++ b/tests/control/JobServiceFaultTest.cpp
@@ -172,7 +172,7 @@
   TestAgent DepartedAgent(Cluster, "w1");
   DepartedAgent.attachAndReportNoRuns();
   Cluster.askLeader<wire::WorkerReportAck>(
-      wire::WorkerGone{.Worker_ = "w1", .Born_ = 10});
+      wire::WorkerGone{.Worker_ = "w1", .Born_ = 10, .Agent_ = {1}});
   for (std::size_t I = 0; I < 3; ++I)
     Cluster.kill(I);
   for (std::size_t I = 0; I < 3; ++I)
@@ -323,6 +323,66 @@
   CHECK(Agent.consumeStarts().size() == 1);
 }
 
+// Guards against two runs of one task: a notice of departure that was repeated
+// for a second ended the runs of the session that had begun meanwhile, since
+// the departure had been another writer's.
+TEST_CASE("a late notice of departure ends no runs of a later session",
+          "[control][jobs]") {
+  JobCluster Cluster;
+  TestAgent Agent(Cluster, "w1");
+  Agent.attachAndReportNoRuns("vm-1");
+  Agent.attach(10, 2, "vm-1");
+  REQUIRE(Agent.report(true));
+  submitAndStart(Cluster, Agent);
+  REQUIRE(Agent.report(false, {makeRun()}));
+  Cluster.askLeader<wire::WorkerReportAck>(
+      wire::WorkerGone{.Worker_ = "w1", .Born_ = 10, .Agent_ = {1}});
+  Cluster.run(milliseconds(200));
+  CHECK(Agent.consumeStarts().empty());
+  CHECK_FALSE(Agent.streamEnded());
+  REQUIRE(Agent.report(false, {makeRun()}));
+  CHECK(Agent.stops().empty());
+}
+
+// Guards against two runs of one task: an agent that was told of a worker on
+// another VM took over its session, and control ended its runs with the first
+// report of the agent's own worker.
+TEST_CASE("an agent on another VM does not take a worker that is at work",
+          "[control][jobs]") {
+  JobCluster Cluster;
+  TestAgent Agent(Cluster, "w1");
+  Agent.attachAndReportNoRuns("vm-1");
+  submitAndStart(Cluster, Agent);
+  REQUIRE(Agent.report(false, {makeRun()}));
+  const std::uint64_t Born = GENERATE(10, 20);
+  TestAgent Mistaken(Cluster, "w1");
+  Mistaken.attach(Born, 2, "vm-2");
+  CHECK(Mistaken.streamEnded());
+  CHECK_FALSE(Agent.streamEnded());
+  TestAgent Other(Cluster, "w2");
+  Other.attach(30, 2, "vm-2");
+  REQUIRE(Other.report(true));
+  CHECK(Other.consumeStarts().empty());
+  REQUIRE(Agent.report(false, {makeRun()}));
+  CHECK(Agent.stops().empty());
+}
+
+// Guards against idle workers: a worker whose agent has gone silent is taken
+// wherever it answers.
+TEST_CASE("a worker whose session has ended is taken on another VM",
+          "[control][jobs]") {
+  JobCluster Cluster;
+  TestAgent Agent(Cluster, "w1");
+  Agent.attachAndReportNoRuns("vm-1");
+  Agent.disconnect();
+  Cluster.run(milliseconds(100));
+  TestAgent Next(Cluster, "w1");
+  Next.attach(20, 2, "vm-2");
+  REQUIRE(Next.report(true));
+  Cluster.submit({makeStep()});
+  CHECK(Next.consumeStarts().size() == 1);
+}
+
 // Guards against a leader that ends by itself: a hello and the removal of the
 // same worker may be committed in one record, and the worker attaches again.
 TEST_CASE("a hello that is recorded with the worker's removal is refused",
@@ -331,7 +391,8 @@
   TestAgent Agent(Cluster, "w1");
   Agent.attachAndReportNoRuns("vm-1");
   Cluster.node(Cluster.leader())
-      .handle(Cluster.now(), wire::WorkerGone{.Worker_ = "w1", .Born_ = 10},
+      .handle(Cluster.now(),
+              wire::WorkerGone{.Worker_ = "w1", .Born_ = 10, .Agent_ = {1}},
               [](const wire::Message &) {});
   Agent.attach(10, 1, "vm-1");
   CHECK(Agent.streamEnded());
