Settle late runs by what the worker and control have recorded

- A run that a worker's next life carried out late and finished before its first list was reported twice, first as lapsed: control took that one, let the worker forget the true end, and started the task again.
A concluded end that no report has held gives way to a listed one, as it does to a listed run.
- A listed run was believed in the first list of a session although control had recorded its end.
What control knows of the worker comes with the session's first orders: a run that is not among it is stopped at once.

The test's leader now sends the recorded runs with a session, as control does. Ruled out: that control itself counts a finished end of a run that it has taken for lost. It would be one more rule in the log, against a test that says such an end has no effect, and the agent's order of ends suffices.

--- a/include/dragonfly/agent/RunBook.h
+++ b/include/dragonfly/agent/RunBook.h
@@ -82,8 +82,10 @@
   void refuse(const jobs::RunName &Run);
 
   /// Returns the calls that are due and marks them as open. Starts stay due
-  /// unless \p MayStart, e.g. without a lease.
-  std::vector<DueCall> takeDueCalls(TimePoint Now, bool MayStart);
+  /// unless \p MayStart, e.g. without a lease. Lapsed runs are not stopped
+  /// before the worker \p Answers again.
+  std::vector<DueCall> takeDueCalls(TimePoint Now, bool MayStart,
+                                    bool Answers = true);
   /// When the next call is due, or nothing.
   std::optional<TimePoint> nextCallAt() const;
   /// Returns whether the run is known not to have begun.
@@ -92,7 +94,8 @@
   void stopAnswered(TimePoint Now, const jobs::RunName &Run, bool Confirmed);
 
   /// Drops ends that the agent concluded itself, has not reported, and that
-  /// \p Answer disproves: an order of an earlier life can reach the next one.
+  /// \p Answer disproves by a run or another end: an order of an earlier life
+  /// can reach the next one.
   void retractEnds(const HoldAnswer &Answer);
   /// What the book knows of the end of a run that has no row.
   enum class EndKnown : std::uint8_t { None, Concluded, Listed };
@@ -109,6 +112,8 @@
   void beginLife();
 
   const std::map<jobs::RunName, Row> &rows() const { return Rows_; }
+  /// Whether a run has not ended yet.
+  bool hasRuns() const;
   /// Returns the number of starts that may still be carried out: a call for
   /// them has no answer, and the run has neither been listed nor stopped.
   std::size_t unsettledStarts() const;
--- a/src/agent/RunBook.cpp
+++ b/src/agent/RunBook.cpp
@@ -76,11 +76,13 @@
   Each.NextCallAt_ = Now;
 }
 
-std::vector<DueCall> RunBook::takeDueCalls(TimePoint Now, bool MayStart) {
+std::vector<DueCall> RunBook::takeDueCalls(TimePoint Now, bool MayStart,
+                                           bool Answers) {
   std::vector<DueCall> Due;
   for (auto &[Run, Each] : Rows_) {
     if (Each.CallOpen_ || Each.ConfirmedAt_ || Each.NextCallAt_ > Now ||
-        (!MayStart && Each.Phase_ != RunPhase::Stopping))
+        (!MayStart && Each.Phase_ != RunPhase::Stopping) ||
+        (!Answers && Each.Lapsed_))
       continue;
     Each.CallOpen_ = true;
     ++Each.Tries_;
@@ -153,10 +155,19 @@
 }
 
 void RunBook::retractEnds(const HoldAnswer &Answer) {
-  std::erase_if(Ends_, [&Answer](const End &Each) {
-    return Each.Concluded_ && !Each.Reported_ &&
-           std::ranges::find(Answer.Runs_, Each.Report_.Run_,
-                             &ListedRun::Run_) != Answer.Runs_.end();
+  const auto IsListed = [&Answer](const RunName &Run) {
+    return std::ranges::find(Answer.Runs_, Run, &ListedRun::Run_) !=
+               Answer.Runs_.end() ||
+           std::ranges::find(Answer.Ends_, Run, &ListedEnd::Run_) !=
+               Answer.Ends_.end();
+  };
+  std::erase_if(Ends_, [&](const End &Each) {
+    const RunName &Run = Each.Report_.Run_;
+    const bool IsDisproved =
+        Each.Concluded_ && !Each.Reported_ && IsListed(Run);
+    if (const auto Row = Rows_.find(Run); IsDisproved && Row != Rows_.end())
+      Row->second.Lapsed_ = false;
+    return IsDisproved;
   });
 }
 
@@ -296,6 +307,11 @@
          (Each.MayAppear_ || IsStartOpen);
 }
 
+bool RunBook::hasRuns() const {
+  return std::ranges::any_of(
+      Rows_, [](const auto &Each) { return !Each.second.Lapsed_; });
+}
+
 std::size_t RunBook::unsettledStarts() const {
   return static_cast<std::size_t>(std::ranges::count_if(
       Rows_, [](const auto &Each) { return isUnsettled(Each.second); }));
@@ -304,7 +320,7 @@
 std::vector<RunName> RunBook::unprovenRuns() const {
   std::vector<RunName> Result;
   for (const auto &[Run, Each] : Rows_)
-    if (mayHaveBegun(Each) && !Each.Proven_)
+    if (mayHaveBegun(Each) && !Each.Proven_ && !Each.Lapsed_)
       Result.push_back(Run);
   return Result;
 }
--- a/src/agent/WorkerAgentCalls.cpp
+++ b/src/agent/WorkerAgentCalls.cpp
@@ -79,7 +79,7 @@
   }
   Confirmed_ = true;
   Lease_.clockRead(Now, Answer.Clock_);
-  handleUnexpectedRuns(Now, Answer);
+  handleUnexpectedRuns(Now, Answer, Fence == Fence_ && Session == Session_);
   Book_.retractEnds(Answer);
   Book_.listed(Now, SentAt, Answer);
   for (const auto &[Run, Order] : Known_)
@@ -98,16 +98,19 @@
 }
 
 void WorkerAgent::Impl::handleUnexpectedRuns(TimePoint Now,
-                                             const HoldAnswer &Answer) {
+                                             const HoldAnswer &Answer,
+                                             bool IsOfSession) {
   for (const auto &[Run, Known] : Book_.unknownRuns(Answer)) {
-    // The first list of a session tells what earlier processes started.
-    if (!ListedAll_ && Known == RunBook::EndKnown::None)
+    // Until a session's first list, control may know of runs that other
+    // processes or sessions have started.
+    const bool IsStray = ListedAll_ || (IsOfSession && !Known_.contains(Run));
+    if (Known == RunBook::EndKnown::None && !IsStray)
       continue;
     logEvent(Event::RunUnexpected, {{"run", printRun(Run)},
                                     {"worker", Worker_.Worker_},
                                     {"end", enumName(Known)},
                                     {"fence", Fence_}});
-    // Its end is durable: the task may run elsewhere.
+    // Control has recorded its end: the task may run elsewhere.
     if (Known == RunBook::EndKnown::None)
       Book_.stop(Now, Run);
   }
@@ -133,7 +136,7 @@
   const bool MayStart = !Silent_ && !Unsettled_ && !Worker_.Draining_ &&
                         Session_ != 0 &&
                         Lease_.left(Now) >= Options_.LeastLease_;
-  for (const DueCall &Due : Book_.takeDueCalls(Now, MayStart))
+  for (const DueCall &Due : Book_.takeDueCalls(Now, MayStart, !Silent_))
     if (Due.Kind_ == DueCall::Kind::Start)
       callStart(Due.Run_);
     else
--- a/src/agent/WorkerAgentIdentity.cpp
+++ b/src/agent/WorkerAgentIdentity.cpp
@@ -260,8 +260,7 @@
 }
 
 void WorkerAgent::Impl::finishDeparture() {
-  if (!Departed_ || !Book_.rows().empty() || Book_.pendingEnds() > 0 ||
-      Session_ == 0)
+  if (!Departed_ || Book_.hasRuns() || Book_.pendingEnds() > 0 || Session_ == 0)
     return;
   Session_ = 0;
   Leader_.call(wire::WorkerGone{.Worker_ = Worker_.Worker_,
--- a/src/agent/WorkerAgentImpl.h
+++ b/src/agent/WorkerAgentImpl.h
@@ -106,7 +106,8 @@
                     std::uint64_t Session, const HoldAnswer &Answer);
   /// Logs listed runs that are not in the book, and stops those whose ends
   /// control has recorded.
-  void handleUnexpectedRuns(TimePoint Now, const HoldAnswer &Answer);
+  void handleUnexpectedRuns(TimePoint Now, const HoldAnswer &Answer,
+                            bool IsOfSession);
   void noteSilence(bool Silent);
   /// Carries out the calls that are due.
   void pump();
--- a/tests/agent/AgentFixture.h
+++ b/tests/agent/AgentFixture.h
@@ -331,6 +331,8 @@
   void order(wire::WorkerOrders Orders) {
     Orders.Session_ = Session_;
     Orders.Fence_ = Fence_;
+    for (const wire::StartOrder &Start : Orders.Starts_)
+      Recorded_[Start.Run_] = Hellos_.back().Worker_;
     Streams_.at(Session_).part(Orders);
   }
 
@@ -378,7 +380,11 @@
       Fence_ = Tokens_.try_emplace(Key, Tokens_.size() + 1).first->second;
       Fences_[++Session_] = Fence_;
       Streams_.emplace(Session_, To);
-      To.part(orders(Session_));
+      wire::WorkerOrders First = orders(Session_);
+      for (const auto &[Run, Worker] : Recorded_)
+        if (Worker == Hello->Worker_)
+          First.Known_.push_back({.Run_ = Run});
+      To.part(std::move(First));
       Hellos_.push_back(std::move(*Hello));
     } else if (auto *Report = std::get_if<wire::WorkerReport>(&Request)) {
       if (Report->Session_ == LostSession_)
@@ -388,6 +394,8 @@
         return;
       }
       Ends_.insert(Ends_.end(), Report->Ends_.begin(), Report->Ends_.end());
+      for (const wire::EndReport &End : Report->Ends_)
+        Recorded_.erase(End.Run_);
       if (Report->Complete_ && Reconciled_.insert(Session_).second)
         EndsWhenReconciled_ = Ends_.size();
       Reports_.push_back(std::move(*Report));
@@ -413,6 +421,8 @@
   std::map<std::tuple<std::string, std::uint64_t, std::uint64_t>, std::uint64_t>
       Tokens_;
   std::set<std::uint64_t> Reconciled_;
+  /// Runs that were ordered and of which no end was told, with their workers.
+  std::map<jobs::RunName, std::string> Recorded_;
   std::uint64_t Session_ = 0;
   std::optional<std::uint64_t> LostSession_;
   std::uint64_t Fence_ = 0;
--- a/tests/agent/LateOrderTest.cpp
+++ b/tests/agent/LateOrderTest.cpp
@@ -99,6 +99,43 @@
   CHECK(isToldEnded(On, Late) != On.Worker_->isRunning(Late));
 }
 
+// Guards against two runs of one task: the first list of a session was believed
+// also where control had recorded the end of a run that a new life had carried
+// out late.
+TEST_CASE("a run whose end control has recorded is stopped with the first list",
+          "[agent][worker][late]") {
+  AgentFixture On;
+  On.startRuns(1);
+  orderLateStart(On, milliseconds(6900));
+  On.Worker_->setSilent(true);
+  REQUIRE(On.runUntil([&] { return isToldEnded(On, Late); }, seconds(6)));
+  On.Worker_->setOrderDelay({});
+  On.run(milliseconds(500));
+  On.Worker_->restart("w1", 20);
+  On.Worker_->setSilent(false);
+  REQUIRE(On.isStartedWithin(Late, seconds(3)));
+  On.announce(On.Worker_->announce());
+  const auto Took = On.runUntil([&] { return !On.Worker_->isRunning(Late); },
+                                milliseconds(500));
+  REQUIRE(Took);
+  CHECK(*Took <= milliseconds(100));
+}
+
+// Guards against workers that are never removed: a start without an answer is
+// settled by no stop once its worker has left.
+TEST_CASE("a worker that leaves with an unsettled start is reported as gone",
+          "[agent][worker][late]") {
+  AgentFixture On;
+  On.startRuns(1);
+  orderLateStart(On, seconds(9));
+  On.Agent_->departed("w1");
+  On.Worker_->setSilent(true);
+  const auto Took =
+      On.runUntil([&] { return !On.Leader_->Gone_.empty(); }, seconds(8));
+  REQUIRE(Took);
+  CHECK(On.Leader_->Gone_.front().Worker_ == "w1");
+}
+
 // Guards against two runs of one task: an agent that had been told of a worker
 // on another VM told control that it is gone.
 TEST_CASE("only a worker that was on the VM is reported as gone",
--- a/tests/agent/RunBookTest.cpp
+++ b/tests/agent/RunBookTest.cpp
@@ -309,6 +309,41 @@
   CHECK(Book.endReports().front().Run_ == run(1));
 }
 
+// Guards against a second run of what has finished: the next life carried out a
+// late order and finished the run before its first list.
+TEST_CASE("an end that the next life lists replaces the concluded one",
+          "[agent][runs]") {
+  RunBook Book = ordered(run(1));
+  Book.startAnswered(Start, run(1), StartStatus::NoAnswer);
+  Book.beginLife();
+  const HoldAnswer Answer =
+      lists({}, {{.Number_ = 1, .Run_ = run(1), .How_ = RunEnd::Finished}});
+  Book.retractEnds(Answer);
+  Book.listed(Start, Start, Answer);
+  REQUIRE(Book.pendingEnds() == 1);
+  CHECK(Book.endReports().front().How_ == RunEnd::Finished);
+}
+
+// Guards against failed jobs: a run that has lapsed cannot crash its worker.
+TEST_CASE("a lapsed start waits for its stop and is no suspect",
+          "[agent][runs]") {
+  RunBook Book = ordered(run(1));
+  Book.startAnswered(Start, run(1), StartStatus::NoAnswer);
+  CHECK(Book.lapse(Start) == 1);
+  CHECK(Book.lapse(Start) == 0);
+  CHECK(Book.pendingEnds() == 1);
+  CHECK(Book.unsettledStarts() == 1);
+  CHECK_FALSE(Book.hasRuns());
+  CHECK(Book.unprovenRuns().empty());
+  CHECK(Book.takeDueCalls(Start + seconds(1), false, false).empty());
+  REQUIRE(Book.takeDueCalls(Start + seconds(1), false, true).size() == 1);
+  Book.stopAnswered(Start + seconds(1), run(1), true);
+  CHECK(Book.unsettledStarts() == 0);
+  Book.listed(Start + seconds(3), Start + seconds(2), lists({}));
+  CHECK(Book.rows().empty());
+  CHECK(Book.pendingEnds() == 1);
+}
+
 TEST_CASE("a run that vanishes is stopped before its task may run elsewhere",
           "[agent][runs]") {
   RunBook Book = ordered(run(1));
