--- a/tests/control/JobFixture.h
+++ b/tests/control/JobFixture.h
@@ -98,12 +98,14 @@
   }
 
   /// Sends a WorkerHello on a connection that is closed already.
-  void attachOnClosedConnection(std::uint64_t Born, std::uint64_t Process) {
+  void attachOnClosedConnection(std::uint64_t Born, std::uint64_t Process,
+                                const std::string &Vm = {}) {
     Cluster_.node(Cluster_.leader())
         .attachWorker(Cluster_.now(),
                       {.Worker_ = Worker_,
                        .Born_ = Born,
                        .Agent_ = {Process},
+                       .Vm_ = Vm,
                        .Service_ = "sorting"},
                       {.SendPart_ = [](const wire::Message &) {},
                        .SendEnd_ = [](const wire::Message &) {},
