Refuse a hello from another VM while runs of the worker are recorded

What callers could see: runs on a sound worker are ended as expired and begin elsewhere, while they go on for up to a lease.

The first complete report of the VM's own worker, born no earlier, then ended the runs of the one that had been moved.

Change: while runs are recorded on the worker, a hello from another VM is refused.

--- a/src/control/WorkerSessions.cpp
+++ b/src/control/WorkerSessions.cpp
@@ -116,6 +116,10 @@
 
 /// Returns whether the worker is at work on another VM than that of \p Hello.
 bool WorkerSessions::isElsewhere(const wire::WorkerHello &Hello) const {
+  const jobs::WorkerRow *Row = Table_.findWorker(Hello.Worker_);
+  // While nobody is attached, its runs go on there until its lease expires.
+  if (Row != nullptr && !Row->Runs_.empty() && Row->Life_.Vm_ != Hello.Vm_)
+    return true;
   const auto It = Sessions_.find(Hello.Worker_);
   if (It == Sessions_.end())
     return false;
@@ -128,11 +132,12 @@
                             WorkerStream Stream) {
   // Anybody can announce a worker to an agent that has none yet.
   if (isElsewhere(Hello)) {
+    const jobs::WorkerRow *Row = Table_.findWorker(Hello.Worker_);
     logEvent(Event::WorkerContested,
              {{"worker", Hello.Worker_},
               {"born", Hello.Born_},
               {"vm", Hello.Vm_},
-              {"current_vm", Sessions_.at(Hello.Worker_).Hello_.Vm_}});
+              {"current_vm", Row == nullptr ? std::string() : Row->Life_.Vm_}});
     Stream.SendEnd_(Options_.MakeRefusal_());
     return;
   }
--- a/tests/control/WorkerLeaseChainTest.cpp
+++ b/tests/control/WorkerLeaseChainTest.cpp
@@ -324,6 +324,28 @@
   CHECK(First.Agent_.stops().empty());
 }
 
+// Guards against two runs of one task, and against idle workers: one that has
+// moved with its runs recorded is taken once the lease of these is over.
+TEST_CASE("a worker that has moved to another VM is taken after its lease",
+          "[control][jobs][chain]") {
+  JobCluster Cluster;
+  Host First(Cluster, "w1", "vm-1");
+  First.attach();
+  Cluster.submit({makeStep()});
+  First.takeStarts();
+  const TimePoint Renewed = Cluster.now();
+  REQUIRE(First.Agent_.report(false, First.Runs_));
+  First.Agent_.disconnect();
+  TestAgent Moved(Cluster, "w1");
+  do {
+    Moved.attach(20, 2, "vm-2");
+  } while (Moved.streamEnded() && Cluster.now() < Renewed + seconds(8));
+  CHECK(Cluster.now() >= Renewed + MaxLease);
+  CHECK(Cluster.now() < Renewed + MaxLease + milliseconds(500));
+  REQUIRE(Moved.report(true));
+  CHECK(Moved.consumeStarts() == std::vector{makeRun(2)});
+}
+
 // Guards against two runs of one task: a start whose order went to an earlier
 // session, or was recorded once that had ended, is started anew only if the
 // first complete report of the next session does not list it.
