--- a/tests/control/WorkerLeaseChainTest.cpp
+++ b/tests/control/WorkerLeaseChainTest.cpp
@@ -613,4 +613,38 @@
   CHECK(Cluster.jobState() == Ended);
 }
 
+// Guards against a start of a job that has ended: it was proposed in the same
+// tick, before its leader knew.
+TEST_CASE("a start that is proposed as its job ends has no effect",
+          "[control][jobs][chain]") {
+  JobCluster Cluster;
+  Cluster.submit({makeStep()});
+  TestAgent Agent(Cluster, "w1");
+  Agent.attach();
+  const std::size_t Leader = Cluster.leader();
+  const auto Drop = [](const wire::Message &) {};
+  const bool GivenUp = GENERATE(false, true);
+  sendReport(Cluster, Leader, Agent, true, {});
+  if (GivenUp)
+    for (const std::uint64_t Born : {10, 20})
+      Cluster.node(Leader).handle(
+          Cluster.now(),
+          wire::WorkerCrashed{
+              {.Worker_ = "w0", .Born_ = Born, .Suspects_ = {makeRun(0)}}},
+          Drop);
+  else
+    Cluster.node(Leader).handle(
+        Cluster.now(),
+        wire::JobRequest{.Action_ = wire::JobAction::Cancel,
+                         .Job_ = JobId,
+                         .Host_ = "a.example",
+                         .Path_ = Path},
+        Drop);
+  Cluster.run(seconds(1));
+  CHECK(Agent.consumeStarts().empty());
+  CHECK(task(Cluster).Run_ == 0);
+  CHECK(Cluster.jobState() ==
+        (GivenUp ? JobState::Failed : JobState::Cancelled));
+}
+
 } // namespace dragonfly::control
