--- a/tests/platform/MessagesTest.cpp
+++ b/tests/platform/MessagesTest.cpp
@@ -237,6 +237,22 @@
   CHECK(parseStartAnswer(400, "") == StartStatus::Rejected);
 }
 
+// Guards against two runs of one task: a start that was answered with a status
+// of which the protocol does not say that nothing was done was taken for
+// refused.
+TEST_CASE("an unknown answer to a start leaves open whether it was carried out",
+          "[platform]") {
+  using agent::StartStatus;
+  for (const std::uint16_t Status :
+       {201, 204, 302, 404, 408, 410, 413, 500, 501, 502, 504, 599}) {
+    CAPTURE(Status);
+    CHECK(parseStartAnswer(Status, "") == StartStatus::NoAnswer);
+  }
+  CHECK(parseStartAnswer(429, "") == StartStatus::Unhealthy);
+  CHECK(parseStartAnswer(409, R"({"Reason":"ticket"})") ==
+        StartStatus::Rejected);
+}
+
 TEST_CASE("settings lines name addresses, seeds and the first start",
           "[platform]") {
   const std::string Text = "Node=edge-a-1\nIp=10.1.0.13\nZone=a\n"
