Test each proof that a run has ended, on the agent's side

The fake worker can have a slow or fast clock and lists that arrive late, the fake leader answers that are held or lost.

--- a/tests/agent/AgentFixture.h
+++ b/tests/agent/AgentFixture.h
@@ -85,6 +85,11 @@
   /// While positive, starts and stops get no answer and are carried out so much
   /// later, also by a later life of the same name.
   void setOrderDelay(Duration Delay) { OrderDelay_ = Delay; }
+  /// While positive, lists are made when they are asked for and arrive so much
+  /// later.
+  void setListDelay(Duration Delay) { ListDelay_ = Delay; }
+  /// Sets the speed of the worker's clock, in thousandths of true time.
+  void setClockPermille(int Permille) { ClockPermille_ = Permille; }
 
   bool isRunning(const jobs::RunName &Run) {
     expireLease();
@@ -99,6 +104,8 @@
     return static_cast<std::size_t>(std::ranges::count(Started_, Run));
   }
   void finish(const jobs::RunName &Run) { endRun(Run, jobs::RunEnd::Finished); }
+  /// Ends that it has not been told to forget.
+  std::size_t keptEnds() const { return Ends_.size(); }
   std::uint64_t fence() const { return Fence_; }
   void raiseFence(std::uint64_t Fence) { Fence_ = Fence; }
   /// Calls for another worker, which were refused.
@@ -146,7 +153,8 @@
   static constexpr WorkerTime MaxLease = seconds(10);
 
   WorkerTime clock() const {
-    return std::chrono::duration_cast<WorkerTime>(Clock::now() - StartedAt_);
+    return std::chrono::duration_cast<WorkerTime>((Clock::now() - StartedAt_) *
+                                                  ClockPermille_ / 1000);
   }
 
   HoldStatus takes(const std::string &Worker, std::uint64_t Fence) {
@@ -222,6 +230,11 @@
         return Each.Number_ <= Call.LastDurableEnd_;
       });
     }
+    if (Status == HoldStatus::Listed && ListDelay_ > Duration::zero()) {
+      reply([OnEnd, Lists = lists()] { OnEnd(Lists); }, [OnEnd] { OnEnd({}); },
+            ListDelay_);
+      return;
+    }
     const bool Waits = Status == HoldStatus::Listed && Ends_.empty();
     const std::uint64_t Life = Self_.Born_;
     const auto Answer = [this, Status, Life, OnEnd] {
@@ -294,6 +307,8 @@
   WorkerTime LeaseUntil_{};
   bool Silent_ = false;
   Duration OrderDelay_{};
+  Duration ListDelay_{};
+  int ClockPermille_ = 1000;
   std::size_t Misdirected_ = 0;
   std::vector<net::Timer> Pending_;
 };
@@ -327,6 +342,20 @@
   /// replaced and does not know it.
   void loseReports() { LostSession_ = Session_; }
 
+  /// Reports with ends are taken, and their answers wait for `releaseAcks`.
+  void holdAcks() { HoldsAcks_ = true; }
+  void releaseAcks() {
+    HoldsAcks_ = false;
+    for (const net::FrameReplier &To : std::exchange(HeldAcks_, {}))
+      To.answer(wire::WorkerReportAck{.LeaseTerm_ = LeaseTerm_});
+  }
+  /// Answers that are held are lost, as with a leader that is lost before its
+  /// commit.
+  void loseAcks() {
+    HoldsAcks_ = false;
+    HeldAcks_.clear();
+  }
+
   /// Sends an order on the newest session.
   void order(wire::WorkerOrders Orders) {
     Orders.Session_ = Session_;
@@ -390,8 +419,12 @@
       Ends_.insert(Ends_.end(), Report->Ends_.begin(), Report->Ends_.end());
       if (Report->Complete_ && Reconciled_.insert(Session_).second)
         EndsWhenReconciled_ = Ends_.size();
+      const bool HasEnds = !Report->Ends_.empty();
       Reports_.push_back(std::move(*Report));
-      To.answer(wire::WorkerReportAck{.LeaseTerm_ = LeaseTerm_});
+      if (HoldsAcks_ && HasEnds)
+        HeldAcks_.push_back(To);
+      else
+        To.answer(wire::WorkerReportAck{.LeaseTerm_ = LeaseTerm_});
     } else if (auto *Crashed = std::get_if<wire::WorkerCrashed>(&Request)) {
       if (LostCrashes_ > 0) {
         --LostCrashes_;
@@ -408,6 +441,8 @@
   }
 
   net::FrameServer Server_;
+  std::vector<net::FrameReplier> HeldAcks_;
+  bool HoldsAcks_ = false;
   std::map<std::uint64_t, net::FrameReplier> Streams_;
   std::map<std::uint64_t, std::uint64_t> Fences_;
   std::map<std::tuple<std::string, std::uint64_t, std::uint64_t>, std::uint64_t>
--- a/tests/agent/RunBookTest.cpp
+++ b/tests/agent/RunBookTest.cpp
@@ -206,6 +206,19 @@
   CHECK(Book.endReports().front().Run_ == run(7));
 }
 
+// Guards against two runs of one task: a list that was asked for before a start
+// was confirmed says nothing of the run.
+TEST_CASE("a list that was asked for before a start ends nothing",
+          "[agent][runs]") {
+  RunBook Book = ordered(run(1));
+  const TimePoint Confirmed = Start + milliseconds(10);
+  Book.startAnswered(Confirmed, run(1), StartStatus::Started);
+  Book.listed(Confirmed + seconds(1), Start, lists({}));
+  Book.listed(Confirmed + seconds(1), Confirmed, lists({}));
+  CHECK(Book.pendingEnds() == 0);
+  CHECK(Book.runReports().front().Phase_ == RunPhase::Running);
+}
+
 // The names of lapsed runs were read after their rows had been freed; control
 // never learnt that they had ended.
 TEST_CASE("runs that lapse are reported by name, with their checkpoints",
--- a/tests/agent/WorkerLeaseTest.cpp
+++ b/tests/agent/WorkerLeaseTest.cpp
@@ -33,6 +33,24 @@
   CHECK(Granted > WorkerTime(7000 + 3800));
 }
 
+// Guards against two runs of one task: a lease that is granted on an old
+// reading of the worker's clock outlasts the time that control allows.
+TEST_CASE("a lease ends in time however old the reading of the clock is",
+          "[agent][lease]") {
+  const int Permille = GENERATE(980, 1000, 1020);
+  const Duration Age =
+      GENERATE(milliseconds(0), milliseconds(3900), milliseconds(60000));
+  const Duration Travel = GENERATE(milliseconds(0), milliseconds(800));
+  WorkerLease Lease;
+  Lease.clockRead(Start + Travel, WorkerTime(7000));
+  const TimePoint Now = Start + Travel + Age;
+  Lease.renewed(Now, seconds(4));
+  const WorkerTime Granted = Lease.grant(Now);
+  // What the clock shows by the time that control allows.
+  const Duration Shown = (Now + seconds(4) - Start) * Permille / 1000;
+  CHECK(Granted <= std::chrono::floor<WorkerTime>(Shown) + WorkerTime(7000));
+}
+
 TEST_CASE("a lease that control does not renew is not granted again",
           "[agent][lease]") {
   WorkerLease Lease;
