Stop runs that a next life lists before it is announced

What callers could see: a task runs on a worker that was reborn under its id and begins on another one, for up to 6 s.

Cause: a start that is under way while a worker is reborn is carried out by the next life. Its deadline is on the clock of the life before, so that the next one shortens it only to the 10 s that it takes at most. If no heartbeat of the next life arrives, the agent goes by the lease of the life before: it reports the run as lapsed after 4.2 s, and the run goes on. The lists of the next life name the run, but were taken for no answer at all.

Change: once the worker has answered as the announced life, a list of another life with runs in it has these stopped at once. The price is a run that has just begun where the heartbeat is later than the list.

Evidence: 'a run of a next life that is not announced is not told as ended' failed before and passes now; agent_tests pass (92 cases). 'a late announcement of an earlier life stops no runs' passes before and after: until the announced life has answered nothing is stopped. Not covered: a start that the next life carries out after its last list and before the lapse, without any heartbeat in 4.2 s; it is stopped with the next list, and may run beside the task until then.

--- a/src/agent/WorkerAgentCalls.cpp
+++ b/src/agent/WorkerAgentCalls.cpp
@@ -74,6 +74,11 @@
       Answer.Status_ == HoldStatus::Listed && Answer.Born_ == Worker_.Born_;
   noteSilence(!Listed);
   if (!Listed) {
+    // A life that has not been announced took a start of the one before, whose
+    // deadline means nothing to its clock.
+    if (Confirmed_ && Answer.Status_ == HoldStatus::Listed)
+      for (const ListedRun &Run : Answer.Runs_)
+        Book_.stop(Now, Run.Run_);
     NextHoldAt_ = Now + Options_.SilentDelay_;
     return;
   }
--- a/tests/agent/RunChainTest.cpp
+++ b/tests/agent/RunChainTest.cpp
@@ -222,6 +222,34 @@
   CHECK(toldEnds(On, makeRun(0)) == 1);
 }
 
+// Guards against two runs of one task: a reborn worker shortens the deadline of
+// the life before only to the longest that it takes.
+TEST_CASE("a run of a next life that is not announced is not told as ended",
+          "[agent][worker][chain]") {
+  AgentFixture On;
+  On.startRuns(1);
+  On.run(seconds(20));
+  On.Worker_->restart("w1", 20);
+  On.Leader_->order({.Starts_ = {{.Run_ = Late}}});
+  REQUIRE(On.isStartedWithin(Late, milliseconds(100)));
+  runChecked(On, seconds(8));
+}
+
+// Guards against needless stops: a late announcement of an earlier life reaches
+// a new agent, and the worker's list is taken for that of an unknown life.
+TEST_CASE("a late announcement of an earlier life stops no runs",
+          "[agent][worker][chain]") {
+  AgentFixture On;
+  On.startRuns(2);
+  On.restartAgent();
+  On.announce(foreign("w1", 5));
+  On.run(milliseconds(600));
+  On.announce(On.Worker_->announce());
+  runChecked(On, seconds(6));
+  CHECK(On.Worker_->running() == 2);
+  CHECK(On.Leader_->Ends_.empty());
+}
+
 // Guards against two runs of one task: a stop that the next life has confirmed
 // counts for nothing of the life before, and its runs end once.
 TEST_CASE("a stop that the next life has confirmed ends each run once",
