--- a/tests/agent/RunChainTest.cpp
+++ b/tests/agent/RunChainTest.cpp
@@ -121,7 +121,8 @@
   SECTION("the leader is silent") {
     On.Leader_->setSilent(true);
     On.Worker_->finish(makeRun(0));
-    On.run(milliseconds(1700));
+    // Longer than an open report without the end, and one with it.
+    On.run(milliseconds(3700));
     CHECK(On.Worker_->keptEnds() == 1);
     On.Leader_->setSilent(false);
     On.run(seconds(3));
@@ -194,7 +195,8 @@
   AgentFixture On;
   On.startRuns(1);
   On.Worker_->setListDelay(milliseconds(600));
-  On.run(seconds(2));
+  // The old list is on its way for longer or shorter.
+  On.run(milliseconds(GENERATE(2000, 2150, 2300, 2450)));
   On.Leader_->refuseSession();
   REQUIRE(
       On.runUntil([&] { return On.Leader_->Hellos_.size() == 2; }, seconds(1)));
