--- a/tests/agent/RunChainTest.cpp
+++ b/tests/agent/RunChainTest.cpp
@@ -128,6 +128,17 @@
     On.run(seconds(3));
     CHECK(toldEnds(On, makeRun(0)) == 1);
   }
+  SECTION("the report gets no answer") {
+    On.Leader_->holdAcks();
+    On.Worker_->finish(makeRun(0));
+    On.run(milliseconds(2500));
+    REQUIRE(toldEnds(On, makeRun(0)) > 0);
+    CHECK(On.Worker_->keptEnds() == 1);
+    On.Leader_->loseAcks();
+    const std::size_t Before = toldEnds(On, makeRun(0));
+    On.run(seconds(3));
+    CHECK(toldEnds(On, makeRun(0)) > Before);
+  }
   SECTION("the leader is lost before it has recorded the end") {
     On.Leader_->holdAcks();
     On.Worker_->finish(makeRun(0));
