Let late calls of the soak reach a worker's next life, and leases lapse over them

Its workers carried out calls without an answer 2 to 4 s later, never in their next life, and leases seldom lapsed while starts had no answer.

Change: such calls are carried out 2 to 12 s later, also by the next life under the same id; an instance of another name refuses them, as before. The soak prints each call that reaches a later life. Three disruptions: a worker leaves calls unanswered and is silenced for 5 to 7 s; calls are unanswered when all of control is killed; a worker that has left calls unanswered crashes together with its agent and comes back under its id.

--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -111,9 +111,12 @@
           .Listen_ = Own,
           .Agent_ = {Fleet_.ip(Fleet::Role::Agent, I), ControlPort},
           .Seed_ = Random_(),
-          .OnDeadly_ = [this, I] {
-            crashWorker(I - 1, between(1000, 3000));
-          }}));
+          .OnDeadly_ = [this, I] { crashWorker(I - 1, between(1000, 3000)); },
+          .OnEarlierCall_ =
+              [this, I](const std::string &Target) {
+                log("worker " + std::to_string(I) +
+                    " carries out a call of an earlier life, " + Target);
+              }}));
   Proxies_.push_back(std::make_unique<LoopbackProxy>(
       Loop_, net::Endpoint{Net + ".5." + Number, WorkerPort}, Own));
 }
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -75,12 +75,18 @@
   /// Ends the disturbance of a proxy; one before a worker that is down refuses.
   void healProxy(std::size_t I);
   /// Worker \p I crashes, and comes back after \p Length as another life.
-  void crashWorker(std::size_t I, Duration Length);
+  void crashWorker(std::size_t I, Duration Length, bool KeepsId = false);
   /// Worker \p I announces a smaller capacity for a while.
   void shrinkWorker(std::size_t I);
   /// Kills the agent beside worker \p I and leaves calls of its successor
   /// unanswered.
   void killAgentOf(std::size_t I);
+  /// Worker \p I leaves calls unanswered and is then out of reach for longer
+  /// than a lease.
+  void silenceWorker(std::size_t I);
+  /// Worker \p I leaves calls unanswered, crashes with its agent, and comes
+  /// back under its id, so that late calls reach it.
+  void crashWithAgent(std::size_t I);
   /// Sends a heartbeat or a notice of departure to the agent of worker \p I, as
   /// another writer would.
   void writeToAgent(std::size_t I);
@@ -90,7 +96,8 @@
   void listOddRows(std::size_t I);
   /// Writes odd seeds into the settings of process \p I for a while.
   void writeOddSettings(std::size_t I);
-  /// Kills all control processes for longer than a lease.
+  /// Kills all control processes for longer than a lease, while calls to
+  /// workers are unanswered.
   void loseControl();
   void nextFault();
   /// The disks of control's processes are full one after another, never two at
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -75,7 +75,7 @@
       {.Refuses_ = I < Workers_.size() && Workers_[I]->isDown()});
 }
 
-void Soak::crashWorker(std::size_t I, Duration Length) {
+void Soak::crashWorker(std::size_t I, Duration Length, bool KeepsId) {
   if (Workers_[I]->isDown())
     return;
   log("worker " + std::to_string(I + 1) + " crashes");
@@ -83,7 +83,7 @@
   healProxy(I);
   Proxies_[I]->reset();
   std::string Name = Workers_[I]->name();
-  if (pick(3) == 0)
+  if (!KeepsId && pick(3) == 0)
     Name = "i-" + std::to_string(I + 1) + "-" + std::to_string(++NewIds_);
   later(Length, [this, I, Name] {
     Workers_[I]->restart(Name);
@@ -114,6 +114,31 @@
         [this, I] { Workers_[I]->leaveUnanswered(between(500, 2500)); });
 }
 
+void Soak::silenceWorker(std::size_t I) {
+  log("calls to worker " + std::to_string(I + 1) + " unanswered, then silence");
+  Workers_[I]->leaveUnanswered(between(1000, 2500));
+  later(between(300, 1500), [this, I] {
+    Proxies_[I]->setHarm({.CutsRequests_ = true, .CutsAnswers_ = true});
+    later(between(5000, 7000), [this, I] { healProxy(I); });
+  });
+}
+
+void Soak::crashWithAgent(std::size_t I) {
+  log("calls to worker " + std::to_string(I + 1) +
+      " unanswered, then a crash with its agent");
+  Workers_[I]->leaveUnanswered(between(1000, 2500));
+  later(between(300, 1500), [this, I] {
+    const FleetOptions &Sizes = Fleet_.options();
+    const std::size_t Agent = Sizes.Controls_ + Sizes.Entries_ + I;
+    crashWorker(I, between(0, 1500), true);
+    if (!Fleet_.isRunning(Agent))
+      return;
+    Fleet_.expectEnd(Agent);
+    Fleet_.signal(Agent, SIGKILL);
+    later(between(300, 2500), [this, Agent] { restart(Agent); });
+  });
+}
+
 void Soak::writeToAgent(std::size_t I) {
   const std::string Own = "/v1/instances/" + Workers_[I]->name();
   const std::string Other = "/v1/instances/i-other";
@@ -178,20 +203,24 @@
 }
 
 void Soak::loseControl() {
-  log("all control processes killed");
-  for (std::size_t I = 0; I < Fleet_.options().Controls_; ++I) {
-    if (!Fleet_.isRunning(I))
-      continue;
-    Fleet_.expectEnd(I);
-    Fleet_.signal(I, SIGKILL);
-    later(between(5000, 6500), [this, I] { restart(I); });
-  }
+  log("calls to workers unanswered, then all control processes killed");
+  for (const auto &Worker : Workers_)
+    Worker->leaveUnanswered(between(1000, 6500));
+  later(between(300, 900), [this] {
+    for (std::size_t I = 0; I < Fleet_.options().Controls_; ++I) {
+      if (!Fleet_.isRunning(I))
+        continue;
+      Fleet_.expectEnd(I);
+      Fleet_.signal(I, SIGKILL);
+      later(between(5000, 6500), [this, I] { restart(I); });
+    }
+  });
 }
 
 void Soak::nextFault() {
   if (!Faulting_)
     return;
-  const std::size_t Kind = pick(17);
+  const std::size_t Kind = pick(21);
   if (Kind < 5)
     strikeProcess();
   else if (Kind < 9)
@@ -206,6 +235,10 @@
     sendOddBodies();
   else if (Kind < 16)
     shrinkWorker(pick(Workers_.size()));
+  else if (Kind < 18)
+    silenceWorker(pick(Workers_.size()));
+  else if (Kind < 20)
+    crashWithAgent(pick(Workers_.size()));
   else if (pick(2) == 0)
     listOddRows(pick(Workers_.size()));
   else
--- a/tests/soak/StandInWorker.cpp
+++ b/tests/soak/StandInWorker.cpp
@@ -26,7 +26,7 @@
 constexpr std::size_t MaxListedEnds = 500;
 /// A call without an answer may be carried out so much later.
 constexpr Duration LateTime = milliseconds(2000);
-constexpr std::uint64_t LateSpreadMs = 2000;
+constexpr std::uint64_t LateSpreadMs = 10000;
 /// A deadly task crashes its worker within so many milliseconds.
 constexpr std::uint64_t DeadlyMs = 10;
 /// A capacity that has shrunk counts 3 s and one heartbeat later.
@@ -183,10 +183,14 @@
     }
     // By then the caller has given the call up.
     Late_.push_back(
-        Loop_.after(LateTime + milliseconds(Random_() % LateSpreadMs),
-                    [this, Request, To, Born = Born_] {
-                      if (Born == Born_)
-                        carryOut(Request, To);
+        Loop_.after(LateTime + milliseconds(Random_() % (LateSpreadMs + 1)),
+                    [this, Request, To, Name = Options_.Name_, Born = Born_] {
+                      // Another instance would refuse it.
+                      if (IsDown_ || Name != Options_.Name_)
+                        return;
+                      if (Born != Born_)
+                        Options_.OnEarlierCall_(Request.Target_);
+                      carryOut(Request, To);
                     }));
   }
 
--- a/tests/soak/StandInWorker.h
+++ b/tests/soak/StandInWorker.h
@@ -33,6 +33,8 @@
   std::uint64_t Seed_ = 1;
   /// A deadly task crashes the worker.
   std::function<void()> OnDeadly_;
+  /// A call of an earlier life under the same id is about to be carried out.
+  std::function<void(const std::string &Target)> OnEarlierCall_;
 };
 
 /// Runs tasks for as long as their job's plan says, under leases and fences.
@@ -52,7 +54,7 @@
   /// Announces another capacity from the next heartbeat on.
   void setCapacity(std::int64_t MilliProcessors);
   /// Leaves half of the calls of the next \p Time unanswered, and carries them
-  /// out 2 to 4 s later.
+  /// out 2 to 12 s later, also in the next life under the same id.
   void leaveUnanswered(Duration Time);
   /// Adds an odd entry to each list that it answers, or stops to.
   void setOddRows(bool Odd);
