Suspect no start of a crash that a confirmed stop has settled

Cause: a start without an answer counts as a suspect of a later crash of its worker, also after the worker has confirmed a stop of it, from when on it cannot begin.

Change: such a run is no suspect.

Evidence: 'a start that was stopped before it was listed is no suspect' failed before.

--- a/src/agent/RunBook.cpp
+++ b/src/agent/RunBook.cpp
@@ -296,7 +296,9 @@
 bool RunBook::mayHaveBegun(const Row &Each) {
   const bool WasSent = Each.Phase_ == RunPhase::Starting &&
                        !Each.ConfirmedAt_ && Each.Tries_ > 0;
-  return Each.StartedAt_ || Each.MayAppear_ || WasSent;
+  const bool IsSettled =
+      Each.Phase_ == RunPhase::Stopping && Each.ConfirmedAt_.has_value();
+  return Each.StartedAt_ || (Each.MayAppear_ && !IsSettled) || WasSent;
 }
 
 bool RunBook::isUnsettled(const Row &Each) {
--- a/tests/agent/RunBookTest.cpp
+++ b/tests/agent/RunBookTest.cpp
@@ -337,6 +337,19 @@
   CHECK(Book.endReports().front().How_ == RunEnd::Finished);
 }
 
+// Guards against failed jobs: a start that a confirmed stop has settled cannot
+// crash its worker any more.
+TEST_CASE("a start that was stopped before it was listed is no suspect",
+          "[agent][runs]") {
+  RunBook Book = ordered(run(1));
+  Book.startAnswered(Start, run(1), StartStatus::NoAnswer);
+  Book.stop(Start, run(1));
+  CHECK(Book.unprovenRuns().size() == 1);
+  REQUIRE(Book.takeDueCalls(Start, true).size() == 1);
+  Book.stopAnswered(Start, run(1), true);
+  CHECK(Book.unprovenRuns().empty());
+}
+
 // Guards against failed jobs: a run that has lapsed cannot crash its worker.
 TEST_CASE("a lapsed start waits for its stop and is no suspect",
           "[agent][runs]") {
