Settle the starts of a lapsed lease with a new token where stops get no answer

Cause: lets a worker back to work once each unsettled start has been stopped. With many such starts and stops that get no answer either, the slowest of them decides.

Change: after 0.3 s without a full settlement the agent registers anew. The first list under the higher token settles every start that it does not list, as no call with a lower one is carried out any more. Until then the worker's lists are asked for each 0.1 s, and control is told with the report that follows the settlement, not with the next periodic one.

Evidence: 'a worker that answers no stops is back at work under a new token', within 1.5 s.

--- a/include/dragonfly/agent/RunBook.h
+++ b/include/dragonfly/agent/RunBook.h
@@ -97,6 +97,9 @@
   /// \p Answer disproves by a run or another end: an order of an earlier life
   /// can reach the next one.
   void retractEnds(const HoldAnswer &Answer);
+  /// Settles the starts that \p Answer does not list. It answers a call with a
+  /// higher fencing token than any of them, which left at \p SentAt.
+  void settleStarts(TimePoint SentAt, const HoldAnswer &Answer);
   /// What the book knows of the end of a run that has no row.
   enum class EndKnown : std::uint8_t { None, Concluded, Listed };
   /// Returns the listed runs without a row.
--- a/include/dragonfly/agent/WorkerAgent.h
+++ b/include/dragonfly/agent/WorkerAgent.h
@@ -45,6 +45,9 @@
   /// after a call that got no answer.
   Duration RereadDelay_ = std::chrono::milliseconds(100);
   Duration SilentDelay_ = std::chrono::milliseconds(250);
+  /// Time in which stops may settle the starts of a lapsed lease. After it the
+  /// agent registers anew, which takes a round trip through the log.
+  Duration SettleTime_ = std::chrono::milliseconds(300);
   /// Starts are refused where less of the lease is left.
   Duration LeastLease_ = std::chrono::milliseconds(300);
   RunBookOptions Runs_;
--- a/src/agent/RunBook.cpp
+++ b/src/agent/RunBook.cpp
@@ -171,6 +171,18 @@
   });
 }
 
+void RunBook::settleStarts(TimePoint SentAt, const HoldAnswer &Answer) {
+  for (auto &[Run, Each] : Rows_) {
+    if (!isUnsettled(Each) ||
+        std::ranges::find(Answer.Runs_, Run, &ListedRun::Run_) !=
+            Answer.Runs_.end())
+      continue;
+    // As if a stop had been confirmed before the call.
+    beginStop(SentAt, Each);
+    Each.ConfirmedAt_ = SentAt - Duration(1);
+  }
+}
+
 std::vector<RunBook::End>::const_iterator
 RunBook::findEnd(const RunName &Run) const {
   return std::ranges::find(Ends_, Run, [](const End &Each) -> const RunName & {
--- a/src/agent/WorkerAgent.cpp
+++ b/src/agent/WorkerAgent.cpp
@@ -54,6 +54,7 @@
   if (Orders.Session_ != Session_) {
     Session_ = Orders.Session_;
     Fence_ = Orders.Fence_;
+    RenewsToken_ = false;
     Complete_ = false;
     // What runs is told only after a list that was made under this fence.
     Listed_ = false;
@@ -99,6 +100,7 @@
   noteUnsettled(Now);
   if (Silent_ && Lease_.isOver(Now))
     lapse(Now);
+  renewToken(Now);
   if (mayCall() && !HoldOpen_ && Now >= NextHoldAt_)
     hold();
   if (Now - ReportedAt_ >= Options_.ReportPeriod_)
@@ -125,10 +127,22 @@
   const bool Unsettled = !Lease_.isRunning(Now) && Book_.unsettledStarts() > 0;
   if (std::exchange(Unsettled_, Unsettled) == Unsettled)
     return;
-  if (Unsettled)
+  if (Unsettled) {
+    SettleBy_ = Now + Options_.SettleTime_;
     Book_.giveUpStarts(Now);
-  else
+  } else {
     sendReport();
+  }
+}
+
+void WorkerAgent::Impl::renewToken(TimePoint Now) {
+  const bool IsNewToken = Fence_ > StartFence_;
+  if (!Unsettled_ || Silent_ || Session_ == 0 || IsNewToken || RenewsToken_ ||
+      Now < SettleBy_)
+    return;
+  RenewsToken_ = true;
+  Self_ = makeFreshId<Incarnation>();
+  openSession();
 }
 
 void WorkerAgent::Impl::sendReport() {
--- a/src/agent/WorkerAgentCalls.cpp
+++ b/src/agent/WorkerAgentCalls.cpp
@@ -46,6 +46,9 @@
 Duration WorkerAgent::Impl::listWait() const {
   if (Book_.rows().empty())
     return Options_.IdleWait_;
+  // The first list under a new token waits for the open one.
+  if (Unsettled_)
+    return Options_.RereadDelay_;
   return Book_.unprovenRuns().empty()
              ? Options_.BusyWait_
              : std::min(Options_.BusyWait_, Options_.Runs_.ProofTime_);
@@ -86,7 +89,10 @@
   Lease_.clockRead(Now, Answer.Clock_);
   handleUnexpectedRuns(Now, Answer, Fence == Fence_ && Session == Session_);
   Book_.retractEnds(Answer);
+  if (Fence == Fence_ && Fence > StartFence_)
+    Book_.settleStarts(SentAt, Answer);
   Book_.listed(Now, SentAt, Answer);
+  noteUnsettled(Now);
   for (const auto &[Run, Order] : Known_)
     Book_.describe(Order);
   if (Fence == Fence_ && Session == Session_) {
@@ -126,6 +132,7 @@
   if (std::exchange(Silent_, Silent) == Silent)
     return;
   Suspects_ = Silent ? Book_.unprovenRuns() : std::vector<jobs::RunName>();
+  SettleBy_ = Clock::now() + Options_.SettleTime_;
   logEvent(Silent ? Event::WorkerSilent : Event::WorkerAnswers,
            {{"worker", Worker_.Worker_}, {"runs", Book_.rows().size()}});
   sendReport();
@@ -150,6 +157,7 @@
 
 void WorkerAgent::Impl::callStart(const jobs::RunName &Run) {
   const wire::StartOrder &Order = Book_.rows().at(Run).Order_;
+  StartFence_ = Fence_;
   Options_.Calls_.Start_(
       Worker_.Worker_,
       {.Run_ = Run,
@@ -187,6 +195,7 @@
 }
 
 void WorkerAgent::Impl::afterAnswer() {
+  noteUnsettled(Clock::now());
   if (Book_.pendingEnds() > 0)
     sendReport();
   pump();
--- a/src/agent/WorkerAgentIdentity.cpp
+++ b/src/agent/WorkerAgentIdentity.cpp
@@ -202,6 +202,8 @@
   Lease_ = WorkerLease(Options_.Lease_, ProcessStart_);
   Silent_ = false;
   Unsettled_ = false;
+  StartFence_ = 0;
+  RenewsToken_ = false;
   Suspects_.clear();
   HoldOpen_ = false;
   Session_ = 0;
--- a/src/agent/WorkerAgentImpl.h
+++ b/src/agent/WorkerAgentImpl.h
@@ -98,6 +98,9 @@
   /// lease would apply to an old start that is carried out late, so that none
   /// is granted before all starts are settled.
   void noteUnsettled(TimePoint Now);
+  /// Registers anew where stops get no answer: the first list under a higher
+  /// token settles every start at once.
+  void renewToken(TimePoint Now);
   void lapse(TimePoint Now);
   void hold();
   /// How long the worker may hold back its next list.
@@ -164,6 +167,11 @@
   bool Silent_ = false;
   /// The lease has run out, and starts may still be carried out.
   bool Unsettled_ = false;
+  /// Stops have until then to settle them.
+  TimePoint SettleBy_;
+  /// The token of the newest start.
+  std::uint64_t StartFence_ = 0;
+  bool RenewsToken_ = false;
   /// The worker has said that it ends.
   bool Departed_ = false;
   /// Unproven runs when the worker fell silent, without those of which it has
--- a/tests/agent/LateOrderTest.cpp
+++ b/tests/agent/LateOrderTest.cpp
@@ -57,6 +57,31 @@
   CHECK(On.Worker_->isRunning(makeRun(8)));
 }
 
+// Guards against idle workers: stops that get no answer must not hold up a
+// worker that answers lists.
+TEST_CASE("a worker that answers no stops is back at work under a new token",
+          "[agent][worker][late]") {
+  AgentFixture On;
+  On.startRuns(1);
+  orderLateStart(On, seconds(9));
+  On.Worker_->setSilent(true);
+  REQUIRE(On.runUntil([&] { return isToldEnded(On, Late); }, seconds(8)));
+  On.Worker_->setSilent(false);
+  const auto Took = On.runUntil(
+      [&] { return !On.Leader_->Reports_.back().Silent_; }, seconds(5));
+  REQUIRE(Took);
+  // At most 0.8 s for an open call, a pause of 0.25 s, 0.3 s for stops, 0.1 s
+  // for the open list, and a tick.
+  CHECK(*Took <= milliseconds(1500));
+  CHECK(On.Leader_->Hellos_.size() == 2);
+  On.Worker_->setOrderDelay({});
+  requireBackToWork(On, makeRun(8));
+  On.run(seconds(8));
+  CHECK(On.Worker_->starts(Late) == 0);
+  CHECK(On.Worker_->isRunning(makeRun(8)));
+  CHECK(On.Leader_->Hellos_.size() == 2);
+}
+
 // Guards against two runs of one task: control took the lease for expired while
 // it did not hear of the agent, and the agent renewed it before an earlier
 // start was settled.
