Fence earlier calls off from a worker's next life before it has a session

What callers could see: a task runs in two places after its worker has crashed and is back under its id, until control has registered the new life: some milliseconds, or seconds while control is away.

Cause: a new life knows no fencing token. Calls to the life before that are carried out late begin there until the first call of the new session, which waits for a hello through the log.

Change: once the new life has answered as the announced one, its agent calls it with the next higher token at once. The token of the new session is no lower. The call grants no lease and lets no end be forgotten.

Evidence: 'a next life without a session carries out no earlier start' failed before (there control is away). The time from a worker's birth to its agent's first call remains. The way back is unchanged: within 100 ms of the announcement in 'a worker that answers in place of the one before it is taken at once'. Ruled out: a higher token in the probe, since a foreign announcement of a later life would then end the session of a sound worker.

--- a/src/agent/WorkerAgentCalls.cpp
+++ b/src/agent/WorkerAgentCalls.cpp
@@ -21,7 +21,7 @@
 void WorkerAgent::Impl::hold() {
   HoldOpen_ = true;
   const TimePoint SentAt = Clock::now();
-  const bool Prompt = Book_.pendingEnds() > 0 || !ListedAll_;
+  const bool Prompt = Book_.pendingEnds() > 0 || !ListedAll_ || isFencedOff();
   const HoldCall Call{
       .Fence_ = Fence_,
       // After silence another life may answer, with ends of its own.
@@ -99,7 +99,10 @@
     Listed_ = true;
     ListedAll_ = ListedAll_ || !Answer.Truncated_;
   }
-  NextHoldAt_ = Book_.pendingEnds() > 0 ? Now + Options_.RereadDelay_ : Now;
+  const bool Pauses = Book_.pendingEnds() > 0 || isFencedOff();
+  // A session that has begun meanwhile waits for its first list.
+  NextHoldAt_ =
+      Pauses && Session == Session_ ? Now + Options_.RereadDelay_ : Now;
   if (Book_.pendingEnds() > 0 || !Complete_)
     sendReport();
   controlSpeed(Now);
--- a/src/agent/WorkerAgentIdentity.cpp
+++ b/src/agent/WorkerAgentIdentity.cpp
@@ -195,6 +195,7 @@
   // What an announcement that never was confirmed left behind is not true of
   // any worker.
   const bool WasHere = std::exchange(Confirmed_, false);
+  const std::uint64_t Token = std::exchange(Fence_, 0);
   if (WasHere)
     Book_.beginLife();
   else
@@ -207,7 +208,6 @@
   Suspects_.clear();
   HoldOpen_ = false;
   Session_ = 0;
-  Fence_ = 0;
   Complete_ = false;
   Departed_ = false;
   Disputed_.reset();
@@ -221,6 +221,14 @@
                                   .Agent_ = Self_},
                  Options_.ReportTimeout_, [](const link::LeaderResult &) {});
   openSession();
+  if (WasHere && Token != 0 && Before.Worker_ == Worker_.Worker_)
+    fenceOff(Token);
+}
+
+void WorkerAgent::Impl::fenceOff(std::uint64_t Token) {
+  // The token of the next session is no lower.
+  Fence_ = Token + 1;
+  hold();
 }
 
 void WorkerAgent::Impl::noteCrash(const WorkerAnnouncement &Crashed) {
--- a/src/agent/WorkerAgentImpl.h
+++ b/src/agent/WorkerAgentImpl.h
@@ -80,6 +80,11 @@
   /// The worker ends once it has its answer, or some seconds later: until its
   /// lease is over, its runs may go on.
   void departed(const std::string &Worker);
+  /// Keeps calls with \p Token, which were made to the life before under the
+  /// same id, from being carried out by this one while it has no session.
+  void fenceOff(std::uint64_t Token);
+  /// Whether the worker is only fenced off from earlier calls.
+  bool isFencedOff() const { return Session_ == 0 && Fence_ > StartFence_; }
   /// Notes that the worker \p Crashed has been replaced without notice.
   void noteCrash(const WorkerAnnouncement &Crashed);
   /// Tells control of the oldest crash that it has not recorded.
--- a/tests/agent/LateOrderTest.cpp
+++ b/tests/agent/LateOrderTest.cpp
@@ -146,6 +146,29 @@
   CHECK(*Took <= milliseconds(100));
 }
 
+// Guards against two runs of one task: until control had registered a worker's
+// next life, that life carried out late starts of the one before.
+TEST_CASE("a next life without a session carries out no earlier start",
+          "[agent][worker][late]") {
+  AgentFixture On;
+  On.startRuns(1);
+  orderLateStart(On, milliseconds(1500));
+  On.Leader_->setSilent(true);
+  On.run(milliseconds(500));
+  On.restartWorker("w1", 20);
+  On.run(seconds(3));
+  CHECK(On.Worker_->starts(Late) == 0);
+  On.Leader_->setSilent(false);
+  On.Worker_->setOrderDelay({});
+  REQUIRE(On.runUntil(
+      [&] {
+        return On.Leader_->isReconciled("w1") &&
+               On.Leader_->Hellos_.back().Born_ == 20;
+      },
+      seconds(3)));
+  requireBackToWork(On, makeRun(8));
+}
+
 // Guards against workers that are never removed: a start without an answer is
 // settled by no stop once its worker has left.
 TEST_CASE("a worker that leaves with an unsettled start is reported as gone",
