--- a/include/dragonfly/base/Event.h
+++ b/include/dragonfly/base/Event.h
@@ -60,6 +60,7 @@
   CrashSuspected = 3028,
   ReplicaAddressRejected = 3029,
   WorkerContested = 3030,
+  ReplicaUnheard = 3031,
   // consensus
   LeaderElected = 4001,
   LeaderLost = 4002,
--- a/include/dragonfly/net/FrameClient.h
+++ b/include/dragonfly/net/FrameClient.h
@@ -67,6 +67,8 @@
 
   bool connected() const;
   std::size_t pendingCalls() const;
+  /// Bytes queued to the peer that it has not taken yet.
+  std::size_t queuedBytes() const;
   /// Answers that came after their call had ended, and were dropped.
   std::uint64_t lateAnswers() const;
 
--- a/src/base/Event.cpp
+++ b/src/base/Event.cpp
@@ -111,6 +111,9 @@
     {Event::WorkerContested, Severity::Warning, "worker-contested",
      "An agent on another VM announced a worker that is at work; it was "
      "refused."},
+    {Event::ReplicaUnheard, Severity::Info, "replica-unheard",
+     "Messages leave for a replica on an open link, and none has come from it "
+     "since."},
     {Event::LeaderElected, Severity::Info, "leader-elected",
      "This replica leads the replicated log in a new term."},
     {Event::LeaderLost, Severity::Warning, "leader-lost",
--- a/src/control/PeerLinks.cpp
+++ b/src/control/PeerLinks.cpp
@@ -5,15 +5,40 @@
 #include "dragonfly/net/NetError.h"
 
 namespace dragonfly::control {
+namespace {
+
+/// A leader sends a heartbeat each 100 ms and gets an answer to each.
+constexpr Duration AnswerTime = std::chrono::milliseconds(200);
+
+} // namespace
 
 void PeerLinks::send(ReplicaId To, const wire::Message &Value) {
-  if (net::FrameClient *Client = linkTo(To))
-    Client->send(Value);
+  net::FrameClient *Client = linkTo(To);
+  if (Client == nullptr)
+    return;
+  Client->send(Value);
+  noteSent(To, Links_[To]);
+}
+
+void PeerLinks::noteSent(ReplicaId To, Link &Row) {
+  const TimePoint Now = Clock::now();
+  if (!Row.UnansweredSince_)
+    Row.UnansweredSince_ = Now;
+  if (!Row.Client_->connected() || Now - *Row.UnansweredSince_ < AnswerTime ||
+      Now - Row.DoubtedAt_ < AnswerTime)
+    return;
+  Row.DoubtedAt_ = Now;
+  logEvent(Event::ReplicaUnheard,
+           {{"replica", To.Value_},
+            {"silent_ms", static_cast<std::uint64_t>(
+                              toMilliseconds(Now - *Row.UnansweredSince_))},
+            {"queued_bytes", Row.Client_->queuedBytes()}});
 }
 
 void PeerLinks::heardFrom(ReplicaId From) {
   if (!Links_.contains(From))
     return;
+  Links_[From].UnansweredSince_.reset();
   if (net::FrameClient *Client = linkTo(From))
     Client->reconnectNow();
 }
--- a/src/control/PeerLinks.h
+++ b/src/control/PeerLinks.h
@@ -3,6 +3,7 @@
 #ifndef DRAGONFLY_SRC_CONTROL_PEERLINKS_H
 #define DRAGONFLY_SRC_CONTROL_PEERLINKS_H
 
+#include "dragonfly/base/Clock.h"
 #include "dragonfly/base/Ids.h"
 #include "dragonfly/net/FrameClient.h"
 #include "dragonfly/wire/Messages.h"
@@ -10,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -45,11 +47,16 @@
     std::unique_ptr<net::FrameClient> Client_;
     /// The data folder that the replica announced last.
     StoreId Store_;
+    /// When the first message left to which none has come back.
+    std::optional<TimePoint> UnansweredSince_;
+    TimePoint DoubtedAt_;
   };
 
   /// Returns the link to the newest address of \p To, or null.
   net::FrameClient *linkTo(ReplicaId To);
   void connect(ReplicaId To, Link &Row) const;
+  /// Notes that a message leaves for \p To, and whether it answers at all.
+  static void noteSent(ReplicaId To, Link &Row);
 
   net::EventLoop &Loop_;
   Incarnation Self_;
--- a/src/net/FrameClient.cpp
+++ b/src/net/FrameClient.cpp
@@ -301,6 +301,10 @@
 
 std::size_t FrameClient::pendingCalls() const { return Impl_->Calls_.size(); }
 
+std::size_t FrameClient::queuedBytes() const {
+  return Impl_->Stream_ ? Impl_->Stream_->queuedBytes() : 0;
+}
+
 std::uint64_t FrameClient::lateAnswers() const { return Impl_->LateAnswers_; }
 
 } // namespace dragonfly::net
