Replace connections between processes that have gone silent

Cause: open connections went silent for good without a reset. What replicas send to each other are frames without an answer, and nothing noticed that they no longer arrived; votes did not arrive either, so that the group had no leader from then on. A call noticed silence only at the end of its timeout, and not at all where parts still came. Change: decide::SilenceCheck. An answer that is 200 ms overdue causes a probe, which the peer's stream answers by itself; without an answer to it a second connection is opened and probed, and only if the peer answers there and 200 ms later still not on the first one is the first one replaced. So a frozen or slow peer keeps its connection, as does one that was frozen itself. Calls on a silent connection end as lost or never sent. Replicas notice that nothing comes from one to which messages leave, and tell it. Idle connections are not probed: a client closes one after 20 s and opens it when it is needed. Ruled out: kernel keep-alive with TCP_USER_TIMEOUT, which takes a peer with a full receive window for a silent one, ends at the next relay and cannot be tested on the paused clock; periodic probes, which would add traffic to idle links.

--- a/include/dragonfly/base/Event.h
+++ b/include/dragonfly/base/Event.h
@@ -92,6 +92,7 @@
   FrameRejected = 6003,
   LeaderFollowed = 6004,
   MessageRejected = 6005,
+  ConnectionSilent = 6006,
 };
 
 /// One row of the catalogue.
--- a/include/dragonfly/net/FrameClient.h
+++ b/include/dragonfly/net/FrameClient.h
@@ -40,10 +40,17 @@
   Duration MaxBackoff_ = std::chrono::seconds(1);
   /// Bytes queued to the peer beyond which calls end as NeverSent.
   std::size_t MaxQueuedBytes_ = 32U << 20U;
+  /// A connection on which nothing has been sent for so long, and no call is
+  /// open, is closed until it is needed again.
+  Duration IdleTime_ = std::chrono::seconds(20);
+  /// Where false, the owner knows by other ways whether frames without an
+  /// answer arrive, and calls `verify()`.
+  bool VerifiesOneWay_ = true;
 };
 
 /// Calls to one peer. Each call's handler runs exactly once, never from
-/// within `call()`.
+/// within `call()`. A connection that has gone silent while the peer runs is
+/// replaced by a new one; a frozen or slow peer keeps its connection.
 class FrameClient {
 public:
   using Handler = std::function<void(CallResult)>;
@@ -57,9 +64,12 @@
   /// which restarts the timeout.
   void call(const wire::Message &Request, Duration Timeout, Handler OnEnd,
             PartHandler OnPart = {});
-  /// Sends a frame that has no answer, if the connection is open.
+  /// Sends a frame that has no answer, if the connection is open or idle.
   void send(const wire::Message &Value);
 
+  /// Finds out whether the connection still works, unless that is being done.
+  void verify();
+
   /// Connects without waiting for the backoff, as the peer is known to be up.
   /// However often it is called, attempts begin at least MinBackoff_ apart. An
   /// open connection stays.
--- a/include/dragonfly/wire/Frame.h
+++ b/include/dragonfly/wire/Frame.h
@@ -29,9 +29,16 @@
   Request,
   Part,   ///< One of several answers; more follow.
   Answer, ///< The last or only answer.
-  OneWay
+  OneWay,
+  Probe,      ///< Asks the peer to answer at once; carries no message.
+  ProbeAnswer ///< Answers the probe with the same sequence number.
 };
 
+/// Whether frames of this kind are without a message.
+constexpr bool isProbe(FrameKind Kind) {
+  return Kind == FrameKind::Probe || Kind == FrameKind::ProbeAnswer;
+}
+
 struct Frame {
   FrameKind Kind_ = FrameKind::OneWay;
   Incarnation Sender_;
--- a/include/dragonfly/wire/Messages.h
+++ b/include/dragonfly/wire/Messages.h
@@ -335,6 +335,11 @@
   std::string Bytes_;
 };
 
+/// Tells a replica that nothing comes from it although messages leave for it.
+struct ReplicaUnheard {
+  ReplicaId From_;
+};
+
 /// Answers any request that could not be served, with nothing done.
 struct Refusal {
   Reason Reason_ = Reason::None;
@@ -344,15 +349,17 @@
 
 /// Every message; the position of a type is its number on the wire, so new
 /// types go at the end.
-using Message = std::variant<
-    Execute, ExecutePart, ExecuteResult, CancelExecute, Heartbeat, HeartbeatAck,
-    FetchLists, Lists, FetchUpstreams, Upstreams, Claim, ClaimReply,
-    ReceiptBatch, ReceiptAck, SubmitTask, QueryTask, CancelTask, TaskReply,
-    FetchDirectives, Directives, TaskReports, TaskReportsAck, ReplicaTraffic,
-    Refusal, SubmitJob, JobRequest, JobReply, QueueDepthRequest, QueueDepth,
-    PutConfiguration, PutConfigurationAck, FetchConfiguration,
-    CurrentConfiguration, WorkerHello, WorkerOrders, WorkerReport,
-    WorkerReportAck, WorkerGone, JoinGroup, FetchGroup, Group, WorkerCrashed>;
+using Message =
+    std::variant<Execute, ExecutePart, ExecuteResult, CancelExecute, Heartbeat,
+                 HeartbeatAck, FetchLists, Lists, FetchUpstreams, Upstreams,
+                 Claim, ClaimReply, ReceiptBatch, ReceiptAck, SubmitTask,
+                 QueryTask, CancelTask, TaskReply, FetchDirectives, Directives,
+                 TaskReports, TaskReportsAck, ReplicaTraffic, Refusal,
+                 SubmitJob, JobRequest, JobReply, QueueDepthRequest, QueueDepth,
+                 PutConfiguration, PutConfigurationAck, FetchConfiguration,
+                 CurrentConfiguration, WorkerHello, WorkerOrders, WorkerReport,
+                 WorkerReportAck, WorkerGone, JoinGroup, FetchGroup, Group,
+                 WorkerCrashed, ReplicaUnheard>;
 
 } // namespace dragonfly::wire
 
--- a/src/base/Event.cpp
+++ b/src/base/Event.cpp
@@ -176,6 +176,9 @@
      "Calls go to another replica, which leads or knows who does."},
     {Event::MessageRejected, Severity::Warning, "message-rejected",
      "A body of another system could not be read; it had no effect."},
+    {Event::ConnectionSilent, Severity::Warning, "connection-silent",
+     "Nothing passes on a connection although the peer answers on a new one, "
+     "which takes its place; calls that were open on it have ended."},
 });
 
 } // namespace
--- a/src/control/Control.cpp
+++ b/src/control/Control.cpp
@@ -106,7 +106,7 @@
         Self_(makeFreshId<Incarnation>()),
         Listen_(net::Endpoint::make(selfOf(Settings).Address_)),
         Addresses_(Settings.Process_.Control_),
-        Peers_(Loop, Self_,
+        Peers_(Loop, Settings.Replica_, Self_,
                [this](ReplicaId Id) {
                  return Addresses_.find(Id, Service_.log().members());
                }),
@@ -194,6 +194,10 @@
       tickSoon();
       return;
     }
+    if (const auto *Doubt = std::get_if<wire::ReplicaUnheard>(&Value)) {
+      Peers_.unheardBy(Doubt->From_);
+      return;
+    }
     if (const auto *Notice = std::get_if<wire::JoinGroup>(&Value))
       Peers_.announcedBy(Notice->Id_, Notice->Store_);
     if (Stopping_) {
--- a/src/control/PeerLinks.cpp
+++ b/src/control/PeerLinks.cpp
@@ -17,22 +17,32 @@
   if (Client == nullptr)
     return;
   Client->send(Value);
-  noteSent(To, Links_[To]);
+  recordSent(To, Links_[To]);
 }
 
-void PeerLinks::noteSent(ReplicaId To, Link &Row) {
+void PeerLinks::recordSent(ReplicaId To, Link &Row) {
   const TimePoint Now = Clock::now();
   if (!Row.UnansweredSince_)
     Row.UnansweredSince_ = Now;
-  if (!Row.Client_->connected() || Now - *Row.UnansweredSince_ < AnswerTime ||
+  const Duration Silent = Now - *Row.UnansweredSince_;
+  if (!Row.Client_->connected() || Silent < AnswerTime ||
       Now - Row.DoubtedAt_ < AnswerTime)
     return;
+  if (Row.DoubtedAt_ < *Row.UnansweredSince_)
+    logEvent(Event::ReplicaUnheard,
+             {{"replica", To.Value_},
+              {"silent_ms", static_cast<std::uint64_t>(toMilliseconds(Silent))},
+              {"queued_bytes", Row.Client_->queuedBytes()}});
   Row.DoubtedAt_ = Now;
-  logEvent(Event::ReplicaUnheard,
-           {{"replica", To.Value_},
-            {"silent_ms", static_cast<std::uint64_t>(
-                              toMilliseconds(Now - *Row.UnansweredSince_))},
-            {"queued_bytes", Row.Client_->queuedBytes()}});
+  Row.Client_->verify();
+  Row.Client_->send(wire::ReplicaUnheard{.From_ = Replica_});
+}
+
+void PeerLinks::unheardBy(ReplicaId By) {
+  if (!Links_.contains(By))
+    return;
+  if (net::FrameClient *Client = linkTo(By))
+    Client->verify();
 }
 
 void PeerLinks::heardFrom(ReplicaId From) {
@@ -64,8 +74,10 @@
 void PeerLinks::connect(ReplicaId To, Link &Row) const {
   try {
     Row.Client_ = std::make_unique<net::FrameClient>(
-        Loop_, net::FrameClientOptions{
-                   .Peer_ = net::Endpoint::make(Row.Address_), .Self_ = Self_});
+        Loop_,
+        net::FrameClientOptions{.Peer_ = net::Endpoint::make(Row.Address_),
+                                .Self_ = Self_,
+                                .VerifiesOneWay_ = false});
   } catch (const net::NetError &) {
     // The link to the last usable address stays.
     logEvent(Event::ReplicaAddressRejected,
--- a/src/control/PeerLinks.h
+++ b/src/control/PeerLinks.h
@@ -1,5 +1,6 @@
 /// The connections of a control replica to the others. What goes over them has
-/// no answers, so that a link never learns from itself that its peer is back.
+/// no answers, so that a link learns from itself neither that its peer is back
+/// nor that it has gone silent.
 #ifndef DRAGONFLY_SRC_CONTROL_PEERLINKS_H
 #define DRAGONFLY_SRC_CONTROL_PEERLINKS_H
 
@@ -26,8 +27,9 @@
   /// Returns the address of a replica, or an empty text.
   using AddressOf = std::function<std::string(ReplicaId)>;
 
-  PeerLinks(net::EventLoop &Loop, Incarnation Self, AddressOf Find)
-      : Loop_(Loop), Self_(Self), Find_(std::move(Find)) {}
+  PeerLinks(net::EventLoop &Loop, ReplicaId Replica, Incarnation Self,
+            AddressOf Find)
+      : Loop_(Loop), Replica_(Replica), Self_(Self), Find_(std::move(Find)) {}
 
   /// Sends \p Value if the link is open. Opens one if there is none, or if the
   /// replica's address has changed.
@@ -35,6 +37,9 @@
   /// Called with each message of \p From: it is up, so that its link, if it is
   /// down, is tried now.
   void heardFrom(ReplicaId From);
+  /// Called where \p By has told that nothing comes from this replica: the link
+  /// to it may be silent although its own messages arrive.
+  void unheardBy(ReplicaId By);
   /// Called with each announcement of \p From. One with another data folder
   /// than before replaces an open link as well: the VM may have lost power
   /// without closing it.
@@ -55,10 +60,13 @@
   /// Returns the link to the newest address of \p To, or null.
   net::FrameClient *linkTo(ReplicaId To);
   void connect(ReplicaId To, Link &Row) const;
-  /// Notes that a message leaves for \p To, and whether it answers at all.
-  static void noteSent(ReplicaId To, Link &Row);
+  /// Notes that a message has left for \p To, and doubts the link where nothing
+  /// has come from it for too long.
+  void recordSent(ReplicaId To, Link &Row);
+  void verifyAll();
 
   net::EventLoop &Loop_;
+  ReplicaId Replica_;
   Incarnation Self_;
   AddressOf Find_;
   std::map<ReplicaId, Link> Links_;
--- a/src/net/FrameClient.cpp
+++ b/src/net/FrameClient.cpp
@@ -1,5 +1,7 @@
 #include "dragonfly/net/FrameClient.h"
 
+#include "dragonfly/base/Log.h"
+#include "dragonfly/decide/SilenceCheck.h"
 #include "dragonfly/net/EventLoop.h"
 #include "net/ClockTimer.h"
 #include "net/FrameStream.h"
@@ -17,14 +19,24 @@
 namespace dragonfly::net {
 
 using boost::asio::ip::tcp;
+using decide::SilenceAction;
+
+namespace {
+
+/// Shortest time between two checks of a connection that carries only frames
+/// without an answer.
+constexpr Duration OneWayCheckPeriod = std::chrono::seconds(1);
+
+} // namespace
 
 struct FrameClient::Impl : std::enable_shared_from_this<FrameClient::Impl> {
-  enum class Link : std::uint8_t { Connecting, Open, BackingOff, Closed };
+  enum class Link : std::uint8_t { Connecting, Open, BackingOff, Idle, Closed };
 
   struct Call {
     Handler OnEnd_;
     PartHandler OnPart_;
     Duration Timeout_{};
+    TimePoint SentAt_;
     /// When it was made, or its newest part arrived.
     TimePoint StartedAt_;
     TimePoint Expiry_;
@@ -34,7 +46,7 @@
   Impl(EventLoop &Loop, FrameClientOptions Options)
       : Context_(Loop.context()), Options_(std::move(Options)),
         Backoff_(Options_.MinBackoff_), Connecting_(Context_),
-        LinkTimer_(Context_), CallTimer_(Context_) {}
+        LinkTimer_(Context_), CallTimer_(Context_), CheckTimer_(Context_) {}
 
   void connect() {
     Link_ = Link::Connecting;
@@ -51,7 +63,8 @@
   }
 
   void reconnectNow() {
-    if (Link_ == Link::Open || Link_ == Link::Closed || Hastened_)
+    if (Link_ == Link::Open || Link_ == Link::Idle || Link_ == Link::Closed ||
+        Hastened_)
       return;
     // An attempt that runs may have begun while the peer was down, when nothing
     // refuses it. The next one runs its full time.
@@ -81,43 +94,216 @@
       return;
     }
     Link_ = Link::Open;
+    use(makeStream(std::move(Connecting_)));
+    for (auto &[Sequence, Bytes] : std::exchange(BeforeOpen_, {}))
+      if (Sequence == 0 || Calls_.contains(Sequence))
+        sendBytes(Sequence, Bytes);
+    armIdle();
+  }
+
+  /// A stream whose events count while it is in use or is the second one.
+  std::shared_ptr<FrameStream> makeStream(tcp::socket Socket) {
+    const auto Slot = std::make_shared<std::weak_ptr<FrameStream>>();
+    // Calls \p Work with this object and the stream, where both still exist.
+    const auto Hook = [Self = weak_from_this(), Slot](auto Work) {
+      return [Self, Slot, Work](auto &&...Values) {
+        const auto Client = Self.lock();
+        if (const auto Stream = Slot->lock(); Client && Stream)
+          Work(*Client, Stream, std::forward<decltype(Values)>(Values)...);
+      };
+    };
+    using StreamPtr = std::shared_ptr<FrameStream>;
+    auto Stream = std::make_shared<FrameStream>(
+        std::move(Socket), Options_.Self_,
+        FrameStream::Hooks{
+            .OnFrame_ = Hook(
+                [](Impl &Client, const StreamPtr &From, wire::Frame Value) {
+                  if (Client.Stream_ == From)
+                    Client.take(std::move(Value));
+                }),
+            .OnClosed_ = Hook([](Impl &Client, const StreamPtr &From) {
+              Client.closed(From);
+            }),
+            .OnWriting_ = Hook([](Impl &Client, const StreamPtr &From) {
+              if (Client.Stream_ == From)
+                Client.markSent();
+            }),
+            .OnProbeAnswer_ = Hook([](Impl &Client, const StreamPtr &From,
+                                      std::uint64_t Sequence) {
+              Client.takeProbeAnswer(From, Sequence);
+            })});
+    *Slot = Stream;
+    Stream->start();
+    return Stream;
+  }
+
+  void use(std::shared_ptr<FrameStream> Opened) {
+    Stream_ = std::move(Opened);
     OpenedAt_ = Clock::now();
-    Stream_ = std::make_shared<FrameStream>(
-        std::move(Connecting_),
-        FrameStream::Hooks{.OnFrame_ =
-                               [Self = weak_from_this()](wire::Frame Value) {
-                                 if (const auto Client = Self.lock())
-                                   Client->take(std::move(Value));
-                               },
-                           .OnClosed_ =
-                               [Self = weak_from_this()] {
-                                 if (const auto Client = Self.lock())
-                                   Client->disconnected();
-                               },
-                           .OnWriting_ =
-                               [Self = weak_from_this()] {
-                                 if (const auto Client = Self.lock())
-                                   Client->markSent();
-                               }});
-    Stream_->start();
-    for (auto &[Sequence, Bytes] : std::exchange(BeforeOpen_, {})) {
-      if (!Calls_.contains(Sequence))
-        continue;
+    LastSentAt_ = OpenedAt_;
+    Check_ = decide::SilenceCheck(OpenedAt_);
+    Probes_.clear();
+  }
+
+  void sendBytes(std::uint64_t Sequence, const std::string &Bytes) {
+    LastSentAt_ = Clock::now();
+    if (const auto It = Calls_.find(Sequence); It != Calls_.end()) {
+      It->second.SentAt_ = LastSentAt_;
       Unsent_.push_back(Sequence);
-      Stream_->write(Bytes);
+      Check_.recordSent(LastSentAt_);
+    }
+    Stream_->write(Bytes);
+    armCheck();
+  }
+
+  void closed(const std::shared_ptr<FrameStream> &From) {
+    if (From == Stream_)
+      disconnected();
+    else if (From == Second_)
+      dropSecond();
+  }
+
+  void dropSecond() {
+    ++SecondAttempt_;
+    if (Second_)
+      Second_->close();
+    Second_.reset();
+  }
+
+  /// Opens a second connection, to learn whether the peer answers there.
+  void openSecond() {
+    dropSecond();
+    const auto Socket = std::make_shared<tcp::socket>(Context_);
+    Socket->async_connect(toAsio<tcp>(Options_.Peer_),
+                          [Self = shared_from_this(), Socket,
+                           Attempt = SecondAttempt_](const auto &Fault) {
+                            if (!Fault && Attempt == Self->SecondAttempt_)
+                              Self->secondConnected(std::move(*Socket));
+                          });
+  }
+
+  void secondConnected(tcp::socket Socket) {
+    Second_ = makeStream(std::move(Socket));
+    sendProbe(*Second_);
+  }
+
+  void sendProbe(FrameStream &To) {
+    const std::uint64_t Sequence = ++LastSequence_;
+    Probes_[Sequence] = Clock::now();
+    To.probe(Sequence);
+  }
+
+  void takeProbeAnswer(const std::shared_ptr<FrameStream> &From,
+                       std::uint64_t Sequence) {
+    const auto Probe = Probes_.find(Sequence);
+    if (Probe == Probes_.end())
+      return;
+    if (From == Second_)
+      perform(Check_.recordSecondAnswer(Clock::now()));
+    else if (From == Stream_)
+      recordAnswer(Probe->second);
+    armCheck();
+  }
+
+  /// Notes the answer to what left at \p SentAt.
+  void recordAnswer(TimePoint SentAt) {
+    Check_.recordAnswer(SentAt);
+    if (Check_.inProgress())
+      return;
+    dropSecond();
+    Probes_.clear();
+  }
+
+  void perform(SilenceAction Due) {
+    switch (Due) {
+    case SilenceAction::None:
+      break;
+    case SilenceAction::Probe:
+      sendProbe(*Stream_);
+      break;
+    case SilenceAction::OpenSecond:
+      openSecond();
+      break;
+    case SilenceAction::Replace:
+      replace();
     }
   }
 
+  void replace() {
+    logEvent(Event::ConnectionSilent,
+             {{"peer", Options_.Peer_.text()},
+              {"calls", Calls_.size()},
+              {"queued_bytes", Stream_->queuedBytes()}});
+    Stream_->close();
+    use(std::exchange(Second_, nullptr));
+    endCalls();
+  }
+
+  /// Keeps the timer at or before the time when the check has something to do.
+  void armCheck() {
+    if (Link_ != Link::Open)
+      return;
+    const TimePoint Due = Check_.due(!Calls_.empty());
+    if (Due == TimePoint::max() || (CheckArmed_ && CheckAt_ <= Due))
+      return;
+    CheckArmed_ = true;
+    CheckAt_ = Due;
+    CheckTimer_.expires_at(Due);
+    CheckTimer_.async_wait([Self = shared_from_this()](const auto &Fault) {
+      if (Fault || Self->Link_ == Link::Closed)
+        return;
+      Self->CheckArmed_ = false;
+      Self->check();
+    });
+  }
+
+  void check() {
+    if (Link_ != Link::Open)
+      return;
+    Check_.recordProgress(Stream_->progressAt());
+    perform(Check_.advance(Clock::now(), !Calls_.empty()));
+    armCheck();
+  }
+
+  void verify() {
+    if (Link_ != Link::Open)
+      return;
+    Check_.suspect(Clock::now());
+    check();
+  }
+
+  void armIdle() {
+    const Duration Left = LastSentAt_ + Options_.IdleTime_ - Clock::now();
+    armLink(Left > Duration::zero() ? Left : Options_.IdleTime_, [this] {
+      const bool Used = Clock::now() - LastSentAt_ < Options_.IdleTime_;
+      if (Used || !Calls_.empty() || Check_.inProgress())
+        armIdle();
+      else
+        becomeIdle();
+    });
+  }
+
+  void becomeIdle() {
+    Stream_->close();
+    Stream_.reset();
+    Link_ = Link::Idle;
+  }
+
   void disconnected() {
     if (Stream_ && Clock::now() - OpenedAt_ >= Options_.MaxBackoff_)
       Backoff_ = Options_.MinBackoff_;
     if (Stream_)
       Stream_->close();
     Stream_.reset();
+    dropSecond();
     Link_ = Link::BackingOff;
     Hastened_ = false;
     armLink(Backoff_, [this] { connect(); });
     Backoff_ = std::min(Backoff_ * 2, Options_.MaxBackoff_);
+    endCalls();
+  }
+
+  void endCalls() {
     BeforeOpen_.clear();
     Unsent_.clear();
     Expiries_.clear();
@@ -149,6 +335,7 @@
     }
     if (Value.Kind_ != wire::FrameKind::Answer)
       return;
+    recordAnswer(It->second.SentAt_);
     finish(Value.Sequence_, {.Status_ = CallStatus::Answered,
                              .Answer_ = std::move(Value.Message_)});
   }
@@ -172,6 +359,8 @@
             PartHandler OnPart) {
     const bool Full =
         Stream_ && Stream_->queuedBytes() > Options_.MaxQueuedBytes_;
+    if (Link_ == Link::Idle)
+      connect();
     if (Link_ == Link::BackingOff || Link_ == Link::Closed || Full) {
       boost::asio::post(Context_, [OnEnd = std::move(OnEnd)] {
         OnEnd({.Status_ = CallStatus::NeverSent});
@@ -192,8 +381,24 @@
       BeforeOpen_.emplace_back(Sequence, std::move(Bytes));
       return;
     }
-    Unsent_.push_back(Sequence);
-    Stream_->write(Bytes);
+    sendBytes(Sequence, Bytes);
+  }
+
+  void send(const wire::Message &Value) {
+    std::string Bytes = encode(wire::FrameKind::OneWay, 0, Value);
+    if (Link_ == Link::Idle) {
+      connect();
+      BeforeOpen_.emplace_back(0, std::move(Bytes));
+      return;
+    }
+    if (!Stream_ || Stream_->queuedBytes() > Options_.MaxQueuedBytes_)
+      return;
+    const TimePoint Now = Clock::now();
+    if (Options_.VerifiesOneWay_ && Now - OneWayCheckAt_ >= OneWayCheckPeriod) {
+      OneWayCheckAt_ = Now;
+      Check_.recordSent(Now);
+    }
+    sendBytes(0, Bytes);
   }
 
   std::string encode(wire::FrameKind Kind, std::uint64_t Sequence,
@@ -241,6 +446,8 @@
     Link_ = Link::Closed;
     LinkTimer_.cancel();
     CallTimer_.cancel();
+    CheckTimer_.cancel();
+    dropSecond();
     boost::system::error_code Ignored;
     Connecting_.close(Ignored);
     if (Stream_)
@@ -264,7 +471,18 @@
   tcp::socket Connecting_;
   ClockTimer LinkTimer_;
   ClockTimer CallTimer_;
+  ClockTimer CheckTimer_;
   std::shared_ptr<FrameStream> Stream_;
+  decide::SilenceCheck Check_{TimePoint()};
+  /// Opened to learn whether the peer answers there.
+  std::shared_ptr<FrameStream> Second_;
+  std::uint64_t SecondAttempt_ = 0;
+  /// When the probes of the check in progress left, by sequence number.
+  std::unordered_map<std::uint64_t, TimePoint> Probes_;
+  bool CheckArmed_ = false;
+  TimePoint CheckAt_;
+  TimePoint OneWayCheckAt_;
+  TimePoint LastSentAt_;
   std::uint64_t LastSequence_ = 0;
   std::uint64_t LateAnswers_ = 0;
   TimePoint LastHeard_;
@@ -289,11 +507,9 @@
   Impl_->call(Request, Timeout, std::move(OnEnd), std::move(OnPart));
 }
 
-void FrameClient::send(const wire::Message &Value) {
-  const auto &Stream = Impl_->Stream_;
-  if (Stream && Stream->queuedBytes() <= Impl_->Options_.MaxQueuedBytes_)
-    Stream->write(Impl_->encode(wire::FrameKind::OneWay, 0, Value));
-}
+void FrameClient::send(const wire::Message &Value) { Impl_->send(Value); }
+
+void FrameClient::verify() { Impl_->verify(); }
 
 void FrameClient::reconnectNow() { Impl_->reconnectNow(); }
 
--- a/src/net/FrameServer.cpp
+++ b/src/net/FrameServer.cpp
@@ -79,7 +79,7 @@
     // The stream owns its hooks; they refer to it weakly.
     auto Slot = std::make_shared<std::weak_ptr<FrameStream>>();
     auto Stream = std::make_shared<FrameStream>(
-        std::move(Socket),
+        std::move(Socket), Options_.Self_,
         FrameStream::Hooks{
             .OnFrame_ =
                 [Self = weak_from_this(), Slot](wire::Frame Value) {
@@ -92,7 +92,8 @@
                   if (const auto Server = Self.lock())
                     Server->Streams_.erase(Slot->lock());
                 },
-            .OnWriting_ = {}});
+            .OnWriting_ = {},
+            .OnProbeAnswer_ = {}});
     *Slot = Stream;
     Streams_.insert(Stream);
     logEvent(Event::ConnectionOpened);
--- a/src/net/FrameStream.cpp
+++ b/src/net/FrameStream.cpp
@@ -9,8 +9,9 @@
 
 namespace dragonfly::net {
 
-FrameStream::FrameStream(boost::asio::ip::tcp::socket Socket, Hooks Handlers)
-    : Socket_(std::move(Socket)), Hooks_(std::move(Handlers)) {
+FrameStream::FrameStream(boost::asio::ip::tcp::socket Socket, Incarnation Self,
+                         Hooks Handlers)
+    : Socket_(std::move(Socket)), Self_(Self), Hooks_(std::move(Handlers)) {
   tuneStream(Socket_);
 }
 
@@ -24,6 +25,17 @@
     flush();
 }
 
+void FrameStream::probe(std::uint64_t Sequence) {
+  sendProbe(wire::FrameKind::Probe, Sequence);
+}
+
+void FrameStream::sendProbe(wire::FrameKind Kind, std::uint64_t Sequence) {
+  write(wire::encodeFrame({.Kind_ = Kind,
+                           .Sender_ = Self_,
+                           .Sequence_ = Sequence,
+                           .Message_ = {}}));
+}
+
 void FrameStream::close() {
   Open_ = false;
   boost::system::error_code Ignored;
@@ -49,7 +61,7 @@
     while (auto Value = Reader_.next()) {
       if (!checkSender(*Value))
         return;
-      Hooks_.OnFrame_(std::move(*Value));
+      takeFrame(std::move(*Value));
       if (!Open_)
         return;
     }
@@ -61,6 +73,15 @@
   read();
 }
 
+void FrameStream::takeFrame(wire::Frame Value) {
+  if (Value.Kind_ == wire::FrameKind::Probe)
+    sendProbe(wire::FrameKind::ProbeAnswer, Value.Sequence_);
+  else if (Value.Kind_ != wire::FrameKind::ProbeAnswer)
+    Hooks_.OnFrame_(std::move(Value));
+  else if (Hooks_.OnProbeAnswer_)
+    Hooks_.OnProbeAnswer_(Value.Sequence_);
+}
+
 /// All frames of one connection come from one incarnation of the peer.
 bool FrameStream::checkSender(const wire::Frame &Value) {
   if (!Peer_)
@@ -78,6 +99,9 @@
     Hooks_.OnWriting_();
   boost::asio::async_write(
       Socket_, boost::asio::buffer(Writing_),
+      [Self = shared_from_this()](const auto &Fault, std::size_t Taken) {
+        return Fault ? 0 : Self->bytesToWrite(Taken);
+      },
       [Self = shared_from_this()](const auto &Fault, std::size_t) {
         Self->Writing_.clear();
         if (!Self->Open_)
@@ -89,6 +113,13 @@
       });
 }
 
+std::size_t FrameStream::bytesToWrite(std::size_t Taken) {
+  const std::size_t Left = Writing_.size() - Taken;
+  if (Taken > 0 && Left > 0)
+    ProgressAt_ = Clock::now();
+  return Left;
+}
+
 void FrameStream::fail() {
   close();
   if (const auto Handler = std::exchange(Hooks_.OnClosed_, nullptr))
--- a/src/net/FrameStream.h
+++ b/src/net/FrameStream.h
@@ -2,15 +2,18 @@
 #ifndef DRAGONFLY_SRC_NET_FRAMESTREAM_H
 #define DRAGONFLY_SRC_NET_FRAMESTREAM_H
 
+#include "dragonfly/base/Clock.h"
 #include "dragonfly/wire/Frame.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace dragonfly::net {
 
@@ -24,33 +27,46 @@
     std::function<void()> OnClosed_;
     /// Called as queued bytes are handed to the socket.
     std::function<void()> OnWriting_;
+    /// Called with the sequence number of a probe that the peer has answered.
+    std::function<void(std::uint64_t)> OnProbeAnswer_;
   };
 
-  FrameStream(boost::asio::ip::tcp::socket Socket, Hooks Handlers);
+  FrameStream(boost::asio::ip::tcp::socket Socket, Incarnation Self,
+              Hooks Handlers);
 
   void start();
   /// Queues the bytes of a frame.
   void write(const std::string &Bytes);
+  /// Asks the peer's stream to answer at once, whatever its owner does.
+  void probe(std::uint64_t Sequence);
   /// Closes without calling OnClosed_.
   void close();
   bool open() const { return Open_; }
   std::size_t queuedBytes() const { return Waiting_.size() + Writing_.size(); }
+  /// When the socket last took bytes and had no room for those behind them.
+  TimePoint progressAt() const { return ProgressAt_; }
 
 private:
   void read();
   void flush();
+  /// Returns how much of what is being written is left.
+  std::size_t bytesToWrite(std::size_t Taken);
   void take(std::size_t Size);
+  void takeFrame(wire::Frame Value);
+  void sendProbe(wire::FrameKind Kind, std::uint64_t Sequence);
   void fail();
   bool checkSender(const wire::Frame &Value);
 
   static constexpr std::size_t ReadBytes = 64U << 10U;
 
   boost::asio::ip::tcp::socket Socket_;
+  Incarnation Self_;
   Hooks Hooks_;
   wire::FrameReader Reader_;
   Incarnation Peer_;
   std::string Waiting_;
   std::string Writing_;
+  TimePoint ProgressAt_;
   bool Open_ = true;
   std::array<char, ReadBytes> Buffer_{};
 };
--- a/src/wire/Frame.cpp
+++ b/src/wire/Frame.cpp
@@ -82,21 +82,26 @@
   if (checksum(Header, Payload) != Header.Checksum_)
     throw FrameError(FrameFault::BadChecksum,
                      "frame " + std::to_string(Header.Sequence_));
-  if (Header.Kind_ > FrameKind::OneWay)
+  if (Header.Kind_ > FrameKind::ProbeAnswer)
     throw FrameError(FrameFault::BadPayload, "frame kind");
+  if (isProbe(Header.Kind_) && !Payload.empty())
+    throw FrameError(FrameFault::BadPayload, "probe with a message");
   return {.Kind_ = Header.Kind_,
           .Sender_ = {Header.Sender_},
           .Sequence_ = Header.Sequence_,
-          .Message_ = decodePayload(Payload)};
+          .Message_ =
+              isProbe(Header.Kind_) ? Message{} : decodePayload(Payload)};
 }
 
 } // namespace
 
 std::string encodeFrame(const Frame &Value) {
   std::string Bytes(HeaderBytes, '\0');
-  OutputArchive Out(Bytes);
-  Out.number(Value.Message_.index());
-  std::visit([&Out](const auto &Row) { Out(Row); }, Value.Message_);
+  if (!isProbe(Value.Kind_)) {
+    OutputArchive Out(Bytes);
+    Out.number(Value.Message_.index());
+    std::visit([&Out](const auto &Row) { Out(Row); }, Value.Message_);
+  }
   const std::string_view Payload = std::string_view(Bytes).substr(HeaderBytes);
   if (Payload.size() > MaxPayloadBytes)
     throw FrameError(FrameFault::TooLarge,
--- a/src/wire/Serialize.h
+++ b/src/wire/Serialize.h
@@ -158,6 +158,10 @@
   Ar(Row.From_, Row.Bytes_);
 }
 
+template <typename Archive> void serialize(Archive &Ar, ReplicaUnheard &Row) {
+  Ar(Row.From_);
+}
+
 template <typename Archive> void serialize(Archive &Ar, Refusal &Row) {
   Ar(Row.Reason_, Row.Leader_);
 }
--- a/tests/control/PeerLinksTest.cpp
+++ b/tests/control/PeerLinksTest.cpp
@@ -3,6 +3,9 @@
 
 #include "dragonfly/net/EventLoop.h"
 #include "dragonfly/net/FrameServer.h"
+#include "dragonfly/wire/Frame.h"
+#include "net/PausedLoop.h"
+#include "net/SilentRelay.h"
 
 #include <catch2/catch.hpp>
 
@@ -13,6 +16,7 @@
 namespace {
 
 constexpr ReplicaId Peer{2};
+const net::Endpoint AnyPort{.Address_ = "127.0.0.1", .Port_ = 0};
 
 /// A replica that counts what reaches it.
 struct Listener {
@@ -49,7 +53,7 @@
   Listener First(Loop);
   Listener Second(Loop);
   std::string Address;
-  PeerLinks Links(Loop, {1}, [&](ReplicaId) { return Address; });
+  PeerLinks Links(Loop, {1}, {1}, [&](ReplicaId) { return Address; });
   sendSome(Loop, Links);
   Address = First.Server_.endpoint().text();
   sendSome(Loop, Links);
@@ -86,7 +90,7 @@
           "[control][links]") {
   net::EventLoop Loop;
   Listener Replica(Loop);
-  PeerLinks Links(Loop, {1},
+  PeerLinks Links(Loop, {1}, {1},
                   [&](ReplicaId) { return Replica.Server_.endpoint().text(); });
   Links.announcedBy(Peer, StoreId{7});
   sendSome(Loop, Links);
@@ -107,9 +111,122 @@
 // that was to send there.
 TEST_CASE("a malformed address opens no link", "[control][links]") {
   net::EventLoop Loop;
-  PeerLinks Links(Loop, {1}, [](ReplicaId) { return "nowhere"; });
+  PeerLinks Links(Loop, {1}, {1}, [](ReplicaId) { return "nowhere"; });
   CHECK_NOTHROW(sendSome(Loop, Links));
   CHECK_NOTHROW(Links.heardFrom(Peer));
 }
 
+/// Two replicas that send to each other over links that a relay carries.
+struct Pair {
+  explicit Pair(net::EventLoop &Loop)
+      : Loop_(Loop),
+        First_(Loop, {.Listen_ = AnyPort,
+                      .Self_ = {1},
+                      .OnMessage_ =
+                          [this](const wire::Message &Value, auto) {
+                            take(Value, FirstLinks_, FirstGot_);
+                          }}),
+        Second_(Loop, {.Listen_ = AnyPort,
+                       .Self_ = {2},
+                       .OnMessage_ =
+                           [this](const wire::Message &Value, auto) {
+                             take(Value, SecondLinks_, SecondGot_);
+                           }}),
+        ToFirst_(Loop, First_.endpoint()), ToSecond_(Loop, Second_.endpoint()),
+        FirstLinks_(Loop, {1}, {1},
+                    [this](ReplicaId) { return ToSecond_.endpoint().text(); }),
+        SecondLinks_(Loop, {2}, {2},
+                     [this](ReplicaId) { return ToFirst_.endpoint().text(); }) {
+  }
+
+  static void take(const wire::Message &Value, PeerLinks &Links,
+                   std::size_t &Got) {
+    if (const auto *Traffic = std::get_if<wire::ReplicaTraffic>(&Value)) {
+      ++Got;
+      Links.heardFrom(Traffic->From_);
+    } else if (const auto *Doubt = std::get_if<wire::ReplicaUnheard>(&Value)) {
+      Links.unheardBy(Doubt->From_);
+    }
+  }
+
+  /// Lets both send a message every 100 ms, as a leader and a follower do.
+  void run(Duration Time) {
+    constexpr Duration StepTime = std::chrono::milliseconds(10);
+    constexpr int StepsPerMessage = 10;
+    for (Duration Past{}; Past < Time; Past += StepTime) {
+      if (Step_++ % StepsPerMessage == 0) {
+        FirstLinks_.send({2}, wire::ReplicaTraffic{.From_ = {1}});
+        SecondLinks_.send({1}, wire::ReplicaTraffic{.From_ = {2}});
+      }
+      net::pollSome(Loop_);
+      Clock::advance(StepTime);
+    }
+  }
+
+  net::EventLoop &Loop_;
+  std::size_t FirstGot_ = 0;
+  std::size_t SecondGot_ = 0;
+  int Step_ = 0;
+  net::FrameServer First_;
+  net::FrameServer Second_;
+  net::SilentRelay ToFirst_;
+  net::SilentRelay ToSecond_;
+  PeerLinks FirstLinks_;
+  PeerLinks SecondLinks_;
+};
+
+// Guards against LOST: links between replicas went silent for good, and the
+// group had no leader from then on ("is to last and doesn't run").
+TEST_CASE("links that go silent carry messages again before an election ends",
+          "[control][links]") {
+  const net::PausedClock Paused;
+  net::EventLoop Loop;
+  Pair Two(Loop);
+  Two.run(std::chrono::seconds(2));
+  REQUIRE(Two.ToFirst_.accepted() == 1);
+  REQUIRE(Two.ToSecond_.accepted() == 1);
+  SECTION("both") {
+    Two.ToFirst_.silence();
+    Two.ToSecond_.silence();
+  }
+  SECTION("one, whose sender goes on hearing its peer") {
+    Two.ToFirst_.silence();
+  }
+  SECTION("one direction of each") {
+    Two.ToFirst_.silence(true, false);
+    Two.ToSecond_.silence(true, false);
+  }
+  SECTION("again, right after they have been replaced") {
+    Two.ToFirst_.silence();
+    Two.ToSecond_.silence();
+    Two.run(std::chrono::milliseconds(700));
+    Two.ToFirst_.silence();
+    Two.ToSecond_.silence();
+  }
+  Two.run(std::chrono::milliseconds(800));
+  const std::size_t First = Two.FirstGot_;
+  const std::size_t Second = Two.SecondGot_;
+  Two.run(std::chrono::milliseconds(500));
+  CHECK(Two.FirstGot_ >= First + 4);
+  CHECK(Two.SecondGot_ >= Second + 4);
+}
+
+// Guards against more traffic on links that work.
+TEST_CASE("links between replicas that hear each other carry no probes",
+          "[control][links]") {
+  const net::PausedClock Paused;
+  net::EventLoop Loop;
+  Pair Two(Loop);
+  Two.run(std::chrono::seconds(1));
+  const std::size_t Before = Two.ToSecond_.bytesFromCallers();
+  const std::size_t Got = Two.SecondGot_;
+  Two.run(std::chrono::seconds(5));
+  const std::size_t Messages = Two.SecondGot_ - Got;
+  REQUIRE(Messages == 50);
+  const std::size_t FrameBytes =
+      wire::encodeFrame({.Message_ = wire::ReplicaTraffic{.From_ = {1}}})
+          .size();
+  CHECK(Two.ToSecond_.bytesFromCallers() - Before == Messages * FrameBytes);
+}
+
 } // namespace dragonfly::control
--- /dev/null
+++ b/tests/net/SilentRelay.h
@@ -0,0 +1,115 @@
+/// Forwards connections on loopback, and makes those that are open silent for
+/// good, without a reset, while new ones work.
+#ifndef DRAGONFLY_TESTS_NET_SILENTRELAY_H
+#define DRAGONFLY_TESTS_NET_SILENTRELAY_H
+
+#include "dragonfly/net/Endpoint.h"
+#include "dragonfly/net/EventLoop.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <cstddef>
+#include <memory>
+#include <vector>
+
+namespace dragonfly::net {
+
+/// Reads bytes also where they are dropped, as a kernel would take them.
+class SilentRelay {
+public:
+  using tcp = boost::asio::ip::tcp;
+
+  SilentRelay(EventLoop &Loop, const Endpoint &Target)
+      : Loop_(Loop), Acceptor_(Loop.context(),
+                               {boost::asio::ip::make_address("127.0.0.1"), 0}),
+        Target_(boost::asio::ip::make_address(Target.Address_), Target.Port_) {
+    accept();
+  }
+
+  Endpoint endpoint() const {
+    return {.Address_ = "127.0.0.1",
+            .Port_ = Acceptor_.local_endpoint().port()};
+  }
+  /// Drops, on connections that are open now, what callers send from now on, or
+  /// what is sent to them.
+  void silence(bool FromCallers, bool ToCallers) {
+    for (const auto &Each : Pairs_) {
+      Each->DropsFromCaller_ = Each->DropsFromCaller_ || FromCallers;
+      Each->DropsToCaller_ = Each->DropsToCaller_ || ToCallers;
+    }
+  }
+  void silence() { silence(true, true); }
+  /// Connections accepted so far.
+  std::size_t accepted() const { return Accepted_; }
+  /// Bytes that callers have sent so far.
+  std::size_t bytesFromCallers() const { return BytesFromCallers_; }
+
+private:
+  struct Pair {
+    explicit Pair(boost::asio::io_context &Context)
+        : Caller_(Context), Target_(Context) {}
+    tcp::socket Caller_;
+    tcp::socket Target_;
+    bool DropsFromCaller_ = false;
+    bool DropsToCaller_ = false;
+  };
+
+  void accept() {
+    Acceptor_.async_accept([this](const auto &Fault, tcp::socket Caller) {
+      if (Fault)
+        return;
+      ++Accepted_;
+      const auto Next = std::make_shared<Pair>(Loop_.context());
+      Next->Caller_ = std::move(Caller);
+      // On loopback a connection is made or refused at once.
+      boost::system::error_code Refused;
+      Next->Target_.connect(Target_, Refused);
+      if (!Refused) {
+        // Else the kernel may hold bytes back for tens of milliseconds, in
+        // which the paused clock moves by seconds.
+        Next->Caller_.set_option(tcp::no_delay(true));
+        Next->Target_.set_option(tcp::no_delay(true));
+        Pairs_.push_back(Next);
+        pump(Next, Next->Caller_, Next->Target_, Next->DropsFromCaller_);
+        pump(Next, Next->Target_, Next->Caller_, Next->DropsToCaller_);
+      }
+      accept();
+    });
+  }
+
+  void pump(const std::shared_ptr<Pair> &Each, tcp::socket &From,
+            tcp::socket &To, bool &Drops) {
+    const auto Buffer = std::make_shared<std::array<char, 4096>>();
+    From.async_read_some(
+        boost::asio::buffer(*Buffer), [this, Each, &From, &To, &Drops, Buffer](
+                                          const auto &Fault, std::size_t Size) {
+          boost::system::error_code Ignored;
+          if (Fault) {
+            // The end of a silent connection is not seen on the other side.
+            if (!Drops)
+              To.close(Ignored);
+            return;
+          }
+          if (&From == &Each->Caller_)
+            BytesFromCallers_ += Size;
+          if (!Drops)
+            boost::asio::write(To, boost::asio::buffer(*Buffer, Size), Ignored);
+          pump(Each, From, To, Drops);
+        });
+  }
+
+  EventLoop &Loop_;
+  tcp::acceptor Acceptor_;
+  tcp::endpoint Target_;
+  std::vector<std::shared_ptr<Pair>> Pairs_;
+  std::size_t Accepted_ = 0;
+  std::size_t BytesFromCallers_ = 0;
+};
+
+} // namespace dragonfly::net
+
+#endif // DRAGONFLY_TESTS_NET_SILENTRELAY_H
--- a/tools/check-layers.sh
+++ b/tools/check-layers.sh
@@ -21,7 +21,7 @@
 check jobs base
 check wire base jobs
 check settings base
-check net base wire jobs
+check net base decide wire jobs
 check link base settings wire net decide jobs
 check entry base settings wire net decide link jobs
 check control base settings wire net decide consensus jobs link
