Close the accepting end of connections that have gone silent

Cause: FrameServer kept its end of a silent connection as long as the process ran; with 1,024 of them new connections were closed at once, so that nobody could reach the process. Change: a connection on which nothing has come for 30 s is closed. Evidence: "the accepting side frees its end of a silent connection" fails on the code before.

--- a/include/dragonfly/net/FrameServer.h
+++ b/include/dragonfly/net/FrameServer.h
@@ -3,10 +3,12 @@
 #ifndef DRAGONFLY_NET_FRAMESERVER_H
 #define DRAGONFLY_NET_FRAMESERVER_H
 
+#include "dragonfly/base/Clock.h"
 #include "dragonfly/base/Ids.h"
 #include "dragonfly/net/Endpoint.h"
 #include "dragonfly/wire/Messages.h"
 
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -38,6 +40,9 @@
   Endpoint Listen_;
   Incarnation Self_;
   std::size_t MaxConnections_ = 1024;
+  /// A connection on which nothing has come for so long is closed; that of a
+  /// client which uses or needs it is never idle for more than a few seconds.
+  Duration IdleTimeout_ = std::chrono::seconds(30);
   /// Called for each request and each one-way frame.
   std::function<void(wire::Message, FrameReplier)> OnMessage_;
 };
--- a/src/net/FrameServer.cpp
+++ b/src/net/FrameServer.cpp
@@ -14,6 +14,13 @@
 
 using boost::asio::ip::tcp;
 
+namespace {
+
+/// Parts of the idle timeout after which connections are looked at.
+constexpr int SweepsPerIdleTimeout = 6;
+
+} // namespace
+
 struct FrameReplier::State {
   std::weak_ptr<FrameStream> Stream_;
   Incarnation Self_;
@@ -55,10 +62,36 @@
 
 struct FrameServer::Impl : std::enable_shared_from_this<FrameServer::Impl> {
   Impl(EventLoop &Loop, FrameServerOptions Options)
-      : Options_(std::move(Options)), Acceptor_(Loop.context()) {
+      : Loop_(Loop), Options_(std::move(Options)), Acceptor_(Loop.context()) {
     listenOn(Acceptor_, Options_.Listen_);
   }
 
+  void start() {
+    accept();
+    armSweep();
+  }
+
+  void armSweep() {
+    Sweep_ = Loop_.after(Options_.IdleTimeout_ / SweepsPerIdleTimeout,
+                         [Self = weak_from_this()] {
+                           if (const auto Server = Self.lock())
+                             Server->sweep();
+                         });
+  }
+
+  /// Counts sweeps rather than time, since frames that wait to be read after a
+  /// pause of this process have arrived in time.
+  void sweep() {
+    armSweep();
+    std::erase_if(Streams_, [](const auto &Stream) {
+      if (Stream->countIdleSweep() < SweepsPerIdleTimeout)
+        return false;
+      logEvent(Event::ConnectionClosed);
+      Stream->close();
+      return true;
+    });
+  }
+
   void accept() {
     Acceptor_.async_accept([Self = shared_from_this()](const auto &Fault,
                                                        tcp::socket Socket) {
@@ -113,19 +146,22 @@
   void close() {
     boost::system::error_code Ignored;
     Acceptor_.close(Ignored);
+    Sweep_.cancel();
     for (const auto &Stream : Streams_)
       Stream->close();
     Streams_.clear();
   }
 
+  EventLoop &Loop_;
   FrameServerOptions Options_;
   tcp::acceptor Acceptor_;
   std::unordered_set<std::shared_ptr<FrameStream>> Streams_;
+  Timer Sweep_;
 };
 
 FrameServer::FrameServer(EventLoop &Loop, FrameServerOptions Options)
     : Impl_(std::make_shared<Impl>(Loop, std::move(Options))) {
-  Impl_->accept();
+  Impl_->start();
 }
 
 FrameServer::~FrameServer() { close(); }
--- a/src/net/FrameStream.cpp
+++ b/src/net/FrameStream.cpp
@@ -56,6 +56,7 @@
 }
 
 void FrameStream::take(std::size_t Size) {
+  Heard_ = true;
   try {
     Reader_.feed({Buffer_.data(), Size});
     while (auto Value = Reader_.next()) {
--- a/src/net/FrameStream.h
+++ b/src/net/FrameStream.h
@@ -45,6 +45,12 @@
   std::size_t queuedBytes() const { return Waiting_.size() + Writing_.size(); }
   /// When the socket last took bytes and had no room for those behind them.
   TimePoint progressAt() const { return ProgressAt_; }
+  /// Returns how many calls in a row, with this one, have found that nothing
+  /// had come since the call before.
+  int countIdleSweep() {
+    IdleSweeps_ = std::exchange(Heard_, false) ? 0 : IdleSweeps_ + 1;
+    return IdleSweeps_;
+  }
 
 private:
   void read();
@@ -67,6 +73,8 @@
   std::string Waiting_;
   std::string Writing_;
   TimePoint ProgressAt_;
+  bool Heard_ = false;
+  int IdleSweeps_ = 0;
   bool Open_ = true;
   std::array<char, ReadBytes> Buffer_{};
 };
--- a/tests/net/SilentConnectionTest.cpp
+++ b/tests/net/SilentConnectionTest.cpp
@@ -218,6 +218,26 @@
   CHECK(Status == CallStatus::Answered);
 }
 
+// Guards against LOST: a server that keeps its end of each connection that went
+// silent refuses new ones once it holds as many as it may.
+TEST_CASE("the accepting side frees its end of a silent connection",
+          "[net][silent]") {
+  const PausedClock Paused;
+  Peers Two;
+  for (int Count = 0; Count < 3; ++Count) {
+    Two.Relay_.silence();
+    REQUIRE(Two.call(Bound) == CallStatus::Lost);
+  }
+  REQUIRE(Two.Server_.connections() == 4);
+  const auto Use = [&Two] { Two.Client_.send(wire::FetchLists{}); };
+  for (int Seconds = 0; Seconds < 36; ++Seconds) {
+    Use();
+    Two.run(1s);
+  }
+  CHECK(Two.Server_.connections() == 1);
+  CHECK(Two.call(20ms) == CallStatus::Answered);
+}
+
 TEST_CASE("an idle connection sends nothing, is closed, and opens when needed",
           "[net][silent]") {
   const PausedClock Paused;
