Doubt all idle connections of a pool after one timeout

Callers saw starts that were late by several timeouts. Cause: HttpClient takes the idle connection that was used last. Where all idle ones to a worker had gone silent, each request took the next one and ended with its timeout. Change: where a request times out and nothing has come on its connection since it left, idle connections on which nothing has come since then either are closed. Those that have carried an answer meanwhile stay, so that a slow answer costs no other connection. Evidence: "after one timeout a pool uses no other connection that may be silent" fails on the code before.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <iterator>
 #include <optional>
 #include <unordered_set>
 #include <vector>
@@ -74,6 +75,7 @@
   void end(Exchange Work, HttpResult Result);
   void release(const ConnectionPtr &Freed);
   void drop(const ConnectionPtr &Closed);
+  void dropUnheardSince(TimePoint SentAt);
   void armSweep();
   void sweep();
   void close();
@@ -107,6 +109,7 @@
   void complete();
   void fail(CallStatus Status);
   void checkTimeout(TimePoint Now);
+  void timeOut();
   void close();
 
   Impl *Pool_;
@@ -116,6 +119,9 @@
   beast::flat_buffer Buffer_;
   std::optional<ResponseParser> Parser_;
   TimePoint ConnectDeadline_ = TimePoint::max();
+  TimePoint SentAt_;
+  /// When it was opened, or bytes last came.
+  TimePoint HeardAt_;
   bool Sent_ = false;
   bool Writing_ = false;
   bool Reading_ = false;
@@ -135,6 +141,7 @@
       return;
     }
     tuneStream(Self->Socket_);
+    Self->HeardAt_ = Clock::now();
     beast::error_code Ignored;
     Self->Socket_.non_blocking(true, Ignored);
     Self->send(std::move(*Self->Current_));
@@ -143,6 +150,7 @@
 
 void HttpClient::Impl::Connection::send(Exchange Work) {
   Current_ = std::move(Work);
+  SentAt_ = Clock::now();
   Sent_ = true;
   Parser_.emplace();
   Parser_->eager(true);
@@ -195,6 +203,7 @@
     fail(CallStatus::Lost);
     return;
   }
+  HeardAt_ = Clock::now();
   Buffer_.commit(Bytes);
   if (!parse()) {
     fail(CallStatus::Lost);
@@ -260,7 +269,19 @@
   if (Now >= ConnectDeadline_)
     fail(CallStatus::NeverSent);
   else if (Current_ && Now >= Current_->Deadline_)
-    fail(Sent_ ? CallStatus::TimedOut : CallStatus::NeverSent);
+    timeOut();
+}
+
+/// What makes a connection silent may have struck others of the pool as well:
+/// the next request must not be the one that finds out.
+void HttpClient::Impl::Connection::timeOut() {
+  if (!Sent_) {
+    fail(CallStatus::NeverSent);
+    return;
+  }
+  if (HeardAt_ <= SentAt_)
+    Pool_->dropUnheardSince(SentAt_);
+  fail(CallStatus::TimedOut);
 }
 
 void HttpClient::Impl::Connection::close() {
@@ -327,6 +348,16 @@
   Connections_.erase(Closed);
 }
 
+/// Closes the idle connections on which nothing has come since \p SentAt.
+void HttpClient::Impl::dropUnheardSince(TimePoint SentAt) {
+  std::vector<ConnectionPtr> Doubted;
+  std::ranges::copy_if(
+      Idle_, std::back_inserter(Doubted),
+      [SentAt](const auto &Each) { return Each->HeardAt_ <= SentAt; });
+  for (const ConnectionPtr &Each : Doubted)
+    Each->close();
+}
+
 void HttpClient::Impl::cancel(std::uint64_t Number) {
   std::erase_if(Waiting_, [Number](const Exchange &Work) {
     return Work.Number_ == Number;
