Let connections of the soak's programs go silent for good

Change: a preloaded library attaches a filter that drops all packets to a share of the open TCP sockets of one process or of all, 0.3 to 4 s apart; new connections work. Drawn from a generator of its own, so that the other faults of a seed stay as they were.

--- a/tests/soak/Fleet.cpp
+++ b/tests/soak/Fleet.cpp
@@ -79,6 +79,14 @@
     std::filesystem::remove(Marker);
 }
 
+void Fleet::silenceConnections(std::size_t I, std::uint32_t Number,
+                               std::uint32_t Percent) const {
+  // Renamed into place, so that the process reads it whole.
+  const std::string Marker = pathOf(Processes_[I], ".silent");
+  std::ofstream(Marker + ".new") << Number << " " << Percent << "\n";
+  std::filesystem::rename(Marker + ".new", Marker);
+}
+
 std::string Fleet::settingsOf(const Process &Each,
                               const std::string &Seeds) const {
   const std::string Ip = ip(Each.Role_, Each.Index_);
@@ -116,15 +124,16 @@
   std::string Flag =
       std::string("--role=") + RoleNames[static_cast<std::size_t>(Each.Role_)];
   std::string Setting = "DRAGONFLYPROXY_SETTINGS=" + pathOf(Each, ".conf");
-  std::string Preload = "LD_PRELOAD=" + Options_.FullDiskLibrary_;
-  std::string Marker = "DRAGONFLY_FULL_DISK=" + pathOf(Each, "-disk.full");
-  const bool HasDisk =
-      Each.Role_ == Role::Control && !Options_.FullDiskLibrary_.empty();
+  std::string Preload = "LD_PRELOAD=" + Options_.SilentConnectionsLibrary_;
+  if (Each.Role_ == Role::Control)
+    Preload += ":" + Options_.FullDiskLibrary_;
+  std::string FullDisk = "DRAGONFLY_FULL_DISK=" + pathOf(Each, "-disk.full");
+  std::string Silent =
+      "DRAGONFLY_SILENT_CONNECTIONS=" + pathOf(Each, ".silent");
   std::array<char *, 3> Arguments{Options_.Program_.data(), Flag.data(),
                                   nullptr};
-  std::array<char *, 4> Environment{Setting.data(),
-                                    HasDisk ? Preload.data() : nullptr,
-                                    Marker.data(), nullptr};
+  std::array<char *, 5> Environment{Setting.data(), Preload.data(),
+                                    FullDisk.data(), Silent.data(), nullptr};
   const int Fault = posix_spawn(&Each.Pid_, Options_.Program_.c_str(), &Files,
                                 nullptr, Arguments.data(), Environment.data());
   posix_spawn_file_actions_destroy(&Files);
--- a/tests/soak/Fleet.h
+++ b/tests/soak/Fleet.h
@@ -6,6 +6,7 @@
 #include "dragonfly/net/Endpoint.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -22,6 +23,9 @@
   /// Preloaded into control's processes; their disks are full while a file is
   /// there (`setDiskFull`).
   std::string FullDiskLibrary_;
+  /// Preloaded into all processes; makes their connections silent
+  /// (`silenceConnections`).
+  std::string SilentConnectionsLibrary_;
   std::size_t Controls_ = 3;
   std::size_t Entries_ = 2;
   std::size_t Agents_ = 4;
@@ -47,6 +51,10 @@
   void signal(std::size_t I, int Number) const;
   /// Files of the \p Index-th control process, from 1, take no more bytes.
   void setDiskFull(std::size_t Index, bool Full) const;
+  /// A share of the connections that process \p I has open takes nothing any
+  /// more. New ones work.
+  void silenceConnections(std::size_t I, std::uint32_t Number,
+                          std::uint32_t Percent) const;
   /// Rewrites the settings of a process with \p Seeds in place of its own.
   void writeSettings(std::size_t I, const std::string &Seeds) const;
   /// Seeds as the settings list them.
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -39,7 +39,7 @@
 } // namespace
 
 Soak::Soak(FleetOptions Options, std::uint64_t Seed)
-    : Random_(Seed), Fleet_(std::move(Options)) {
+    : Random_(Seed), SilenceRandom_(~Seed), Fleet_(std::move(Options)) {
   const FleetOptions &Sizes = Fleet_.options();
   for (std::size_t I = 1; I <= Sizes.Agents_; ++I)
     addWorker(I);
@@ -68,6 +68,7 @@
     submitWide();
     nextFault();
     nextFullDisk(1);
+    nextSilence();
   });
   const net::Timer Outage =
       Loop_.after(StartTime + Length / 3, [this] { loseControl(); });
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -103,10 +103,14 @@
   /// The disks of control's processes are full one after another, never two at
   /// once, round after round.
   void nextFullDisk(std::size_t Index);
+  /// Connections of a few processes, or of all, go silent for good.
+  void nextSilence();
   /// Ends all disturbances.
   void heal();
 
   RandomEngine Random_;
+  /// Draws connections that go silent, beside the other faults of a seed.
+  RandomEngine SilenceRandom_;
   net::EventLoop Loop_;
   Promises Seen_;
   Fleet Fleet_;
@@ -123,6 +127,7 @@
   std::uint64_t NextVersion_ = 1;
   std::size_t OpenSubmits_ = 0;
   std::size_t FaultCount_ = 0;
+  std::uint32_t SilenceCount_ = 0;
   /// Ids given to workers that came back as others.
   std::size_t NewIds_ = 0;
   std::size_t OwnEnds_ = 0;
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -259,6 +259,27 @@
   });
 }
 
+void Soak::nextSilence() {
+  if (!Faulting_ || Fleet_.options().SilentConnectionsLibrary_.empty())
+    return;
+  const auto Draw = [this](std::size_t Below) {
+    return static_cast<std::size_t>(SilenceRandom_() % Below);
+  };
+  constexpr std::uint32_t Shares[]{30, 70, 100};
+  const std::uint32_t Percent = Shares[Draw(std::size(Shares))];
+  const bool All = Draw(2) == 0;
+  const std::size_t Only = Draw(Fleet_.size());
+  log(std::to_string(Percent) + "% of the connections of " +
+      (All ? "all processes" : Fleet_.name(Only)) + " go silent for good");
+  for (std::size_t I = 0; I < Fleet_.size(); ++I)
+    if (All || I == Only)
+      Fleet_.silenceConnections(I, ++SilenceCount_, Percent);
+  constexpr std::size_t MinPauseMs = 300;
+  constexpr std::size_t PauseRangeMs = 3700;
+  later(milliseconds(MinPauseMs + Draw(PauseRangeMs)),
+        [this] { nextSilence(); });
+}
+
 void Soak::heal() {
   Seen_.expectChange(NextVersion_);
   for (std::size_t I = 1; I <= Fleet_.options().Controls_; ++I)
--- a/tests/soak/dragonfly-soak.cpp
+++ b/tests/soak/dragonfly-soak.cpp
@@ -15,6 +15,9 @@
 ABSL_FLAG(std::string, program, "build/dragonfly-platform", "what is run");
 ABSL_FLAG(std::string, full_disk_library, "build/libfull_disk.so",
           "makes disks full; none are where it is empty");
+ABSL_FLAG(std::string, silent_connections_library,
+          "build/libsilent_connections.so",
+          "makes connections silent; none are where it is empty");
 ABSL_FLAG(std::string, folder, "", "for logs and disks; a temporary one");
 ABSL_FLAG(std::string, network, "127.77", "start of the loopback addresses");
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of load and faults");
@@ -38,6 +41,8 @@
             .Folder_ = Folder,
             .Network_ = absl::GetFlag(FLAGS_network),
             .FullDiskLibrary_ = absl::GetFlag(FLAGS_full_disk_library),
+            .SilentConnectionsLibrary_ =
+                absl::GetFlag(FLAGS_silent_connections_library),
             .Controls_ = absl::GetFlag(FLAGS_controls),
             .Entries_ = absl::GetFlag(FLAGS_entries),
             .Agents_ = absl::GetFlag(FLAGS_agents)},
