--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -51,7 +51,7 @@
     OtherWriters_.push_back(makeClient(Fleet::Role::Agent, I));
 }
 
-std::size_t Soak::run(Duration Length, Duration Settle, double Rate) {
+std::size_t Soak::run(const SoakSchedule &Plan) {
   for (std::size_t I = 0; I < Fleet_.size(); ++I)
     Fleet_.start(I);
   const net::Timer Reaps =
@@ -62,24 +62,25 @@
   const net::Timer Polls = Loop_.every(PollPeriod, [this] { poll(); });
   net::Timer Load;
   const net::Timer Begin = Loop_.after(StartTime, [&] {
-    Load = Loop_.every(std::chrono::duration_cast<Duration>(
-                           std::chrono::duration<double>(1 / Rate)),
-                       [this] { submitNext(); });
+    Load =
+        Loop_.every(std::chrono::duration_cast<Duration>(
+                        std::chrono::duration<double>(1 / Plan.JobsPerSecond_)),
+                    [this] { submitNext(); });
     submitWide();
-    nextFault();
-    nextFullDisk(1);
-    nextSilence();
+    beginFaults(Plan.OnlySilence_);
   });
-  const net::Timer Outage =
-      Loop_.after(StartTime + Length / 3, [this] { loseControl(); });
-  const net::Timer End = Loop_.after(StartTime + Length, [&] {
+  const net::Timer Outage = Loop_.after(StartTime + Plan.Length_ / 3, [&] {
+    if (!Plan.OnlySilence_)
+      loseControl();
+  });
+  const net::Timer End = Loop_.after(StartTime + Plan.Length_, [&] {
     Load.cancel();
     Faulting_ = false;
     heal();
   });
-  const TimePoint Last = Clock::now() + StartTime + Length + Settle;
+  const TimePoint Last = Clock::now() + StartTime + Plan.Length_ + Plan.Settle_;
   const net::Timer Watch = Loop_.every(milliseconds(100), [&] {
-    const bool IsOver = !Faulting_ && Clock::now() > Last - Settle &&
+    const bool IsOver = !Faulting_ && Clock::now() > Last - Plan.Settle_ &&
                         Seen_.pending().empty() && OpenSubmits_ == 0 &&
                         Seen_.isChangeAccepted();
     if (IsOver || Clock::now() >= Last)
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -22,13 +22,23 @@
 /// How long a call of the soak's own clients may take.
 inline constexpr Duration CallTimeout = std::chrono::milliseconds(2500);
 
+struct SoakSchedule {
+  /// Time with load and faults.
+  Duration Length_{};
+  /// Longest time after it until what was accepted has ended.
+  Duration Settle_{};
+  double JobsPerSecond_ = 0;
+  /// Connections go silent, and nothing else fails.
+  bool OnlySilence_ = false;
+};
+
 /// Soak.cpp hands in jobs and changes of the configuration; SoakFaults.cpp
 /// disturbs the programs.
 class Soak {
 public:
   Soak(FleetOptions Options, std::uint64_t Seed);
   /// Returns the number of broken promises.
-  std::size_t run(Duration Length, Duration Settle, double Rate);
+  std::size_t run(const SoakSchedule &Plan);
 
 private:
   std::unique_ptr<net::HttpClient> makeClient(Fleet::Role Kind,
@@ -100,6 +110,7 @@
   /// workers are unanswered.
   void loseControl();
   void nextFault();
+  void beginFaults(bool OnlySilence);
   /// The disks of control's processes are full one after another, never two at
   /// once, round after round.
   void nextFullDisk(std::size_t Index);
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -259,6 +259,14 @@
   });
 }
 
+void Soak::beginFaults(bool OnlySilence) {
+  nextSilence();
+  if (OnlySilence)
+    return;
+  nextFault();
+  nextFullDisk(1);
+}
+
 void Soak::nextSilence() {
   if (!Faulting_ || Fleet_.options().SilentConnectionsLibrary_.empty())
     return;
--- a/tests/soak/dragonfly-soak.cpp
+++ b/tests/soak/dragonfly-soak.cpp
@@ -15,9 +15,9 @@
 ABSL_FLAG(std::string, program, "build/dragonfly-platform", "what is run");
 ABSL_FLAG(std::string, full_disk_library, "build/libfull_disk.so",
           "makes disks full; none are where it is empty");
-ABSL_FLAG(std::string, silent_connections_library,
-          "build/libsilent_connections.so",
+ABSL_FLAG(std::string, silent_connections_library, "",
           "makes connections silent; none are where it is empty");
+ABSL_FLAG(bool, only_silence, false, "no other faults than silent connections");
 ABSL_FLAG(std::string, folder, "", "for logs and disks; a temporary one");
 ABSL_FLAG(std::string, network, "127.77", "start of the loopback addresses");
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of load and faults");
@@ -48,8 +48,10 @@
             .Agents_ = absl::GetFlag(FLAGS_agents)},
            Seed);
   const std::size_t Broken =
-      Run.run(seconds(absl::GetFlag(FLAGS_seconds)),
-              seconds(absl::GetFlag(FLAGS_settle)), absl::GetFlag(FLAGS_rate));
+      Run.run({.Length_ = seconds(absl::GetFlag(FLAGS_seconds)),
+               .Settle_ = seconds(absl::GetFlag(FLAGS_settle)),
+               .JobsPerSecond_ = absl::GetFlag(FLAGS_rate),
+               .OnlySilence_ = absl::GetFlag(FLAGS_only_silence)});
   std::cout << "seed " << Seed << ": " << (Broken == 0 ? "passed" : "FAILED")
             << ", logs in " << Folder << "\n";
   return Broken == 0 ? 0 : 1;
