Send stops again in a new session

Callers may see a task of a cancelled job that goes on for up to a second longer. Cause: a session's table of stops that were sent outlived the session. A stop that was written to a stream which had gone silent counted as sent, and was sent again a second later; a stop that moves a run was never sent again. Change: what was sent on the earlier stream is forgotten when a new session begins. Evidence: "stops are sent again at once in a new session" fails on the code before.

--- a/src/control/WorkerSessions.cpp
+++ b/src/control/WorkerSessions.cpp
@@ -169,6 +169,9 @@
     Session.Stream_ = Stream;
     Session.Number_ = ++LastNumber_;
     Session.FencingToken_ = FencingToken;
+    // What was sent on the earlier stream may not have arrived.
+    for (auto &[Run, Info] : Session.Runs_)
+      Info.StopSentAt_ = {};
     Session.recordContact(Now);
     Session.LeaseExpiresAt_ =
         std::max(Session.LeaseExpiresAt_, Now + maxLeaseDuration());
--- a/tests/control/JobServiceFaultTest.cpp
+++ b/tests/control/JobServiceFaultTest.cpp
@@ -426,4 +426,24 @@
   }
 }
 
+// Guards against UNASKED: a stop that went over a stream which had gone silent
+// counted as sent, so that a cancelled run went on into the next session.
+TEST_CASE("stops are sent again at once in a new session", "[control][jobs]") {
+  JobCluster Cluster;
+  TestAgent Agent(Cluster, "w1");
+  Agent.attachAndReportNoRuns();
+  Cluster.submit({makeStep(1)});
+  const std::vector<RunName> Runs = Agent.consumeStarts();
+  REQUIRE(Runs.size() == 1);
+  REQUIRE(Agent.report(false, Runs));
+  REQUIRE(Cluster.requestJob(wire::JobAction::Cancel).State_ ==
+          JobState::Cancelled);
+  // The session ends right after a stop, which is repeated after a second.
+  const std::size_t Before = Agent.stops().size();
+  while (Agent.stops().size() == Before)
+    Cluster.run(milliseconds(10));
+  Agent.attach();
+  CHECK(Agent.stops() == Runs);
+}
+
 } // namespace dragonfly::control
