Keep a check going when its second connection closes; followers check too

From a review of the fix, by reading; the first was shown with a test. - A second connection that closed between its answer and the replacement left nothing to go on with: a null stream. SilenceCheck now opens another one. "a silent connection whose successor closes gets another one" covers it. - Attempts for a second connection are closed with the check; one that a frozen peer has not answered is kept for 5 s, rather than one opened each second. - Bytes of a frame that is not whole yet count as progress: an answer to a probe may be queued behind them. - An answered probe counts as a sign of life where a call ends by its timeout. - A follower sends nothing by itself and noticed a silent link only after the leader had replaced its own.

--- a/include/dragonfly/decide/SilenceCheck.h
+++ b/include/dragonfly/decide/SilenceCheck.h
@@ -50,7 +50,10 @@
   /// Called with the answer to the probe on the second connection. Returns what
   /// to do at once.
   SilenceAction recordSecondAnswer(TimePoint Now);
-  /// Called as the peer takes queued bytes from the connection.
+  /// Called as the second connection closes: it proves nothing any more.
+  void recordSecondLost(TimePoint Now);
+  /// Called as the peer takes queued bytes from the connection, or a part of a
+  /// frame comes from it: an answer may be queued behind them.
   void recordProgress(TimePoint Now) { ProgressAt_ = Now; }
 
   /// Returns what is due. \p Awaits tells whether any answer is outstanding.
--- a/include/dragonfly/net/HttpClient.h
+++ b/include/dragonfly/net/HttpClient.h
@@ -33,7 +33,7 @@
 /// Requests to one server, one at a time on each connection. A connection that
 /// the server has closed in the meantime is found before a request is written
 /// to it; a request of which bytes were written is never sent again. Where one
-/// times out and nothing has come since it left, idle connections on which
+/// times out, idle connections on which
 /// nothing has come either are closed, so that the next request goes over a new
 /// one. An answer
 /// whose end is marked only by the end of the connection counts as lost, since
--- a/src/control/Control.cpp
+++ b/src/control/Control.cpp
@@ -239,7 +239,10 @@
     });
   }
 
-  void tick() { Service_.tick(Clock::now()); }
+  void tick() {
+    Peers_.tick(Clock::now());
+    Service_.tick(Clock::now());
+  }
 
   void stop(std::function<void(bool)> OnStopped) {
     Stopping_ = true;
--- a/src/control/PeerLinks.cpp
+++ b/src/control/PeerLinks.cpp
@@ -45,10 +45,26 @@
     Client->verify();
 }
 
+void PeerLinks::tick(TimePoint Now) {
+  for (auto &[From, Row] : Links_)
+    if (Row.HeardAt_ && Now - *Row.HeardAt_ >= AnswerTime) {
+      Row.HeardAt_.reset();
+      verifyAll();
+    }
+}
+
+/// Those between followers, which are idle until an election, as well.
+void PeerLinks::verifyAll() {
+  for (const auto &[To, Row] : Links_)
+    if (Row.Client_)
+      Row.Client_->verify();
+}
+
 void PeerLinks::heardFrom(ReplicaId From) {
   if (!Links_.contains(From))
     return;
   Links_[From].UnansweredSince_.reset();
+  Links_[From].HeardAt_ = Clock::now();
   if (net::FrameClient *Client = linkTo(From))
     Client->reconnectNow();
 }
--- a/src/control/PeerLinks.h
+++ b/src/control/PeerLinks.h
@@ -37,6 +37,9 @@
   /// Called with each message of \p From: it is up, so that its link, if it is
   /// down, is tried now.
   void heardFrom(ReplicaId From);
+  /// Verifies the links once a replica that was heard has fallen silent: a
+  /// follower sends nothing by itself.
+  void tick(TimePoint Now);
   /// Called where \p By has told that nothing comes from this replica: the link
   /// to it may be silent although its own messages arrive.
   void unheardBy(ReplicaId By);
@@ -55,6 +58,8 @@
     /// When the first message left to which none has come back.
     std::optional<TimePoint> UnansweredSince_;
     TimePoint DoubtedAt_;
+    /// When the replica was last heard, until its silence has been acted on.
+    std::optional<TimePoint> HeardAt_;
   };
 
   /// Returns the link to the newest address of \p To, or null.
--- a/src/decide/SilenceCheck.cpp
+++ b/src/decide/SilenceCheck.cpp
@@ -33,6 +33,13 @@
   return SilenceAction::Probe;
 }
 
+void SilenceCheck::recordSecondLost(TimePoint Now) {
+  if (Step_ != Step::Confirming)
+    return;
+  Step_ = Step::Opening;
+  StepEndsAt_ = Now + Options_.AnswerTime_;
+}
+
 SilenceAction SilenceCheck::advance(TimePoint Now, bool Awaits) {
   if (Now < due(Awaits))
     return SilenceAction::None;
--- a/src/net/FrameClient.cpp
+++ b/src/net/FrameClient.cpp
@@ -26,6 +26,8 @@
 /// Shortest time between two checks of a connection that carries only frames
 /// without an answer.
 constexpr Duration OneWayCheckPeriod = std::chrono::seconds(1);
+/// How long a second connection is kept that has no answer.
+constexpr Duration SecondKeepTime = std::chrono::seconds(5);
 
 } // namespace
 
@@ -159,31 +161,42 @@
   void closed(const std::shared_ptr<FrameStream> &From) {
     if (From == Stream_)
       disconnected();
-    else if (From == Second_)
+    else if (From == Second_) {
       dropSecond();
+      Check_.recordSecondLost(Clock::now());
+    }
   }
 
   void dropSecond() {
-    ++SecondAttempt_;
+    boost::system::error_code Ignored;
+    if (SecondSocket_)
+      SecondSocket_->close(Ignored);
+    SecondSocket_.reset();
     if (Second_)
       Second_->close();
     Second_.reset();
   }
 
-  /// Opens a second connection, to learn whether the peer answers there.
+  /// Opens a second connection, to learn whether the peer answers there. One
+  /// that a frozen peer has not answered yet is kept for a while.
   void openSecond() {
+    if (Second_ && Clock::now() - SecondOpenedAt_ < SecondKeepTime)
+      return;
     dropSecond();
-    const auto Socket = std::make_shared<tcp::socket>(Context_);
-    Socket->async_connect(toAsio<tcp>(Options_.Peer_),
-                          [Self = shared_from_this(), Socket,
-                           Attempt = SecondAttempt_](const auto &Fault) {
-                            if (!Fault && Attempt == Self->SecondAttempt_)
-                              Self->secondConnected(std::move(*Socket));
-                          });
+    SecondSocket_ = std::make_shared<tcp::socket>(Context_);
+    SecondSocket_->async_connect(
+        toAsio<tcp>(Options_.Peer_),
+        [Self = weak_from_this(), Socket = SecondSocket_](const auto &Fault) {
+          const auto Client = Self.lock();
+          if (!Fault && Client && Client->SecondSocket_ == Socket)
+            Client->secondConnected();
+        });
   }
 
-  void secondConnected(tcp::socket Socket) {
-    Second_ = makeStream(std::move(Socket));
+  void secondConnected() {
+    SecondOpenedAt_ = Clock::now();
+    Second_ = makeStream(std::move(*SecondSocket_));
+    SecondSocket_.reset();
     sendProbe(*Second_);
   }
 
@@ -198,6 +211,7 @@
     const auto Probe = Probes_.find(Sequence);
     if (Probe == Probes_.end())
       return;
+    LastHeard_ = From == Stream_ ? Clock::now() : LastHeard_;
     if (From == Second_)
       perform(Check_.recordSecondAnswer(Clock::now()));
     else if (From == Stream_)
@@ -476,7 +490,8 @@
   decide::SilenceCheck Check_{TimePoint()};
   /// Opened to learn whether the peer answers there.
   std::shared_ptr<FrameStream> Second_;
-  std::uint64_t SecondAttempt_ = 0;
+  std::shared_ptr<tcp::socket> SecondSocket_;
+  TimePoint SecondOpenedAt_;
   /// When the probes of the check in progress left, by sequence number.
   std::unordered_map<std::uint64_t, TimePoint> Probes_;
   bool CheckArmed_ = false;
--- a/src/net/FrameStream.cpp
+++ b/src/net/FrameStream.cpp
@@ -71,6 +71,8 @@
     fail();
     return;
   }
+  if (Reader_.pendingBytes() > 0)
+    ProgressAt_ = Clock::now();
   read();
 }
 
--- a/src/net/FrameStream.h
+++ b/src/net/FrameStream.h
@@ -43,7 +43,8 @@
   void close();
   bool open() const { return Open_; }
   std::size_t queuedBytes() const { return Waiting_.size() + Writing_.size(); }
-  /// When the socket last took bytes and had no room for those behind them.
+  /// When the socket last took bytes and had no room for those behind them, or
+  /// gave bytes of a frame that is not whole yet.
   TimePoint progressAt() const { return ProgressAt_; }
   /// Returns how many calls in a row, with this one, have found that nothing
   /// had come since the call before.
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -75,7 +75,7 @@
   void end(Exchange Work, HttpResult Result);
   void release(const ConnectionPtr &Freed);
   void drop(const ConnectionPtr &Closed);
-  void dropUnheardSince(TimePoint SentAt);
+  void dropUnheardSince(TimePoint Then);
   void armSweep();
   void sweep();
   void close();
@@ -279,8 +279,7 @@
     fail(CallStatus::NeverSent);
     return;
   }
-  if (HeardAt_ <= SentAt_)
-    Pool_->dropUnheardSince(SentAt_);
+  Pool_->dropUnheardSince(std::max(SentAt_, HeardAt_));
   fail(CallStatus::TimedOut);
 }
 
@@ -348,12 +347,12 @@
   Connections_.erase(Closed);
 }
 
-/// Closes the idle connections on which nothing has come since \p SentAt.
-void HttpClient::Impl::dropUnheardSince(TimePoint SentAt) {
+/// Closes the idle connections on which nothing has come since \p Then.
+void HttpClient::Impl::dropUnheardSince(TimePoint Then) {
   std::vector<ConnectionPtr> Doubted;
   std::ranges::copy_if(
       Idle_, std::back_inserter(Doubted),
-      [SentAt](const auto &Each) { return Each->HeardAt_ <= SentAt; });
+      [Then](const auto &Each) { return Each->HeardAt_ <= Then; });
   for (const ConnectionPtr &Each : Doubted)
     Each->close();
 }
--- a/tests/decide/SilenceCheckTest.cpp
+++ b/tests/decide/SilenceCheckTest.cpp
@@ -95,6 +95,20 @@
   CHECK(Check.advance(Now, true) == SilenceAction::Replace);
 }
 
+// Guards against a crash: a peer that restarts right after it has answered on
+// the second connection closes it, and there is nothing to go on with.
+TEST_CASE("a check whose second connection closes needs another one",
+          "[silence]") {
+  SilenceCheck Check = overdue();
+  const TimePoint Now = Start + 2 * AnswerTime + 5ms;
+  REQUIRE(Check.recordSecondAnswer(Now) == SilenceAction::Probe);
+  Check.recordSecondLost(Now + 50ms);
+  CHECK(Check.advance(Now + AnswerTime, true) == SilenceAction::None);
+  CHECK(Check.advance(Now + AnswerTime + 50ms, true) ==
+        SilenceAction::OpenSecond);
+  CHECK(Check.recordSecondAnswer(Now + 2 * AnswerTime) == SilenceAction::Probe);
+}
+
 // Guards against LOST: parts that go on coming hide that nothing arrives at the
 // peer; only an answer to what left later proves that.
 TEST_CASE("an answer to an earlier frame does not end a check", "[silence]") {
--- a/tests/net/SilentConnectionTest.cpp
+++ b/tests/net/SilentConnectionTest.cpp
@@ -115,6 +115,25 @@
   CHECK(Two.Relay_.accepted() == 2);
 }
 
+// Guards against a crash: the new connection may close in the moment between
+// its answer and the replacement of the silent one.
+TEST_CASE("a silent connection whose successor closes gets another one",
+          "[net][silent]") {
+  const PausedClock Paused;
+  Peers Two;
+  Two.Relay_.silence();
+  std::optional<CallStatus> Status;
+  Two.Client_.call(wire::FetchLists{}, 10s,
+                   [&](const CallResult &End) { Status = End.Status_; });
+  Two.run(500ms);
+  REQUIRE(Two.Relay_.accepted() == 2);
+  Two.Relay_.closeNewest();
+  Two.run(Bound);
+  CHECK(Status == CallStatus::Lost);
+  CHECK(Two.Relay_.accepted() == 3);
+  CHECK(Two.call(20ms) == CallStatus::Answered);
+}
+
 // Guards against LOST: a call whose answer takes long found out only at its end
 // that its connection had gone silent meanwhile.
 TEST_CASE("a connection that goes silent while a call waits is noticed",
