--- a/src/net/FrameClient.cpp
+++ b/src/net/FrameClient.cpp
@@ -211,7 +211,6 @@
     const auto Probe = Probes_.find(Sequence);
     if (Probe == Probes_.end())
       return;
-    LastHeard_ = From == Stream_ ? Clock::now() : LastHeard_;
     if (From == Second_)
       perform(Check_.recordSecondAnswer(Clock::now()));
     else if (From == Stream_)
