--- a/include/dragonfly/decide/SilenceCheck.h
+++ b/include/dragonfly/decide/SilenceCheck.h
@@ -11,9 +11,8 @@
 namespace dragonfly::decide {
 
 struct SilenceCheckOptions {
-  /// Time after which an answer is overdue. A silent connection is replaced
-  /// after three of them, while the lease of a leader that others have not
-  /// heard for one election timeout is running out.
+  /// Time after which an answer is overdue. Three of them pass until a silent
+  /// connection is replaced.
   Duration AnswerTime_ = std::chrono::milliseconds(200);
   /// How often a connection is probed that only waits for late answers.
   Duration RecheckPeriod_ = std::chrono::seconds(2);
--- a/src/net/FrameClient.cpp
+++ b/src/net/FrameClient.cpp
@@ -159,9 +159,9 @@
   }
 
   void closed(const std::shared_ptr<FrameStream> &From) {
-    if (From == Stream_)
+    if (From == Stream_) {
       disconnected();
-    else if (From == Second_) {
+    } else if (From == Second_) {
       dropSecond();
       Check_.recordSecondLost(Clock::now());
     }
