Log requests that the end of a process cuts off

Nothing in the log told whether a process had cut them, in which server and in which phase of its stop, so the hypotheses in docs/incidents/planned-stops.md could not be told apart. Change: event 1011 requests-cut, logged by each HTTP server that closes with requests in progress or unread bytes, with server, phase and age; 1010 when a second signal to stop arrives. No logic changes.

--- a/daemons/dragonfly-platform.cpp
+++ b/daemons/dragonfly-platform.cpp
@@ -80,7 +80,8 @@
 public:
   MetricsServer(net::EventLoop &Loop, const platform::SiteSettings &Site,
                 std::uint16_t Port, std::shared_ptr<Metrics> Counts)
-      : Server_(Loop, {.Listen_ = {.Address_ = Site.Ip_, .Port_ = Port},
+      : Server_(Loop, {.Name_ = "metrics",
+                       .Listen_ = {.Address_ = Site.Ip_, .Port_ = Port},
                        .OnRequest_ = [Counts](const net::HttpRequest &,
                                               const net::HttpReplier &To) {
                          To.reply({.ContentType_ = "text/plain",
--- a/include/dragonfly/base/Event.h
+++ b/include/dragonfly/base/Event.h
@@ -23,6 +23,9 @@
   ProcessFailed = 1006,
   SettingsChanged = 1007,
   LogLinesDropped = 1008,
+  StopPhaseEntered = 1009,
+  StopRequestedAgain = 1010,
+  RequestsCut = 1011,
   // entry
   EntryReady = 2001,
   EntryNotReady = 2002,
@@ -93,6 +96,7 @@
   LeaderFollowed = 6004,
   MessageRejected = 6005,
   ConnectionSilent = 6006,
+  ConnectionsRefused = 6007,
 };
 
 /// One row of the catalogue.
--- a/include/dragonfly/net/HttpServer.h
+++ b/include/dragonfly/net/HttpServer.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
 
 namespace dragonfly::net {
@@ -42,6 +43,8 @@
 };
 
 struct HttpServerOptions {
+  /// Names the server in log lines.
+  std::string Name_ = "http";
   Endpoint Listen_;
   std::size_t MaxConnections_ = 1024;
   std::size_t MaxHeaderBytes_ = 16U << 10U;
--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -38,7 +38,8 @@
                      [this](wire::Message Value, net::FrameReplier Reply) {
                        take(std::move(Value), std::move(Reply));
                      }}),
-        Status_(Loop, {.Listen_ = net::Endpoint::make(Settings.StatusListen_),
+        Status_(Loop, {.Name_ = "status",
+                       .Listen_ = net::Endpoint::make(Settings.StatusListen_),
                        .OnRequest_ = [this](const net::HttpRequest &Request,
                                             const net::HttpReplier &Reply) {
                          answerStatus(Request, Reply);
--- a/src/base/Event.cpp
+++ b/src/base/Event.cpp
@@ -26,6 +26,14 @@
      "Lines were dropped since the last one: standard output did not take "
      "them, "
      "or there were too many in a second."},
+    {Event::StopPhaseEntered, Severity::Info, "stop-phase-entered",
+     "The graceful stop has gone on to the given phase, with so many requests "
+     "and answers unfinished."},
+    {Event::StopRequestedAgain, Severity::Info, "stop-requested-again",
+     "A signal to stop came while the process was stopping; the stop goes on "
+     "unchanged."},
+    {Event::RequestsCut, Severity::Warning, "requests-cut",
+     "A server closed connections on which requests had no whole answer."},
     {Event::EntryReady, Severity::Info, "entry-ready",
      "The entry holds a fresh configuration and takes requests."},
     {Event::EntryNotReady, Severity::Warning, "entry-not-ready",
@@ -179,6 +187,9 @@
     {Event::ConnectionSilent, Severity::Warning, "connection-silent",
      "Nothing passes on a connection although the peer answers on a new one, "
      "which takes its place; calls that were open on it have ended."},
+    {Event::ConnectionsRefused, Severity::Warning, "connections-refused",
+     "A server had as many connections as it takes; the first request on each "
+     "further one was refused."},
 });
 
 } // namespace
--- a/src/control/Control.cpp
+++ b/src/control/Control.cpp
@@ -127,7 +127,8 @@
                            [this](wire::Message Value, net::FrameReplier To) {
                              takeFrame(std::move(Value), std::move(To));
                            }}),
-        Http_(Loop, {.Listen_ =
+        Http_(Loop, {.Name_ = "members",
+                     .Listen_ =
                          net::Endpoint::make(selfOf(Settings).OperatorAddress_),
                      .OnRequest_ =
                          [this](const net::HttpRequest &Request,
--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -66,7 +66,8 @@
   }
 
   net::HttpServerOptions serverOptions() {
-    return {.Listen_ = net::Endpoint::make(Settings_.Listen_),
+    return {.Name_ = "callers",
+            .Listen_ = net::Endpoint::make(Settings_.Listen_),
             .MaxConnections_ = Settings_.MaxConnections_,
             .MaxHeaderBytes_ = Settings_.MaxHeaderBytes_,
             .MaxBodyBytes_ = Settings_.MaxBodyBytes_,
--- a/src/net/EventLoop.cpp
+++ b/src/net/EventLoop.cpp
@@ -1,5 +1,6 @@
 #include "dragonfly/net/EventLoop.h"
 
+#include "dragonfly/base/Log.h"
 #include "net/ClockTimer.h"
 
 #include <boost/asio/io_context.hpp>
@@ -80,6 +81,7 @@
       if (Fault)
         return;
       if (!OnTerminate_) {
+        logEvent(Event::StopRequestedAgain);
         Context_.stop();
         return;
       }
--- a/src/net/HttpConnection.cpp
+++ b/src/net/HttpConnection.cpp
@@ -97,6 +97,15 @@
   return Request.Held_.size() + (First ? Out_.size() + InFlight_.size() : 0);
 }
 
+TimePoint HttpConnection::oldestRequestAt() const {
+  return Requests_.empty() ? TimePoint::max() : Requests_.front()->ReadAt_;
+}
+
+std::size_t HttpConnection::unreadBytes() const {
+  beast::error_code Ignored;
+  return Buffer_.size() + Socket_.available(Ignored);
+}
+
 void HttpConnection::checkTimeouts(TimePoint Now) {
   if (Now >= ReadDeadline_ || Now >= WriteDeadline_)
     close();
--- a/src/net/HttpConnection.h
+++ b/src/net/HttpConnection.h
@@ -36,6 +36,7 @@
   /// What is held back until the answers before it have left.
   std::string Held_;
   std::function<void()> Gone_;
+  TimePoint ReadAt_ = Clock::now();
 };
 
 /// The owner must outlive the connection, or call `detach()`.
@@ -56,6 +57,12 @@
   /// Closes at once if no request is in progress.
   void stopWhenIdle();
   std::size_t queuedBytes(const HttpReplier::State &Request) const;
+  /// Requests that have been read and have no whole answer.
+  std::size_t openRequests() const { return Requests_.size(); }
+  /// When the oldest of them had been read.
+  TimePoint oldestRequestAt() const;
+  /// Bytes that have arrived and belong to no request that was read whole.
+  std::size_t unreadBytes() const;
   void checkTimeouts(TimePoint Now);
   /// Drops the connection and tells the owners of unanswered requests.
   void close();
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "dragonfly/net/HttpServer.h"
 
+#include "dragonfly/base/Log.h"
 #include "dragonfly/net/EventLoop.h"
 #include "net/HttpConnection.h"
 #include "net/HttpText.h"
@@ -7,6 +8,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <algorithm>
 #include <unordered_set>
 
 namespace dragonfly::net {
@@ -90,7 +92,29 @@
       Open->stopWhenIdle();
   }
 
+  /// Logs what the end of the process takes from callers.
+  void logCut() const {
+    std::size_t Requests = 0;
+    std::size_t Unread = 0;
+    TimePoint Oldest = Clock::now();
+    for (const auto &Open : Connections_) {
+      Requests += Open->openRequests();
+      Unread += Open->unreadBytes() > 0 ? 1 : 0;
+      Oldest = std::min(Oldest, Open->oldestRequestAt());
+    }
+    if (Requests + Unread > 0)
+      logEvent(Event::RequestsCut,
+               {{"server", Options_.Name_},
+                {"phase", Owner_.Stopping_ ? "stopping" : "running"},
+                {"in_progress", Requests},
+                {"unread", Unread},
+                {"age_ms", static_cast<std::uint64_t>(
+                               toMilliseconds(Clock::now() - Oldest))},
+                {"connections", Connections_.size()}});
+  }
+
   void close() {
+    logCut();
     Owner_.Stopping_ = true;
     beast::error_code Ignored;
     Acceptor_.close(Ignored);
