Let no repeated and no early signal end a process

Callers saw: connections that end without an answer after a second SIGTERM. Cause: a second SIGTERM or SIGINT stopped the loop at once. Until the handlers stood, a signal killed the process; on control that lasted as long as the reading of its log. Change: further signals are logged and change nothing. Whoever wants a quick end has SIGQUIT, which no platform sends to stop a process. Programs block the signals first and unblock each once its handler stands; what came meanwhile is delivered then. What comes before main() is not covered.

--- a/daemons/dragonfly-agent.cpp
+++ b/daemons/dragonfly-agent.cpp
@@ -1,4 +1,5 @@
 #include "dragonfly/agent/Agent.h"
+#include "dragonfly/base/Signals.h"
 #include "dragonfly/net/EventLoop.h"
 #include "dragonfly/settings/Program.h"
 
@@ -24,5 +25,6 @@
 } // namespace
 
 int main(int Argc, char **Argv) {
+  holdSignals();
   return settings::runAgentProgram(Argc, Argv, run);
 }
--- a/daemons/dragonfly-control.cpp
+++ b/daemons/dragonfly-control.cpp
@@ -1,3 +1,4 @@
+#include "dragonfly/base/Signals.h"
 #include "dragonfly/control/Control.h"
 #include "dragonfly/net/EventLoop.h"
 #include "dragonfly/settings/Program.h"
@@ -6,6 +7,7 @@
 
 /// Serves as one replica until SIGTERM or SIGINT, then stops gracefully.
 int main(int Argc, char **Argv) {
+  holdSignals();
   return settings::runControlProgram(
       Argc, Argv, [](const settings::ControlSettings &Settings) {
         net::EventLoop Loop;
--- a/daemons/dragonfly-entry.cpp
+++ b/daemons/dragonfly-entry.cpp
@@ -1,3 +1,4 @@
+#include "dragonfly/base/Signals.h"
 #include "dragonfly/entry/Entry.h"
 #include "dragonfly/net/EventLoop.h"
 #include "dragonfly/settings/Program.h"
@@ -6,6 +7,7 @@
 
 /// Serves callers until SIGTERM or SIGINT, then stops gracefully.
 int main(int Argc, char **Argv) {
+  holdSignals();
   return settings::runEntryProgram(
       Argc, Argv, [](const settings::EntrySettings &Settings) {
         net::EventLoop Loop;
--- a/daemons/dragonfly-platform.cpp
+++ b/daemons/dragonfly-platform.cpp
@@ -5,6 +5,7 @@
 #include "dragonfly/base/Log.h"
 #include "dragonfly/base/Metrics.h"
 #include "dragonfly/base/Random.h"
+#include "dragonfly/base/Signals.h"
 #include "dragonfly/consensus/Storage.h"
 #include "dragonfly/control/Control.h"
 #include "dragonfly/control/GroupDirectory.h"
@@ -225,6 +226,7 @@
 } // namespace
 
 int main(int Argc, char **Argv) {
+  holdSignals();
   const auto Rest = settings::parseCommandLine(Argc, Argv, "--role=ROLE");
   const auto Role = Roles.find(absl::GetFlag(FLAGS_role));
   if (!Rest.empty() || Role == Roles.end()) {
--- a/include/dragonfly/net/EventLoop.h
+++ b/include/dragonfly/net/EventLoop.h
@@ -48,10 +48,10 @@
   [[nodiscard]] Timer after(Duration Delay, std::function<void()> Work);
   /// Calls \p Work every \p Period, first after one period.
   [[nodiscard]] Timer every(Duration Period, std::function<void()> Work);
-  /// Calls \p Work on the first SIGTERM or SIGINT; a second one stops the
-  /// loop.
+  /// Calls \p Work on the first SIGTERM or SIGINT, also on one that was held;
+  /// further ones change nothing. SIGQUIT still ends the process at once.
   void onTerminate(std::function<void()> Work);
-  /// Calls \p Work on each SIGHUP.
+  /// Calls \p Work on each SIGHUP, also on one that was held.
   void onReload(std::function<void()> Work);
 
   boost::asio::io_context &context();
--- a/src/net/EventLoop.cpp
+++ b/src/net/EventLoop.cpp
@@ -1,6 +1,7 @@
 #include "dragonfly/net/EventLoop.h"
 
 #include "dragonfly/base/Log.h"
+#include "dragonfly/base/Signals.h"
 #include "net/ClockTimer.h"
 
 #include <boost/asio/io_context.hpp>
@@ -80,15 +81,11 @@
     Signals_.async_wait([this](const auto &Fault, int) {
       if (Fault)
         return;
-      if (!OnTerminate_) {
-        logEvent(Event::StopRequestedAgain);
-        Context_.stop();
-        return;
-      }
-      const std::function<void()> Handler = std::move(OnTerminate_);
-      OnTerminate_ = nullptr;
       awaitSignal();
-      Handler();
+      if (const auto Handler = std::exchange(OnTerminate_, nullptr))
+        Handler();
+      else
+        logEvent(Event::StopRequestedAgain);
     });
   }
 };
@@ -127,13 +124,16 @@
 
 void EventLoop::onTerminate(std::function<void()> Work) {
   Impl_->OnTerminate_ = std::move(Work);
-  Impl_->Signals_.add(SIGTERM);
-  Impl_->Signals_.add(SIGINT);
+  for (const int Number : {SIGTERM, SIGINT}) {
+    Impl_->Signals_.add(Number);
+    releaseSignal(Number);
+  }
   Impl_->awaitSignal();
 }
 
 void EventLoop::onReload(std::function<void()> Work) {
   Impl_->Reloads_.add(SIGHUP);
+  releaseSignal(SIGHUP);
   Impl_->awaitReload(Work);
 }
 
--- a/tests/net/HttpPeers.h
+++ b/tests/net/HttpPeers.h
@@ -57,6 +57,13 @@
     }
   }
 
+  /// Writes what fits into the socket at once; the server does not read yet.
+  void send(std::string_view Bytes) {
+    boost::system::error_code Ignored;
+    Socket_.write_some(boost::asio::buffer(Bytes.data(), Bytes.size()),
+                       Ignored);
+  }
+
   /// Returns all bytes that have come so far.
   const std::string &received() {
     char Piece[4096];
@@ -65,9 +72,13 @@
                Socket_.read_some(boost::asio::buffer(Piece), Failure))
       Received_.append(Piece, Bytes);
     Ended_ = Ended_ || (Failure && Failure != boost::asio::error::would_block);
+    WasReset_ = WasReset_ || Failure == boost::asio::error::connection_reset;
     return Received_;
   }
 
+  /// True once reading has failed because the server reset the connection.
+  bool wasReset() const { return WasReset_; }
+
   bool waitFor(std::string_view Text) {
     return pollUntil(
         Loop_, [&] { return received().find(Text) != std::string::npos; });
@@ -87,6 +98,7 @@
   tcp::socket Socket_;
   std::string Received_;
   bool Ended_ = false;
+  bool WasReset_ = false;
 };
 
 /// A server that does as scripted: takes bytes, answers with raw ones.
--- /dev/null
+++ b/tests/platform/RealProcess.cpp
@@ -0,0 +1,157 @@
+#include "platform/RealProcess.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <csignal>
+#include <cstring>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <netinet/in.h>
+#include <spawn.h>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+namespace dragonfly::platform {
+namespace {
+
+constexpr int MaxReadSeconds = 10;
+constexpr int MaxConnects = 2000000;
+
+std::string makeFolder() {
+  std::string Name = std::filesystem::temp_directory_path() / "stop-XXXXXX";
+  if (mkdtemp(Name.data()) == nullptr)
+    throw std::runtime_error("mkdtemp");
+  return Name;
+}
+
+sockaddr_in toAddress(const std::string &Address, std::uint16_t Port) {
+  sockaddr_in Result{};
+  Result.sin_family = AF_INET;
+  Result.sin_port = htons(Port);
+  inet_pton(AF_INET, Address.c_str(), &Result.sin_addr);
+  return Result;
+}
+
+} // namespace
+
+Peer::Peer(const std::string &Address, std::uint16_t Port) {
+  const sockaddr_in To = toAddress(Address, Port);
+  for (int Try = 0; Try < MaxConnects; ++Try) {
+    Socket_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (connect(Socket_, reinterpret_cast<const sockaddr *>(&To), sizeof To) ==
+        0)
+      break;
+    close(Socket_);
+    Socket_ = -1;
+    std::this_thread::yield();
+  }
+  if (Socket_ < 0)
+    throw std::runtime_error("nothing listens on " + Address);
+  const timeval Limit{.tv_sec = MaxReadSeconds, .tv_usec = 0};
+  setsockopt(Socket_, SOL_SOCKET, SO_RCVTIMEO, &Limit, sizeof Limit);
+}
+
+Peer::~Peer() { close(Socket_); }
+
+void Peer::send(std::string_view Bytes) const {
+  ::send(Socket_, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
+}
+
+std::string Peer::readToEnd() const { return readUntil({}); }
+
+std::string Peer::readUntil(std::string_view Text) const {
+  std::string Result;
+  std::array<char, 4096> Piece{};
+  while (Text.empty() || Result.find(Text) == std::string::npos) {
+    const ssize_t Bytes = recv(Socket_, Piece.data(), Piece.size(), 0);
+    if (Bytes <= 0)
+      break;
+    Result.append(Piece.data(), static_cast<std::size_t>(Bytes));
+  }
+  return Result;
+}
+
+RealProcess::RealProcess(const std::string &Role, const std::string &Lines)
+    : Folder_(makeFolder()) {
+  constexpr std::string_view Token = "{folder}";
+  std::string Text = Lines;
+  if (const auto At = Text.find(Token); At != std::string::npos) {
+    Text.replace(At, Token.size(), Folder_);
+    std::filesystem::create_directories(Folder_ + "/disk");
+  }
+  std::ofstream(settingsFile()) << Text;
+  start(Role);
+}
+
+RealProcess::RealProcess(FifoTag, const std::string &Role)
+    : Folder_(makeFolder()) {
+  mkfifo(settingsFile().c_str(), 0600);
+  start(Role);
+}
+
+void RealProcess::start(const std::string &Role) {
+  posix_spawn_file_actions_t Files;
+  posix_spawn_file_actions_init(&Files);
+  const std::string Log = Folder_ + "/log";
+  posix_spawn_file_actions_addopen(&Files, STDOUT_FILENO, Log.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
+  posix_spawn_file_actions_adddup2(&Files, STDOUT_FILENO, STDERR_FILENO);
+  posix_spawn_file_actions_addclosefrom_np(&Files, STDERR_FILENO + 1);
+  std::string Program = DRAGONFLY_BINARY_DIR "/dragonfly-platform";
+  std::string Flag = "--role=" + Role;
+  std::string Setting = "DRAGONFLYPROXY_SETTINGS=" + settingsFile();
+  std::array<char *, 3> Arguments{Program.data(), Flag.data(), nullptr};
+  std::array<char *, 2> Environment{Setting.data(), nullptr};
+  const int Fault = posix_spawn(&Pid_, Program.c_str(), &Files, nullptr,
+                                Arguments.data(), Environment.data());
+  posix_spawn_file_actions_destroy(&Files);
+  if (Fault != 0)
+    throw std::runtime_error(Program + ": " + std::strerror(Fault));
+}
+
+RealProcess::~RealProcess() {
+  signal(SIGKILL);
+  wait();
+  std::error_code Ignored;
+  std::filesystem::remove_all(Folder_, Ignored);
+}
+
+void RealProcess::signal(int Number) const {
+  if (Pid_ > 0)
+    kill(Pid_, Number);
+}
+
+int RealProcess::wait() {
+  int Status = 0;
+  if (Pid_ <= 0 || waitpid(Pid_, &Status, 0) != Pid_)
+    return -1;
+  Pid_ = 0;
+  return WIFSIGNALED(Status) ? -WTERMSIG(Status) : WEXITSTATUS(Status);
+}
+
+std::string RealProcess::log() const {
+  std::ifstream In(Folder_ + "/log");
+  return {std::istreambuf_iterator<char>(In), {}};
+}
+
+void HeldProcess::waitForReader() {
+  Writer_ = open(settingsFile().c_str(), O_WRONLY | O_CLOEXEC);
+}
+
+void HeldProcess::release(const std::string &Lines) {
+  // Later looks at the settings find a file that blocks nobody.
+  const std::string Next = folder() + "/next.conf";
+  std::ofstream(Next) << Lines;
+  std::filesystem::rename(Next, settingsFile());
+  if (write(Writer_, Lines.data(), Lines.size()) < 0)
+    throw std::runtime_error("settings");
+  close(Writer_);
+}
+
+} // namespace dragonfly::platform
--- /dev/null
+++ b/tests/platform/RealProcess.h
@@ -0,0 +1,78 @@
+/// A program of the project as a process of its own, for tests of its stop.
+#ifndef DRAGONFLY_TESTS_PLATFORM_REALPROCESS_H
+#define DRAGONFLY_TESTS_PLATFORM_REALPROCESS_H
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <sys/types.h>
+
+namespace dragonfly::platform {
+
+/// A blocking connection to a loopback address.
+class Peer {
+public:
+  /// Tries until the process listens.
+  Peer(const std::string &Address, std::uint16_t Port);
+  Peer(const Peer &) = delete;
+  Peer &operator=(const Peer &) = delete;
+  ~Peer();
+
+  void send(std::string_view Bytes) const;
+  /// Reads until the connection ends, but not for more than ten seconds.
+  std::string readToEnd() const;
+  /// Reads until \p Text has come or the connection ends.
+  std::string readUntil(std::string_view Text) const;
+
+private:
+  int Socket_ = -1;
+};
+
+/// dragonfly-platform with a settings file of its own.
+class RealProcess {
+public:
+  /// Starts the program; \p Lines is the content of its settings file, with
+  /// "{folder}" in place of the process's own folder.
+  RealProcess(const std::string &Role, const std::string &Lines);
+  RealProcess(const RealProcess &) = delete;
+  RealProcess &operator=(const RealProcess &) = delete;
+  /// Ends the process if it still runs.
+  ~RealProcess();
+
+  void signal(int Number) const;
+  /// Waits for the end. Returns the exit code, or minus the signal's number.
+  int wait();
+  /// What it has logged.
+  std::string log() const;
+  const std::string &folder() const { return Folder_; }
+  std::string settingsFile() const { return Folder_ + "/settings.conf"; }
+
+protected:
+  struct FifoTag {};
+  /// Starts the program with a settings file that blocks its reader.
+  RealProcess(FifoTag, const std::string &Role);
+
+private:
+  void start(const std::string &Role);
+
+  std::string Folder_;
+  pid_t Pid_ = 0;
+};
+
+/// A process that waits inside `main()` for its settings.
+class HeldProcess : public RealProcess {
+public:
+  explicit HeldProcess(const std::string &Role)
+      : RealProcess(FifoTag(), Role) {}
+  /// Returns once the process reads its settings.
+  void waitForReader();
+  /// Lets the process go on with \p Lines.
+  void release(const std::string &Lines);
+
+private:
+  int Writer_ = -1;
+};
+
+} // namespace dragonfly::platform
+
+#endif // DRAGONFLY_TESTS_PLATFORM_REALPROCESS_H
