Let an HTTP server refuse what it does not serve, and lose no answer

Callers saw: connections that end without a word. Cause: a connection was closed without an answer wherever the server had no use for it: beyond the bound, idle for long, or idle as a stop went on. Closing a socket that held unread bytes reset it, and the reset could overtake an answer. In a stop the answer to each pipelined request said that the connection closes, so those behind it were run and their answers ignored; a request in progress was cut off one second after bytes behind it that were no HTTP. Change: each connection gets a last answer. Beyond the bound, in a stop and after the idle time that is 503 with Retry-After, for a part of a request 408, at the bound of a stop 504. No request that arrives behind it is run, so "has not run" is true also for one that is on its way. Then the sending direction ends and the connection reads on until the caller closes: 1 s, 0.2 s after a silence, 0.1 s in a stop. Only the answer to the last request that has arrived says that the connection closes. Where there is no room for more refusals, or no descriptor, connections wait in the system's queue. Two older cases of HttpServerTest: the connection beyond the bound has to get 503 now, and connections are counted as closed once the callers have closed too. Ruled out: 408 for idle connections, since callers know from 503 that nothing has run.

--- a/include/dragonfly/net/HttpServer.h
+++ b/include/dragonfly/net/HttpServer.h
@@ -4,6 +4,7 @@
 
 #include "dragonfly/base/Clock.h"
 #include "dragonfly/net/Endpoint.h"
+#include "dragonfly/net/GracefulStop.h"
 #include "dragonfly/net/HttpMessage.h"
 
 #include <chrono>
@@ -46,6 +47,7 @@
   /// Names the server in log lines.
   std::string Name_ = "http";
   Endpoint Listen_;
+  /// The request on each further connection is refused with 503.
   std::size_t MaxConnections_ = 1024;
   std::size_t MaxHeaderBytes_ = 16U << 10U;
   std::size_t MaxBodyBytes_ = 1U << 20U;
@@ -53,6 +55,9 @@
   Duration IdleTimeout_ = std::chrono::seconds(30);
   /// For the caller to take queued bytes.
   Duration WriteTimeout_ = std::chrono::seconds(30);
+  /// Where callers are sent to when this process stops: elsewhere at once, or
+  /// back to it.
+  std::chrono::seconds RetryAfterStop_{0};
   /// Where false, connections wait in the system's queue until
   /// `startAccepting()`.
   bool AcceptAtOnce_ = true;
@@ -68,14 +73,18 @@
 
   /// Has an effect once, and only where `AcceptAtOnce_` was false.
   void startAccepting();
-
-  /// Lets each connection end with its next answer ("Connection: close"), but
-  /// goes on accepting: callers move elsewhere without a lost request.
+  /// Requests are served on, but answers say that their connections close.
   void closeAfterAnswers();
-  /// Accepts no more connections and closes each one once its last answer has
-  /// left ("Connection: close").
-  void stopAccepting();
+  /// Finishes what has been read. A caller that sends nothing, or connects from
+  /// now on, is told with 503 that its next request will not run.
+  void refuseNew();
+  /// Answers each request in progress with 504, and refuses the rest.
+  void cutOff();
+  /// Connections with a request in progress, idle, or with a last answer that
+  /// the caller has not taken.
   std::size_t openConnections() const;
+  /// This server in the stop of its process; it must outlive the stop.
+  StopPart stopPart();
   Endpoint endpoint() const;
 
 private:
--- a/src/control/Control.cpp
+++ b/src/control/Control.cpp
@@ -251,7 +251,7 @@
     Service_.transferLeadership();
     StopBy_ = Clock::now() + Settings_.Process_.StopBound_;
     Frames_.stopAccepting();
-    Http_.stopAccepting();
+    Http_.refuseNew();
     // What has not been answered by then is not going to be: its leader is
     // lost, and its sender must not be told either way.
     SettledAt_ = Clock::now() + Settings_.ElectionTimeout_;
--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -111,7 +111,7 @@
   /// Waits until each answer has left, then until control has each receipt.
   void finishRequests() {
     Core_.requests().drain();
-    Server_.stopAccepting();
+    Server_.refuseNew();
     StopStep_ = Loop_.every(StopCheckPeriod, [this] {
       if (Core_.requests().inProgress() > 0 || Server_.openConnections() > 0)
         return;
--- a/src/net/HttpConnection.cpp
+++ b/src/net/HttpConnection.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
+
 namespace dragonfly::net {
 namespace {
 
@@ -18,9 +20,13 @@
 constexpr std::size_t MaxPipelined = 16;
 /// Bytes read at once.
 constexpr std::size_t ReadBytes = 16U << 10U;
-/// How long a refused caller may take to read why.
-constexpr Duration LingerTime = std::chrono::seconds(1);
+/// Linger time of a connection on which nothing has come for long.
+constexpr Duration IdleLingerTime = std::chrono::milliseconds(200);
+/// Shortest time between an answer and a refusal that no request has caused.
+constexpr Duration QuietTime = std::chrono::milliseconds(10);
 constexpr TimePoint Never = TimePoint::max();
+constexpr std::uint16_t TimeoutStatus = 408;
+constexpr std::uint16_t UnavailableStatus = 503;
 
 template <typename Parser> HttpRequest takeRequest(Parser &Source) {
   auto Message = Source.release();
@@ -46,6 +52,12 @@
     Status = 413;
     Type = "body-too-large";
   }
+  return makeRefusal(Status, Type);
+}
+
+} // namespace
+
+HttpResponse makeRefusal(std::uint16_t Status, std::string_view Type) {
   return {.Status_ = Status,
           .ContentType_ = "application/problem+json",
           .Headers_ = {{"Dragonfly-Outcome", "refused-not-run"}},
@@ -53,7 +65,13 @@
                    R"(","outcome":"refused-not-run"})"};
 }
 
-} // namespace
+HttpResponse makeUnavailable(std::string_view Type,
+                             std::chrono::seconds RetryAfter) {
+  HttpResponse Answer = makeRefusal(UnavailableStatus, Type);
+  Answer.Headers_.push_back(
+      {"Retry-After", std::to_string(RetryAfter.count())});
+  return Answer;
+}
 
 void HttpConnection::start() {
   tuneStream(Socket_);
@@ -78,17 +96,67 @@
     if (!Requests_.empty() && !Requests_.front()->Held_.empty())
       queue(std::exchange(Requests_.front()->Held_, {}));
   }
-  if (Requests_.empty() && !Lingering_)
+  if (Requests_.empty() && !Discarding_)
     touchIdle();
   closeIfFinished();
   if (!Dispatching_)
     consume();
 }
 
-void HttpConnection::stopWhenIdle() {
-  if (Requests_.empty() && betweenRequests())
-    CloseAfterWrite_ = true;
-  closeIfFinished();
+bool HttpConnection::keepsOpenAfter(HttpReplier::State &Request) {
+  if (Owner_ == nullptr)
+    return false;
+  const bool IsLast = !Requests_.empty() && Requests_.back().get() == &Request;
+  if (Request.KeepAlive_ && Owner_->Stopping_ && IsLast && betweenRequests() &&
+      unreadBytes() == 0) {
+    Request.KeepAlive_ = false;
+    discardRest();
+  }
+  return Request.KeepAlive_;
+}
+
+void HttpConnection::refuse(HttpResponse Answer) {
+  if (Closed_ || Discarding_)
+    return;
+  auto Request = std::make_shared<HttpReplier::State>();
+  Request->Connection_ = weak_from_this();
+  Request->KeepAlive_ = false;
+  Requests_.push_back(Request);
+  discardRest();
+  HttpReplier(std::move(Request)).reply(std::move(Answer));
+}
+
+void HttpConnection::refuseIfIdle(const HttpResponse &Answer) {
+  if (!Writing_ && Clock::now() - QuietTime >= WrittenAt_ &&
+      Requests_.empty() && betweenRequests() && unreadBytes() == 0)
+    refuse(Answer);
+}
+
+void HttpConnection::cutOff(const HttpResponse &Answer,
+                            const HttpResponse &Refusal) {
+  const auto Self = shared_from_this();
+  if (Requests_.empty()) {
+    refuse(Refusal);
+    return;
+  }
+  discardRest();
+  Requests_.back()->KeepAlive_ = false;
+  const std::deque<RequestState> Open = Requests_;
+  for (const RequestState &Request : Open) {
+    Request->Gone_ = nullptr;
+    if (Request->Done_)
+      continue;
+    if (Request->Begun_) {
+      close();
+      return;
+    }
+    HttpReplier(Request).reply(Answer);
+  }
+}
+
+void HttpConnection::shortenLinger() {
+  if (Lingering_)
+    ReadDeadline_ = std::min(ReadDeadline_, Clock::now() + Owner_->LingerTime_);
 }
 
 std::size_t
@@ -107,8 +175,14 @@
 }
 
 void HttpConnection::checkTimeouts(TimePoint Now) {
-  if (Now >= ReadDeadline_ || Now >= WriteDeadline_)
+  if (Now >= WriteDeadline_ || (Lingering_ && Now >= ReadDeadline_)) {
     close();
+  } else if (Now >= ReadDeadline_) {
+    const bool IsIdle = betweenRequests();
+    IsSilent_ = true;
+    refuse(IsIdle ? makeUnavailable("idle-timeout", std::chrono::seconds(0))
+                  : makeRefusal(TimeoutStatus, "request-timeout"));
+  }
 }
 
 void HttpConnection::close() {
@@ -178,7 +252,7 @@
     close();
     return;
   }
-  if (Lingering_) {
+  if (Discarding_) {
     read();
     return;
   }
@@ -195,21 +269,21 @@
   Dispatching_ = false;
   if (Closed_)
     return;
-  if (!Requests_.empty() && !Lingering_ && betweenRequests())
+  if (!Requests_.empty() && !Discarding_ && betweenRequests())
     ReadDeadline_ = Never;
   read();
 }
 
 bool HttpConnection::consumeOne() {
-  if (Closed_ || Lingering_ || CloseAfterWrite_ ||
-      Requests_.size() >= MaxPipelined || Buffer_.size() == 0)
+  if (Closed_ || Discarding_ || Requests_.size() >= MaxPipelined ||
+      Buffer_.size() == 0)
     return false;
   beast::error_code Failure;
   Buffer_.consume(Parser_->put(Buffer_.data(), Failure));
   if (Failure == http::error::need_more)
     return false;
   if (Failure) {
-    refuse(Failure);
+    refuse(parseFailure(Failure));
     return false;
   }
   if (!Parser_->is_done())
@@ -225,21 +299,16 @@
   HttpRequest Message = takeRequest(*Parser_);
   resetParser();
   Requests_.push_back(Request);
+  if (!Request->KeepAlive_)
+    discardRest();
   Owner_->Options_.OnRequest_(std::move(Message),
                               HttpReplier(std::move(Request)));
 }
 
-/// Answers bytes that are no request; what follows them is discarded, so that
-/// the answer is not lost to a reset.
-void HttpConnection::refuse(const beast::error_code &Failure) {
-  auto Request = std::make_shared<HttpReplier::State>();
-  Request->Connection_ = weak_from_this();
-  Request->KeepAlive_ = false;
-  Requests_.push_back(Request);
-  Lingering_ = true;
+void HttpConnection::discardRest() {
+  Discarding_ = true;
   Buffer_.clear();
-  ReadDeadline_ = Clock::now() + LingerTime;
-  HttpReplier(Request).reply(parseFailure(Failure));
+  ReadDeadline_ = Never;
 }
 
 void HttpConnection::queue(std::string Bytes) {
@@ -266,6 +335,7 @@
 void HttpConnection::onWritten(const beast::error_code &Failure) {
   Writing_ = false;
   WriteDeadline_ = Never;
+  WrittenAt_ = Clock::now();
   InFlight_.clear();
   if (Closed_)
     return;
@@ -278,15 +348,15 @@
 }
 
 void HttpConnection::closeIfFinished() {
-  if (Closed_ || !CloseAfterWrite_ || Writing_ || !Out_.empty() ||
+  if (Closed_ || Lingering_ || !CloseAfterWrite_ || Writing_ || !Out_.empty() ||
       !Requests_.empty())
     return;
-  if (!Lingering_) {
-    close();
-    return;
-  }
+  Lingering_ = true;
+  ReadDeadline_ =
+      Clock::now() + (IsSilent_ ? IdleLingerTime : Owner_->LingerTime_);
   beast::error_code Ignored;
   Socket_.shutdown(tcp::socket::shutdown_send, Ignored);
+  read();
 }
 
 } // namespace dragonfly::net
--- a/src/net/HttpConnection.h
+++ b/src/net/HttpConnection.h
@@ -12,6 +12,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <deque>
 #include <memory_resource>
@@ -24,7 +25,10 @@
 /// What a connection needs of its server.
 struct HttpConnectionOwner {
   const HttpServerOptions &Options_;
+  /// Answers say that their connections close.
   bool Stopping_ = false;
+  /// Time that a caller has to close after its last answer.
+  Duration LingerTime_ = std::chrono::seconds(1);
   std::function<void(const std::shared_ptr<HttpConnection> &)> OnClosed_;
 };
 
@@ -32,6 +36,8 @@
 struct HttpReplier::State {
   std::weak_ptr<HttpConnection> Connection_;
   bool KeepAlive_ = true;
+  /// The head of the answer has been handed over.
+  bool Begun_ = false;
   bool Done_ = false;
   /// What is held back until the answers before it have left.
   std::string Held_;
@@ -39,7 +45,15 @@
   TimePoint ReadAt_ = Clock::now();
 };
 
-/// The owner must outlive the connection, or call `detach()`.
+/// Returns an answer that says why a request is not run.
+HttpResponse makeRefusal(std::uint16_t Status, std::string_view Type);
+/// Returns a refusal with 503 and the time after which to come again.
+HttpResponse makeUnavailable(std::string_view Type,
+                             std::chrono::seconds RetryAfter);
+
+/// The owner must outlive the connection, or call `detach()`. After its last
+/// answer a connection reads on until the caller closes: closing a socket that
+/// holds unread bytes resets it, and a reset may overtake the answer.
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
 public:
   using Socket = boost::asio::ip::tcp::socket;
@@ -52,10 +66,22 @@
   void append(HttpReplier::State &Request, std::string Bytes);
   /// Lets the next answers leave once the first request is done.
   void settle();
-  /// True once every answer should end its connection.
-  bool stopping() const { return Owner_ == nullptr || Owner_->Stopping_; }
-  /// Closes at once if no request is in progress.
-  void stopWhenIdle();
+  /// Whether the connection stays open behind the answer to \p Request. In a
+  /// stop the answer to the last request that has arrived is the last one.
+  bool keepsOpenAfter(HttpReplier::State &Request);
+  /// Makes \p Answer the last one, behind those to the requests in progress.
+  /// What arrives later is discarded. Has no effect on a connection that
+  /// already has its last answer.
+  void refuse(HttpResponse Answer);
+  /// Refuses where no request, and no part of one, has arrived, unless an
+  /// answer has only just left: a caller could take the two for one.
+  void refuseIfIdle(const HttpResponse &Answer);
+  /// Ends each request that has no answer with \p Answer, or breaks it off
+  /// where its answer has begun. Makes \p Refusal the last answer of a
+  /// connection without requests.
+  void cutOff(const HttpResponse &Answer, const HttpResponse &Refusal);
+  /// Bounds the time for the last answer by the owner's new linger time.
+  void shortenLinger();
   std::size_t queuedBytes(const HttpReplier::State &Request) const;
   /// Requests that have been read and have no whole answer.
   std::size_t openRequests() const { return Requests_.size(); }
@@ -85,7 +111,8 @@
   /// Hands over the next whole request; false where none has come.
   bool consumeOne();
   void dispatch();
-  void refuse(const boost::beast::error_code &Failure);
+  /// No request that arrives later is run.
+  void discardRest();
   void queue(std::string Bytes);
   void write();
   void onWritten(const boost::beast::error_code &Failure);
@@ -103,13 +130,19 @@
   std::string Out_;
   std::string InFlight_;
   TimePoint ReadDeadline_ = TimePoint::max();
+  /// When bytes last left.
+  TimePoint WrittenAt_ = TimePoint::min();
   TimePoint WriteDeadline_ = TimePoint::max();
   bool Reading_ = false;
   bool Writing_ = false;
   bool Dispatching_ = false;
   bool CloseAfterWrite_ = false;
-  /// True once the input is of no use and is only discarded.
+  /// True once input is only discarded.
+  bool Discarding_ = false;
+  /// The last answer has left; the caller closes next.
   bool Lingering_ = false;
+  /// Nothing has come for the idle time.
+  bool IsSilent_ = false;
   bool Closed_ = false;
 };
 
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -4,7 +4,7 @@
 #include "dragonfly/net/EventLoop.h"
 #include "net/HttpConnection.h"
 #include "net/HttpText.h"
-#include "net/Sockets.h"
+#include "net/Listener.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -20,6 +20,16 @@
 
 /// How often connections are checked for their timeouts.
 constexpr Duration SweepPeriod = std::chrono::milliseconds(100);
+/// Refused connections that may wait for their callers to close; more wait in
+/// the system's queue.
+constexpr std::size_t MaxRefused = 128;
+/// When a caller may come again that found too many connections.
+constexpr std::chrono::seconds FullRetryAfter{1};
+/// Time that callers of a stopping server have to close after the last answer.
+constexpr Duration StopLingerTime = std::chrono::milliseconds(100);
+/// How often a stopping server looks for connections that have become idle.
+constexpr Duration RefusalPeriod = std::chrono::milliseconds(5);
+constexpr std::uint16_t CutOffStatus = 504;
 
 using ConnectionSet = std::unordered_set<std::shared_ptr<HttpConnection>>;
 
@@ -28,68 +38,100 @@
   return {Connections.begin(), Connections.end()};
 }
 
-KeepAlive keepAlive(HttpReplier::State &Request, const HttpConnection &Caller) {
-  if (Caller.stopping())
-    Request.KeepAlive_ = false;
-  return Request.KeepAlive_ ? KeepAlive::Yes : KeepAlive::No;
+KeepAlive keepAlive(HttpReplier::State &Request, HttpConnection &Caller) {
+  return Caller.keepsOpenAfter(Request) ? KeepAlive::Yes : KeepAlive::No;
 }
 
 } // namespace
 
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
   Impl(EventLoop &Loop, HttpServerOptions Options)
-      : Loop_(Loop), Options_(std::move(Options)), Acceptor_(Loop.context()) {
+      : Loop_(Loop), Options_(std::move(Options)) {
     Owner_.OnClosed_ = [this](const std::shared_ptr<HttpConnection> &Closed) {
       Connections_.erase(Closed);
+      Refused_.erase(Closed);
     };
   }
 
   void listen() {
-    listenOn(Acceptor_, Options_.Listen_);
+    Listener_ = std::make_shared<Listener>(
+        Loop_, Options_.Listen_,
+        Listener::Hooks{.HasRoom_ =
+                            [Weak = weak_from_this()] {
+                              const auto Self = Weak.lock();
+                              return Self && Self->Refused_.size() < MaxRefused;
+                            },
+                        .OnAccepted_ =
+                            [Weak = weak_from_this()](tcp::socket Peer) {
+                              if (const auto Self = Weak.lock())
+                                Self->add(std::move(Peer));
+                            }});
     if (Options_.AcceptAtOnce_)
-      accept();
+      Listener_->start();
   }
 
   void startAccepting() {
-    if (!std::exchange(Options_.AcceptAtOnce_, true) && Acceptor_.is_open())
-      accept();
+    if (!std::exchange(Options_.AcceptAtOnce_, true))
+      Listener_->start();
   }
 
-  void accept() {
-    Acceptor_.async_accept(
-        [Weak = weak_from_this()](const beast::error_code &Failure,
-                                  tcp::socket Peer) {
-          const auto Self = Weak.lock();
-          if (!Self || !Self->Acceptor_.is_open())
-            return;
-          if (!Failure)
-            Self->add(std::move(Peer));
-          acceptWaiting(Self->Acceptor_, [&Self](tcp::socket Next) {
-            Self->add(std::move(Next));
-          });
-          Self->accept();
-        });
-  }
-
-  /// Beyond the bound the socket is closed at once.
   void add(tcp::socket Peer) {
-    if (Connections_.size() >= Options_.MaxConnections_)
-      return;
+    const bool IsFull =
+        Connections_.size() - Refused_.size() >= Options_.MaxConnections_;
     const auto Added =
         std::make_shared<HttpConnection>(Owner_, std::move(Peer));
     Connections_.insert(Added);
-    Added->start();
     armSweep();
+    if (IsFull || Refusing_) {
+      Refused_.insert(Added);
+      logFull(IsFull);
+    }
+    Added->start();
+    if (Refusing_)
+      Added->refuse(stopRefusal());
+    else if (IsFull)
+      Added->refuse(makeUnavailable("too-many-connections", FullRetryAfter));
+  }
+
+  /// Logs once until there is room again.
+  void logFull(bool IsFull) {
+    if (std::exchange(WasFull_, IsFull) || !IsFull)
+      return;
+    logEvent(Event::ConnectionsRefused,
+             {{"server", Options_.Name_}, {"bound", Options_.MaxConnections_}});
+  }
+
+  HttpResponse stopRefusal() const {
+    return makeUnavailable("stopping", Options_.RetryAfterStop_);
   }
 
   void closeAfterAnswers() { Owner_.Stopping_ = true; }
 
-  void stopAccepting() {
+  void refuseNew() {
     Owner_.Stopping_ = true;
-    beast::error_code Ignored;
-    Acceptor_.close(Ignored);
+    Owner_.LingerTime_ = StopLingerTime;
+    startAccepting();
     for (const auto &Open : snapshot(Connections_))
-      Open->stopWhenIdle();
+      Open->shortenLinger();
+    if (!std::exchange(Refusing_, true))
+      Refusals_ = Loop_.every(RefusalPeriod, [this] { refuseIdle(); });
+    refuseIdle();
+  }
+
+  void refuseIdle() {
+    for (const auto &Open : snapshot(Connections_))
+      Open->refuseIfIdle(stopRefusal());
+  }
+
+  void cutOff() {
+    logCut();
+    refuseNew();
+    Listener_->acceptWaiting();
+    HttpResponse Answer = makeRefusal(CutOffStatus, "stopping");
+    Answer.Headers_.front().Value_ = "unknown";
+    Answer.Body_ = R"({"type":"stopping","outcome":"unknown"})";
+    for (const auto &Open : snapshot(Connections_))
+      Open->cutOff(Answer, stopRefusal());
   }
 
   /// Logs what the end of the process takes from callers.
@@ -114,12 +156,13 @@
   }
 
   void close() {
-    logCut();
-    Owner_.Stopping_ = true;
-    beast::error_code Ignored;
-    Acceptor_.close(Ignored);
+    // The last answers leave as far as the sockets take them at once.
+    cutOff();
+    Listener_->close();
     for (const auto &Open : std::exchange(Connections_, {}))
       Open->detach();
+    Refused_.clear();
+    Refusals_.cancel();
     Sweep_.cancel();
   }
 
@@ -137,17 +180,24 @@
     const TimePoint Now = Clock::now();
     for (const auto &Open : snapshot(Connections_))
       Open->checkTimeouts(Now);
+    if (Refused_.empty())
+      WasFull_ = false;
     if (!Connections_.empty())
       armSweep();
   }
 
   EventLoop &Loop_;
   HttpServerOptions Options_;
-  HttpConnectionOwner Owner_{Options_, false, {}};
-  tcp::acceptor Acceptor_;
+  HttpConnectionOwner Owner_{.Options_ = Options_};
+  std::shared_ptr<Listener> Listener_;
   Endpoint Endpoint_;
   ConnectionSet Connections_;
+  /// Those of them that were refused when they were accepted.
+  ConnectionSet Refused_;
+  bool Refusing_ = false;
+  bool WasFull_ = false;
   Timer Sweep_;
+  Timer Refusals_;
   bool SweepArmed_ = false;
 };
 
@@ -160,6 +210,7 @@
     return;
   std::string Bytes;
   appendResponse(Bytes, Response, keepAlive(*State_, *Caller));
+  State_->Begun_ = true;
   State_->Done_ = true;
   Caller->append(*State_, std::move(Bytes));
   Caller->settle();
@@ -171,6 +222,7 @@
     return;
   std::string Bytes;
   appendChunkedHead(Bytes, Head, keepAlive(*State_, *Caller));
+  State_->Begun_ = true;
   Caller->append(*State_, std::move(Bytes));
 }
 
@@ -213,7 +265,7 @@
 HttpServer::HttpServer(EventLoop &Loop, HttpServerOptions Options)
     : Impl_(std::make_shared<Impl>(Loop, std::move(Options))) {
   Impl_->listen();
-  Impl_->Endpoint_ = fromAsio(Impl_->Acceptor_.local_endpoint());
+  Impl_->Endpoint_ = Impl_->Listener_->endpoint();
 }
 
 HttpServer::~HttpServer() { Impl_->close(); }
@@ -222,12 +274,22 @@
 
 void HttpServer::closeAfterAnswers() { Impl_->closeAfterAnswers(); }
 
-void HttpServer::stopAccepting() { Impl_->stopAccepting(); }
+void HttpServer::refuseNew() { Impl_->refuseNew(); }
+
+void HttpServer::cutOff() { Impl_->cutOff(); }
 
 std::size_t HttpServer::openConnections() const {
   return Impl_->Connections_.size();
 }
 
+StopPart HttpServer::stopPart() {
+  return {.Name_ = Impl_->Options_.Name_,
+          .OnServing_ = [this] { closeAfterAnswers(); },
+          .OnRefusing_ = [this] { refuseNew(); },
+          .Unfinished_ = [this] { return openConnections(); },
+          .OnCutOff_ = [this] { cutOff(); }};
+}
+
 Endpoint HttpServer::endpoint() const { return Impl_->Endpoint_; }
 
 } // namespace dragonfly::net
--- a/tests/net/HttpServerTest.cpp
+++ b/tests/net/HttpServerTest.cpp
@@ -198,7 +198,7 @@
   Clock::resume();
 }
 
-TEST_CASE("connections beyond the bound are closed", "[net][http][callers]") {
+TEST_CASE("connections beyond the bound are refused", "[net][http][callers]") {
   EventLoop Loop;
   HttpServer Server(Loop, {.Listen_ = AnyPort,
                            .MaxConnections_ = 2,
@@ -209,6 +209,7 @@
   RawCaller Second(Loop, Server.endpoint());
   REQUIRE(pollUntil(Loop, [&] { return Server.openConnections() == 2; }));
   RawCaller Third(Loop, Server.endpoint());
+  CHECK(Third.waitFor("HTTP/1.1 503"));
   CHECK(Third.waitForEnd());
   First.write(SmallGet);
   CHECK(First.waitFor("served"));
@@ -244,11 +245,13 @@
   Busy.write(SmallGet);
   REQUIRE(pollUntil(Loop, [&] { return Pending.has_value(); }));
   REQUIRE(pollUntil(Loop, [&] { return Server.openConnections() == 2; }));
-  Server.stopAccepting();
+  Server.refuseNew();
   CHECK(Idle.waitForEnd());
   Pending->reply({.Body_ = "finished"});
   CHECK(Busy.waitFor("finished"));
   CHECK(Busy.received().find("Connection: close") != std::string::npos);
   CHECK(Busy.waitForEnd());
-  CHECK(Server.openConnections() == 0);
+  Idle.close();
+  Busy.close();
+  CHECK(pollUntil(Loop, [&] { return Server.openConnections() == 0; }));
 }
