Let a frame server refuse calls beyond its bound and send queued answers

What peers saw, by reading: a connection beyond the bound was closed after its call had left, so that the call counted as lost although it had not run; the end of a process dropped queued answers and reset connections with unread frames. Cause: as for HTTP servers, closing stood for an answer. Change: the first request on a connection beyond the bound is refused; at the end of a stop each stream sends what is queued, ends its sending direction and closes when its peer does. Frames and HTTP share the code that accepts. Not seen in a run of processes.

--- a/include/dragonfly/net/FrameServer.h
+++ b/include/dragonfly/net/FrameServer.h
@@ -6,12 +6,14 @@
 #include "dragonfly/base/Clock.h"
 #include "dragonfly/base/Ids.h"
 #include "dragonfly/net/Endpoint.h"
+#include "dragonfly/net/GracefulStop.h"
 #include "dragonfly/wire/Messages.h"
 
 #include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace dragonfly::net {
 
@@ -39,6 +41,7 @@
 struct FrameServerOptions {
   Endpoint Listen_;
   Incarnation Self_;
+  /// On each further connection the first request is refused.
   std::size_t MaxConnections_ = 1024;
   /// A connection on which nothing has come for so long is closed; that of a
   /// client which uses or needs it is never idle for more than a few seconds.
@@ -54,14 +57,20 @@
   FrameServer(EventLoop &Loop, FrameServerOptions Options);
   ~FrameServer();
 
-  /// Accepts no more connections; those that are open go on.
-  void stopAccepting();
+  /// Ends all connections behind what is queued on them, and accepts no more.
+  /// Requests that come later are not handled.
+  void finish();
   /// Closes every connection.
   void close();
   /// The port in use, where the options left it 0.
   Endpoint endpoint() const;
   /// Number of open connections.
   std::size_t connections() const;
+  /// Bytes queued on all of them that peers have not taken yet.
+  std::size_t queuedBytes() const;
+  /// This server in the stop of its process; it must outlive the stop. The
+  /// owner refuses what comes while the stop goes on.
+  StopPart stopPart(std::string Name);
 
 private:
   struct Impl;
--- a/src/control/Control.cpp
+++ b/src/control/Control.cpp
@@ -250,7 +250,6 @@
     OnStopped_ = std::move(OnStopped);
     Service_.transferLeadership();
     StopBy_ = Clock::now() + Settings_.Process_.StopBound_;
-    Frames_.stopAccepting();
     Http_.refuseNew();
     // What has not been answered by then is not going to be: its leader is
     // lost, and its sender must not be told either way.
--- a/src/net/FrameServer.cpp
+++ b/src/net/FrameServer.cpp
@@ -3,7 +3,7 @@
 #include "dragonfly/base/Log.h"
 #include "dragonfly/net/EventLoop.h"
 #include "net/FrameStream.h"
-#include "net/Sockets.h"
+#include "net/Listener.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -18,6 +18,9 @@
 
 /// Parts of the idle timeout after which connections are looked at.
 constexpr int SweepsPerIdleTimeout = 6;
+/// Connections beyond the bound that may wait for their refusal; more wait in
+/// the system's queue.
+constexpr std::size_t MaxExtraConnections = 64;
 
 } // namespace
 
@@ -62,15 +65,30 @@
 
 struct FrameServer::Impl : std::enable_shared_from_this<FrameServer::Impl> {
   Impl(EventLoop &Loop, FrameServerOptions Options)
-      : Loop_(Loop), Options_(std::move(Options)), Acceptor_(Loop.context()) {
-    listenOn(Acceptor_, Options_.Listen_);
-  }
+      : Loop_(Loop), Options_(std::move(Options)) {}
 
   void start() {
-    accept();
+    Listener_ = std::make_shared<Listener>(
+        Loop_, Options_.Listen_,
+        Listener::Hooks{.HasRoom_ =
+                            [Weak = weak_from_this()] {
+                              const auto Self = Weak.lock();
+                              return Self && Self->hasRoom();
+                            },
+                        .OnAccepted_ =
+                            [Weak = weak_from_this()](tcp::socket Peer) {
+                              if (const auto Self = Weak.lock())
+                                Self->open(std::move(Peer));
+                            }});
+    Endpoint_ = Listener_->endpoint();
+    Listener_->start();
     armSweep();
   }
 
+  bool hasRoom() const {
+    return Streams_.size() < Options_.MaxConnections_ + MaxExtraConnections;
+  }
+
   void armSweep() {
     Sweep_ = Loop_.after(Options_.IdleTimeout_ / SweepsPerIdleTimeout,
                          [Self = weak_from_this()] {
@@ -92,31 +110,19 @@
     });
   }
 
-  void accept() {
-    Acceptor_.async_accept([Self = shared_from_this()](const auto &Fault,
-                                                       tcp::socket Socket) {
-      if (!Self->Acceptor_.is_open())
-        return;
-      if (!Fault)
-        Self->open(std::move(Socket));
-      acceptWaiting(Self->Acceptor_,
-                    [&Self](tcp::socket Next) { Self->open(std::move(Next)); });
-      Self->accept();
-    });
-  }
-
-  /// Beyond the bound the socket is closed at once.
   void open(tcp::socket Socket) {
-    if (Streams_.size() >= Options_.MaxConnections_)
-      return;
+    const bool IsFull = Streams_.size() >= Options_.MaxConnections_;
     // The stream owns its hooks; they refer to it weakly.
     auto Slot = std::make_shared<std::weak_ptr<FrameStream>>();
     auto Stream = std::make_shared<FrameStream>(
         std::move(Socket), Options_.Self_,
         FrameStream::Hooks{
             .OnFrame_ =
-                [Self = weak_from_this(), Slot](wire::Frame Value) {
-                  if (const auto Server = Self.lock())
+                [Self = weak_from_this(), Slot, IsFull](wire::Frame Value) {
+                  const auto Server = Self.lock();
+                  if (Server && IsFull)
+                    Server->refuse(*Slot, Value);
+                  else if (Server)
                     Server->take(*Slot, std::move(Value));
                 },
             .OnClosed_ =
@@ -143,9 +149,30 @@
                         FrameReplier(std::move(Request)));
   }
 
+  void refuse(const std::weak_ptr<FrameStream> &Stream,
+              const wire::Frame &Value) const {
+    const FrameReplier::State Request{.Stream_ = Stream,
+                                      .Self_ = Options_.Self_,
+                                      .Sequence_ = Value.Sequence_,
+                                      .Wanted_ = Value.Kind_ ==
+                                                 wire::FrameKind::Request};
+    logEvent(Event::ConnectionsRefused,
+             {{"server", "frames"}, {"bound", Options_.MaxConnections_}});
+    Request.send(wire::FrameKind::Answer,
+                 wire::Refusal{.Reason_ = Reason::QueueFull});
+    if (const auto Refused = Stream.lock())
+      Refused->finish();
+  }
+
+  void finish() {
+    Finishing_ = true;
+    Listener_->close();
+    for (const auto &Stream : Streams_)
+      Stream->finish();
+  }
+
   void close() {
-    boost::system::error_code Ignored;
-    Acceptor_.close(Ignored);
+    Listener_->close();
     Sweep_.cancel();
     for (const auto &Stream : Streams_)
       Stream->close();
@@ -154,7 +181,9 @@
 
   EventLoop &Loop_;
   FrameServerOptions Options_;
-  tcp::acceptor Acceptor_;
+  std::shared_ptr<Listener> Listener_;
+  Endpoint Endpoint_;
+  bool Finishing_ = false;
   std::unordered_set<std::shared_ptr<FrameStream>> Streams_;
   Timer Sweep_;
 };
@@ -166,17 +195,27 @@
 
 FrameServer::~FrameServer() { close(); }
 
-void FrameServer::stopAccepting() {
-  boost::system::error_code Ignored;
-  Impl_->Acceptor_.close(Ignored);
-}
+void FrameServer::finish() { Impl_->finish(); }
 
 void FrameServer::close() { Impl_->close(); }
 
 std::size_t FrameServer::connections() const { return Impl_->Streams_.size(); }
 
-Endpoint FrameServer::endpoint() const {
-  return fromAsio(Impl_->Acceptor_.local_endpoint());
+std::size_t FrameServer::queuedBytes() const {
+  std::size_t Sum = 0;
+  for (const auto &Stream : Impl_->Streams_)
+    Sum += Stream->queuedBytes();
+  return Sum;
+}
+
+StopPart FrameServer::stopPart(std::string Name) {
+  return {
+      .Name_ = std::move(Name),
+      .Unfinished_ =
+          [this] { return Impl_->Finishing_ ? connections() : queuedBytes(); },
+      .OnClosing_ = [this] { finish(); }};
 }
 
+Endpoint FrameServer::endpoint() const { return Impl_->Endpoint_; }
+
 } // namespace dragonfly::net
--- a/src/net/FrameStream.cpp
+++ b/src/net/FrameStream.cpp
@@ -18,7 +18,7 @@
 void FrameStream::start() { read(); }
 
 void FrameStream::write(const std::string &Bytes) {
-  if (!Open_)
+  if (!Open_ || Finishing_)
     return;
   Waiting_ += Bytes;
   if (Writing_.empty())
@@ -36,6 +36,18 @@
                            .Message_ = {}}));
 }
 
+void FrameStream::finish() {
+  if (!Open_ || std::exchange(Finishing_, true))
+    return;
+  if (queuedBytes() == 0)
+    endSending();
+}
+
+void FrameStream::endSending() {
+  boost::system::error_code Ignored;
+  Socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, Ignored);
+}
+
 void FrameStream::close() {
   Open_ = false;
   boost::system::error_code Ignored;
@@ -57,20 +69,26 @@
 
 void FrameStream::take(std::size_t Size) {
   Heard_ = true;
+  if (Finishing_) {
+    read();
+    return;
+  }
   try {
     Reader_.feed({Buffer_.data(), Size});
     while (auto Value = Reader_.next()) {
       if (!checkSender(*Value))
         return;
       takeFrame(std::move(*Value));
-      if (!Open_)
-        return;
+      if (!Open_ || Finishing_)
+        break;
     }
   } catch (const wire::FrameError &Fault) {
     logEvent(Event::FrameRejected, {{"fault", Fault.type()}});
     fail();
     return;
   }
+  if (!Open_)
+    return;
   if (Reader_.pendingBytes() > 0)
     ProgressAt_ = Clock::now();
   read();
@@ -113,6 +131,8 @@
           Self->fail();
         else if (!Self->Waiting_.empty())
           Self->flush();
+        else if (Self->Finishing_)
+          Self->endSending();
       });
 }
 
--- a/src/net/FrameStream.h
+++ b/src/net/FrameStream.h
@@ -39,6 +39,10 @@
   void write(const std::string &Bytes);
   /// Asks the peer's stream to answer at once, whatever its owner does.
   void probe(std::uint64_t Sequence);
+  /// Sends what is queued and then the end of the stream. Frames that come
+  /// later have no effect; the stream closes when the peer does.
+  void finish();
+  bool finishing() const { return Finishing_; }
   /// Closes without calling OnClosed_.
   void close();
   bool open() const { return Open_; }
@@ -62,6 +66,8 @@
   void takeFrame(wire::Frame Value);
   void sendProbe(wire::FrameKind Kind, std::uint64_t Sequence);
   void fail();
+  /// Ends the sending direction once all bytes have left.
+  void endSending();
   bool checkSender(const wire::Frame &Value);
 
   static constexpr std::size_t ReadBytes = 64U << 10U;
@@ -77,6 +83,7 @@
   bool Heard_ = false;
   int IdleSweeps_ = 0;
   bool Open_ = true;
+  bool Finishing_ = false;
   std::array<char, ReadBytes> Buffer_{};
 };
 
--- a/src/net/Sockets.h
+++ b/src/net/Sockets.h
@@ -37,22 +37,6 @@
   }
 }
 
-/// Hands all connections that wait to \p Take. One at a time is not enough: a
-/// server whose turns take milliseconds would fall behind when hundreds of
-/// peers reconnect at once, until each has given up before it is accepted.
-template <typename Handler>
-void acceptWaiting(boost::asio::ip::tcp::acceptor &Acceptor, Handler Take) {
-  constexpr int MaxConnectionsATurn = 256;
-  for (int Count = 0; Count < MaxConnectionsATurn; ++Count) {
-    boost::system::error_code Fault;
-    boost::asio::ip::tcp::socket Peer(Acceptor.get_executor());
-    Acceptor.accept(Peer, Fault);
-    if (Fault)
-      return;
-    Take(std::move(Peer));
-  }
-}
-
 /// Sends small writes at once and notices a peer that is gone.
 inline void tuneStream(boost::asio::ip::tcp::socket &Socket) {
   boost::system::error_code Ignored;
