Stop every program by one rule for all of its servers

Callers and operators saw: calls that end without an answer as a process stops. Cause: the stop of a control process counted the calls of its own interface and frames, not those of the platform's operators; a relay, a process that founds a group, the metrics, readiness and workers' servers were not counted at all, so that the loop ended under what was in progress. The listening sockets were closed as the stop began, which reset what waited in their queues. Change: entries, control, relays and agents, also the product's own, hand all their servers to GracefulStop. Entries serve for 2.5 s (1 s in the product), as the balancer needs two missed checks; the others refuse at once, and finish what was read. A replica takes part in its group until all is answered and stops to tick as its frames close. Control has the platform's stop time as its bound.

--- a/daemons/dragonfly-platform.cpp
+++ b/daemons/dragonfly-platform.cpp
@@ -13,6 +13,7 @@
 #include "dragonfly/entry/JobGateway.h"
 #include "dragonfly/link/LeaderClient.h"
 #include "dragonfly/net/EventLoop.h"
+#include "dragonfly/net/GracefulStop.h"
 #include "dragonfly/net/HttpServer.h"
 #include "dragonfly/settings/CommandLine.h"
 #include "dragonfly/settings/Program.h"
@@ -76,6 +77,8 @@
 /// How often a replica whose new data folder finds no room tries again.
 constexpr Duration DiskRetryPeriod = std::chrono::milliseconds(500);
 
+constexpr std::size_t MaxMetricsReaders = 64;
+
 /// Serves a process's metrics as text.
 class MetricsServer {
 public:
@@ -83,12 +86,15 @@
                 std::uint16_t Port, std::shared_ptr<Metrics> Counts)
       : Server_(Loop, {.Name_ = "metrics",
                        .Listen_ = {.Address_ = Site.Ip_, .Port_ = Port},
+                       .MaxConnections_ = MaxMetricsReaders,
                        .OnRequest_ = [Counts](const net::HttpRequest &,
                                               const net::HttpReplier &To) {
                          To.reply({.ContentType_ = "text/plain",
                                    .Body_ = Counts->text()});
                        }}) {}
 
+  net::StopPart stopPart() { return Server_.stopPart(); }
+
 private:
   net::HttpServer Server_;
 };
@@ -103,14 +109,23 @@
   return {.Self_ = makeFreshId<Incarnation>(), .Seeds_ = Site.seedAddresses()};
 }
 
+/// Two missed checks, a second apart, take an entry out of rotation; until then
+/// the balancer sends new connections.
+constexpr Duration EntryServeTime = std::chrono::milliseconds(2500);
+
 void runEntry(net::EventLoop &Loop, const platform::SiteSettings &Site) {
   link::LeaderClient Leader(Loop, leaderOptions(Site));
   const SeedWatch Watch(Loop, Leader, Site);
   const auto Counts = std::make_shared<Metrics>();
-  const MetricsServer Numbers(Loop, Site, EntryMetricsPort, Counts);
+  MetricsServer Numbers(Loop, Site, EntryMetricsPort, Counts);
   entry::JobGateway Jobs(Leader, *Counts, {});
   platform::CallerServer Server(Loop, Jobs, Site);
-  Loop.onTerminate([&] { Server.stop([&] { Loop.stop(); }); });
+  net::GracefulStop Stop(
+      Loop, {.ServeTime_ = EntryServeTime, .Bound_ = Site.stopBound()});
+  for (net::StopPart &Part : Server.stopParts())
+    Stop.add(std::move(Part));
+  Stop.add(Numbers.stopPart());
+  Loop.onTerminate([&] { Stop.begin([&](net::StopResult) { Loop.stop(); }); });
   Loop.run();
 }
 
@@ -125,9 +140,9 @@
         Watch_(Loop, *Control_.leader(), Site),
         Server_(Loop, *Control_.leader(), Site) {}
 
-  void stop(std::function<void()> OnStopped) {
-    Server_.stopAccepting();
-    Control_.stop([OnStopped = std::move(OnStopped)](bool) { OnStopped(); });
+  void stop(net::StopPart Numbers, std::function<void()> OnStopped) {
+    Control_.stop([OnStopped = std::move(OnStopped)](bool) { OnStopped(); },
+                  {Server_.stopPart(), std::move(Numbers)});
   }
 
 private:
@@ -146,6 +161,10 @@
     Directory_.learn({.Rows_ = FirstMembers});
   }
 
+  std::vector<net::StopPart> stopParts() {
+    return {Server_.stopPart(), Directory_.stopPart()};
+  }
+
 private:
   link::LeaderClientOptions options(const platform::SiteSettings &Site) {
     link::LeaderClientOptions Result = leaderOptions(Site);
@@ -163,13 +182,16 @@
 
 void runControl(net::EventLoop &Loop, const platform::SiteSettings &Site) {
   const auto Counts = std::make_shared<Metrics>();
-  const MetricsServer Numbers(Loop, Site, ControlMetricsPort, Counts);
+  MetricsServer Numbers(Loop, Site, ControlMetricsPort, Counts);
   std::optional<control::GroupFounding> Founding;
   std::optional<Replica> Member;
   std::optional<Relay> Other;
   net::Timer Retry;
   std::function<void(const std::vector<wire::GroupRow> &)> Serve;
+  net::GracefulStop Stop(Loop, {.Bound_ = Site.stopBound()});
   Serve = [&](const std::vector<wire::GroupRow> &FirstMembers) {
+    if (Stop.hasBegun())
+      return;
     Founding.reset();
     if (!Site.hasDisk()) {
       Other.emplace(Loop, Site, FirstMembers);
@@ -197,10 +219,18 @@
   else
     Serve({});
   Loop.onTerminate([&] {
-    if (Member)
-      Member->stop([&] { Loop.stop(); });
-    else
-      Loop.stop();
+    if (Member) {
+      Member->stop(Numbers.stopPart(), [&] { Loop.stop(); });
+      return;
+    }
+    Retry.cancel();
+    Stop.add(Numbers.stopPart());
+    if (Founding)
+      Stop.add(Founding->stopPart());
+    if (Other)
+      for (net::StopPart &Part : Other->stopParts())
+        Stop.add(std::move(Part));
+    Stop.begin([&](net::StopResult) { Loop.stop(); });
   });
   Loop.run();
 }
@@ -210,12 +240,19 @@
   const SeedWatch Watch(Loop, Leader, Site);
   platform::WorkerClient Worker(Loop, Site.WorkerAddress_);
   const auto Counts = std::make_shared<Metrics>();
-  const MetricsServer Numbers(Loop, Site, AgentMetricsPort, Counts);
+  MetricsServer Numbers(Loop, Site, AgentMetricsPort, Counts);
   agent::WorkerAgent Agent(
       Loop, Leader,
       {.Calls_ = Worker.calls(), .Vm_ = Site.Vm_, .Metrics_ = Counts});
-  const platform::WorkerServer Server(Loop, Agent, Site);
-  Loop.onTerminate([&] { Agent.stop([&] { Loop.stop(); }); });
+  platform::WorkerServer Server(Loop, Agent, Site);
+  net::GracefulStop Stop(Loop, {.Bound_ = Site.stopBound()});
+  Stop.add(Server.stopPart());
+  Stop.add(Numbers.stopPart());
+  bool Reported = false;
+  Stop.add({.Name_ = "report",
+            .OnRefusing_ = [&] { Agent.stop([&] { Reported = true; }); },
+            .Unfinished_ = [&] { return std::size_t(Reported ? 0 : 1); }});
+  Loop.onTerminate([&] { Stop.begin([&](net::StopResult) { Loop.stop(); }); });
   Loop.run();
 }
 
--- a/include/dragonfly/control/Control.h
+++ b/include/dragonfly/control/Control.h
@@ -3,14 +3,12 @@
 #define DRAGONFLY_CONTROL_CONTROL_H
 
 #include "dragonfly/base/Metrics.h"
+#include "dragonfly/net/GracefulStop.h"
 #include "dragonfly/settings/Settings.h"
 
 #include <functional>
 #include <memory>
-
-namespace dragonfly::net {
-class EventLoop;
-} // namespace dragonfly::net
+#include <vector>
 
 namespace dragonfly::link {
 class LeaderClient;
@@ -27,10 +25,12 @@
           std::shared_ptr<Metrics> Counts = std::make_shared<Metrics>());
   ~Control();
 
-  /// Accepts no more connections and takes no more requests; calls \p OnStopped
-  /// once what is under way has been answered. Its argument is false where the
-  /// bound of the settings was reached first.
-  void stop(std::function<void(bool Clean)> OnStopped);
+  /// Hands leadership over and takes no more requests; calls \p OnStopped once
+  /// what is under way has been answered. Its argument is false where the
+  /// bound of the settings was reached first. \p Others are servers of the same
+  /// process. Has an effect once.
+  void stop(std::function<void(bool Clean)> OnStopped,
+            std::vector<net::StopPart> Others = {});
 
   /// Reaches the leader, which may be this replica. Null unless the settings
   /// let the group repair itself.
--- a/include/dragonfly/control/GroupDirectory.h
+++ b/include/dragonfly/control/GroupDirectory.h
@@ -20,6 +20,7 @@
 
   /// Replaces the known group; ignores a group without rows.
   void learn(const wire::Group &Known);
+  net::StopPart stopPart() { return Server_.stopPart("directory"); }
 
 private:
   void handleMessage(const wire::Message &Value, const net::FrameReplier &To);
--- a/include/dragonfly/control/GroupFounding.h
+++ b/include/dragonfly/control/GroupFounding.h
@@ -5,6 +5,7 @@
 
 #include "dragonfly/base/Clock.h"
 #include "dragonfly/net/Endpoint.h"
+#include "dragonfly/net/GracefulStop.h"
 #include "dragonfly/wire/Messages.h"
 
 #include <chrono>
@@ -14,10 +15,6 @@
 #include <string>
 #include <vector>
 
-namespace dragonfly::net {
-class EventLoop;
-} // namespace dragonfly::net
-
 namespace dragonfly::control {
 
 /// Chooses the first members from the candidates. Only one process, the lowest
@@ -68,6 +65,8 @@
   GroupFounding(net::EventLoop &Loop, GroupFoundingOptions Options);
   ~GroupFounding();
 
+  net::StopPart stopPart();
+
 private:
   struct Impl;
   std::shared_ptr<Impl> Impl_;
--- a/include/dragonfly/entry/Entry.h
+++ b/include/dragonfly/entry/Entry.h
@@ -3,19 +3,16 @@
 #define DRAGONFLY_ENTRY_ENTRY_H
 
 #include "dragonfly/net/Endpoint.h"
+#include "dragonfly/net/GracefulStop.h"
 #include "dragonfly/settings/Settings.h"
 
 #include <functional>
 #include <memory>
 
-namespace dragonfly::net {
-class EventLoop;
-} // namespace dragonfly::net
-
 namespace dragonfly::entry {
 
 /// Whether a graceful stop finished all that was in progress.
-enum class StopResult : std::uint8_t { Finished, BoundReached };
+using net::StopResult;
 
 /// An entry that serves until it is stopped. Runs on the loop's thread.
 class Entry {
@@ -25,8 +22,9 @@
   ~Entry();
 
   /// Stops gracefully: fails the readiness check while callers still come,
-  /// then accepts no more, finishes what is in progress and hands all receipts
-  /// to control. Calls \p OnStopped at the end or at the settings' bound.
+  /// then refuses new requests, finishes what is in progress and hands all
+  /// receipts to control. Calls \p OnStopped at the end or at the settings'
+  /// bound.
   void stop(std::function<void(StopResult)> OnStopped);
 
   /// True while the entry takes new requests.
--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -6,6 +6,7 @@
 #include "dragonfly/base/Random.h"
 #include "dragonfly/net/EventLoop.h"
 #include "dragonfly/net/FrameServer.h"
+#include "dragonfly/net/GracefulStop.h"
 #include "dragonfly/net/HttpServer.h"
 
 #include <string>
@@ -40,10 +41,12 @@
                      }}),
         Status_(Loop, {.Name_ = "status",
                        .Listen_ = net::Endpoint::make(Settings.StatusListen_),
-                       .OnRequest_ = [this](const net::HttpRequest &Request,
-                                            const net::HttpReplier &Reply) {
-                         answerStatus(Request, Reply);
-                       }}) {}
+                       .OnRequest_ =
+                           [this](const net::HttpRequest &Request,
+                                  const net::HttpReplier &Reply) {
+                             answerStatus(Request, Reply);
+                           }}),
+        Stop_(Loop, {.Bound_ = Settings.Process_.StopBound_}) {}
 
   void take(wire::Message Value, net::FrameReplier Reply) {
     if (auto *Request = std::get_if<wire::Execute>(&Value))
@@ -90,6 +93,23 @@
                  .Body_ = std::string(enumName(Core_.mayAccept())) + "\n"});
   }
 
+  void stop(std::function<void(bool)> OnStopped) {
+    if (Stop_.hasBegun())
+      return;
+    Stop_.add(Status_.stopPart());
+    Stop_.add(Server_.stopPart("frames"));
+    Stop_.add({.Name_ = "work", .Unfinished_ = [this] {
+                 return CoreStopped_ ? std::size_t(0) : std::size_t(1);
+               }});
+    Core_.stop([this](bool Clean) {
+      CoreStopped_ = true;
+      Clean_ = Clean;
+    });
+    Stop_.begin([this, OnStopped = std::move(OnStopped)](net::StopResult End) {
+      OnStopped(Clean_ && End == net::StopResult::Finished);
+    });
+  }
+
   net::EventLoop &Loop_;
   Incarnation Self_;
   /// How long the upstream took, per customer and kind.
@@ -98,6 +118,10 @@
   AgentCore Core_;
   net::FrameServer Server_;
   net::HttpServer Status_;
+  bool CoreStopped_ = false;
+  bool Clean_ = false;
+  /// The core keeps the bound of the settings itself.
+  net::GracefulStop Stop_;
 };
 
 Agent::Agent(net::EventLoop &Loop, settings::AgentSettings Settings)
@@ -106,7 +130,7 @@
 Agent::~Agent() = default;
 
 void Agent::stop(std::function<void(bool)> OnStopped) {
-  Impl_->Core_.stop(std::move(OnStopped));
+  Impl_->stop(std::move(OnStopped));
 }
 
 } // namespace dragonfly::agent
--- a/src/control/Control.cpp
+++ b/src/control/Control.cpp
@@ -245,29 +245,33 @@
     Service_.tick(Clock::now());
   }
 
-  void stop(std::function<void(bool)> OnStopped) {
+  void stop(std::function<void(bool)> OnStopped,
+            std::vector<net::StopPart> Others) {
+    if (Stop_.hasBegun())
+      return;
+    Others.push_back(Http_.stopPart());
+    Others.push_back(Frames_.stopPart("frames"));
+    // Without frames a replica hears nobody; it must not ask for votes then.
+    Others.push_back({.Name_ = "replica",
+                      .Unfinished_ = [this] { return openWork(); },
+                      .OnClosing_ = [this] { Ticks_.cancel(); }});
+    std::ranges::for_each(
+        Others, [this](net::StopPart &Part) { Stop_.add(std::move(Part)); });
     Stopping_ = true;
-    OnStopped_ = std::move(OnStopped);
     Service_.transferLeadership();
-    StopBy_ = Clock::now() + Settings_.Process_.StopBound_;
-    Http_.refuseNew();
     // What has not been answered by then is not going to be: its leader is
     // lost, and its sender must not be told either way.
     SettledAt_ = Clock::now() + Settings_.ElectionTimeout_;
-    Stops_ = Loop_.every(TickPeriod, [this] { continueStop(); });
+    Stop_.begin([OnStopped = std::move(OnStopped)](net::StopResult Result) {
+      OnStopped(Result == net::StopResult::Finished);
+    });
   }
 
-  void continueStop() {
-    const TimePoint Now = Clock::now();
+  std::size_t openWork() const {
+    if (Clock::now() >= SettledAt_)
+      return OperatorCalls_;
     const bool Leads = Service_.log().role() == consensus::RaftRole::Leader;
-    const bool Answered = (OpenRequests_ == 0 && !Leads) || Now >= SettledAt_;
-    const bool Settled = Answered && OperatorCalls_ == 0;
-    if (!Settled && Now < StopBy_)
-      return;
-    Stops_.cancel();
-    if (!Settled)
-      logEvent(Event::StopBoundReached);
-    std::exchange(OnStopped_, nullptr)(Settled);
+    return OperatorCalls_ + OpenRequests_ + (Leads ? 1 : 0);
   }
 
   net::EventLoop &Loop_;
@@ -281,9 +285,7 @@
   std::size_t OpenRequests_ = 0;
   bool TickPosted_ = false;
   bool Stopping_ = false;
-  TimePoint StopBy_;
   TimePoint SettledAt_;
-  std::function<void(bool)> OnStopped_;
   ControlService Service_;
   OperatorInterface Operators_;
   net::DatagramSocket Heartbeats_;
@@ -294,7 +296,7 @@
   net::Timer Joins_;
   TimePoint JoinAt_;
   TimePoint AnnounceAt_;
-  net::Timer Stops_;
+  net::GracefulStop Stop_{Loop_, {.Bound_ = Settings_.Process_.StopBound_}};
 };
 
 Control::Control(net::EventLoop &Loop,
@@ -308,8 +310,9 @@
   return Impl_->Leader_ ? &*Impl_->Leader_ : nullptr;
 }
 
-void Control::stop(std::function<void(bool)> OnStopped) {
-  Impl_->stop(std::move(OnStopped));
+void Control::stop(std::function<void(bool)> OnStopped,
+                   std::vector<net::StopPart> Others) {
+  Impl_->stop(std::move(OnStopped), std::move(Others));
 }
 
 } // namespace dragonfly::control
--- a/src/control/GroupFounding.cpp
+++ b/src/control/GroupFounding.cpp
@@ -141,6 +141,10 @@
   Impl_->start();
 }
 
+net::StopPart GroupFounding::stopPart() {
+  return Impl_->Server_.stopPart("founding");
+}
+
 GroupFounding::~GroupFounding() {
   Impl_->QueryTimer_.cancel();
   Impl_->Server_.close();
--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -22,7 +22,8 @@
 constexpr Duration MaxAcceptDelay = std::chrono::seconds(5);
 /// How long a stopping entry still accepts, so that the balancer notices.
 constexpr Duration AcceptAfterStop = std::chrono::seconds(1);
-constexpr Duration StopCheckPeriod = std::chrono::milliseconds(10);
+/// Part of the stop bound in which callers take answers that were cut off.
+constexpr Duration StopReserve = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -92,12 +93,9 @@
   void stop(std::function<void(StopResult)> OnStopped) {
     if (std::exchange(Stopping_, true))
       return;
-    logEvent(Event::ProcessStopping,
-             {{"in_progress", Core_.requests().inProgress()}});
     OnStopped_ = std::move(OnStopped);
     // Callers that wait for the first acceptance are answered as well.
     Server_.startAccepting();
-    Server_.closeAfterAnswers();
     Core_.announceStop();
     StopBound_ = Loop_.after(Settings_.Process_.StopBound_, [this] {
       logEvent(Event::StopBoundReached,
@@ -105,24 +103,21 @@
                 {"receipts", Core_.pendingReceipts()}});
       stopped(StopResult::BoundReached);
     });
-    StopStep_ = Loop_.after(AcceptAfterStop, [this] { finishRequests(); });
-  }
-
-  /// Waits until each answer has left, then until control has each receipt.
-  void finishRequests() {
-    Core_.requests().drain();
-    Server_.refuseNew();
-    StopStep_ = Loop_.every(StopCheckPeriod, [this] {
-      if (Core_.requests().inProgress() > 0 || Server_.openConnections() > 0)
-        return;
-      StopStep_.cancel();
-      Core_.flushReceipts([this] { stopped(StopResult::Finished); });
+    Stop_.add(Server_.stopPart());
+    Stop_.add(
+        {.Name_ = "requests",
+         .OnRefusing_ = [this] { Core_.requests().drain(); },
+         .Unfinished_ = [this] { return Core_.requests().inProgress(); }});
+    Stop_.begin([this](StopResult Result) {
+      if (Result == StopResult::Finished)
+        Core_.flushReceipts([this] { stopped(StopResult::Finished); });
+      else
+        stopped(Result);
     });
   }
 
   void stopped(StopResult Result) {
     StopBound_.cancel();
-    StopStep_.cancel();
     if (const auto OnStopped = std::exchange(OnStopped_, nullptr))
       OnStopped(Result);
   }
@@ -138,7 +133,10 @@
   net::Timer ReadyCheck_;
   net::Timer FirstAccept_;
   net::Timer StopBound_;
-  net::Timer StopStep_;
+  net::GracefulStop Stop_{
+      Loop_,
+      {.ServeTime_ = AcceptAfterStop,
+       .Bound_ = Settings_.Process_.StopBound_ - StopReserve}};
   std::function<void(StopResult)> OnStopped_;
   bool WasReady_ = false;
   bool Stopping_ = false;
