Let the soak see requests without an answer, standing jobs and lasting tasks

Change: callers and operators use open connections until these end, with mean pauses of 5 to 1,500 ms, and half of them do not look whether the connection has been closed. Each request without a whole answer breaks a promise, unless its process was killed or paused since the connection was opened. Stops come in series that overlap, with up to three more signals 1 to 800 ms apart, also for both programs of a VM at once; a process that outlives its stop time breaks a promise. The new draws have a generator of their own.

--- a/tests/soak/Fleet.cpp
+++ b/tests/soak/Fleet.cpp
@@ -21,6 +21,8 @@
 constexpr std::array<const char *, 3> RoleNames{"control", "entry", "agent"};
 /// From the start of a process until it handles signals, on a busy machine.
 constexpr Duration HandlerInstallTime = std::chrono::milliseconds(200);
+/// As the settings say.
+constexpr Duration StopTime = std::chrono::seconds(6);
 /// How many processes that run as control stand in the list of seeds.
 constexpr std::size_t MaxSeeds = 3;
 
@@ -142,11 +144,43 @@
   Each.StartedAt_ = Clock::now();
   Each.HasRun_ = true;
   Each.Expected_ = false;
+  Each.StopAskedAt_ = TimePoint::max();
 }
 
-void Fleet::signal(std::size_t I, int Number) const {
-  if (isRunning(I))
-    kill(Processes_[I].Pid_, Number);
+void Fleet::signal(std::size_t I, int Number) {
+  if (!isRunning(I))
+    return;
+  Process &Each = Processes_[I];
+  if (Number == SIGKILL || Number == SIGSTOP) {
+    Each.HarmedAt_ = Clock::now();
+    Each.StopAskedAt_ = TimePoint::max();
+  }
+  kill(Each.Pid_, Number);
+}
+
+void Fleet::stop(std::size_t I) {
+  expectEnd(I);
+  Processes_[I].StopAskedAt_ = Clock::now();
+  signal(I, SIGTERM);
+}
+
+bool Fleet::isOverdue(std::size_t I) const {
+  const Process &Each = Processes_[I];
+  return isRunning(I) && Each.StopAskedAt_ != TimePoint::max() &&
+         Clock::now() - Each.StopAskedAt_ > StopTime;
+}
+
+std::size_t Fleet::find(const std::string &Ip) const {
+  return static_cast<std::size_t>(
+      std::ranges::find_if(Processes_,
+                           [&](const Process &Each) {
+                             return ip(Each.Role_, Each.Index_) == Ip;
+                           }) -
+      Processes_.begin());
+}
+
+bool Fleet::isNew(std::size_t I) const {
+  return Clock::now() - Processes_[I].StartedAt_ < HandlerInstallTime;
 }
 
 std::size_t Fleet::reap() {
--- a/tests/soak/Fleet.h
+++ b/tests/soak/Fleet.h
@@ -48,7 +48,21 @@
   const std::string &name(std::size_t I) const { return Processes_[I].Name_; }
   bool isRunning(std::size_t I) const { return Processes_[I].Pid_ > 0; }
   void start(std::size_t I);
-  void signal(std::size_t I, int Number) const;
+  void signal(std::size_t I, int Number);
+  /// Tells a process to stop.
+  void stop(std::size_t I);
+  bool isStopping(std::size_t I) const {
+    return Processes_[I].StopAskedAt_ != TimePoint::max();
+  }
+  /// True where the process was told to stop, has not been paused or killed
+  /// since, and still runs after the stop time.
+  bool isOverdue(std::size_t I) const;
+  /// When it was last killed or paused.
+  TimePoint harmedAt(std::size_t I) const { return Processes_[I].HarmedAt_; }
+  /// The process at \p Ip; its number is below `size()`.
+  std::size_t find(const std::string &Ip) const;
+  /// True shortly after a start, when a signal may come before `main()`.
+  bool isNew(std::size_t I) const;
   /// Files of the \p Index-th control process, from 1, take no more bytes.
   void setDiskFull(std::size_t Index, bool Full) const;
   /// A share of the connections that process \p I has open takes nothing any
@@ -81,6 +95,8 @@
     bool Expected_ = false;
     TimePoint ExpectedAt_;
     TimePoint StartedAt_;
+    TimePoint HarmedAt_ = TimePoint::min();
+    TimePoint StopAskedAt_ = TimePoint::max();
     pid_t Pid_ = 0;
   };
 
--- a/tests/soak/Promises.cpp
+++ b/tests/soak/Promises.cpp
@@ -13,6 +13,9 @@
 constexpr std::uint32_t CrashesBeforeCount = 3;
 /// Counted starts that break the promise.
 constexpr std::uint32_t MaxLateStarts = 3;
+/// Bounds of rule LOST for a job, and for a task that lasts.
+constexpr Duration MaxStill = std::chrono::seconds(3);
+constexpr Duration MaxLastingStill = std::chrono::seconds(6);
 
 std::uint32_t mostOfJob(const std::map<TaskId, std::uint32_t> &Counts,
                         const std::string &Job) {
@@ -107,6 +110,76 @@
     Done_.insert(Task);
 }
 
+void Promises::unanswered(const std::string &What) {
+  require(false, "a request on an open connection is answered", What);
+}
+
+void Promises::stopsTooLate(const std::string &What) {
+  require(false, "a process ends within its stop time", What);
+}
+
+std::vector<std::string> Promises::lasting() const {
+  std::vector<std::string> Jobs;
+  std::ranges::copy_if(Accepted_, std::back_inserter(Jobs),
+                       [this](const std::string &Job) {
+                         return Plans_.at(Job).Lasts_ && !Ended_.contains(Job);
+                       });
+  return Jobs;
+}
+
+std::vector<TaskId> Promises::dueTasks(const std::string &Job) const {
+  std::vector<TaskId> Due;
+  const PlannedJob &Plan = Plans_.at(Job);
+  for (std::uint32_t Step = 0; Step < Plan.Counts_.size() && Due.empty();
+       ++Step)
+    for (std::uint32_t Index = 0; Index < Plan.Counts_[Step]; ++Index)
+      if (!Done_.contains({Job, Step, Index}))
+        Due.push_back({Job, Step, Index});
+  return Due;
+}
+
+void Promises::observeStill(TimePoint Now, bool StandsStill,
+                            const std::string &What, Duration Most,
+                            const std::string &Promise) {
+  if (!StandsStill) {
+    StillSince_.erase(What);
+    return;
+  }
+  TimePoint &Since = StillSince_.try_emplace(What, Now).first->second;
+  if (Now - Since <= Most)
+    return;
+  require(false, Promise, What);
+  Since = TimePoint::max();
+}
+
+void Promises::observeCalm(TimePoint Now, const std::vector<std::int64_t> &Free,
+                           std::int64_t All) {
+  std::int64_t Unused = 0;
+  std::int64_t Widest = 0;
+  for (const std::int64_t Each : Free) {
+    Unused += Each;
+    Widest = std::max(Widest, Each);
+  }
+  for (const std::string &Job : pending()) {
+    const PlannedJob &Plan = Plans_.at(Job);
+    const std::vector<TaskId> Due = dueTasks(Job);
+    const auto Runs = [this](const TaskId &Task) {
+      return RunningOn_.contains(Task);
+    };
+    const bool HasRoom =
+        2 * Plan.MilliProcessors_ <= Widest && 2 * Unused > All;
+    if (!Plan.Lasts_)
+      observeStill(Now,
+                   HasRoom && !Plan.Deadly_ && !Due.empty() &&
+                       std::ranges::none_of(Due, Runs),
+                   Job, MaxStill, "a job does not stand still with room");
+    for (const TaskId &Task : Due)
+      if (Plan.Lasts_)
+        observeStill(Now, HasRoom && !Runs(Task), Task.text(), MaxLastingStill,
+                     "a lasting task does not stand still with room");
+  }
+}
+
 void Promises::configurationAcked(std::uint64_t Version) {
   NewestAcked_ = std::max(NewestAcked_, Version);
 }
--- a/tests/soak/Promises.h
+++ b/tests/soak/Promises.h
@@ -34,6 +34,8 @@
   bool MayFail_ = true;
   /// A task that crashes each worker that starts it.
   std::optional<TaskId> Deadly_;
+  /// Its tasks run until it is cancelled.
+  bool Lasts_ = false;
 };
 
 /// A task whose runs fail by themselves so often fails its job.
@@ -63,6 +65,18 @@
   /// The end of a run that has finished was taken note of.
   void endNoted(const TaskId &Task) { Noted_.insert(Task); }
 
+  /// The connection of a request ended without a whole answer.
+  void unanswered(const std::string &What);
+  /// A process was told to stop, and still runs after its stop time.
+  void stopsTooLate(const std::string &What);
+  /// \p Free processors of the workers in \p Free, of \p All, are unused, while
+  /// nothing has been disturbed for some time.
+  void observeCalm(TimePoint Now, const std::vector<std::int64_t> &Free,
+                   std::int64_t All);
+  /// A lasting job is being cancelled.
+  void cancelled(const std::string &Job) { Ended_.insert(Job); }
+  std::vector<std::string> lasting() const;
+
   void configurationAcked(std::uint64_t Version);
   void configurationRead(std::uint64_t Version);
   /// A change of this version or a higher one has to be accepted.
@@ -83,6 +97,11 @@
 
 private:
   void require(bool Kept, const std::string &Promise, const std::string &What);
+  /// Tasks whose turn has come and that have not ended.
+  std::vector<TaskId> dueTasks(const std::string &Job) const;
+  /// Breaks \p Promise once \p What has stood still for longer than \p Most.
+  void observeStill(TimePoint Now, bool StandsStill, const std::string &What,
+                    Duration Most, const std::string &Promise);
 
   std::map<std::string, PlannedJob> Plans_;
   std::set<std::string> Accepted_;
@@ -100,6 +119,8 @@
   std::uint64_t NewestAcked_ = 0;
   std::uint64_t ExpectedChange_ = 0;
   std::size_t Starts_ = 0;
+  /// Since when jobs and lasting tasks have had nothing running.
+  std::map<std::string, TimePoint> StillSince_;
   std::vector<std::string> Broken_;
 };
 
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -3,7 +3,9 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <csignal>
 #include <iostream>
+#include <iterator>
 #include <utility>
 
 namespace dragonfly::soak {
@@ -20,6 +22,10 @@
 constexpr std::size_t WideTasksPerWorker = 700;
 /// One job in so many has a task that crashes workers.
 constexpr std::size_t JobsPerDeadly = 16;
+/// Without disturbances for so long, processes are in touch.
+constexpr Duration ContactTime = milliseconds(4000);
+/// How long lasting tasks are watched after that.
+constexpr Duration LastingTime = milliseconds(6500);
 /// They run until all of them do, and over the time without control.
 constexpr Duration WideTaskTime = milliseconds(9000);
 
@@ -39,7 +45,8 @@
 } // namespace
 
 Soak::Soak(FleetOptions Options, std::uint64_t Seed)
-    : Random_(Seed), SilenceRandom_(~Seed), Fleet_(std::move(Options)) {
+    : Random_(Seed), SilenceRandom_(~Seed), StopRandom_(Seed * 31 + 7),
+      Fleet_(std::move(Options)) {
   const FleetOptions &Sizes = Fleet_.options();
   for (std::size_t I = 1; I <= Sizes.Agents_; ++I)
     addWorker(I);
@@ -53,6 +60,7 @@
 
 std::size_t Soak::run(const SoakSchedule &Plan) {
   OnlySilence_ = Plan.OnlySilence_;
+  OnlyStops_ = Plan.OnlyStops_;
   for (std::size_t I = 0; I < Fleet_.size(); ++I)
     Fleet_.start(I);
   const net::Timer Reaps =
@@ -68,19 +76,23 @@
                         std::chrono::duration<double>(1 / Plan.JobsPerSecond_)),
                     [this] { submitNext(); });
     submitWide();
+    submitLasting();
+    addOpenCallers();
     beginFaults();
   });
   const net::Timer Outage = Loop_.after(StartTime + Plan.Length_ / 3, [&] {
-    if (!OnlySilence_)
+    if (!OnlySilence_ && !OnlyStops_)
       loseControl();
   });
   const net::Timer End = Loop_.after(StartTime + Plan.Length_, [&] {
     Load.cancel();
     Faulting_ = false;
     heal();
+    HealedAt_ = Clock::now();
   });
   const TimePoint Last = Clock::now() + StartTime + Plan.Length_ + Plan.Settle_;
   const net::Timer Watch = Loop_.every(milliseconds(100), [&] {
+    watchCalm();
     const bool IsOver = !Faulting_ && Clock::now() > Last - Plan.Settle_ &&
                         Seen_.pending().empty() && OpenSubmits_ == 0 &&
                         Seen_.isChangeAccepted();
@@ -91,6 +103,12 @@
   Seen_.checkEnd();
   for (const std::string &What : Seen_.broken())
     std::cout << "BROKEN " << What << "\n";
+  std::size_t Answered = 0;
+  for (const auto &Caller : OpenCallers_)
+    Answered += Caller->answered();
+  OpenCallers_.clear();
+  std::cout << Answered << " answers on open connections, " << LostExcused_
+            << " requests lost with killed processes\n";
   std::cout << Seen_.acceptedCount() << " jobs accepted, " << Seen_.startCount()
             << " starts, " << Seen_.failedCount() << " jobs failed, "
             << FaultCount_ << " faults, " << OwnEnds_
@@ -163,13 +181,15 @@
           .Body_ = std::move(Body)};
 }
 
-std::string Soak::drawJobId() {
+std::string Soak::jobId(RandomEngine &Random) {
   std::string Job(16, '0');
-  std::ranges::generate(Job,
-                        [this] { return "0123456789abcdef"[Random_() % 16]; });
+  std::ranges::generate(
+      Job, [&Random] { return "0123456789abcdef"[Random() % 16]; });
   return Job;
 }
 
+std::string Soak::drawJobId() { return jobId(Random_); }
+
 void Soak::submitNext() {
   const std::string Job = drawJobId();
   PlannedJob Plan{.Spec_ = "spec of " + Job,
@@ -179,7 +199,7 @@
                   .TaskTime_ = between(80, 500)};
   for (std::uint32_t &Count : Plan.Counts_)
     Count = static_cast<std::uint32_t>(1 + pick(4));
-  if (!OnlySilence_ && pick(JobsPerDeadly) == 0) {
+  if (!OnlySilence_ && !OnlyStops_ && pick(JobsPerDeadly) == 0) {
     const std::size_t Step = pick(Plan.Counts_.size());
     Plan.Deadly_ =
         TaskId{.Job_ = Job,
@@ -202,6 +222,17 @@
                 1);
 }
 
+void Soak::submitLasting() {
+  const std::string Job = drawJobId();
+  submitPlanned(Job,
+                {.Spec_ = "spec of " + Job,
+                 .Counts_ = {3},
+                 .MilliProcessors_ = 250,
+                 .MayFail_ = false,
+                 .Lasts_ = true},
+                1);
+}
+
 void Soak::submitPlanned(const std::string &Job, PlannedJob Plan,
                          std::int64_t MemoryMb) {
   boost::json::array Steps;
@@ -210,6 +241,8 @@
                              {"Cpu", Plan.MilliProcessors_},
                              {"MemMb", MemoryMb},
                              {"EstimateMs", 300}};
+    if (Plan.Lasts_)
+      Step["LongRunning"] = true;
     if (I > 0)
       Step["DependsOn"] = boost::json::array{I - 1};
     Steps.push_back(Step);
@@ -276,6 +309,92 @@
   }
 }
 
+void Soak::addOpenCallers() {
+  if (OnlySilence_)
+    return;
+  for (const bool IsCareful : {false, true}) {
+    for (const Duration Pause :
+         {milliseconds(5), milliseconds(100), milliseconds(1500)})
+      for (std::size_t I = 0; I < Fleet_.options().Entries_; ++I)
+        addOpenCaller(Fleet::Role::Entry, Pause, IsCareful);
+    for (const Duration Pause : {milliseconds(5), milliseconds(300)})
+      for (std::size_t I = 0; I < Fleet_.options().Controls_; ++I)
+        addOpenCaller(Fleet::Role::Control, Pause, IsCareful);
+  }
+}
+
+void Soak::addOpenCaller(Fleet::Role Kind, Duration Pause, bool IsCareful) {
+  const bool IsOperator = Kind == Fleet::Role::Control;
+  const FleetOptions &Sizes = Fleet_.options();
+  const std::size_t Peers = IsOperator ? Sizes.Controls_ : Sizes.Entries_;
+  const auto NextPeer = [this, Kind, Peers, IsOperator] {
+    return net::Endpoint{Fleet_.ip(Kind, 1 + StopRandom_() % Peers),
+                         IsOperator ? ControlPort : CallerPort};
+  };
+  const auto NextRequest = [this, IsOperator] {
+    return "GET " +
+           (IsOperator ? std::string("/v1/config")
+                       : "/checks/" + jobId(StopRandom_)) +
+           " HTTP/1.1\r\nHost: a.example\r\n"
+           "X-Dragonflyproxy-Deadline-Ms: 2500\r\n\r\n";
+  };
+  OpenCallers_.push_back(std::make_unique<OpenCaller>(
+      Loop_,
+      OpenCallerOptions{
+          .NextPeer_ = NextPeer,
+          .NextRequest_ = NextRequest,
+          .OnLost_ = [this](const LostRequest &Lost) { loseRequest(Lost); },
+          .MeanPause_ = Pause,
+          .IsCareful_ = IsCareful,
+          .Seed_ = StopRandom_()}));
+}
+
+void Soak::loseRequest(const LostRequest &Lost) {
+  const std::size_t I = Fleet_.find(Lost.Peer_.Address_);
+  // A process that was killed or paused answers nothing, or late.
+  const bool IsHarmed = Fleet_.harmedAt(I) >= Lost.ConnectedAt_ ||
+                        (Lost.IsTimeout_ && !OnlyStops_);
+  if (IsHarmed) {
+    ++LostExcused_;
+    return;
+  }
+  const auto At = [this](TimePoint Then) {
+    return std::to_string(
+        static_cast<std::int64_t>(toMilliseconds(Then - Began_)));
+  };
+  Seen_.unanswered(Fleet_.name(I) + ", sent at " + At(Lost.SentAt_) +
+                   " ms, lost at " + At(Clock::now()) + " ms" +
+                   (Lost.IsTimeout_ ? ", no answer" : ""));
+}
+
+void Soak::watchCalm() {
+  for (std::size_t I = 0; I < Fleet_.size(); ++I)
+    if (Fleet_.isOverdue(I)) {
+      Seen_.stopsTooLate(Fleet_.name(I));
+      Fleet_.signal(I, SIGKILL);
+    }
+  if (Faulting_ || Clock::now() < HealedAt_ + ContactTime)
+    return;
+  std::vector<std::int64_t> Free;
+  std::ranges::transform(
+      Workers_, std::back_inserter(Free),
+      [](const auto &Worker) { return Worker->freeMilliProcessors(); });
+  Seen_.observeCalm(Clock::now(), Free,
+                    WorkerMilliProcessors *
+                        static_cast<std::int64_t>(Workers_.size()));
+  if (Clock::now() >= HealedAt_ + ContactTime + LastingTime)
+    cancelLasting();
+}
+
+void Soak::cancelLasting() {
+  for (const std::string &Job : Seen_.lasting()) {
+    Seen_.cancelled(Job);
+    Callers_[pick(Callers_.size())]->request(request("DELETE", targetOf(Job)),
+                                             CallTimeout,
+                                             [](const net::HttpResult &) {});
+  }
+}
+
 std::string Soak::configuration(std::uint64_t Version, bool HasOther) {
   boost::json::array Routes{route("checks")};
   if (HasOther)
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -7,6 +7,7 @@
 #include "dragonfly/net/HttpClient.h"
 #include "soak/Fleet.h"
 #include "soak/LoopbackProxy.h"
+#include "soak/OpenCaller.h"
 #include "soak/Promises.h"
 #include "soak/StandInWorker.h"
 
@@ -31,6 +32,9 @@
   /// Connections go silent, and nothing else fails: no task crashes its worker
   /// either.
   bool OnlySilence_ = false;
+  /// Processes are only signalled and restarted, in series that overlap; no
+  /// request may end without an answer then.
+  bool OnlyStops_ = false;
 };
 
 /// Soak.cpp hands in jobs and changes of the configuration; SoakFaults.cpp
@@ -55,10 +59,13 @@
 
   void addWorker(std::size_t I);
   void addEntryClient(std::size_t I);
+  static std::string jobId(RandomEngine &Random);
   std::string drawJobId();
   void submitNext();
   /// A job of which each worker has more runs than one list of ends holds.
   void submitWide();
+  /// A job whose tasks run until it is cancelled at the end.
+  void submitLasting();
   void submitPlanned(const std::string &Job, PlannedJob Plan,
                      std::int64_t MemoryMb);
   /// The path that names the job to entries.
@@ -75,6 +82,15 @@
                         int Attempt);
   void readConfiguration();
 
+  // Open connections and calm.
+
+  void addOpenCallers();
+  void addOpenCaller(Fleet::Role Kind, Duration Pause, bool IsCareful);
+  void loseRequest(const LostRequest &Lost);
+  /// Checks what holds while nothing is disturbed.
+  void watchCalm();
+  void cancelLasting();
+
   // Faults.
 
   /// Starts process \p I once its last run has ended.
@@ -112,6 +128,10 @@
   void loseControl();
   void nextFault();
   void beginFaults();
+  /// Stops a few processes, the same ones again while they stop, and restarts
+  /// them.
+  void nextStops();
+  void stopWithRepeats(std::size_t I);
   /// The disks of control's processes are full one after another, never two at
   /// once, round after round.
   void nextFullDisk(std::size_t Index);
@@ -123,6 +143,8 @@
   RandomEngine Random_;
   /// Draws connections that go silent, beside the other faults of a seed.
   RandomEngine SilenceRandom_;
+  /// Draws stops in series, likewise.
+  RandomEngine StopRandom_;
   net::EventLoop Loop_;
   Promises Seen_;
   Fleet Fleet_;
@@ -143,8 +165,13 @@
   /// Ids given to workers that came back as others.
   std::size_t NewIds_ = 0;
   std::size_t OwnEnds_ = 0;
+  std::vector<std::unique_ptr<OpenCaller>> OpenCallers_;
+  /// When the last disturbance was undone.
+  TimePoint HealedAt_ = TimePoint::max();
+  std::size_t LostExcused_ = 0;
   bool Faulting_ = true;
   bool OnlySilence_ = false;
+  bool OnlyStops_ = false;
 };
 
 } // namespace dragonfly::soak
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -38,8 +38,7 @@
     break;
   case 1:
     log(Fleet_.name(I) + " told to stop");
-    Fleet_.expectEnd(I);
-    Fleet_.signal(I, SIGTERM);
+    Fleet_.stop(I);
     later(milliseconds(100), [this, I] { restart(I); });
     break;
   default:
@@ -259,10 +258,66 @@
   });
 }
 
+void Soak::stopWithRepeats(std::size_t I) {
+  if (!Fleet_.isRunning(I))
+    return;
+  Fleet_.stop(I);
+  const std::size_t Repeats = StopRandom_() % 4;
+  Duration At{};
+  for (std::size_t Count = 0; Count < Repeats; ++Count) {
+    constexpr int Numbers[]{SIGTERM, SIGTERM, SIGHUP, SIGINT};
+    const int Number = Numbers[StopRandom_() % std::size(Numbers)];
+    At += milliseconds(1 + StopRandom_() % 800);
+    later(At, [this, I, Number] {
+      // Its successor must not be hit before it can handle signals.
+      if (Fleet_.isRunning(I) && !Fleet_.isNew(I) && Fleet_.isStopping(I))
+        Fleet_.signal(I, Number);
+    });
+  }
+  later(milliseconds(50), [this, I] { restart(I); });
+}
+
+void Soak::nextStops() {
+  if (!Faulting_)
+    return;
+  const FleetOptions &Sizes = Fleet_.options();
+  const std::size_t First = StopRandom_() % Fleet_.size();
+  std::vector<std::size_t> Chosen{First};
+  switch (StopRandom_() % 4) {
+  case 0: {
+    // Both programs of a VM.
+    const std::size_t Entry = StopRandom_() % Sizes.Entries_;
+    Chosen = {Entry % Sizes.Controls_, Sizes.Controls_ + Entry};
+    break;
+  }
+  case 1:
+    Chosen.push_back(StopRandom_() % Fleet_.size());
+    break;
+  case 2:
+    if (Fleet_.isRunning(First) && !Fleet_.isNew(First)) {
+      log(Fleet_.name(First) + " told to read its settings");
+      Fleet_.signal(First, SIGHUP);
+    }
+    Chosen.clear();
+    break;
+  default:
+    break;
+  }
+  for (const std::size_t I : Chosen) {
+    log(Fleet_.name(I) + " told to stop, again and again");
+    stopWithRepeats(I);
+  }
+  // A stop of an entry takes longer: series overlap.
+  later(milliseconds(200 + StopRandom_() % 2500), [this] { nextStops(); });
+}
+
 void Soak::beginFaults() {
   nextSilence();
   if (OnlySilence_)
     return;
+  nextStops();
+  if (OnlyStops_)
+    return;
   nextFault();
   nextFullDisk(1);
 }
--- a/tests/soak/StandInWorker.cpp
+++ b/tests/soak/StandInWorker.cpp
@@ -259,14 +259,15 @@
       return refuse(To, "room");
     const TimePoint Now = Clock::now();
     const bool IsDeadly = Plan->Deadly_ == Task;
-    Runs_[Task] = {
-        .Task_ = Task,
-        .Number_ = Number,
-        .MilliProcessors_ = Plan->MilliProcessors_,
-        .EndsAt_ = IsDeadly ? TimePoint::max() : Now + Plan->TaskTime_,
-        .BeganAt_ = Now,
-        .Fails_ = Plan->MayFail_ && Random_() % 1000 < Options_.FailPermille_,
-        .StopAt_ = {}};
+    Runs_[Task] = {.Task_ = Task,
+                   .Number_ = Number,
+                   .MilliProcessors_ = Plan->MilliProcessors_,
+                   .EndsAt_ = IsDeadly || Plan->Lasts_ ? TimePoint::max()
+                                                       : Now + Plan->TaskTime_,
+                   .BeganAt_ = Now,
+                   .Fails_ = Plan->MayFail_ &&
+                             Random_() % 1000 < Options_.FailPermille_,
+                   .StopAt_ = {}};
     Newest_[Task] = Number;
     reply(To, {});
     if (IsDeadly)
@@ -311,9 +312,11 @@
       const double Share =
           toMilliseconds(Now - Each.BeganAt_) /
           std::max(1.0, toMilliseconds(Each.EndsAt_ - Each.BeganAt_));
+      const bool Lasts = Each.EndsAt_ == TimePoint::max();
       Running.push_back(boost::json::array{
           Task.text(), Each.Number_, "",
-          static_cast<std::int64_t>(std::clamp(Share, 0.0, 1.0) * 100),
+          Lasts ? 100
+                : static_cast<std::int64_t>(std::clamp(Share, 0.0, 1.0) * 100),
           Each.MilliProcessors_});
     }
     boost::json::array Finished;
@@ -394,6 +397,10 @@
 void StandInWorker::crash() { Impl_->crash(); }
 bool StandInWorker::isDown() const { return Impl_->IsDown_; }
 void StandInWorker::restart(const std::string &Name) { Impl_->restart(Name); }
+std::int64_t StandInWorker::freeMilliProcessors() const {
+  return Impl_->IsDown_ ? 0 : std::max<std::int64_t>(0, Impl_->room());
+}
+
 const std::string &StandInWorker::name() const { return Impl_->Options_.Name_; }
 void StandInWorker::setCapacity(std::int64_t MilliProcessors) {
   Impl_->setCapacity(MilliProcessors);
--- a/tests/soak/StandInWorker.h
+++ b/tests/soak/StandInWorker.h
@@ -51,6 +51,8 @@
   /// Comes back as the worker \p Name, with nothing.
   void restart(const std::string &Name);
   const std::string &name() const;
+  /// Thousandths of processors that are not committed; none while it is down.
+  std::int64_t freeMilliProcessors() const;
   /// Announces another capacity from the next heartbeat on.
   void setCapacity(std::int64_t MilliProcessors);
   /// Leaves half of the calls of the next \p Time unanswered, and carries them
--- a/tests/soak/dragonfly-soak.cpp
+++ b/tests/soak/dragonfly-soak.cpp
@@ -18,6 +18,7 @@
 ABSL_FLAG(std::string, silent_connections_library, "",
           "makes connections silent; none are where it is empty");
 ABSL_FLAG(bool, only_silence, false, "no other faults than silent connections");
+ABSL_FLAG(bool, only_stops, false, "no other faults than signals and restarts");
 ABSL_FLAG(std::string, folder, "", "for logs and disks; a temporary one");
 ABSL_FLAG(std::string, network, "127.77", "start of the loopback addresses");
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of load and faults");
@@ -51,7 +52,8 @@
       Run.run({.Length_ = seconds(absl::GetFlag(FLAGS_seconds)),
                .Settle_ = seconds(absl::GetFlag(FLAGS_settle)),
                .JobsPerSecond_ = absl::GetFlag(FLAGS_rate),
-               .OnlySilence_ = absl::GetFlag(FLAGS_only_silence)});
+               .OnlySilence_ = absl::GetFlag(FLAGS_only_silence),
+               .OnlyStops_ = absl::GetFlag(FLAGS_only_stops)});
   std::cout << "seed " << Seed << ": " << (Broken == 0 ? "passed" : "FAILED")
             << ", logs in " << Folder << "\n";
   return Broken == 0 ? 0 : 1;
