Hold signals again once the event loop has ended

Cause, found by the review of the stops, by reading: the end of the loop restored the default action of SIGTERM, SIGINT and SIGHUP, and one that came before the end of the process killed it, with a wrong exit code and without its last lines. Change: an event loop that handles signals blocks them as it ends. Not covered by a test: the window is a few milliseconds.

--- a/src/net/EventLoop.cpp
+++ b/src/net/EventLoop.cpp
@@ -67,6 +67,7 @@
   boost::asio::signal_set Signals_{Context_};
   boost::asio::signal_set Reloads_{Context_};
   std::function<void()> OnTerminate_;
+  bool HandlesSignals_ = false;
 
   void awaitReload(const std::function<void()> &Work) {
     Reloads_.async_wait([this, Work](const auto &Fault, int) {
@@ -92,7 +93,11 @@
 
 EventLoop::EventLoop() : Impl_(std::make_unique<Impl>()) {}
 
-EventLoop::~EventLoop() = default;
+EventLoop::~EventLoop() {
+  // Without handlers a further signal would kill the process as it ends.
+  if (Impl_->HandlesSignals_)
+    holdSignals();
+}
 
 void EventLoop::run() { Impl_->Context_.run(); }
 
@@ -124,6 +129,7 @@
 
 void EventLoop::onTerminate(std::function<void()> Work) {
   Impl_->OnTerminate_ = std::move(Work);
+  Impl_->HandlesSignals_ = true;
   for (const int Number : {SIGTERM, SIGINT}) {
     Impl_->Signals_.add(Number);
     releaseSignal(Number);
