Drop the end of a stop with its owner, and bound short stops

Cause, found by the review of the stops, by reading: the handler of the end was posted and could outlive its owner; a product entry with stop_bound_ms of 300 or less cut everything off at once. Change: the handler is a timer of GracefulStop; half of a short bound is left for work. The programs of today don't destroy an owner in that moment; no test of its own.

--- a/include/dragonfly/net/GracefulStop.h
+++ b/include/dragonfly/net/GracefulStop.h
@@ -56,6 +56,7 @@
   std::vector<StopPart> Parts_;
   EndHandler OnEnded_;
   Timer Check_;
+  Timer End_;
 };
 
 } // namespace dragonfly::net
--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -9,6 +9,7 @@
 #include "dragonfly/net/HttpServer.h"
 #include "entry/AgentPool.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -136,7 +137,8 @@
   net::GracefulStop Stop_{
       Loop_,
       {.ServeTime_ = AcceptAfterStop,
-       .Bound_ = Settings_.Process_.StopBound_ - StopReserve}};
+       .Bound_ = std::max(Settings_.Process_.StopBound_ - StopReserve,
+                          Settings_.Process_.StopBound_ / 2)}};
   std::function<void(StopResult)> OnStopped_;
   bool WasReady_ = false;
   bool Stopping_ = false;
--- a/src/net/GracefulStop.cpp
+++ b/src/net/GracefulStop.cpp
@@ -71,11 +71,13 @@
     break;
   case StopPhase::Ended:
     Check_.cancel();
-    // Posted because the handler may destroy this object.
-    Loop_.post([Handler = std::exchange(OnEnded_, nullptr),
-                Result = Schedule_.isCutOff()
-                             ? StopResult::BoundReached
-                             : StopResult::Finished] { Handler(Result); });
+    // Called later, because the handler may destroy this object.
+    End_ = Loop_.after(Duration::zero(),
+                       [Handler = std::exchange(OnEnded_, nullptr),
+                        Result = Schedule_.isCutOff() ? StopResult::BoundReached
+                                                      : StopResult::Finished] {
+                         Handler(Result);
+                       });
   }
 }
 
