Begin the soak's span of calm again where the tool itself had no processor

Change: where two looks are more than 300 ms apart, the span of calm begins again, and the tool prints how often. Check and bound stay as they are.

--- a/tests/soak/Promises.h
+++ b/tests/soak/Promises.h
@@ -73,6 +73,8 @@
   /// nothing has been disturbed for some time.
   void observeCalm(TimePoint Now, const std::vector<std::int64_t> &Free,
                    std::int64_t All);
+  /// What has stood still so far does not count.
+  void disturbed() { StillSince_.clear(); }
   /// A lasting job is being cancelled.
   void cancelled(const std::string &Job) { Ended_.insert(Job); }
   std::vector<std::string> lasting() const;
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t JobsPerDeadly = 16;
 /// Without disturbances for so long, processes are in touch.
 constexpr Duration ContactTime = milliseconds(4000);
+/// A longer gap between two looks means that this process got no processor.
+constexpr Duration MaxWatchGap = milliseconds(300);
 /// How long lasting tasks are watched after that.
 constexpr Duration LastingTime = milliseconds(6500);
 /// They run until all of them do, and over the time without control.
@@ -108,7 +110,8 @@
     Answered += Caller->answered();
   OpenCallers_.clear();
   std::cout << Answered << " answers on open connections, " << LostExcused_
-            << " requests lost with killed processes\n";
+            << " requests lost with killed processes, " << StallCount_
+            << " times without a processor once faults were over\n";
   std::cout << Seen_.acceptedCount() << " jobs accepted, " << Seen_.startCount()
             << " starts, " << Seen_.failedCount() << " jobs failed, "
             << FaultCount_ << " faults, " << OwnEnds_
@@ -373,7 +376,16 @@
       Seen_.stopsTooLate(Fleet_.name(I));
       Fleet_.signal(I, SIGKILL);
     }
-  if (Faulting_ || Clock::now() < HealedAt_ + ContactTime)
+  const TimePoint Before = std::exchange(WatchedAt_, Clock::now());
+  if (Faulting_)
+    return;
+  // The workers are part of this process: while it stands still, they do.
+  if (Clock::now() - Before > MaxWatchGap) {
+    HealedAt_ = Clock::now();
+    Seen_.disturbed();
+    ++StallCount_;
+  }
+  if (Clock::now() < HealedAt_ + ContactTime)
     return;
   std::vector<std::int64_t> Free;
   std::ranges::transform(
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -168,6 +168,8 @@
   std::vector<std::unique_ptr<OpenCaller>> OpenCallers_;
   /// When the last disturbance was undone.
   TimePoint HealedAt_ = TimePoint::max();
+  TimePoint WatchedAt_ = Clock::now();
+  std::size_t StallCount_ = 0;
   std::size_t LostExcused_ = 0;
   bool Faulting_ = true;
   bool OnlySilence_ = false;
