End control's stop without waiting for a moment without queued bytes

Cause: the stop waited until no bytes at all were queued on frame connections; on a process that goes on to talk with its group some always are, and a peer that takes nothing would have held it until the bound.

--- a/include/dragonfly/net/FrameServer.h
+++ b/include/dragonfly/net/FrameServer.h
@@ -66,8 +66,6 @@
   Endpoint endpoint() const;
   /// Number of open connections.
   std::size_t connections() const;
-  /// Bytes queued on all of them that peers have not taken yet.
-  std::size_t queuedBytes() const;
   /// This server in the stop of its process; it must outlive the stop. The
   /// owner refuses what comes while the stop goes on.
   StopPart stopPart(std::string Name);
--- a/src/net/FrameServer.cpp
+++ b/src/net/FrameServer.cpp
@@ -209,18 +209,12 @@
 
 std::size_t FrameServer::connections() const { return Impl_->Streams_.size(); }
 
-std::size_t FrameServer::queuedBytes() const {
-  std::size_t Sum = 0;
-  for (const auto &Stream : Impl_->Streams_)
-    Sum += Stream->queuedBytes();
-  return Sum;
-}
-
 StopPart FrameServer::stopPart(std::string Name) {
   return {
       .Name_ = std::move(Name),
+      // What is queued leaves as the streams finish.
       .Unfinished_ =
-          [this] { return Impl_->Finishing_ ? connections() : queuedBytes(); },
+          [this] { return Impl_->Finishing_ ? connections() : std::size_t(0); },
       .OnClosing_ = [this] { finish(); }};
 }
 
