--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -15,7 +15,6 @@
 namespace {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
 using asio::ip::tcp;
 
 /// How often connections are checked for their timeouts.
