--- a/tests/net/ServerStopTest.cpp
+++ b/tests/net/ServerStopTest.cpp
@@ -118,6 +118,7 @@
   const PausedClock Paused;
   HeldServer Held(Bound);
   std::vector<std::unique_ptr<RawCaller>> Callers;
+  Callers.reserve(Bound + Crowd);
   for (std::size_t I = 0; I < Bound + Crowd; ++I)
     Callers.push_back(
         std::make_unique<RawCaller>(Held.Loop_, Held.Server_.endpoint()));
