Tell with task-waits how long a step waits and what started meanwhile

The line did not tell a full service from one whose room goes to other steps. It now gives the time since the step last started a task and the starts of other steps since then. No decision changes.

--- a/src/base/Event.cpp
+++ b/src/base/Event.cpp
@@ -89,7 +89,8 @@
      "for, in thousandths of processors and in MiB."},
     {Event::TaskWaits, Severity::Info, "task-waits",
      "No worker has room for the next task of a step; counts of workers by the "
-     "reason are given. At most some lines a second."},
+     "reason are given, how long no task of the step has started, and how many "
+     "tasks of other steps have meanwhile. At most some lines a second."},
     {Event::RunStalled, Severity::Warning, "run-stalled",
      "A run makes no progress at a speed that lets it; it is stopped, to be "
      "run "
--- a/src/control/DispatchLog.cpp
+++ b/src/control/DispatchLog.cpp
@@ -18,23 +18,35 @@
 
 } // namespace
 
-void DispatchLog::logObstacles(const jobs::ReadyStep &Ready,
+void DispatchLog::recordStart(const jobs::ReadyStep &Ready) {
+  ++Starts_;
+  Waits_.erase(Ready);
+}
+
+void DispatchLog::logObstacles(TimePoint Now, const jobs::ReadyStep &Ready,
                                const decide::JobPlacement &Placement,
                                const decide::PlacementRequest &Need) {
+  const Wait &Current =
+      Waits_.try_emplace(Ready, Wait{.Since_ = Now, .StartsBefore_ = Starts_})
+          .first->second;
   if (RemainingWaitLines_ == 0)
     return;
   --RemainingWaitLines_;
   const decide::PlacementObstacles Obstacles = Placement.countObstacles(Need);
-  logEvent(Event::TaskWaits, {{"job", Ready.Job_},
-                              {"step", Ready.Step_},
-                              {"other_service", Obstacles.OtherService_},
-                              {"closed", Obstacles.Closed_},
-                              {"label", Obstacles.Label_},
-                              {"too_many_of_step", Obstacles.TooManyOfStep_},
-                              {"memory", Obstacles.Memory_},
-                              {"processors", Obstacles.Processors_},
-                              {"spare_processors", Obstacles.SpareProcessors_},
-                              {"tail_latency", Obstacles.TailLatency_}});
+  logEvent(Event::TaskWaits,
+           {{"job", Ready.Job_},
+            {"step", Ready.Step_},
+            {"other_service", Obstacles.OtherService_},
+            {"closed", Obstacles.Closed_},
+            {"label", Obstacles.Label_},
+            {"too_many_of_step", Obstacles.TooManyOfStep_},
+            {"memory", Obstacles.Memory_},
+            {"processors", Obstacles.Processors_},
+            {"spare_processors", Obstacles.SpareProcessors_},
+            {"tail_latency", Obstacles.TailLatency_},
+            {"waiting_ms", toUnsigned(static_cast<std::int64_t>(
+                               toMilliseconds(Now - Current.Since_)))},
+            {"started_meanwhile", Starts_ - Current.StartsBefore_}});
 }
 
 void DispatchLog::logSummary(TimePoint Now,
@@ -42,6 +54,9 @@
   if (Now < NextSummaryAt_)
     return;
   NextSummaryAt_ = Now + SummaryInterval;
+  std::erase_if(Waits_, [this](const auto &Entry) {
+    return !Table_.readySteps().contains(Entry.first);
+  });
   RemainingWaitLines_ = MaxWaitLines;
   Resources Capacity;
   Resources Reserved;
--- a/src/control/DispatchLog.h
+++ b/src/control/DispatchLog.h
@@ -9,6 +9,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 
 namespace dragonfly::control {
 
@@ -20,13 +21,21 @@
       : Table_(Table), Metrics_(JobMetrics) {}
 
   /// Logs why no worker fits \p Need, which `Placement.place` has just found.
-  void logObstacles(const jobs::ReadyStep &Ready,
+  void logObstacles(TimePoint Now, const jobs::ReadyStep &Ready,
                     const decide::JobPlacement &Placement,
                     const decide::PlacementRequest &Need);
+  /// Counts a proposed start, which ends the wait of its step.
+  void recordStart(const jobs::ReadyStep &Ready);
   /// Logs a summary if one is due.
   void logSummary(TimePoint Now, const decide::JobPlacement &Placement);
 
 private:
+  /// A step none of whose waiting tasks has found room.
+  struct Wait {
+    TimePoint Since_;
+    std::uint64_t StartsBefore_ = 0;
+  };
+
   std::uint64_t countWaitingTasks() const;
 
   const jobs::JobTable &Table_;
@@ -34,6 +43,9 @@
   TimePoint NextSummaryAt_;
   /// How many more `task-waits` events may be logged before the next summary.
   std::size_t RemainingWaitLines_ = 0;
+  std::map<jobs::ReadyStep, Wait> Waits_;
+  /// Starts of all steps.
+  std::uint64_t Starts_ = 0;
 };
 
 } // namespace dragonfly::control
--- a/src/control/JobDispatcher.cpp
+++ b/src/control/JobDispatcher.cpp
@@ -330,13 +330,14 @@
     Need.AvoidedWorker_ = Task.Worker_;
     const auto Chosen = placeTask(Next.Task_, Need, Placement);
     if (!Chosen) {
-      Log_.logObstacles(Ready, Placement, Need);
+      Log_.logObstacles(Now, Ready, Placement, Need);
       NeedsPlacement_ |= Suspects_.passTurn(Now, Job.Id_, How);
       return;
     }
     if (!Need.StepRunsPerWorker_.empty())
       ++Need.StepRunsPerWorker_[*Chosen];
     Relocator_.finish(Next.Task_);
+    Log_.recordStart(Ready);
     Suspects_.finish(Now, Next.Task_, How, *Chosen, Placement);
     proposeStart(Now, Job, std::move(Next), Placement.workers()[*Chosen].Name_);
     Need.MayOvercommit_ = false;
