Place lasting tasks that have run before ahead of work that arrives later

Cause: rank decided alone which task gets room, although a lasting task is owed its place from the first run on. Class of fault: a claim that is given up with the resource that carried it.

Placement now begins with the overdue tasks: those of lasting steps that have run before, and the first one of a lasting job of which nothing has run for 1.2 s. Where no worker has room, one worker in four at most is kept from later work until it has. New lasting tasks still come after short jobs.

--- a/include/dragonfly/decide/JobPlacement.h
+++ b/include/dragonfly/decide/JobPlacement.h
@@ -39,6 +39,8 @@
   std::int64_t ServingMilliProcessors_ = 0;
   /// Processors requested by runs on spare processors, in thousandths.
   std::int64_t SpareMilliProcessors_ = 0;
+  /// The part of `Reserved_` that is held for tasks which have no room yet.
+  std::int64_t HeldMilliProcessors_ = 0;
   /// Latency-critical jobs with runs on the worker.
   std::vector<ServingJob> Serving_;
   /// Runs fail or stall more often than on other workers; used only where no
@@ -132,6 +134,12 @@
   std::optional<std::size_t> placeReserved(const PlacementRequest &Task,
                                            std::size_t Index);
 
+  /// Keeps room for \p Task, for which `place` has found no worker, until this
+  /// object is destroyed: on the worker that needs the fewest processors to
+  /// become free, among those where latency-critical tasks leave enough.
+  /// Returns whether there is one.
+  bool holdRoom(const PlacementRequest &Task);
+
   /// Places nothing more on the worker \p Index.
   void close(std::size_t Index) { Workers_[Index].Closed_ = true; }
 
--- a/src/control/JobDispatcher.cpp
+++ b/src/control/JobDispatcher.cpp
@@ -31,10 +31,12 @@
 /// times too slow the longest tasks still progress by one percent a second.
 constexpr Duration StallTimeout = std::chrono::milliseconds(2500);
 constexpr std::uint32_t FullProgressPercent = 100;
-/// A job with a ready step may go without a running task for this long while
-/// more than half of the processors are unreserved; the platform allows three
-/// seconds.
+/// A job with a ready step may go without a running task for this long; the
+/// platform allows three seconds.
 constexpr Duration MaxStarvationTime = std::chrono::milliseconds(1200);
+/// Of so many workers one at most is kept from work that arrives later, so that
+/// a lost part of the workers does not stop the short tasks on all others.
+constexpr std::size_t WorkersPerHold = 4;
 /// Suspect tasks avoid workers with a start more recent than this.
 constexpr Duration RecentStartTime = std::chrono::milliseconds(500);
 /// Limit of proposed starts in one tick; bounds the duration of a tick.
@@ -126,9 +128,8 @@
           .Serving_ = Interference_.servingJobs(Now, Session, PlannedRuns)};
 }
 
-/// Returns whether the job has had no task on a worker for `MaxStarvationTime`
-/// although more than half of all processors are unreserved.
-bool JobDispatcher::isStarved(TimePoint Now, const JobRow &Job) {
+/// Returns whether the job has had no task on a worker for `MaxStarvationTime`.
+bool JobDispatcher::isStalled(TimePoint Now, const JobRow &Job) {
   const bool IsIdle =
       std::ranges::none_of(Job.Steps_, [](const jobs::StepRow &Step) {
         return std::ranges::any_of(Step.Tasks_, [](const TaskRow &Task) {
@@ -141,7 +142,25 @@
   }
   const TimePoint IdleSince =
       IdleSince_.try_emplace(Job.Id_, Now).first->second;
-  return IsHalfUnreserved_ && Now - IdleSince >= MaxStarvationTime;
+  return Now - IdleSince >= MaxStarvationTime;
+}
+
+/// Returns the tasks of the step that are placed before all other work: those
+/// of a long-running step that have run before, and the first one of a job that
+/// is stalled. Work that arrives later must not take their room.
+std::vector<std::uint32_t>
+JobDispatcher::overdueTasks(TimePoint Now, const jobs::ReadyStep &Ready) {
+  const JobRow &Job = *Table_.find(Ready.Job_);
+  std::vector<std::uint32_t> Overdue;
+  if (!Job.Spec_.Steps_[Ready.Step_].LongRunning_)
+    return Overdue;
+  const std::vector<TaskRow> &Tasks = Job.Steps_[Ready.Step_].Tasks_;
+  bool NeedsFirst = isStalled(Now, Job);
+  for (std::uint32_t Index = 0; Index < Tasks.size(); ++Index)
+    if (Tasks[Index].Phase_ == TaskPhase::Waiting &&
+        (Tasks[Index].Run_ > 0 || std::exchange(NeedsFirst, false)))
+      Overdue.push_back(Index);
+  return Overdue;
 }
 
 /// Returns the jobs with ready steps or with throttled runs that are worth
@@ -199,13 +218,10 @@
                             const RunName &Run,
                             decide::JobPlacement &Placement) {
   const TaskRow &Task = Job.Steps_[Run.Task_.Step_].Tasks_[Run.Task_.Index_];
-  decide::PlacementRequest Need = placementNeedOf(Job, Run.Task_.Step_);
+  decide::PlacementRequest Need =
+      placementNeedOf({.Job_ = Job.Id_, .Step_ = Run.Task_.Step_}, Placement);
   Need.AvoidedWorker_ = Task.Worker_;
   Need.IsMove_ = true;
-  if (Need.MaxPerWorker_ > 0)
-    Need.StepRunsPerWorker_ =
-        countRunsPerWorker({.Job_ = Job.Id_, .Step_ = Run.Task_.Step_},
-                           Job.Steps_[Run.Task_.Step_].Tasks_, Placement);
   const auto Chosen = Placement.place(Need);
   if (!Chosen)
     return;
@@ -256,6 +272,7 @@
   Suspects_.beginPlacement(Now, [this](const RunName &Run) {
     return ProposedStarts_.contains(Run);
   });
+  placeOverdueTasks(Now, Work, Placement);
   for (const PlacementWork &JobWork : Work) {
     for (const jobs::ReadyStep &Ready : JobWork.ReadySteps_) {
       if (Batch_.record().Starts_.size() >= MaxStartsPerTick) {
@@ -294,58 +311,109 @@
   return Counts;
 }
 
-decide::PlacementRequest JobDispatcher::placementNeedOf(const JobRow &Job,
-                                                        std::uint32_t Step) {
-  const StepSpec &Spec = Job.Spec_.Steps_[Step];
-  return {.Service_ = Job.Queue_.Service_,
-          .RequiredLabel_ = Spec.RequiredLabel_,
-          .DataRack_ = Spec.DataRack_,
-          .Image_ = Spec.Image_,
-          .Need_ = Spec.Need_,
-          .UsesSpareProcessors_ = Spec.UsesSpareProcessors_,
-          .IsServing_ = Spec.TailTarget_ > Duration::zero(),
-          .MaxPerWorker_ = Spec.MaxPerWorker_};
+decide::PlacementRequest
+JobDispatcher::placementNeedOf(const jobs::ReadyStep &Ready,
+                               const decide::JobPlacement &Placement) const {
+  const JobRow &Job = *Table_.find(Ready.Job_);
+  const StepSpec &Spec = Job.Spec_.Steps_[Ready.Step_];
+  decide::PlacementRequest Need{
+      .Service_ = Job.Queue_.Service_,
+      .RequiredLabel_ = Spec.RequiredLabel_,
+      .DataRack_ = Spec.DataRack_,
+      .Image_ = Spec.Image_,
+      .Need_ = Spec.Need_,
+      .UsesSpareProcessors_ = Spec.UsesSpareProcessors_,
+      .IsServing_ = Spec.TailTarget_ > Duration::zero(),
+      .MaxPerWorker_ = Spec.MaxPerWorker_};
+  if (Spec.MaxPerWorker_ > 0)
+    Need.StepRunsPerWorker_ =
+        countRunsPerWorker(Ready, Job.Steps_[Ready.Step_].Tasks_, Placement);
+  return Need;
+}
+
+/// Places the overdue tasks, and holds room for those that no worker has room
+/// for.
+void JobDispatcher::placeOverdueTasks(TimePoint Now,
+                                      const std::vector<PlacementWork> &Work,
+                                      decide::JobPlacement &Placement) {
+  std::size_t HoldsLeft =
+      std::max<std::size_t>(Placement.workers().size() / WorkersPerHold, 1);
+  for (const PlacementWork &JobWork : Work)
+    for (const jobs::ReadyStep &Ready : JobWork.ReadySteps_) {
+      const std::vector<std::uint32_t> Overdue = overdueTasks(Now, Ready);
+      if (Overdue.empty())
+        continue;
+      decide::PlacementRequest Need = placementNeedOf(Ready, Placement);
+      for (const std::uint32_t Index : Overdue) {
+        if (Batch_.record().Starts_.size() >= MaxStartsPerTick)
+          return;
+        const bool HasRoom = startTask(Now, Ready, Index, Need, Placement) !=
+                             StartResult::NoRoom;
+        // Room for a relocated task is reserved already, and a task on spare
+        // processors does not need them unreserved.
+        if (!HasRoom && HoldsLeft > 0 && !Need.UsesSpareProcessors_ &&
+            Relocator_.targetOf({Ready.Job_, Ready.Step_, Index}).empty() &&
+            Placement.holdRoom(Need))
+          --HoldsLeft;
+      }
+    }
 }
 
 void JobDispatcher::placeTasksOfStep(TimePoint Now,
                                      const jobs::ReadyStep &Ready,
                                      decide::JobPlacement &Placement) {
   const JobRow &Job = *Table_.find(Ready.Job_);
-  const StepSpec &Step = Job.Spec_.Steps_[Ready.Step_];
+  decide::PlacementRequest Need = placementNeedOf(Ready, Placement);
+  Need.MayOvercommit_ =
+      Need.UsesSpareProcessors_ && isStalled(Now, Job) && IsHalfUnreserved_;
   const std::vector<TaskRow> &Tasks = Job.Steps_[Ready.Step_].Tasks_;
-  decide::PlacementRequest Need = placementNeedOf(Job, Ready.Step_);
-  if (Step.MaxPerWorker_ > 0)
-    Need.StepRunsPerWorker_ = countRunsPerWorker(Ready, Tasks, Placement);
-  Need.MayOvercommit_ = Step.UsesSpareProcessors_ && isStarved(Now, Job);
   for (std::uint32_t Index = 0; Index < Tasks.size(); ++Index) {
-    const TaskRow &Task = Tasks[Index];
-    RunName Next{{Job.Id_, Ready.Step_, Index}, Task.Run_ + 1};
-    if (Task.Phase_ != TaskPhase::Waiting || ProposedStarts_.contains(Next))
+    if (Tasks[Index].Phase_ != TaskPhase::Waiting)
       continue;
-    Need.IsSuspect_ = Table_.crashes().isSuspect(Next.Task_);
-    const SuspectScheduler::Start How =
-        Suspects_.chooseStart(Now, Next.Task_, Need.Service_, Placement);
-    if (How == SuspectScheduler::Start::Postponed)
-      continue;
-    Need.AvoidedWorker_ = Task.Worker_;
-    const auto Chosen = placeTask(Next.Task_, Need, Placement);
-    if (!Chosen) {
+    const StartResult Result = startTask(Now, Ready, Index, Need, Placement);
+    if (Result == StartResult::NoRoom) {
       Log_.logObstacles(Now, Ready, Placement, Need);
-      NeedsPlacement_ |= Suspects_.passTurn(Now, Job.Id_, How);
       return;
     }
-    if (!Need.StepRunsPerWorker_.empty())
-      ++Need.StepRunsPerWorker_[*Chosen];
-    Relocator_.finish(Next.Task_);
-    Log_.recordStart(Ready);
-    Suspects_.finish(Now, Next.Task_, How, *Chosen, Placement);
-    proposeStart(Now, Job, std::move(Next), Placement.workers()[*Chosen].Name_);
+    if (Result != StartResult::Proposed)
+      continue;
     Need.MayOvercommit_ = false;
     if (Batch_.record().Starts_.size() >= MaxStartsPerTick)
       return;
   }
 }
 
+/// Proposes the start of a waiting task on the best worker with room, unless
+/// that has been done already or the task is suspect and has to wait.
+JobDispatcher::StartResult
+JobDispatcher::startTask(TimePoint Now, const jobs::ReadyStep &Ready,
+                         std::uint32_t Index, decide::PlacementRequest &Need,
+                         decide::JobPlacement &Placement) {
+  const JobRow &Job = *Table_.find(Ready.Job_);
+  const TaskRow &Task = Job.Steps_[Ready.Step_].Tasks_[Index];
+  RunName Next{{Job.Id_, Ready.Step_, Index}, Task.Run_ + 1};
+  if (ProposedStarts_.contains(Next))
+    return StartResult::Postponed;
+  Need.IsSuspect_ = Table_.crashes().isSuspect(Next.Task_);
+  const SuspectScheduler::Start How =
+      Suspects_.chooseStart(Now, Next.Task_, Need.Service_, Placement);
+  if (How == SuspectScheduler::Start::Postponed)
+    return StartResult::Postponed;
+  Need.AvoidedWorker_ = Task.Worker_;
+  const auto Chosen = placeTask(Next.Task_, Need, Placement);
+  if (!Chosen) {
+    NeedsPlacement_ |= Suspects_.passTurn(Now, Job.Id_, How);
+    return StartResult::NoRoom;
+  }
+  if (!Need.StepRunsPerWorker_.empty())
+    ++Need.StepRunsPerWorker_[*Chosen];
+  Relocator_.finish(Next.Task_);
+  Log_.recordStart(Ready);
+  Suspects_.finish(Now, Next.Task_, How, *Chosen, Placement);
+  proposeStart(Now, Job, std::move(Next), Placement.workers()[*Chosen].Name_);
+  return StartResult::Proposed;
+}
+
 /// Places the task on the worker where room is reserved for it, if any.
 std::optional<std::size_t>
 JobDispatcher::placeTask(const jobs::TaskName &Task,
--- a/src/control/JobDispatcher.h
+++ b/src/control/JobDispatcher.h
@@ -68,6 +68,12 @@
     decide::PlacementWorker Worker_;
   };
 
+  enum class StartResult : std::uint8_t {
+    Proposed,
+    Postponed, ///< Proposed before, or suspect and not to be started yet.
+    NoRoom
+  };
+
   /// The tasks and runs of a job that one placement has to handle.
   struct PlacementWork {
     const jobs::JobRow *Job_ = nullptr;
@@ -78,8 +84,13 @@
 
   void pruneStaleEntries();
   void placeTasks(TimePoint Now, Duration LogTime);
+  void placeOverdueTasks(TimePoint Now, const std::vector<PlacementWork> &Work,
+                         decide::JobPlacement &Placement);
   void placeTasksOfStep(TimePoint Now, const jobs::ReadyStep &Ready,
                         decide::JobPlacement &Placement);
+  StartResult startTask(TimePoint Now, const jobs::ReadyStep &Ready,
+                        std::uint32_t Index, decide::PlacementRequest &Need,
+                        decide::JobPlacement &Placement);
   std::vector<std::uint32_t>
   countRunsPerWorker(const jobs::ReadyStep &Ready,
                      const std::vector<jobs::TaskRow> &Tasks,
@@ -101,14 +112,17 @@
   decide::PlacementWorker makePlacementWorker(TimePoint Now,
                                               const WorkerSession &Session,
                                               const jobs::WorkerRow &Row) const;
-  bool isStarved(TimePoint Now, const jobs::JobRow &Job);
+  bool isStalled(TimePoint Now, const jobs::JobRow &Job);
+  std::vector<std::uint32_t> overdueTasks(TimePoint Now,
+                                          const jobs::ReadyStep &Ready);
   std::vector<PlacementWork> rankedWork(TimePoint Now, Duration LogTime) const;
   void addRunsWorthMoving(TimePoint Now,
                           std::map<std::string, PlacementWork> &Work) const;
   void moveRun(TimePoint Now, const jobs::JobRow &Job, const jobs::RunName &Run,
                decide::JobPlacement &Placement);
-  static decide::PlacementRequest placementNeedOf(const jobs::JobRow &Job,
-                                                  std::uint32_t Step);
+  decide::PlacementRequest
+  placementNeedOf(const jobs::ReadyStep &Ready,
+                  const decide::JobPlacement &Placement) const;
 
   const jobs::JobTable &Table_;
   WorkerSessions &Sessions_;
--- a/src/decide/JobPlacement.cpp
+++ b/src/decide/JobPlacement.cpp
@@ -250,6 +250,28 @@
   return std::nullopt;
 }
 
+bool JobPlacement::holdRoom(const PlacementRequest &Task) {
+  const auto UnreservedBy = [](const PlacementWorker &Row) {
+    return Row.Capacity_.MilliProcessors_ - Row.Reserved_.MilliProcessors_;
+  };
+  PlacementWorker *Best = nullptr;
+  for (std::size_t Index = 0; Index < Workers_.size(); ++Index) {
+    PlacementWorker &Row = Workers_[Index];
+    Resources Lasting = Task.Need_;
+    Lasting.MilliProcessors_ +=
+        Row.ServingMilliProcessors_ + Row.HeldMilliProcessors_;
+    if (!isEligible(Index, Task) || !Lasting.fitsIn(Row.Capacity_))
+      continue;
+    if (Best == nullptr || UnreservedBy(Row) > UnreservedBy(*Best))
+      Best = &Row;
+  }
+  if (Best == nullptr)
+    return false;
+  Best->Reserved_ += Task.Need_;
+  Best->HeldMilliProcessors_ += Task.Need_.MilliProcessors_;
+  return true;
+}
+
 void JobPlacement::commit(std::size_t Index, const PlacementRequest &Task,
                           const Losses &LossesByServingImage) {
   PlacementWorker &Row = Workers_[Index];
--- a/tests/control/JobServiceTest.cpp
+++ b/tests/control/JobServiceTest.cpp
@@ -385,6 +385,71 @@
   CHECK(HasStarted);
 }
 
+// Guards against LOST: short tasks that wait took the room of a lasting task
+// that had failed, so that it did not run again for 13 s on the deployment
+// "large".
+TEST_CASE(
+    "a lasting task that has failed runs again before waiting short tasks",
+    "[control][jobs]") {
+  JobCluster Cluster;
+  TestAgent Agent(Cluster, "w1");
+  jobs::Configuration InTime = configuration(8);
+  InTime.Queues_.front().TargetLatency_ = seconds(60);
+  Cluster.askLeader<wire::PutConfigurationAck>(
+      wire::PutConfiguration{std::move(InTime)});
+  Agent.attachAndReportNoRuns();
+  jobs::StepSpec Watch = makeStep();
+  Watch.Need_.MilliProcessors_ = 3000;
+  Watch.LongRunning_ = true;
+  Watch.TailTarget_ = seconds(1);
+  Cluster.submit({Watch}, "a-watch-00000000");
+  const std::vector<RunName> Watches = Agent.consumeStarts();
+  REQUIRE(Watches.size() == 1);
+  Cluster.submit({makeStep(40)}, "short-jobs-00000");
+  const std::vector<RunName> Short = Agent.consumeStarts();
+  REQUIRE(Short.size() == 1);
+  Agent.report(false, Short, {makeEnd(Watches.front(), RunEnd::Failed)});
+  const std::vector<RunName> Next = Agent.consumeStarts();
+  REQUIRE(Next.size() == 1);
+  CHECK(Next.front().Task_ == Watches.front().Task_);
+}
+
+// Guards against LOST: a lasting task whose worker leaves has to find room on
+// workers that short tasks keep full.
+TEST_CASE("room is made for a lasting task whose worker has left",
+          "[control][jobs]") {
+  JobCluster Cluster;
+  TestAgent Leaving(Cluster, "w1");
+  Leaving.attachAndReportNoRuns();
+  jobs::StepSpec Watch = makeStep();
+  Watch.Need_.MilliProcessors_ = 2000;
+  Watch.LongRunning_ = true;
+  Watch.TailTarget_ = seconds(1);
+  Cluster.submit({Watch}, "a-watch-00000000");
+  const std::vector<RunName> Watches = Leaving.consumeStarts();
+  REQUIRE(Watches.size() == 1);
+  Leaving.startDraining();
+  Leaving.report(false, Watches);
+  TestAgent Full(Cluster, "w2");
+  Full.attachAndReportNoRuns();
+  Cluster.submit({makeStep(40)}, "short-jobs-00000");
+  std::vector<RunName> Running = Full.consumeStarts();
+  REQUIRE(Running.size() == 4);
+  Leaving.report(false, {}, {makeEnd(Watches.front(), RunEnd::Stopped)});
+  bool RunsAgain = false;
+  // Each report ends the oldest run.
+  for (int I = 0; I < 4 && !RunsAgain; ++I) {
+    const RunName Oldest = Running.front();
+    Running.erase(Running.begin());
+    Full.report(false, Running, {makeEnd(Oldest)});
+    for (const RunName &Run : Full.consumeStarts()) {
+      RunsAgain = RunsAgain || Run.Task_ == Watches.front().Task_;
+      Running.push_back(Run);
+    }
+  }
+  CHECK(RunsAgain);
+}
+
 // Guards against losing the learnt interference with the leader: the next one
 // would again run disturbing batch work beside latency-critical tasks.
 TEST_CASE("learnt interference between images survives a change of leader",
--- a/tests/decide/JobPlacementTest.cpp
+++ b/tests/decide/JobPlacementTest.cpp
@@ -95,6 +95,31 @@
   CHECK(Order == std::vector<std::string>{"own", "mixed", "other", "free"});
 }
 
+// Guards against LOST: a task that needs much room must not wait for as long as
+// small ones arrive, nor for workers that lasting tasks fill for good.
+TEST_CASE(
+    "held room is kept from other tasks, on the worker closest to having it",
+    "[decide][jobs]") {
+  PlacementWorker Lasting = worker("lasting");
+  Lasting.Reserved_.MilliProcessors_ = 52000;
+  Lasting.ServingMilliProcessors_ = 52000;
+  PlacementWorker Busy = worker("busy");
+  Busy.Reserved_.MilliProcessors_ = 60000;
+  PlacementWorker Closest = worker("closest");
+  Closest.Reserved_.MilliProcessors_ = 58000;
+  JobPlacement Placement({Lasting, Busy, Closest}, options());
+  REQUIRE_FALSE(Placement.place(serving()));
+  REQUIRE(Placement.holdRoom(serving()));
+  PlacementRequest Short{.Service_ = "s",
+                         .Need_ = {.MilliProcessors_ = 1000, .MemoryMib_ = 10}};
+  // 12 on the worker of lasting tasks, 4 on the busy one.
+  CHECK(placeAll(Placement, Short) == 16);
+  REQUIRE(Placement.holdRoom(serving()));
+  CHECK(Placement.workers()[1].Reserved_.MilliProcessors_ == 77000);
+  JobPlacement Full({Lasting}, options());
+  CHECK_FALSE(Full.holdRoom(serving()));
+}
+
 // Few workers are free of latency-critical tasks while batch jobs of all images
 // wait. Images that do not interfere must not use up the free workers.
 TEST_CASE("batch tasks without interference leave free workers to other images",
