Add a failing test: a cancel that comes while its queue is away has no effect

What callers would see: a client that got no answer to a submission cancels the job while a configuration without its route is in force, is told 404, and the job starts once a later configuration has the route again and the submission arrives (UNASKED, where the cancel has waited for its acknowledgement). Evidence: 'a cancel holds though the job's queue is away when it comes' fails, the task is started.

--- a/tests/control/JobServiceTest.cpp
+++ b/tests/control/JobServiceTest.cpp
@@ -163,6 +163,27 @@
   CHECK(Job->State_ == JobState::Cancelled);
 }
 
+// Guards against UNASKED: the cancel of an unknown job was answered with 404
+// and not recorded while its queue was away, and the submission that was on its
+// way started once the queue was back.
+TEST_CASE("a cancel holds though the job's queue is away when it comes",
+          "[control][jobs]") {
+  JobCluster Cluster;
+  TestAgent Agent(Cluster, "w1");
+  Agent.attachAndReportNoRuns();
+  jobs::Configuration Without = configuration(8);
+  Without.Queues_.clear();
+  Cluster.askLeader<wire::PutConfigurationAck>(wire::PutConfiguration{Without});
+  CHECK(Cluster.requestJob(wire::JobAction::Cancel).Status_ ==
+        JobStatus::NoQueue);
+  Cluster.askLeader<wire::PutConfigurationAck>(
+      wire::PutConfiguration{configuration(9)});
+  REQUIRE(Cluster.submit({makeStep()}) == JobStatus::Accepted);
+  Cluster.run(seconds(1));
+  CHECK(Agent.consumeStarts().empty());
+  CHECK(Cluster.jobState() == JobState::Cancelled);
+}
+
 // Guards against MIXED: jobs counted as begun once a start had been decided,
 // also where the worker was cut off and never began it (review, wrong-pending).
 TEST_CASE("a job counts as pending until one of its tasks has begun",
