Record the cancel of an unknown job though its queue is away

What callers would see: see the failing test before this commit: a job that was cancelled while a configuration without its route was in force starts once the route is back. Cause: the leader answered 404 from the configuration it held and recorded nothing, though a submission may be on its way and routes come back. Change: each cancel of an unknown job is recorded before it is answered, as it is where the queue is there; the answer stays 404 (503 without a configuration, or where no more cancels can be kept). A cancel at another path than that of a known job still has no effect. Evidence: the test fails before and passes now; control_tests pass but for the KNOWN-RED one. Ruled out: removals that commit between submission and cancel; the log's order decides them. Cost: a cancel at a path of no queue takes one of the 4,096 places for 30 s.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -194,9 +194,11 @@
         findQueue(Request.Host_, Request.Path_, Request.Job_) != nullptr;
     const jobs::JobRow *Job = Table_.find(Request.Job_);
     const bool IsCancel = Request.Action_ == wire::JobAction::Cancel;
-    // A job outlives its queue, and its caller may still cancel it.
-    if (!HasQueue &&
-        !(IsCancel && Job != nullptr && wasSubmittedAt(*Job, Request))) {
+    // A job outlives its queue, and its caller may still cancel it. A job that
+    // is not known yet may reach its queue once that is back.
+    const bool MayCancel =
+        IsCancel && (Job == nullptr || wasSubmittedAt(*Job, Request));
+    if (!HasQueue && !MayCancel) {
       Answer(wire::JobReply{.Status_ = missingQueueStatus(),
                             .RetryAfter_ = Options_.RetryAfter_});
     } else if (Job != nullptr && (!IsCancel || !Job->active())) {
@@ -233,14 +235,19 @@
                               .RetryAfter_ = Options_.RetryAfter_});
         return;
       }
-      const bool IsKnown = Outcome == jobs::CancelStatus::Known;
       logEvent(Event::JobCancelled, {{"job", Id}});
       Options_.Metrics_->count("jobs", "cancelled");
       Dispatcher_.notifyJobsChanged();
+      if (Outcome == jobs::CancelStatus::RecordedEarly && !HasQueue) {
+        Answer(wire::JobReply{.Status_ = missingQueueStatus(),
+                              .RetryAfter_ = Options_.RetryAfter_});
+        return;
+      }
       // Without its queue the caller finds no job there any more.
-      Answer(wire::JobReply{.Status_ = IsKnown && HasQueue
-                                           ? JobStatus::Known
-                                           : JobStatus::UnknownJob,
+      Answer(wire::JobReply{.Status_ =
+                                Outcome == jobs::CancelStatus::Known && HasQueue
+                                    ? JobStatus::Known
+                                    : JobStatus::UnknownJob,
                             .State_ = jobs::JobState::Cancelled});
     });
   }
