Add a failing test: a departure is told under a name that control does not know

What callers would see: the runs that control still has on a worker that has left wait for its lease (4.42 s) instead of its notice; a lasting task among them is late by as much. Evidence: 'a departure is told by the process that control knows' fails.

--- a/tests/agent/LateOrderTest.cpp
+++ b/tests/agent/LateOrderTest.cpp
@@ -184,6 +184,21 @@
   CHECK(On.Leader_->Gone_.front().Worker_ == "w1");
 }
 
+// Guards against late restarts: an agent that could not settle a start renamed
+// itself after its worker's departure, opened no session under that name, and
+// control ignored its notice until the worker's lease had run out.
+TEST_CASE("a departure is told by the process that control knows",
+          "[agent][worker][late]") {
+  AgentFixture On;
+  On.startRuns(1);
+  orderLateStart(On, seconds(20));
+  On.Agent_->departed("w1");
+  On.run(seconds(6));
+  On.Worker_->setSilent(true);
+  REQUIRE(On.runUntil([&] { return !On.Leader_->Gone_.empty(); }, seconds(8)));
+  CHECK(On.Leader_->Gone_.front().Agent_ == On.Leader_->Hellos_.back().Agent_);
+}
+
 // Guards against two runs of one task: an agent that had been told of a worker
 // on another VM told control that it is gone.
 TEST_CASE("only a worker that was on the VM is reported as gone",
