Keep the name of an agent's process once its worker has departed

Cause: an agent whose start no stop settles registers anew under a fresh name. After its worker's departure it opens no session, so that control never learns that name and ignores the notice that the worker is gone, which then waits for the lease. Change: no new name after a departure; what is unsettled there ends with the worker's lease. Ruled out: a lost notice. The next keep-alive renews the agent's session, and it tells again.

--- a/src/agent/WorkerAgent.cpp
+++ b/src/agent/WorkerAgent.cpp
@@ -137,8 +137,9 @@
 
 void WorkerAgent::Impl::renewToken(TimePoint Now) {
   const bool IsNewToken = Fence_ > StartFence_;
-  if (!Unsettled_ || Silent_ || Session_ == 0 || IsNewToken || RenewsToken_ ||
-      Now < SettleBy_)
+  // The process of a departed worker opens no session any more.
+  if (!Unsettled_ || Silent_ || Departed_ || Session_ == 0 || IsNewToken ||
+      RenewsToken_ || Now < SettleBy_)
     return;
   RenewsToken_ = true;
   Self_ = makeFreshId<Incarnation>();
