Add a failing test: a start that no stop settles never ends while lists are answered

What callers would see: a worker leaves a start and the stops that follow it unanswered and answers lists. Its lease goes on, so the run is neither running nor ended, and a lasting task does not run again within 6 s of its last run, though there is room elsewhere (LOST). Evidence: 'a start that stops do not settle ends though the lease goes on' fails: no end is told within 6 s.

--- a/tests/agent/LateOrderTest.cpp
+++ b/tests/agent/LateOrderTest.cpp
@@ -82,6 +82,24 @@
   CHECK(On.Leader_->Hellos_.size() == 2);
 }
 
+// Guards against LOST of a lasting task: while a worker answers lists, its
+// lease goes on, and a start that neither a list nor a stop settled was never
+// told as ended. A task has to run again within 6 s of its last run.
+TEST_CASE("a start that stops do not settle ends though the lease goes on",
+          "[agent][worker][late]") {
+  AgentFixture On;
+  On.startRuns(1);
+  orderLateStart(On, seconds(12));
+  REQUIRE(On.runUntil([&] { return isToldEnded(On, Late); }, seconds(6)));
+  On.Worker_->setOrderDelay({});
+  requireBackToWork(On, makeRun(8));
+  On.run(seconds(13));
+  CHECK(On.Worker_->starts(Late) == 0);
+  CHECK(On.Worker_->starts(makeRun(0)) == 1);
+  CHECK(On.Worker_->isRunning(makeRun(0)));
+  CHECK(On.Worker_->isRunning(makeRun(8)));
+}
+
 // Guards against two runs of one task: control took the lease for expired while
 // it did not hear of the agent, and the agent renewed it before an earlier
 // start was settled.
