Settle a start with a new token also while the lease goes on

What callers would see: see the failing test before this commit: a lasting task does not run again while its last start and the stops that follow are unanswered. Cause: a start without an answer ends by a list, a stop, the lease or the worker's next life. Where lists are answered the lease goes on, and only a stop was left. The new token, which settles all starts with one list, was kept for the time after the lease. Change: it is used as well once a stop has settled nothing for 1.5 s: two stops without an answer. Runs of the worker go on; its starts that are not confirmed are given up and placed anew. Evidence: the test fails before and passes now, with all agent_tests. Ruled out: taking the start for ended after a time, since it may be carried out later.

--- a/include/dragonfly/agent/RunBook.h
+++ b/include/dragonfly/agent/RunBook.h
@@ -51,6 +51,8 @@
     TimePoint NextCallAt_;
     /// The worker has confirmed that the run is there, or that it is stopped.
     std::optional<TimePoint> ConfirmedAt_;
+    /// When the agent last began to stop the run.
+    TimePoint StopBeganAt_;
     ListedRun Listed_;
     /// When a run of this book was first known to be there.
     std::optional<TimePoint> StartedAt_;
@@ -120,6 +122,8 @@
   /// Returns the number of starts that may still be carried out: a call for
   /// them has no answer, and the run has neither been listed nor stopped.
   std::size_t unsettledStarts() const;
+  /// Whether such a start is being stopped since \p Before or longer.
+  bool hasUnsettledStop(TimePoint Before) const;
   /// Returns the runs that may have begun on the worker and are not proven.
   std::vector<jobs::RunName> unprovenRuns() const;
   void setSpeed(const jobs::RunName &Run, std::uint32_t SpeedPercent);
--- a/include/dragonfly/agent/WorkerAgent.h
+++ b/include/dragonfly/agent/WorkerAgent.h
@@ -48,6 +48,9 @@
   /// Time in which stops may settle the starts of a lapsed lease. After it the
   /// agent registers anew, which takes a round trip through the log.
   Duration SettleTime_ = std::chrono::milliseconds(300);
+  /// The same while the lease goes on, where only the task of the start waits:
+  /// two stops without an answer.
+  Duration LeasedSettleTime_ = std::chrono::milliseconds(1500);
   /// Starts are refused where less of the lease is left.
   Duration LeastLease_ = std::chrono::milliseconds(300);
   RunBookOptions Runs_;
--- a/src/agent/RunBook.cpp
+++ b/src/agent/RunBook.cpp
@@ -71,6 +71,7 @@
 
 void RunBook::beginStop(TimePoint Now, Row &Each) {
   Each.Phase_ = RunPhase::Stopping;
+  Each.StopBeganAt_ = Now;
   Each.Tries_ = 0;
   Each.ConfirmedAt_.reset();
   Each.NextCallAt_ = Now;
@@ -331,6 +332,13 @@
       Rows_, [](const auto &Each) { return isUnsettled(Each.second); }));
 }
 
+bool RunBook::hasUnsettledStop(TimePoint Before) const {
+  return std::ranges::any_of(Rows_, [Before](const auto &Each) {
+    return Each.second.Phase_ == RunPhase::Stopping &&
+           isUnsettled(Each.second) && Each.second.StopBeganAt_ <= Before;
+  });
+}
+
 std::vector<RunName> RunBook::unprovenRuns() const {
   std::vector<RunName> Result;
   for (const auto &[Run, Each] : Rows_)
--- a/src/agent/WorkerAgent.cpp
+++ b/src/agent/WorkerAgent.cpp
@@ -136,9 +136,11 @@
 }
 
 void WorkerAgent::Impl::renewToken(TimePoint Now) {
+  const bool IsDue =
+      Unsettled_ || Book_.hasUnsettledStop(Now - Options_.LeasedSettleTime_);
   const bool IsNewToken = Fence_ > StartFence_;
   // The process of a departed worker opens no session any more.
-  if (!Unsettled_ || Silent_ || Departed_ || Session_ == 0 || IsNewToken ||
+  if (!IsDue || Silent_ || Departed_ || Session_ == 0 || IsNewToken ||
       RenewsToken_ || Now < SettleBy_)
     return;
   RenewsToken_ = true;
--- a/src/agent/WorkerAgentImpl.h
+++ b/src/agent/WorkerAgentImpl.h
@@ -104,7 +104,8 @@
   /// is granted before all starts are settled.
   void noteUnsettled(TimePoint Now);
   /// Registers anew where stops get no answer: the first list under a higher
-  /// token settles every start at once.
+  /// token settles every start at once. While the lease goes on, the task of
+  /// such a start would else run nowhere.
   void renewToken(TimePoint Now);
   void lapse(TimePoint Now);
   void hold();
