--- a/tests/agent/LateOrderTest.cpp
+++ b/tests/agent/LateOrderTest.cpp
@@ -82,6 +82,62 @@
   CHECK(On.Leader_->Hellos_.size() == 2);
 }
 
+// Guards against UNASKED: a start that is carried out late, after the row, the
+// job and the agent's process that sent it have gone.
+TEST_CASE("a late start of an agent's process that has gone has no effect",
+          "[agent][worker][late]") {
+  AgentFixture On;
+  On.startRuns(1);
+  orderLateStart(On, seconds(12));
+  On.Worker_->setOrderDelay({});
+  On.restartAgent();
+  On.announce(On.Worker_->announce());
+  REQUIRE(
+      On.runUntil([&] { return On.Leader_->isReconciled("w1"); }, seconds(3)));
+  On.run(seconds(14));
+  CHECK(On.Worker_->starts(Late) == 0);
+  CHECK(On.Worker_->isRunning(makeRun(0)));
+}
+
+// Guards against UNASKED: a stop that its worker did not hear, or whose session
+// ended, leaves the run at work. A stop may take 3 s, and 0.9 s at the worker.
+TEST_CASE("a stop outlives the session that brought it",
+          "[agent][worker][late]") {
+  AgentFixture On;
+  On.startRuns(2);
+  SECTION("the worker is silent for a while") {
+    On.Worker_->setSilent(true);
+    On.Leader_->order({.Stops_ = {makeRun(1)}});
+    On.run(milliseconds(1500));
+    On.Worker_->setSilent(false);
+  }
+  SECTION("the session changes") {
+    On.Worker_->setSilent(true);
+    On.Leader_->order({.Stops_ = {makeRun(1)}});
+    On.run(milliseconds(300));
+    On.Leader_->refuseSession();
+    On.run(milliseconds(1000));
+    On.Worker_->setSilent(false);
+  }
+  SECTION("control falls silent") {
+    On.Leader_->order({.Stops_ = {makeRun(1)}});
+    On.run(milliseconds(10));
+    On.Leader_->setSilent(true);
+  }
+  SECTION("a report is open") {
+    On.Leader_->holdAcks();
+    On.Worker_->finish(makeRun(0));
+    On.run(milliseconds(50));
+    On.Leader_->order({.Stops_ = {makeRun(1)}});
+  }
+  SECTION("the worker leaves") {
+    On.announceDraining();
+    On.Leader_->order({.Stops_ = {makeRun(1)}});
+  }
+  CHECK(On.runUntil([&] { return !On.Worker_->isRunning(makeRun(1)); },
+                    milliseconds(2400)));
+}
+
 // Guards against LOST of a lasting task: while a worker answers lists, its
 // lease goes on, and a start that neither a list nor a stop settled was never
 // told as ended. A task has to run again within 6 s of its last run.
--- a/tests/agent/RunBookTest.cpp
+++ b/tests/agent/RunBookTest.cpp
@@ -196,6 +196,23 @@
   CHECK(Book.takeDueCalls(Start + seconds(2), true).empty());
 }
 
+// Guards against UNASKED: a worker that lists as many ends as one answer holds
+// must not hold up the stop of a run.
+TEST_CASE("a truncated list holds up no stop", "[agent][runs]") {
+  RunBook Book = ordered(run(1));
+  Book.startAnswered(Start, run(1), StartStatus::Started);
+  HoldAnswer Truncated = lists({{.Run_ = run(1)}});
+  Truncated.Truncated_ = true;
+  Book.listed(Start, Start, Truncated);
+  Book.stop(Start, run(1));
+  REQUIRE(Book.takeDueCalls(Start, true).size() == 1);
+  Book.stopAnswered(Start, run(1), false);
+  Book.listed(Start + seconds(1), Start + seconds(1), Truncated);
+  const auto Again = Book.takeDueCalls(Start + seconds(1), true);
+  REQUIRE(Again.size() == 1);
+  CHECK(Again.front().Kind_ == DueCall::Kind::Stop);
+}
+
 TEST_CASE("a stop of a run that is not there keeps it from appearing",
           "[agent][runs]") {
   RunBook Book;
--- a/tests/entry/JobGatewayTest.cpp
+++ b/tests/entry/JobGatewayTest.cpp
@@ -99,7 +99,8 @@
       To.answer(wire::Group{});
       return;
     }
-    if (!std::holds_alternative<wire::SubmitJob>(Request))
+    if (!std::holds_alternative<wire::SubmitJob>(Request) &&
+        !std::holds_alternative<wire::JobRequest>(Request))
       return;
     ++Submissions_;
     switch (Kind_) {
@@ -134,7 +135,7 @@
   std::size_t Submissions_ = 0;
 };
 
-/// Submits one job to replicas and tells how it ended, and after how long.
+/// Tells how a submission, or a cancel, ended, and after how long.
 struct Submission {
   JobAnswer Answer_ = JobAnswer::Unknown;
   Duration Took_{};
@@ -142,7 +143,11 @@
   bool IsLost_ = false;
 };
 
-Submission submitTo(const std::vector<Answer> &Kinds) {
+enum class Call : std::uint8_t { Submit, Cancel };
+
+/// Submits or cancels one job at replicas.
+Submission submitTo(const std::vector<Answer> &Kinds,
+                    Call What = Call::Submit) {
   configureLog({.Sink_ = [](std::string_view) {}});
   Clock::pause(TimePoint(seconds(100)));
   Submission Result;
@@ -160,8 +165,13 @@
     JobGateway Gateway(Leader, Counts, {});
     std::optional<JobResult> Ended;
     const TimePoint Began = Clock::now();
-    Gateway.submit({.Job_ = "5c0e7a21d94b36f8"}, seconds(3),
-                   [&](const JobResult &Value) { Ended = Value; });
+    const auto OnEnd = [&](const JobResult &Value) { Ended = Value; };
+    if (What == Call::Submit)
+      Gateway.submit({.Job_ = "5c0e7a21d94b36f8"}, seconds(3), OnEnd);
+    else
+      Gateway.request(
+          {.Action_ = wire::JobAction::Cancel, .Job_ = "5c0e7a21d94b36f8"},
+          seconds(3), OnEnd);
     constexpr int Polls = 30;
     constexpr int Steps = 800;
     for (int Step = 0; !Ended && Step < Steps; ++Step) {
@@ -180,11 +190,12 @@
 }
 
 /// Submits one job in each order in which the replicas can be asked.
-std::vector<Submission> submitInEachOrder(std::vector<Answer> Kinds) {
+std::vector<Submission> submitInEachOrder(std::vector<Answer> Kinds,
+                                          Call What = Call::Submit) {
   std::vector<Submission> All;
   std::ranges::sort(Kinds);
   do
-    All.push_back(submitTo(Kinds));
+    All.push_back(submitTo(Kinds, What));
   while (std::ranges::next_permutation(Kinds).found);
   return All;
 }
@@ -264,6 +275,28 @@
   }
 }
 
+// Guards against UNASKED: a caller believes in a cancel that an entry took and
+// lost. It is told to send it again, early enough to do so within the 4 s of
+// AckTimeoutMs.
+TEST_CASE("a cancel that was taken and lost is not told as done",
+          "[entry][jobs][outcome]") {
+  const std::vector<Answer> Kinds =
+      GENERATE(std::vector{Answer::Nothing},
+               std::vector{Answer::Nothing, Answer::RefuseLeader},
+               std::vector{Answer::Close, Answer::RefuseLeader},
+               std::vector{Answer::Close, Answer::Reject},
+               std::vector{Answer::Close, Answer::NoQueue},
+               std::vector{Answer::Dark, Answer::RefuseLeader});
+  for (const Submission &Each : submitInEachOrder(Kinds, Call::Cancel)) {
+    CHECK(Each.Answer_ != JobAnswer::Accepted);
+    CHECK(Each.Answer_ != JobAnswer::Known);
+    CHECK(Each.Answer_ != JobAnswer::UnknownJob);
+    if (Each.IsLost_)
+      CHECK(Each.Answer_ == JobAnswer::Unknown);
+    CHECK(Each.Took_ <= milliseconds(2700));
+  }
+}
+
 // Guards against REFUSED: the only attempt to hand in a job was answered with
 // 404, since its queue was removed while the first answer was late (review/5).
 TEST_CASE("a job whose answer was late is accepted though its queue is removed",
--- a/tests/jobs/JobTableTest.cpp
+++ b/tests/jobs/JobTableTest.cpp
@@ -211,6 +211,46 @@
   CHECK(On.Table_.findWorker("w1")->Reserved_ == Resources{});
 }
 
+// Guards against UNASKED: a Checkpoint of another run, or of another task.
+TEST_CASE("a task keeps the checkpoint of its own newest run", "[jobs]") {
+  Fixture On({step(2)});
+  On.start(On.run(0, 0));
+  On.start(On.run(0, 1));
+  REQUIRE(On.end(On.run(0, 0), RunEnd::Stopped, "a1"));
+  CHECK(On.task(0, 1).Checkpoint_.empty());
+  On.start(On.run(0, 0, 2));
+  CHECK_FALSE(On.end(On.run(0, 0), RunEnd::Stopped, "late"));
+  CHECK_FALSE(On.end(On.run(0, 0, 3), RunEnd::Stopped, "early"));
+  CHECK_FALSE(On.Table_.end(seconds(2), {.Run_ = On.run(0, 0, 2),
+                                         .Worker_ = "w2",
+                                         .How_ = RunEnd::Stopped,
+                                         .Checkpoint_ = "elsewhere"}));
+  CHECK(On.task(0, 0).Checkpoint_ == "a1");
+  REQUIRE(On.end(On.run(0, 0, 2), RunEnd::LeaseExpired));
+  CHECK(On.task(0, 0).Checkpoint_ == "a1");
+}
+
+// Guards against UNASKED: a submission that comes again starts a job that has
+// been cancelled. The platform sends one again within seconds; states can be
+// read for two minutes.
+TEST_CASE("a cancelled job stays so for its retention", "[jobs]") {
+  Fixture On({step(1)});
+  const Duration CancelledAt = seconds(100);
+  On.Table_.cancel(CancelledAt, JobId);
+  const bool IsLate = GENERATE(false, true);
+  const auto Submit = [&](const std::string &Id) {
+    On.Table_.submit(CancelledAt + JobTable::EndedJobRetention +
+                         Duration(IsLate ? 1 : 0),
+                     {.Job_ = Id,
+                      .Host_ = "a.example",
+                      .Path_ = "/checks/" + Id,
+                      .Spec_ = {.Steps_ = {step(1)}}});
+  };
+  Submit("00000000000000ff");
+  Submit(JobId);
+  CHECK(On.job().State_ == (IsLate ? JobState::Queued : JobState::Cancelled));
+}
+
 TEST_CASE("the highest version of the configuration takes effect", "[jobs]") {
   JobTable Table;
   CHECK(Table.putConfiguration(configuration(7)));
