Add a failing test: a confirmed stop is never sent again

What callers would see: a task of a cancelled job that goes on for ever where its worker has confirmed a stop and not carried it out; a lasting task that is moved runs nowhere else.

--- a/tests/agent/RunBookTest.cpp
+++ b/tests/agent/RunBookTest.cpp
@@ -196,6 +196,30 @@
   CHECK(Book.takeDueCalls(Start + seconds(2), true).empty());
 }
 
+// Guards against UNASKED, and LOST of a lasting task: a stop that the worker
+// had confirmed was never sent again, though its run stayed listed. A stop
+// takes at most 0.9 s.
+TEST_CASE("a confirmed stop is sent again while its run is listed",
+          "[agent][runs]") {
+  RunBook Book = ordered(run(1));
+  Book.startAnswered(Start, run(1), StartStatus::Started);
+  Book.stop(Start, run(1));
+  REQUIRE(Book.takeDueCalls(Start, true).size() == 1);
+  Book.stopAnswered(Start, run(1), true);
+  const HoldAnswer Listed = lists({{.Run_ = run(1)}});
+  const TimePoint InTime = Start + milliseconds(900);
+  Book.listed(InTime, InTime, Listed);
+  CHECK(Book.takeDueCalls(InTime, true).empty());
+  const TimePoint TooLate = Start + milliseconds(1100);
+  Book.listed(TooLate, InTime, Listed);
+  CHECK(Book.takeDueCalls(TooLate, true).empty());
+  Book.listed(TooLate, TooLate, Listed);
+  REQUIRE(Book.takeDueCalls(TooLate, true).size() == 1);
+  Book.stopAnswered(TooLate, run(1), true);
+  Book.listed(TooLate + seconds(1), TooLate + seconds(1), lists({}));
+  CHECK(Book.endReports().front().Run_ == run(1));
+}
+
 // Guards against UNASKED: a worker that lists as many ends as one answer holds
 // must not hold up the stop of a run.
 TEST_CASE("a truncated list holds up no stop", "[agent][runs]") {
