Send a confirmed stop again while its run is listed

Cause: a worker's word that a run is being stopped was believed for good, against its lists. Ruled out: holding back the lease, which would end the worker's other runs.

--- a/include/dragonfly/agent/RunBook.h
+++ b/include/dragonfly/agent/RunBook.h
@@ -27,6 +27,9 @@
   /// Pause between tries of a start or a stop; the worker answers within
   /// milliseconds where it answers at all.
   Duration RetryDelay_ = std::chrono::milliseconds(150);
+  /// A stop is sent again where the run is listed so long after the worker has
+  /// confirmed it; the platform allows 0.9 s.
+  Duration StopTime_ = std::chrono::milliseconds(1000);
   /// A run that is still listed this long after its start is not suspected of a
   /// crash.
   Duration ProofTime_ = std::chrono::milliseconds(200);
--- a/src/agent/RunBook.cpp
+++ b/src/agent/RunBook.cpp
@@ -244,6 +244,10 @@
       Each.Phase_ = RunPhase::Running;
     if (Each.Phase_ == RunPhase::Running && !Each.ConfirmedAt_)
       Each.ConfirmedAt_ = Now;
+    // What is listed counts for more than what was confirmed.
+    if (Each.Phase_ == RunPhase::Stopping && Each.ConfirmedAt_ &&
+        SentAt - *Each.ConfirmedAt_ > Options_.StopTime_)
+      beginStop(Now, Each);
   }
   if (Answer.Truncated_)
     return;
