Add a failing test: an entry tries a submission for longer than its cancel holds

What callers would see: a caller with a deadline of a minute, whose entry has lost its path to control, cancels through another entry; the submission arrives 40 s later and starts.

--- a/tests/entry/JobGatewayTest.cpp
+++ b/tests/entry/JobGatewayTest.cpp
@@ -3,6 +3,7 @@
 #include "dragonfly/entry/JobGateway.h"
 
 #include "dragonfly/base/Log.h"
+#include "dragonfly/jobs/JobTable.h"
 #include "dragonfly/net/EventLoop.h"
 #include "dragonfly/net/FrameServer.h"
 
@@ -146,8 +147,8 @@
 enum class Call : std::uint8_t { Submit, Cancel };
 
 /// Submits or cancels one job at replicas.
-Submission submitTo(const std::vector<Answer> &Kinds,
-                    Call What = Call::Submit) {
+Submission submitTo(const std::vector<Answer> &Kinds, Call What = Call::Submit,
+                    Duration TimeLeft = seconds(3)) {
   configureLog({.Sink_ = [](std::string_view) {}});
   Clock::pause(TimePoint(seconds(100)));
   Submission Result;
@@ -167,14 +168,13 @@
     const TimePoint Began = Clock::now();
     const auto OnEnd = [&](const JobResult &Value) { Ended = Value; };
     if (What == Call::Submit)
-      Gateway.submit({.Job_ = "5c0e7a21d94b36f8"}, seconds(3), OnEnd);
+      Gateway.submit({.Job_ = "5c0e7a21d94b36f8"}, TimeLeft, OnEnd);
     else
       Gateway.request(
           {.Action_ = wire::JobAction::Cancel, .Job_ = "5c0e7a21d94b36f8"},
-          seconds(3), OnEnd);
+          TimeLeft, OnEnd);
     constexpr int Polls = 30;
-    constexpr int Steps = 800;
-    for (int Step = 0; !Ended && Step < Steps; ++Step) {
+    while (!Ended && Clock::now() - Began < TimeLeft + seconds(1)) {
       for (int I = 0; I < Polls; ++I)
         Loop.poll();
       Clock::advance(milliseconds(5));
@@ -275,6 +275,16 @@
   }
 }
 
+// Guards against UNASKED: an entry tried a submission for as long as its caller
+// had time, and it arrived after its cancel had ceased to hold.
+TEST_CASE("a submission is not tried for longer than its cancel holds",
+          "[entry][jobs][outcome]") {
+  const Submission Tried =
+      submitTo({Answer::Nothing}, Call::Submit, seconds(60));
+  CHECK(Tried.Answer_ == JobAnswer::Unknown);
+  CHECK(Tried.Took_ < jobs::JobTable::EarlyCancelRetention);
+}
+
 // Guards against UNASKED: a caller believes in a cancel that an entry took and
 // lost. It is told to send it again, early enough to do so within the 4 s of
 // AckTimeoutMs.
