--- a/src/agent/RunBook.cpp
+++ b/src/agent/RunBook.cpp
@@ -71,6 +71,7 @@
 
 void RunBook::beginStop(TimePoint Now, Row &Each) {
   Each.Phase_ = RunPhase::Stopping;
+  Each.StopBeganAt_ = Now;
   Each.Tries_ = 0;
   Each.ConfirmedAt_.reset();
   Each.NextCallAt_ = Now;
@@ -243,6 +244,10 @@
       Each.Phase_ = RunPhase::Running;
     if (Each.Phase_ == RunPhase::Running && !Each.ConfirmedAt_)
       Each.ConfirmedAt_ = Now;
+    // What is listed counts for more than what was confirmed.
+    if (Each.Phase_ == RunPhase::Stopping && Each.ConfirmedAt_ &&
+        SentAt - *Each.ConfirmedAt_ > Options_.StopTime_)
+      beginStop(Now, Each);
   }
   if (Answer.Truncated_)
     return;
@@ -331,6 +336,13 @@
       Rows_, [](const auto &Each) { return isUnsettled(Each.second); }));
 }
 
+bool RunBook::hasUnsettledStop(TimePoint Before) const {
+  return std::ranges::any_of(Rows_, [Before](const auto &Each) {
+    return Each.second.Phase_ == RunPhase::Stopping &&
+           isUnsettled(Each.second) && Each.second.StopBeganAt_ <= Before;
+  });
+}
+
 std::vector<RunName> RunBook::unprovenRuns() const {
   std::vector<RunName> Result;
   for (const auto &[Run, Each] : Rows_)
