--- a/tests/net/SilentConnectionTest.cpp
+++ b/tests/net/SilentConnectionTest.cpp
@@ -134,6 +134,27 @@
   CHECK(Two.call(20ms) == CallStatus::Answered);
 }
 
+// Guards against LOST: the connection that was to prove that the peer runs had
+// gone silent as well, and was waited for for 5 s.
+TEST_CASE("a silent connection whose successor is silent gets another one",
+          "[net][silent]") {
+  const PausedClock Paused;
+  Peers Two;
+  Two.Relay_.silence();
+  Two.Relay_.admit(NewConnections::Swallowed);
+  std::optional<CallStatus> Status;
+  Two.Client_.call(wire::FetchLists{}, 10s,
+                   [&](const CallResult &End) { Status = End.Status_; });
+  Two.run(500ms);
+  REQUIRE(Two.Relay_.accepted() == 2);
+  Two.Relay_.admit(NewConnections::Forwarded);
+  // A second connection has one second to answer.
+  Two.run(Bound + 1s);
+  CHECK(Status == CallStatus::Lost);
+  CHECK(Two.Relay_.accepted() == 3);
+  CHECK(Two.call(20ms) == CallStatus::Answered);
+}
+
 // Guards against LOST: a call whose answer takes long found out only at its end
 // that its connection had gone silent meanwhile.
 TEST_CASE("a connection that goes silent while a call waits is noticed",
--- a/tests/net/SilentRelay.h
+++ b/tests/net/SilentRelay.h
@@ -1,5 +1,5 @@
 /// Forwards connections on loopback, and makes those that are open silent for
-/// good, without a reset, while new ones work.
+/// good, without a reset, while new ones work, are closed, or pass nothing.
 #ifndef DRAGONFLY_TESTS_NET_SILENTRELAY_H
 #define DRAGONFLY_TESTS_NET_SILENTRELAY_H
 
@@ -13,11 +13,19 @@
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <vector>
 
 namespace dragonfly::net {
 
+/// What becomes of connections that are made from now on.
+enum class NewConnections : std::uint8_t {
+  Forwarded,
+  Closed,   ///< Closed at once.
+  Swallowed ///< Open and silent for good, as if their peer lost power then.
+};
+
 /// Reads bytes also where they are dropped, as a kernel would take them.
 class SilentRelay {
 public:
@@ -41,6 +49,7 @@
     }
   }
   void silence() { silence(true, true); }
+  void admit(NewConnections Kind) { Admitted_ = Kind; }
   /// Ends the connection that was accepted last.
   void closeNewest() {
     boost::system::error_code Ignored;
@@ -70,6 +79,12 @@
           ++Accepted_;
           const auto Next = std::make_shared<Pair>(Loop_.context());
           Next->Caller_ = std::move(Caller);
+          if (Admitted_ != NewConnections::Forwarded) {
+            if (Admitted_ == NewConnections::Swallowed)
+              swallow(Next);
+            accept();
+            return;
+          }
           // On loopback a connection is made or refused at once.
           boost::system::error_code Refused;
           Next->Target_.connect(Target_, Refused);
@@ -86,6 +101,12 @@
         });
   }
 
+  void swallow(const std::shared_ptr<Pair> &Each) {
+    Each->DropsFromCaller_ = true;
+    Pairs_.push_back(Each);
+    pump(Each, Each->Caller_, Each->Target_, Each->DropsFromCaller_);
+  }
+
   void pump(const std::shared_ptr<Pair> &Each,
             boost::asio::ip::tcp::socket &From,
             boost::asio::ip::tcp::socket &To, bool &Drops) {
@@ -112,6 +133,7 @@
   boost::asio::ip::tcp::acceptor Acceptor_;
   boost::asio::ip::tcp::endpoint Target_;
   std::vector<std::shared_ptr<Pair>> Pairs_;
+  NewConnections Admitted_ = NewConnections::Forwarded;
   std::size_t Accepted_ = 0;
   std::size_t BytesFromCallers_ = 0;
 };
