Keep the announcements that a replica heard before it was elected

Cause: a new leader knew nothing of the announcements that had reached it before. It refused them unread and began with none, so that it admitted the replacement only at that one's next announcement. Change: GroupKeeper records announcements also where the replica does not lead, and keeps them at an election. One that may be older than the member's present store is dropped: whenever a member's store is found to have changed, what was heard of another store before is forgotten. Where no store was lost nothing is planned, as before. Weighed and not built: no acknowledgement until the group is repaired. The leader cannot tell a lost store from one that is slow to announce itself, what was acknowledged before the election would be lost all the same, and each restart of a leader would wait.

--- a/src/control/ControlService.cpp
+++ b/src/control/ControlService.cpp
@@ -247,6 +247,8 @@
       return;
     }
     if (!Serving_) {
+      if (const auto *Notice = std::get_if<wire::JoinGroup>(&Request))
+        Group_.sighted(Now_, *Notice);
       Answer(refusal());
       return;
     }
--- a/src/control/GroupKeeper.cpp
+++ b/src/control/GroupKeeper.cpp
@@ -22,14 +22,25 @@
 
 void GroupKeeper::lead(TimePoint Now) {
   LeaderSince_ = Now;
-  Seen_.clear();
+  forgetReplacedStores();
   LoggedDelays_.clear();
 }
 
+void GroupKeeper::forgetReplacedStores() {
+  for (const consensus::Member &Row : Log_.members()) {
+    const StoreId Before = std::exchange(Stores_[Row.Id_], Row.Store_);
+    const auto Found = Seen_.find(Row.Id_);
+    if (Before != Row.Store_ && Found != Seen_.end() &&
+        Found->second.Store_ != Row.Store_)
+      Seen_.erase(Found);
+  }
+}
+
 void GroupKeeper::sighted(TimePoint Now, const wire::JoinGroup &Notice) {
   // A process that is still bootstrapping has no data folder.
   if (!Notice.Store_)
     return;
+  forgetReplacedStores();
   Seen_[Notice.Id_] = {
       .Store_ = Notice.Store_, .Address_ = Notice.Address_, .SeenAt_ = Now};
 }
--- a/src/control/GroupKeeper.h
+++ b/src/control/GroupKeeper.h
@@ -19,15 +19,19 @@
 public:
   explicit GroupKeeper(consensus::ReplicatedLog &Log) : Log_(Log) {}
 
-  /// Called when this replica becomes leader; discards earlier sightings.
+  /// Called when this replica becomes leader.
   void lead(TimePoint Now);
   void stop() { ChangeInProgress_ = false; }
-  /// Records the announcement of a replica.
+  /// Records the announcement of a replica, also where this one does not lead:
+  /// it may be elected before the next one.
   void sighted(TimePoint Now, const wire::JoinGroup &Notice);
   /// Starts the next membership change unless one is in progress.
   void tick(TimePoint Now, const GroupPlanOptions &Options);
 
 private:
+  /// Drops announcements that may be older than the store that the member has
+  /// now: a change of the members since the last look came after them.
+  void forgetReplacedStores();
   /// Returns the next change that the log would propose now, if any.
   std::optional<GroupChange> nextChange(TimePoint Now,
                                         const GroupPlanOptions &Options);
@@ -39,6 +43,8 @@
   consensus::ReplicatedLog &Log_;
   TimePoint LeaderSince_;
   std::map<ReplicaId, ReplicaSighting> Seen_;
+  /// The members' stores at the last look.
+  std::map<ReplicaId, StoreId> Stores_;
   bool ChangeInProgress_ = false;
   /// Roles and reasons that this leadership has logged for each replica.
   std::map<ReplicaId,
--- a/tests/control/GroupRepairTest.cpp
+++ b/tests/control/GroupRepairTest.cpp
@@ -96,6 +96,79 @@
             .Version_ == ListVersion{2});
 }
 
+// Guards against LOST: a new leader knew nothing of the announcements that came
+// before its election, and waited for the next one. Until the replacement
+// votes, another lost disk ends the group.
+TEST_CASE("a new leader admits a replica that announced its new disk before",
+          "[control][group]") {
+  Duration Longest{};
+  for (Duration Alone = 3s; Alone < 3500ms; Alone += 100ms) {
+    ServiceCluster Cluster;
+    Cluster.repairGroup();
+    REQUIRE(Cluster.put(Cluster.leader(), change(1, "a")));
+    const std::size_t Wiped = Cluster.leader();
+    const std::size_t Dark = (Wiped + 1) % 3;
+    Cluster.kill(Dark);
+    Cluster.loseDisk(Wiped);
+    Cluster.run(Alone);
+    Cluster.start(Dark);
+    Cluster.leader();
+    const TimePoint Led = Cluster.now();
+    while (!isLearner(Cluster, Wiped) && Cluster.now() - Led < 5s)
+      Cluster.run(2ms);
+    REQUIRE(isLearner(Cluster, Wiped));
+    Longest = std::max(Longest, Cluster.now() - Led);
+    REQUIRE(timeUntilVotes(Cluster, Wiped, 5s));
+  }
+  INFO("longest: "
+       << std::chrono::duration_cast<std::chrono::milliseconds>(Longest).count()
+       << " ms");
+  // It looks at the members each 20 ms.
+  CHECK(Longest <= 50ms);
+}
+
+// Guards against LOST: what a follower heard before a replica's disk was lost
+// is no reason, once it leads, to take the vote of the new disk back.
+TEST_CASE("a new leader does not go back to a disk that was replaced meanwhile",
+          "[control][group]") {
+  ServiceCluster Cluster;
+  Cluster.repairGroup();
+  REQUIRE(Cluster.put(Cluster.leader(), change(1, "a")));
+  const std::size_t First = Cluster.leader();
+  const std::size_t Next = First == 0 ? 1 : 0;
+  const std::size_t Wiped = 3 - First - Next;
+  Cluster.run(1s);
+  const auto Announce = [&](StoreId Store) {
+    Cluster.node(Next).handle(
+        Cluster.now(),
+        wire::JoinGroup{.Id_ = {Wiped + 1},
+                        .Store_ = Store,
+                        .Address_ =
+                            "127.0.2." + std::to_string(Wiped + 1) + ":7000"},
+        [](const wire::Message &) {});
+  };
+  Announce(Cluster.node(Wiped).log().store());
+  // The next leader hears nothing of the new disk.
+  Cluster.cut(Wiped, Next);
+  Cluster.loseDisk(Wiped);
+  REQUIRE(timeUntilVotes(Cluster, Wiped, 1s));
+  const StoreId Store = Cluster.node(Wiped).log().store();
+  Cluster.cut(Wiped, First);
+  Cluster.cut(First, Wiped);
+  Cluster.run(20ms);
+  Cluster.node(First).transferLeadership();
+  REQUIRE(Cluster.leader() == Next);
+  const TimePoint Led = Cluster.now();
+  for (; Cluster.now() - Led < 500ms; Cluster.run(2ms)) {
+    const auto &Rows = Cluster.node(Next).log().members();
+    const auto Row =
+        std::ranges::find(Rows, ReplicaId{Wiped + 1}, &consensus::Member::Id_);
+    REQUIRE(Row != Rows.end());
+    REQUIRE(Row->Store_ == Store);
+    REQUIRE(Row->Voter_);
+  }
+}
+
 // Guards against LOST: the announcement of a process without a data folder kept
 // the leader from every other change of the members.
 TEST_CASE("a process without a data folder does not hold up the repair",
