Bound the room that is held for lasting tasks, by service, memory and time

From the review: room was held on workers without memory for the task, counted over all services, for any number of new jobs, and without an end where nothing frees it. Held room now counts per service and for copies of a step on one worker, ends after 5 s, and is told by room-held; only tasks that have run before come first without a bound, the first task of a stalled job once a second per service. A job that has had all its tasks started in one placement no longer counts as idle since before.

--- a/include/dragonfly/base/Event.h
+++ b/include/dragonfly/base/Event.h
@@ -64,6 +64,7 @@
   ReplicaAddressRejected = 3029,
   WorkerContested = 3030,
   ReplicaUnheard = 3031,
+  RoomHeld = 3032,
   // consensus
   LeaderElected = 4001,
   LeaderLost = 4002,
--- a/include/dragonfly/decide/JobPlacement.h
+++ b/include/dragonfly/decide/JobPlacement.h
@@ -135,10 +135,10 @@
                                            std::size_t Index);
 
   /// Keeps room for \p Task, for which `place` has found no worker, until this
-  /// object is destroyed: on the worker that needs the fewest processors to
-  /// become free, among those where latency-critical tasks leave enough.
-  /// Returns whether there is one.
-  bool holdRoom(const PlacementRequest &Task);
+  /// object is destroyed: on the worker with the most unreserved processors
+  /// among those with memory for it where latency-critical tasks leave enough
+  /// processors. Returns its index, or nothing if there is none.
+  std::optional<std::size_t> holdRoom(const PlacementRequest &Task);
 
   /// Places nothing more on the worker \p Index.
   void close(std::size_t Index) { Workers_[Index].Closed_ = true; }
--- a/src/base/Event.cpp
+++ b/src/base/Event.cpp
@@ -123,6 +123,9 @@
     {Event::ReplicaUnheard, Severity::Info, "replica-unheard",
      "Messages leave for a replica on an open link, and none has come from it "
      "since."},
+    {Event::RoomHeld, Severity::Info, "room-held",
+     "No worker has room for a task that comes before other work. Room on this "
+     "worker is kept for it until other tasks have ended."},
     {Event::LeaderElected, Severity::Info, "leader-elected",
      "This replica leads the replicated log in a new term."},
     {Event::LeaderLost, Severity::Warning, "leader-lost",
--- a/src/control/JobDispatcher.cpp
+++ b/src/control/JobDispatcher.cpp
@@ -34,9 +34,14 @@
 /// A job with a ready step may go without a running task for this long; the
 /// platform allows three seconds.
 constexpr Duration MaxStarvationTime = std::chrono::milliseconds(1200);
-/// Of so many workers one at most is kept from work that arrives later, so that
-/// a lost part of the workers does not stop the short tasks on all others.
+/// Of so many workers of a service one at most is kept from work that arrives
+/// later, so that losing some workers does not stop short tasks on all others.
 constexpr std::size_t WorkersPerHold = 4;
+/// After this time room is held no longer: what holds it does not end.
+constexpr Duration MaxHoldTime = std::chrono::seconds(5);
+/// Interval between two stalled jobs of a service whose first task comes before
+/// other work.
+constexpr Duration StalledStartInterval = std::chrono::seconds(1);
 /// Suspect tasks avoid workers with a start more recent than this.
 constexpr Duration RecentStartTime = std::chrono::milliseconds(500);
 /// Limit of proposed starts in one tick; bounds the duration of a tick.
@@ -54,6 +59,14 @@
           .MilliProcessors_ = Step.Need_.MilliProcessors_};
 }
 
+bool hasTaskOnWorker(const JobRow &Job) {
+  return std::ranges::any_of(Job.Steps_, [](const jobs::StepRow &Step) {
+    return std::ranges::any_of(Step.Tasks_, [](const TaskRow &Task) {
+      return Task.Phase_ == TaskPhase::OnWorker;
+    });
+  });
+}
+
 } // namespace
 
 void JobDispatcher::tick(TimePoint Now, Duration LogTime) {
@@ -130,13 +143,7 @@
 
 /// Returns whether the job has had no task on a worker for `MaxStarvationTime`.
 bool JobDispatcher::isStalled(TimePoint Now, const JobRow &Job) {
-  const bool IsIdle =
-      std::ranges::none_of(Job.Steps_, [](const jobs::StepRow &Step) {
-        return std::ranges::any_of(Step.Tasks_, [](const TaskRow &Task) {
-          return Task.Phase_ == TaskPhase::OnWorker;
-        });
-      });
-  if (!IsIdle) {
+  if (hasTaskOnWorker(Job)) {
     IdleSince_.erase(Job.Id_);
     return false;
   }
@@ -145,22 +152,34 @@
   return Now - IdleSince >= MaxStarvationTime;
 }
 
-/// Returns the tasks of the step that are placed before all other work: those
-/// of a long-running step that have run before, and the first one of a job that
-/// is stalled. Work that arrives later must not take their room.
+/// Returns the waiting tasks of a long-running step that have run before. Work
+/// that arrives later must not take their room.
 std::vector<std::uint32_t>
-JobDispatcher::overdueTasks(TimePoint Now, const jobs::ReadyStep &Ready) {
+JobDispatcher::tasksToResume(const jobs::ReadyStep &Ready) const {
   const JobRow &Job = *Table_.find(Ready.Job_);
-  std::vector<std::uint32_t> Overdue;
+  std::vector<std::uint32_t> Indexes;
   if (!Job.Spec_.Steps_[Ready.Step_].LongRunning_)
-    return Overdue;
+    return Indexes;
   const std::vector<TaskRow> &Tasks = Job.Steps_[Ready.Step_].Tasks_;
-  bool NeedsFirst = isStalled(Now, Job);
   for (std::uint32_t Index = 0; Index < Tasks.size(); ++Index)
-    if (Tasks[Index].Phase_ == TaskPhase::Waiting &&
-        (Tasks[Index].Run_ > 0 || std::exchange(NeedsFirst, false)))
-      Overdue.push_back(Index);
-  return Overdue;
+    if (Tasks[Index].Phase_ == TaskPhase::Waiting && Tasks[Index].Run_ > 0)
+      Indexes.push_back(Index);
+  return Indexes;
+}
+
+/// Returns the first task of a long-running job that is stalled, for one job of
+/// a service at a time, so that many new jobs do not stop the short ones.
+std::vector<std::uint32_t>
+JobDispatcher::firstStalledTask(TimePoint Now, const jobs::ReadyStep &Ready) {
+  const JobRow &Job = *Table_.find(Ready.Job_);
+  TimePoint &NextAt = NextStalledStartAt_[Job.Queue_.Service_];
+  const std::vector<TaskRow> &Tasks = Job.Steps_[Ready.Step_].Tasks_;
+  const auto First =
+      std::ranges::find(Tasks, TaskPhase::Waiting, &TaskRow::Phase_);
+  if (!Job.Spec_.Steps_[Ready.Step_].LongRunning_ || !isStalled(Now, Job) ||
+      Now < NextAt || First == Tasks.end())
+    return {};
+  return {static_cast<std::uint32_t>(First - Tasks.begin())};
 }
 
 /// Returns the jobs with ready steps or with throttled runs that are worth
@@ -245,7 +264,7 @@
   });
   std::erase_if(IdleSince_, [this](const auto &Entry) {
     const JobRow *Job = Table_.find(Entry.first);
-    return Job == nullptr || !Job->active();
+    return Job == nullptr || !Job->active() || hasTaskOnWorker(*Job);
   });
 }
 
@@ -331,32 +350,79 @@
   return Need;
 }
 
-/// Places the overdue tasks, and holds room for those that no worker has room
-/// for.
+/// Places the tasks that come before all other work, and holds room for those
+/// that no worker has room for.
 void JobDispatcher::placeOverdueTasks(TimePoint Now,
                                       const std::vector<PlacementWork> &Work,
                                       decide::JobPlacement &Placement) {
-  std::size_t HoldsLeft =
-      std::max<std::size_t>(Placement.workers().size() / WorkersPerHold, 1);
+  HoldsLeft_.clear();
+  for (const decide::PlacementWorker &Row : Placement.workers())
+    ++HoldsLeft_[Row.Service_];
+  for (auto &[Service, Count] : HoldsLeft_)
+    Count = std::max<std::size_t>(Count / WorkersPerHold, 1);
+  std::erase_if(Overdue_, [this](const auto &Entry) {
+    const JobRow *Job = Table_.find(Entry.first.Job_);
+    return Job == nullptr || !Job->active() ||
+           Job->Steps_[Entry.first.Step_].Tasks_[Entry.first.Index_].Phase_ !=
+               TaskPhase::Waiting;
+  });
   for (const PlacementWork &JobWork : Work)
-    for (const jobs::ReadyStep &Ready : JobWork.ReadySteps_) {
-      const std::vector<std::uint32_t> Overdue = overdueTasks(Now, Ready);
-      if (Overdue.empty())
-        continue;
-      decide::PlacementRequest Need = placementNeedOf(Ready, Placement);
-      for (const std::uint32_t Index : Overdue) {
-        if (Batch_.record().Starts_.size() >= MaxStartsPerTick)
-          return;
-        const bool HasRoom = startTask(Now, Ready, Index, Need, Placement) !=
-                             StartResult::NoRoom;
-        // Room for a relocated task is reserved already, and a task on spare
-        // processors does not need them unreserved.
-        if (!HasRoom && HoldsLeft > 0 && !Need.UsesSpareProcessors_ &&
-            Relocator_.targetOf({Ready.Job_, Ready.Step_, Index}).empty() &&
-            Placement.holdRoom(Need))
-          --HoldsLeft;
-      }
-    }
+    for (const jobs::ReadyStep &Ready : JobWork.ReadySteps_)
+      placeFirst(Now, Ready, tasksToResume(Ready), Placement);
+  for (const PlacementWork &JobWork : Work)
+    for (const jobs::ReadyStep &Ready : JobWork.ReadySteps_)
+      if (placeFirst(Now, Ready, firstStalledTask(Now, Ready), Placement))
+        NextStalledStartAt_[JobWork.Job_->Queue_.Service_] =
+            Now + StalledStartInterval;
+}
+
+/// Returns whether a start was proposed.
+bool JobDispatcher::placeFirst(TimePoint Now, const jobs::ReadyStep &Ready,
+                               const std::vector<std::uint32_t> &Indexes,
+                               decide::JobPlacement &Placement) {
+  if (Indexes.empty() || Batch_.record().Starts_.size() >= MaxStartsPerTick)
+    return false;
+  decide::PlacementRequest Need = placementNeedOf(Ready, Placement);
+  bool HasStarted = false;
+  for (const std::uint32_t Index : Indexes) {
+    const StartResult Result = startTask(Now, Ready, Index, Need, Placement);
+    HasStarted |= Result == StartResult::Proposed;
+    if (Result == StartResult::NoRoom &&
+        !holdRoom(Now, {Ready.Job_, Ready.Step_, Index}, Need, Placement))
+      break;
+  }
+  return HasStarted;
+}
+
+/// Returns whether room is held, or reserved, for the task.
+bool JobDispatcher::holdRoom(TimePoint Now, const jobs::TaskName &Task,
+                             decide::PlacementRequest &Need,
+                             decide::JobPlacement &Placement) {
+  if (!Relocator_.targetOf(Task).empty())
+    return true;
+  OverdueTask &Overdue =
+      Overdue_.try_emplace(Task, OverdueTask{.Since_ = Now}).first->second;
+  std::size_t &HoldsLeft = HoldsLeft_[std::string(Need.Service_)];
+  // A task on spare processors does not need them unreserved.
+  if (HoldsLeft == 0 || Need.UsesSpareProcessors_ ||
+      Now - Overdue.Since_ >= MaxHoldTime)
+    return false;
+  const auto Chosen = Placement.holdRoom(Need);
+  if (!Chosen)
+    return false;
+  --HoldsLeft;
+  if (!Need.StepRunsPerWorker_.empty())
+    ++Need.StepRunsPerWorker_[*Chosen];
+  const std::string &Worker = Placement.workers()[*Chosen].Name_;
+  if (std::exchange(Overdue.HeldOn_, Worker) != Worker)
+    logEvent(Event::RoomHeld,
+             {{"job", Task.Job_},
+              {"step", Task.Step_},
+              {"index", Task.Index_},
+              {"worker", Worker},
+              {"waiting_ms", static_cast<std::uint64_t>(
+                                 toMilliseconds(Now - Overdue.Since_))}});
+  return true;
 }
 
 void JobDispatcher::placeTasksOfStep(TimePoint Now,
--- a/src/control/JobDispatcher.h
+++ b/src/control/JobDispatcher.h
@@ -38,6 +38,7 @@
     ProposedStartVersions_.clear();
     CachedWorkers_.clear();
     IdleSince_.clear();
+    Overdue_.clear();
     Suspects_.startLeading();
     Relocator_.startLeading();
     NeedsPlacement_ = true;
@@ -74,6 +75,13 @@
     NoRoom
   };
 
+  /// A task that comes before other work and has found no worker with room.
+  struct OverdueTask {
+    TimePoint Since_;
+    /// The worker where room was last held for it.
+    std::string HeldOn_;
+  };
+
   /// The tasks and runs of a job that one placement has to handle.
   struct PlacementWork {
     const jobs::JobRow *Job_ = nullptr;
@@ -113,8 +121,15 @@
                                               const WorkerSession &Session,
                                               const jobs::WorkerRow &Row) const;
   bool isStalled(TimePoint Now, const jobs::JobRow &Job);
-  std::vector<std::uint32_t> overdueTasks(TimePoint Now,
-                                          const jobs::ReadyStep &Ready);
+  std::vector<std::uint32_t> tasksToResume(const jobs::ReadyStep &Ready) const;
+  std::vector<std::uint32_t> firstStalledTask(TimePoint Now,
+                                              const jobs::ReadyStep &Ready);
+  bool placeFirst(TimePoint Now, const jobs::ReadyStep &Ready,
+                  const std::vector<std::uint32_t> &Indexes,
+                  decide::JobPlacement &Placement);
+  bool holdRoom(TimePoint Now, const jobs::TaskName &Task,
+                decide::PlacementRequest &Need,
+                decide::JobPlacement &Placement);
   std::vector<PlacementWork> rankedWork(TimePoint Now, Duration LogTime) const;
   void addRunsWorthMoving(TimePoint Now,
                           std::map<std::string, PlacementWork> &Work) const;
@@ -142,6 +157,11 @@
   /// Active jobs with a ready step but no task on a worker, by id, with the
   /// time of the first placement that found them so.
   std::map<std::string, TimePoint> IdleSince_;
+  std::map<jobs::TaskName, OverdueTask> Overdue_;
+  /// By service: how many more tasks room may be held for in this placement.
+  std::map<std::string, std::size_t> HoldsLeft_;
+  /// By service: when the first task of a stalled job may come first again.
+  std::map<std::string, TimePoint> NextStalledStartAt_;
   /// Whether less than half of the processors of all workers are reserved.
   bool IsHalfUnreserved_ = false;
   bool NeedsPlacement_ = true;
--- a/src/decide/JobPlacement.cpp
+++ b/src/decide/JobPlacement.cpp
@@ -250,26 +250,29 @@
   return std::nullopt;
 }
 
-bool JobPlacement::holdRoom(const PlacementRequest &Task) {
-  const auto UnreservedBy = [](const PlacementWorker &Row) {
-    return Row.Capacity_.MilliProcessors_ - Row.Reserved_.MilliProcessors_;
+std::optional<std::size_t>
+JobPlacement::holdRoom(const PlacementRequest &Task) {
+  const auto Unreserved = [this](std::size_t Index) {
+    return Workers_[Index].Capacity_.MilliProcessors_ -
+           Workers_[Index].Reserved_.MilliProcessors_;
   };
-  PlacementWorker *Best = nullptr;
+  std::optional<std::size_t> Best;
   for (std::size_t Index = 0; Index < Workers_.size(); ++Index) {
-    PlacementWorker &Row = Workers_[Index];
-    Resources Lasting = Task.Need_;
-    Lasting.MilliProcessors_ +=
-        Row.ServingMilliProcessors_ + Row.HeldMilliProcessors_;
-    if (!isEligible(Index, Task) || !Lasting.fitsIn(Row.Capacity_))
-      continue;
-    if (Best == nullptr || UnreservedBy(Row) > UnreservedBy(*Best))
-      Best = &Row;
+    const PlacementWorker &Row = Workers_[Index];
+    Resources Needed = Row.Reserved_ + Task.Need_;
+    // Other processors become free as short tasks end.
+    Needed.MilliProcessors_ = Row.ServingMilliProcessors_ +
+                              Row.HeldMilliProcessors_ +
+                              Task.Need_.MilliProcessors_;
+    if (isEligible(Index, Task) && Needed.fitsIn(Row.Capacity_) &&
+        (!Best || Unreserved(Index) > Unreserved(*Best)))
+      Best = Index;
   }
-  if (Best == nullptr)
-    return false;
-  Best->Reserved_ += Task.Need_;
-  Best->HeldMilliProcessors_ += Task.Need_.MilliProcessors_;
-  return true;
+  if (Best) {
+    Workers_[*Best].Reserved_ += Task.Need_;
+    Workers_[*Best].HeldMilliProcessors_ += Task.Need_.MilliProcessors_;
+  }
+  return Best;
 }
 
 void JobPlacement::commit(std::size_t Index, const PlacementRequest &Task,
--- a/tests/decide/JobPlacementTest.cpp
+++ b/tests/decide/JobPlacementTest.cpp
@@ -116,8 +116,12 @@
   CHECK(placeAll(Placement, Short) == 16);
   REQUIRE(Placement.holdRoom(serving()));
   CHECK(Placement.workers()[1].Reserved_.MilliProcessors_ == 77000);
-  JobPlacement Full({Lasting}, options());
-  CHECK_FALSE(Full.holdRoom(serving()));
+  PlacementWorker NoMemory = worker("no memory");
+  NoMemory.Reserved_ = {.MilliProcessors_ = 55000, .MemoryMib_ = 240000};
+  PlacementWorker OtherService = worker("other service");
+  OtherService.Service_ += "t";
+  JobPlacement Useless({Lasting, NoMemory, OtherService}, options());
+  CHECK_FALSE(Useless.holdRoom(serving()));
 }
 
 // Few workers are free of latency-critical tasks while batch jobs of all images
