Try a call of a caller for 20 s at most

Cause: the 30 s of a cancel were to exceed an entry's tries, and nothing saw to it. Change: JobGatewayOptions::MaxTimeout_; later a caller is told 504 and asks again. Ruled out: holding cancels for longer, which fills their 4,096 places sooner.

--- a/include/dragonfly/entry/JobGateway.h
+++ b/include/dragonfly/entry/JobGateway.h
@@ -40,6 +40,10 @@
 struct JobGatewayOptions {
   /// Where the caller names no deadline.
   Duration DefaultTimeout_ = std::chrono::seconds(3);
+  /// A call takes no longer, whatever time the caller has: a submission must
+  /// not arrive after the cancel of its job has ceased to hold
+  /// (`jobs::JobTable::EarlyCancelRetention`).
+  Duration MaxTimeout_ = std::chrono::seconds(20);
   /// Share of the caller's time that a call may take, in thousandths; the rest
   /// is for the answer's way back.
   std::uint32_t TimeSharePermille_ = 850;
--- a/src/entry/JobGateway.cpp
+++ b/src/entry/JobGateway.cpp
@@ -61,7 +61,8 @@
   ++InProgress_;
   Leader_.call(
       std::move(Request),
-      {.Timeout_ = Whole * Options_.TimeSharePermille_ / 1000,
+      {.Timeout_ = std::min(Whole * Options_.TimeSharePermille_ / 1000,
+                            Options_.MaxTimeout_),
        .LeaderWait_ = Options_.LeaderWait_},
       [this, Action, Job, Began = Clock::now(),
        OnEnd = std::move(OnEnd)](const link::LeaderResult &Result) {
