--- a/tests/control/LastingTaskTest.cpp
+++ b/tests/control/LastingTaskTest.cpp
@@ -38,7 +38,7 @@
     for (const RunName &Run : startsWithinBound(Cluster, Agent))
       Ends.push_back(makeEnd(Run, RunEnd::Failed));
     REQUIRE(Ends.size() == Jobs);
-    REQUIRE(Agent.report(false, {}, std::move(Ends)));
+    REQUIRE(Agent.report(false, {}, Ends));
   }
 }
 
