--- a/tests/control/GroupLinksTest.cpp
+++ b/tests/control/GroupLinksTest.cpp
@@ -173,7 +173,7 @@
     }
   }
 
-  const net::PausedClock Paused_;
+  net::PausedClock Paused_;
   net::EventLoop Loop_;
   std::array<Node, Replicas> Nodes_;
   std::array<std::array<std::unique_ptr<net::SilentRelay>, Replicas>, Replicas>
