Excuse requests to a process that has just been killed

The connections were made after SIGKILL was sent and before the kernel had closed the sockets of the process; the check excused only those made before the kill. Change: a request is also excused if the process it was sent to was sent SIGKILL and has not been started since. LOST leaves out unplanned disruptions, and a kill is one; a stop, a pause and a process that was started again are judged as before.

--- a/tests/soak/Fleet.cpp
+++ b/tests/soak/Fleet.cpp
@@ -155,6 +155,8 @@
     Each.HarmedAt_ = Clock::now();
     Each.StopAskedAt_ = TimePoint::max();
   }
+  if (Number == SIGKILL)
+    Each.KilledAt_ = Clock::now();
   kill(Each.Pid_, Number);
 }
 
--- a/tests/soak/Fleet.h
+++ b/tests/soak/Fleet.h
@@ -59,6 +59,11 @@
   bool isOverdue(std::size_t I) const;
   /// When it was last killed or paused.
   TimePoint harmedAt(std::size_t I) const { return Processes_[I].HarmedAt_; }
+  /// It was killed and has not been started since. Until its sockets are gone,
+  /// it still seems to take connections.
+  bool isKilled(std::size_t I) const {
+    return Processes_[I].KilledAt_ >= Processes_[I].StartedAt_;
+  }
   /// The process at \p Ip; its number is below `size()`.
   std::size_t find(const std::string &Ip) const;
   /// True shortly after a start, when a signal may come before `main()`.
@@ -96,6 +101,7 @@
     TimePoint ExpectedAt_;
     TimePoint StartedAt_;
     TimePoint HarmedAt_ = TimePoint::min();
+    TimePoint KilledAt_ = TimePoint::min();
     TimePoint StopAskedAt_ = TimePoint::max();
     pid_t Pid_ = 0;
   };
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -356,7 +356,7 @@
   const std::size_t I = Fleet_.find(Lost.Peer_.Address_);
   // A process that was killed or paused answers nothing, or late.
   const bool IsHarmed = Fleet_.harmedAt(I) >= Lost.ConnectedAt_ ||
-                        (Lost.IsTimeout_ && !OnlyStops_);
+                        Fleet_.isKilled(I) || (Lost.IsTimeout_ && !OnlyStops_);
   if (IsHarmed) {
     ++LostExcused_;
     return;
