Cancel jobs amid the faults of the soak, and check UNASKED

Cause: the soak cancelled only lasting jobs, once faults were over, and never asked whether a run starts or goes on after a cancel, nor whose checkpoint a start carries. Change: every 150 ms a job is handed in and cancelled at a drawn moment (SoakCancels.cpp), with repeated cancels and submissions; workers make checkpoints and resume from them. Calm notes what was disturbed when. A summary line tells the longest gap of the tool itself. Not shown: calm spells amid the faults. Control is disturbed nearly all the time there, so that most bounds bite on what faults have left behind.

--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -5,6 +5,7 @@
 #include "dragonfly/base/Random.h"
 #include "dragonfly/net/EventLoop.h"
 #include "dragonfly/net/HttpClient.h"
+#include "soak/Calm.h"
 #include "soak/Fleet.h"
 #include "soak/LoopbackProxy.h"
 #include "soak/OpenCaller.h"
@@ -15,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,8 +39,8 @@
   bool OnlyStops_ = false;
 };
 
-/// Soak.cpp hands in jobs and changes of the configuration; SoakFaults.cpp
-/// disturbs the programs.
+/// Soak.cpp hands in jobs and changes of the configuration; SoakCancels.cpp
+/// hands in jobs that are cancelled; SoakFaults.cpp disturbs the programs.
 class Soak {
 public:
   Soak(FleetOptions Options, std::uint64_t Seed);
@@ -75,6 +77,7 @@
               bool AllRefused);
   /// Asks for the state of what has been accepted.
   void poll();
+  void askState(const std::string &Job);
   /// A configuration with the queue "checks" and, where \p HasOther, "other".
   static std::string configuration(std::uint64_t Version, bool HasOther);
   void changeConfiguration();
@@ -90,6 +93,31 @@
   /// Checks what holds while nothing is disturbed.
   void watchCalm();
   void cancelLasting();
+  /// Notes which processes and workers are down.
+  void noteDown();
+
+  // Cancels.
+
+  /// When a job is cancelled.
+  enum class CancelMoment : std::uint8_t {
+    AtAnswer,
+    AfterAnswer,
+    BeforeSubmission,
+    DuringSubmission,
+    BetweenSteps,
+    Never
+  };
+  std::size_t drawCancel(std::size_t Below) { return CancelRandom_() % Below; }
+  Duration drawCancelTime(std::size_t LeastMs, std::size_t MostMs);
+  /// Hands in jobs, most of which are cancelled, until some time after faults.
+  void nextCancelled();
+  PlannedJob drawCancelledPlan(const std::string &Job, CancelMoment Moment);
+  void planCancel(const std::string &Job, CancelMoment Moment);
+  void cancel(const std::string &Job);
+  void sendCancel(const std::string &Job);
+  /// Sends a cancel, or the job, again after the answer to a cancel.
+  void repeatAfterCancel(const std::string &Job);
+  void cancelBetweenSteps();
 
   // Faults.
 
@@ -139,13 +167,19 @@
   void nextSilence();
   /// Ends all disturbances.
   void heal();
+  /// Notes a disturbance of the connections through a proxy.
+  void disturbProxy(std::size_t I, Duration Length);
+  void leaveUnanswered(std::size_t I, Duration Length);
 
   RandomEngine Random_;
   /// Draws connections that go silent, beside the other faults of a seed.
   RandomEngine SilenceRandom_;
   /// Draws stops in series, likewise.
   RandomEngine StopRandom_;
+  /// Draws jobs that are cancelled and their cancels.
+  RandomEngine CancelRandom_;
   net::EventLoop Loop_;
+  Calm Calm_;
   Promises Seen_;
   Fleet Fleet_;
   std::vector<std::unique_ptr<StandInWorker>> Workers_;
@@ -156,6 +190,12 @@
   std::vector<std::unique_ptr<net::HttpClient>> OtherWriters_;
   /// Path prefix of each job's queue.
   std::map<std::string, std::string> Prefixes_;
+  /// Submissions as they were sent.
+  std::map<std::string, std::string> Bodies_;
+  /// What is done once a submission is accepted.
+  std::map<std::string, std::function<void()>> OnAccepted_;
+  /// Jobs that are cancelled once their first step has ended.
+  std::set<std::string> UntilStepEnds_;
   std::vector<net::Timer> Later_;
   TimePoint Began_ = Clock::now();
   std::uint64_t NextVersion_ = 1;
@@ -169,6 +209,8 @@
   /// When the last disturbance was undone.
   TimePoint HealedAt_ = TimePoint::max();
   TimePoint WatchedAt_ = Clock::now();
+  /// Longest time between two looks, which come every 100 ms.
+  Duration LongestGap_{};
   std::size_t StallCount_ = 0;
   std::size_t LostExcused_ = 0;
   bool Faulting_ = true;
--- a/tests/soak/StandInWorker.h
+++ b/tests/soak/StandInWorker.h
@@ -21,6 +21,8 @@
 
 struct StandInWorkerOptions {
   std::string Name_;
+  /// Number of its agent, from 0.
+  std::size_t Place_ = 0;
   std::string Service_;
   std::string Zone_;
   /// Where it takes calls.
