Call a worker's next life at once, also while another life is probed

Cause: an agent probes one announced life at a time.

Change: a new candidate is probed at once. An old probe that found nothing has no effect. Another writer that alternates lives causes one call for each of its announcements.

--- a/src/agent/WorkerAgentIdentity.cpp
+++ b/src/agent/WorkerAgentIdentity.cpp
@@ -57,6 +57,10 @@
                        Value.Sequence_ < Candidate_->Sequence_;
   if (IsOlder)
     return;
+  // A probe of another life may wait for its timeout, and until a new life is
+  // called it carries out late starts of the one before.
+  if (Candidate_ && !isSameLife(Value, *Candidate_))
+    ProbeOpen_ = false;
   Candidate_ = Value;
   probeCandidate();
 }
@@ -156,8 +160,11 @@
 
 void WorkerAgent::Impl::candidateAnswered(const WorkerAnnouncement &Probed,
                                           const HoldAnswer &Answer) {
-  ProbeOpen_ = false;
   const bool IsNewest = Candidate_ && isSameLife(*Candidate_, Probed);
+  if (IsNewest)
+    ProbeOpen_ = false;
+  else if (Answer.Status_ != HoldStatus::Listed)
+    return;
   if (Answer.Status_ == HoldStatus::NoAnswer) {
     NextProbeAt_ = Clock::now() + Options_.SilentDelay_;
     return;
--- a/tests/agent/LateOrderTest.cpp
+++ b/tests/agent/LateOrderTest.cpp
@@ -169,6 +169,22 @@
   requireBackToWork(On, makeRun(8));
 }
 
+// Guards against two runs of one task: the probe of another writer's worker
+// waited for its timeout while the worker's next life was not called.
+TEST_CASE("a next life is called while a probe of another worker is open",
+          "[agent][worker][late]") {
+  AgentFixture On;
+  On.startRuns(1);
+  On.Worker_->setSilent(true);
+  On.announce(foreign("nowhere", 7));
+  On.run(milliseconds(100));
+  const std::uint64_t Token = On.Leader_->Hellos_.size();
+  On.Worker_->setSilent(false);
+  On.restartWorker("w1", 20);
+  On.run(milliseconds(50));
+  CHECK(On.Worker_->fence() > Token);
+}
+
 // Guards against workers that are never removed: a start without an answer is
 // settled by no stop once its worker has left.
 TEST_CASE("a worker that leaves with an unsettled start is reported as gone",
