--- a/tests/agent/LateOrderTest.cpp
+++ b/tests/agent/LateOrderTest.cpp
@@ -146,7 +146,7 @@
   AgentFixture On;
   On.startRuns(1);
   orderLateStart(On, seconds(12));
-  REQUIRE(On.runUntil([&] { return isToldEnded(On, Late); }, seconds(6)));
+  REQUIRE(On.runUntil([&] { return isToldEnded(On, Late); }, seconds(5)));
   On.Worker_->setOrderDelay({});
   requireBackToWork(On, makeRun(8));
   On.run(seconds(13));
--- a/tests/chain/ChainControl.h
+++ b/tests/chain/ChainControl.h
@@ -34,6 +34,7 @@
   /// Addresses of the replicas as \p Client reaches them.
   std::vector<std::string> addresses(std::size_t Client) const {
     std::vector<std::string> All;
+    All.reserve(Replicas);
     for (std::size_t Replica = 0; Replica < Replicas; ++Replica)
       All.push_back(path(Client, Replica).Listen_.text());
     return All;
--- a/tests/chain/JobChain.h
+++ b/tests/chain/JobChain.h
@@ -204,8 +204,9 @@
       jobs::StepSpec Step{
           .Count_ = static_cast<std::uint32_t>(pick(1, Lasts ? 2 : 4)),
           // Lasting tasks must leave room, or nothing runs elsewhere.
-          .Need_ = {.MilliProcessors_ = pick(1, 4) * (Lasts ? 75 : 250),
-                    .MemoryMib_ = pick(1, 4) * 100},
+          .Need_ = {.MilliProcessors_ =
+                        std::int64_t{pick(1, 4)} * (Lasts ? 75 : 250),
+                    .MemoryMib_ = std::int64_t{pick(1, 4)} * 100},
           .Estimate_ = milliseconds(pick(100, 4000)),
           .Checkpointing_ = chance(40),
           .LongRunning_ = Lasts};
