--- a/review/standin-2/standin.cpp
+++ b/review/standin-2/standin.cpp
@@ -818,10 +818,11 @@
     std::int64_t At = 0;
     std::string Worker, What, Task, Word, Run;
     In >> At >> Worker >> What >> Task >> Word >> Run;
+    auto &Span = Spans[Worker.append(" run ").append(Run)];
     if (What == "start")
-      Spans[Worker + " run " + Run] = {At, unixMs()};
+      Span = {At, unixMs()};
     else
-      Spans[Worker + " run " + Run].second = At;
+      Span.second = At;
   }
   std::int64_t Overlap = 0;
   for (auto One = Spans.begin(); One != Spans.end(); ++One)
