--- a/src/control/JobDispatcher.cpp
+++ b/src/control/JobDispatcher.cpp
@@ -34,11 +34,6 @@
 /// A job with a ready step may go without a running task for this long; the
 /// platform allows three seconds.
 constexpr Duration MaxStarvationTime = std::chrono::milliseconds(1200);
-/// Of so many workers of a service one at most is kept from work that arrives
-/// later, so that losing some workers does not stop short tasks on all others.
-constexpr std::size_t WorkersPerHold = 4;
-/// After this time room is held no longer: what holds it does not end.
-constexpr Duration MaxHoldTime = std::chrono::seconds(5);
 /// Interval between two stalled jobs of a service whose first task comes before
 /// other work.
 constexpr Duration StalledStartInterval = std::chrono::seconds(1);
@@ -355,17 +350,7 @@
 void JobDispatcher::placeOverdueTasks(TimePoint Now,
                                       const std::vector<PlacementWork> &Work,
                                       decide::JobPlacement &Placement) {
-  HoldsLeft_.clear();
-  for (const decide::PlacementWorker &Row : Placement.workers())
-    ++HoldsLeft_[Row.Service_];
-  for (auto &[Service, Count] : HoldsLeft_)
-    Count = std::max<std::size_t>(Count / WorkersPerHold, 1);
-  std::erase_if(Overdue_, [this](const auto &Entry) {
-    const JobRow *Job = Table_.find(Entry.first.Job_);
-    return Job == nullptr || !Job->active() ||
-           Job->Steps_[Entry.first.Step_].Tasks_[Entry.first.Index_].Phase_ !=
-               TaskPhase::Waiting;
-  });
+  Overdue_.beginPlacement(Placement);
   for (const PlacementWork &JobWork : Work)
     for (const jobs::ReadyStep &Ready : JobWork.ReadySteps_)
       placeFirst(Now, Ready, tasksToResume(Ready), Placement);
@@ -388,43 +373,13 @@
     const StartResult Result = startTask(Now, Ready, Index, Need, Placement);
     HasStarted |= Result == StartResult::Proposed;
     if (Result == StartResult::NoRoom &&
-        !holdRoom(Now, {Ready.Job_, Ready.Step_, Index}, Need, Placement))
+        !Overdue_.holdRoom(Now, {Ready.Job_, Ready.Step_, Index}, Need,
+                           Placement))
       break;
   }
   return HasStarted;
 }
 
-/// Returns whether room is held, or reserved, for the task.
-bool JobDispatcher::holdRoom(TimePoint Now, const jobs::TaskName &Task,
-                             decide::PlacementRequest &Need,
-                             decide::JobPlacement &Placement) {
-  if (!Relocator_.targetOf(Task).empty())
-    return true;
-  OverdueTask &Overdue =
-      Overdue_.try_emplace(Task, OverdueTask{.Since_ = Now}).first->second;
-  std::size_t &HoldsLeft = HoldsLeft_[std::string(Need.Service_)];
-  // A task on spare processors does not need them unreserved.
-  if (HoldsLeft == 0 || Need.UsesSpareProcessors_ ||
-      Now - Overdue.Since_ >= MaxHoldTime)
-    return false;
-  const auto Chosen = Placement.holdRoom(Need);
-  if (!Chosen)
-    return false;
-  --HoldsLeft;
-  if (!Need.StepRunsPerWorker_.empty())
-    ++Need.StepRunsPerWorker_[*Chosen];
-  const std::string &Worker = Placement.workers()[*Chosen].Name_;
-  if (std::exchange(Overdue.HeldOn_, Worker) != Worker)
-    logEvent(Event::RoomHeld,
-             {{"job", Task.Job_},
-              {"step", Task.Step_},
-              {"index", Task.Index_},
-              {"worker", Worker},
-              {"waiting_ms", static_cast<std::uint64_t>(
-                                 toMilliseconds(Now - Overdue.Since_))}});
-  return true;
-}
-
 void JobDispatcher::placeTasksOfStep(TimePoint Now,
                                      const jobs::ReadyStep &Ready,
                                      decide::JobPlacement &Placement) {
--- a/src/control/JobDispatcher.h
+++ b/src/control/JobDispatcher.h
@@ -5,6 +5,7 @@
 
 #include "control/DispatchLog.h"
 #include "control/JobBatch.h"
+#include "control/OverdueTasks.h"
 #include "control/RunTimeEstimator.h"
 #include "control/ServingRelocator.h"
 #include "control/SuspectScheduler.h"
@@ -29,8 +30,9 @@
                 Metrics &JobMetrics)
       : Table_(Table), Sessions_(Sessions), Interference_(Interference),
         RunTimes_(RunTimes), Batch_(Batch), Metrics_(JobMetrics),
-        Relocator_(Table, Sessions, Interference, JobMetrics), Suspects_(Table),
-        Log_(Table, JobMetrics) {}
+        Relocator_(Table, Sessions, Interference, JobMetrics),
+        Overdue_(Table, Relocator_), Suspects_(Table), Log_(Table, JobMetrics) {
+  }
 
   /// Drops all state of an earlier term as leader.
   void startLeading() {
@@ -38,7 +40,7 @@
     ProposedStartVersions_.clear();
     CachedWorkers_.clear();
     IdleSince_.clear();
-    Overdue_.clear();
+    Overdue_.startLeading();
     Suspects_.startLeading();
     Relocator_.startLeading();
     NeedsPlacement_ = true;
@@ -75,13 +77,6 @@
     NoRoom
   };
 
-  /// A task that comes before other work and has found no worker with room.
-  struct OverdueTask {
-    TimePoint Since_;
-    /// The worker where room was last held for it.
-    std::string HeldOn_;
-  };
-
   /// The tasks and runs of a job that one placement has to handle.
   struct PlacementWork {
     const jobs::JobRow *Job_ = nullptr;
@@ -127,9 +122,6 @@
   bool placeFirst(TimePoint Now, const jobs::ReadyStep &Ready,
                   const std::vector<std::uint32_t> &Indexes,
                   decide::JobPlacement &Placement);
-  bool holdRoom(TimePoint Now, const jobs::TaskName &Task,
-                decide::PlacementRequest &Need,
-                decide::JobPlacement &Placement);
   std::vector<PlacementWork> rankedWork(TimePoint Now, Duration LogTime) const;
   void addRunsWorthMoving(TimePoint Now,
                           std::map<std::string, PlacementWork> &Work) const;
@@ -146,6 +138,7 @@
   JobBatch &Batch_;
   Metrics &Metrics_;
   ServingRelocator Relocator_;
+  OverdueTasks Overdue_;
   SuspectScheduler Suspects_;
   DispatchLog Log_;
   std::map<jobs::RunName, ProposedStart> ProposedStarts_;
@@ -157,9 +150,6 @@
   /// Active jobs with a ready step but no task on a worker, by id, with the
   /// time of the first placement that found them so.
   std::map<std::string, TimePoint> IdleSince_;
-  std::map<jobs::TaskName, OverdueTask> Overdue_;
-  /// By service: how many more tasks room may be held for in this placement.
-  std::map<std::string, std::size_t> HoldsLeft_;
   /// By service: when the first task of a stalled job may come first again.
   std::map<std::string, TimePoint> NextStalledStartAt_;
   /// Whether less than half of the processors of all workers are reserved.
