Limit starts on failing workers, give last attempts to proven ones, weigh waits for data

Workers that fail every run end them sooner than others, so that they have room first and take one attempt after another; with MaxAttempts 2 a job fails once two of them had one of its tasks. The outcome of runs is now kept with each worker's row, as it follows from the log, so that a new leader knows it. A worker with two failures in a row gets one run after a pause, and twice as many with each that finishes (StartLimits; a third of a service's workers at most). The last attempt of a task goes to a worker that has finished a run within 10 s and failed none since, if the service has one.

A task whose data is in a rack without room used to start elsewhere at once. LocalityWait compares the wait that the rate of released processors makes likely with the loss elsewhere, and bounds it by that loss and by the job's objective. It takes effect where remote_factor_permille is above 1000.

--- a/include/dragonfly/base/Event.h
+++ b/include/dragonfly/base/Event.h
@@ -65,6 +65,8 @@
   WorkerContested = 3030,
   ReplicaUnheard = 3031,
   RoomHeld = 3032,
+  LocalityDecided = 3033,
+  WorkerLimited = 3034,
   // consensus
   LeaderElected = 4001,
   LeaderLost = 4002,
--- a/include/dragonfly/control/ControlService.h
+++ b/include/dragonfly/control/ControlService.h
@@ -40,6 +40,7 @@
   std::function<bool(const std::string &Kind)> Evictable_;
   /// How long a worker's runs go on without a renewal.
   Duration WorkerLeaseTerm_ = JobServiceOptions().WorkerLeaseTerm_;
+  double RemoteFactor_ = JobServiceOptions().RemoteFactor_;
   std::shared_ptr<Metrics> Metrics_ = std::make_shared<Metrics>();
   /// True where the leader repairs the group by itself. `Self_` is set by the
   /// service.
--- a/include/dragonfly/control/JobService.h
+++ b/include/dragonfly/control/JobService.h
@@ -43,6 +43,9 @@
   /// Added to the lease term, beside the clock drift, before the runs of a
   /// worker count as lost.
   Duration LeaseMargin_ = std::chrono::milliseconds(300);
+  /// How many times as long a task takes on a rack without its data. With 1 no
+  /// task waits for a place near its data.
+  double RemoteFactor_ = 1;
   std::shared_ptr<Metrics> Metrics_ = std::make_shared<Metrics>();
   /// How long clients should wait before they retry a rejected request.
   Duration RetryAfter_ = std::chrono::seconds(1);
--- a/include/dragonfly/decide/JobPlacement.h
+++ b/include/dragonfly/decide/JobPlacement.h
@@ -50,6 +50,13 @@
   bool Closed_ = false;
   /// A start was sent to it recently.
   bool StartedRecently_ = false;
+  /// It has finished a run recently, and none has failed since.
+  bool Proven_ = false;
+  /// First runs of tasks that have failed since one last finished.
+  std::uint32_t FailuresInRow_ = 0;
+  /// How many more runs may be started; empty if the worker has no limit.
+  /// Long-running tasks are not started on a limited worker.
+  std::optional<std::uint32_t> StartsLeft_;
   /// Tasks that may crash it, placed in this round.
   std::uint32_t SuspectTasks_ = 0;
 };
@@ -82,6 +89,13 @@
   /// The task may crash its worker. Such tasks are spread, and away from recent
   /// starts, so that few are suspected of one crash.
   bool IsSuspect_ = false;
+  /// The task runs until its job is cancelled.
+  bool IsLongRunning_ = false;
+  /// The job fails if the task fails once more: only workers that are proven
+  /// fit, unless the service has none.
+  bool IsLastAttempt_ = false;
+  /// Only workers in `DataRack_` fit.
+  bool OnlyNearData_ = false;
 };
 
 /// Number of workers on which a task cannot be placed, by the first reason that
@@ -91,6 +105,9 @@
   std::uint64_t Closed_ = 0;
   std::uint64_t Label_ = 0;
   std::uint64_t TooManyOfStep_ = 0;
+  std::uint64_t StartLimit_ = 0;
+  std::uint64_t Unproven_ = 0;
+  std::uint64_t FarFromData_ = 0;
   std::uint64_t Memory_ = 0;
   std::uint64_t Processors_ = 0;
   std::uint64_t SpareProcessors_ = 0;
@@ -175,6 +192,8 @@
   bool hasRoom(std::size_t Index, const PlacementRequest &Task,
                const Losses &LossesByServingImage) const;
   bool isEligible(std::size_t Index, const PlacementRequest &Task) const;
+  /// Returns whether a proven worker could run the task if it had room.
+  bool hasProvenWorker(const PlacementRequest &Task) const;
   Rank rankOf(std::size_t Index, const PlacementRequest &Task,
               const Losses &LossesByServingImage) const;
   void commit(std::size_t Index, const PlacementRequest &Task,
--- a/include/dragonfly/jobs/JobTable.h
+++ b/include/dragonfly/jobs/JobTable.h
@@ -148,6 +148,11 @@
   std::int64_t ServingMilliProcessors_ = 0;
   /// Grows whenever a run is added or removed. Derived.
   std::uint64_t RunsVersion_ = 0;
+  /// Log time at which a run on it last finished; zero if none has. Follows
+  /// from the log, so that the next leader knows it.
+  Duration LastFinishedAt_{};
+  /// First failures of tasks on it since then. Follows from the log.
+  std::uint32_t FailuresInRow_ = 0;
 
   template <typename Archive> void serialize(Archive &Ar) { Ar(Life_, Fence_); }
 };
@@ -222,6 +227,7 @@
 private:
   /// Returns whether \p Run was started, and its task has not finished.
   bool isOfUnfinishedTask(const RunName &Run) const;
+  void recordOutcome(Duration At, const EndRow &Row, bool IsFirstFailure);
   void forgetEnded(Duration At);
   CancelStatus recordEarlyCancel(Duration At, const std::string &Job);
   /// Forgets the early cancel of \p Job; returns whether it held at \p At.
--- a/include/dragonfly/settings/Settings.h
+++ b/include/dragonfly/settings/Settings.h
@@ -112,6 +112,9 @@
   bool RepairsGroup_ = false;
   /// Voters that such a group keeps.
   std::size_t Voters_ = 3;
+  /// How many times as long, in thousandths, a task takes on a rack without its
+  /// data. With 1000 no task waits for a place near its data.
+  std::uint32_t RemoteFactorPermille_ = 1000;
 };
 
 struct AgentSettings {
--- a/src/base/Event.cpp
+++ b/src/base/Event.cpp
@@ -126,6 +126,14 @@
     {Event::RoomHeld, Severity::Info, "room-held",
      "No worker has room for a task that comes before other work. Room on this "
      "worker is kept for it until other tasks have ended."},
+    {Event::LocalityDecided, Severity::Info, "locality-decided",
+     "No worker near a task's data has room. The task waits for one, or runs "
+     "on "
+     "another rack, by which is expected to end it sooner."},
+    {Event::WorkerLimited, Severity::Info, "worker-limited",
+     "Runs on a worker failed one after another. It gets one run at a time, "
+     "and "
+     "more with each one that finishes."},
     {Event::LeaderElected, Severity::Info, "leader-elected",
      "This replica leads the replicated log in a new term."},
     {Event::LeaderLost, Severity::Warning, "leader-lost",
--- a/src/control/Control.cpp
+++ b/src/control/Control.cpp
@@ -94,6 +94,8 @@
   Options.Evictable_ = evictableBy(Shared.Kinds_);
   Options.RepairsGroup_ = Settings.RepairsGroup_;
   Options.Group_.Voters_ = Settings.Voters_;
+  constexpr double Permille = 1000;
+  Options.RemoteFactor_ = Settings.RemoteFactorPermille_ / Permille;
   return Options;
 }
 
--- a/src/control/ControlService.cpp
+++ b/src/control/ControlService.cpp
@@ -64,6 +64,7 @@
     };
     Result.MakeRefusal_ = [this] { return refusal(); };
     Result.WorkerLeaseTerm_ = Options_.WorkerLeaseTerm_;
+    Result.RemoteFactor_ = Options_.RemoteFactor_;
     Result.Metrics_ = Options_.Metrics_;
     return Result;
   }
--- a/src/control/JobDispatcher.cpp
+++ b/src/control/JobDispatcher.cpp
@@ -39,6 +39,8 @@
 constexpr Duration StalledStartInterval = std::chrono::seconds(1);
 /// Suspect tasks avoid workers with a start more recent than this.
 constexpr Duration RecentStartTime = std::chrono::milliseconds(500);
+/// A worker is proven by a run that finished within this time.
+constexpr Duration ProvenTime = std::chrono::seconds(10);
 /// Limit of proposed starts in one tick; bounds the duration of a tick.
 constexpr std::size_t MaxStartsPerTick = 256;
 
@@ -84,7 +86,7 @@
 }
 
 std::vector<decide::PlacementWorker>
-JobDispatcher::schedulableWorkers(TimePoint Now) {
+JobDispatcher::schedulableWorkers(TimePoint Now, Duration LogTime) {
   std::vector<decide::PlacementWorker> Workers;
   for (const auto &[Name, Session] : Sessions_.sessions()) {
     const jobs::WorkerRow *Row = Table_.findWorker(Name);
@@ -104,11 +106,53 @@
     Cached.Worker_.Closed_ = Suspects_.isClosed(Now, Name);
     Cached.Worker_.StartedRecently_ =
         Now - Session.LastStartAt_ < RecentStartTime;
+    setReliability(Now, LogTime, Session, *Row, Cached.Worker_);
     Workers.push_back(Cached.Worker_);
   }
+  decide::liftExcessLimits(Workers);
   return Workers;
 }
 
+void JobDispatcher::setReliability(TimePoint Now, Duration LogTime,
+                                   const WorkerSession &Session,
+                                   const jobs::WorkerRow &Row,
+                                   decide::PlacementWorker &Worker) const {
+  Worker.FailuresInRow_ = Row.FailuresInRow_;
+  Worker.Proven_ = Row.FailuresInRow_ == 0 && !Worker.Suspect_ &&
+                   Row.LastFinishedAt_ > Duration::zero() &&
+                   LogTime - Row.LastFinishedAt_ < ProvenTime;
+  Worker.StartsLeft_.reset();
+  if (const auto Limit = StartLimits_.limitOf(Now, Worker.Name_)) {
+    const std::uint32_t Open = countStartsSince(Limit->Since_, Session, Row);
+    Worker.StartsLeft_ =
+        Limit->OpenStarts_ - std::min(Open, Limit->OpenStarts_);
+  }
+}
+
+/// Counts the runs that are proposed for the worker, or were ordered since
+/// \p Since and have not ended.
+std::uint32_t
+JobDispatcher::countStartsSince(TimePoint Since, const WorkerSession &Session,
+                                const jobs::WorkerRow &Row) const {
+  const auto Ordered =
+      std::ranges::count_if(Session.Runs_, [&](const auto &Entry) {
+        return Entry.second.StartOrderedAt_ >= Since &&
+               Row.Runs_.contains(Entry.first);
+      });
+  const auto Proposed =
+      std::ranges::count_if(ProposedStarts_, [&](const auto &Entry) {
+        return Entry.second.Worker_ == Session.Hello_.Worker_;
+      });
+  return static_cast<std::uint32_t>(Ordered + Proposed);
+}
+
+/// Limits the workers whose last runs failed under an earlier leader.
+void JobDispatcher::restoreStartLimits() {
+  StartLimits_.clear();
+  for (const auto &[Name, Row] : Table_.workers())
+    StartLimits_.recordFailure({}, Name, Row.FailuresInRow_);
+}
+
 /// Returns the placement input of a worker. Its reservations cover the runs
 /// that are placed there and the proposed starts.
 decide::PlacementWorker
@@ -254,6 +298,9 @@
   std::erase_if(CachedWorkers_, [this](const auto &Entry) {
     return !Sessions_.sessions().contains(Entry.first);
   });
+  StartLimits_.removeWorkersIf([this](const std::string &Name) {
+    return Table_.findWorker(Name) == nullptr;
+  });
   std::erase_if(ProposedStartVersions_, [this](const auto &Entry) {
     return !Sessions_.sessions().contains(Entry.first);
   });
@@ -264,7 +311,9 @@
 }
 
 void JobDispatcher::placeTasks(TimePoint Now, Duration LogTime) {
-  std::vector<decide::PlacementWorker> Workers = schedulableWorkers(Now);
+  LogTime_ = LogTime;
+  std::vector<decide::PlacementWorker> Workers =
+      schedulableWorkers(Now, LogTime);
   Relocator_.tick(Now, Workers);
   const std::vector<PlacementWork> Work = rankedWork(Now, LogTime);
   if (Work.empty())
@@ -283,6 +332,7 @@
   }
   IsHalfUnreserved_ = Reserved.MilliProcessors_ * 2 < Capacity.MilliProcessors_;
   pruneStaleEntries();
+  Locality_.beginPlacement();
   Suspects_.beginPlacement(Now, [this](const RunName &Run) {
     return ProposedStarts_.contains(Run);
   });
@@ -338,7 +388,8 @@
       .Need_ = Spec.Need_,
       .UsesSpareProcessors_ = Spec.UsesSpareProcessors_,
       .IsServing_ = Spec.TailTarget_ > Duration::zero(),
-      .MaxPerWorker_ = Spec.MaxPerWorker_};
+      .MaxPerWorker_ = Spec.MaxPerWorker_,
+      .IsLongRunning_ = Spec.LongRunning_};
   if (Spec.MaxPerWorker_ > 0)
     Need.StepRunsPerWorker_ =
         countRunsPerWorker(Ready, Job.Steps_[Ready.Step_].Tasks_, Placement);
@@ -421,7 +472,12 @@
   if (How == SuspectScheduler::Start::Postponed)
     return StartResult::Postponed;
   Need.AvoidedWorker_ = Task.Worker_;
-  const auto Chosen = placeTask(Next.Task_, Need, Placement);
+  Need.IsLastAttempt_ = !Need.IsLongRunning_ && Task.Failures_ > 0 &&
+                        Task.Failures_ + 1 >= Job.Queue_.MaxAttempts_;
+  const auto [Chosen, Waits] =
+      placeTask(Now, Ready, Next.Task_, Need, Placement);
+  if (Waits)
+    return StartResult::Postponed;
   if (!Chosen) {
     NeedsPlacement_ |= Suspects_.passTurn(Now, Job.Id_, How);
     return StartResult::NoRoom;
@@ -436,18 +492,17 @@
 }
 
 /// Places the task on the worker where room is reserved for it, if any.
-std::optional<std::size_t>
-JobDispatcher::placeTask(const jobs::TaskName &Task,
-                         const decide::PlacementRequest &Need,
-                         decide::JobPlacement &Placement) const {
+LocalityScheduler::Result JobDispatcher::placeTask(
+    TimePoint Now, const jobs::ReadyStep &Ready, const jobs::TaskName &Task,
+    const decide::PlacementRequest &Need, decide::JobPlacement &Placement) {
   const std::string Target = Relocator_.targetOf(Task);
   const std::vector<decide::PlacementWorker> &Workers = Placement.workers();
   const auto It =
       std::ranges::find(Workers, Target, &decide::PlacementWorker::Name_);
   if (Target.empty() || It == Workers.end())
-    return Placement.place(Need);
-  return Placement.placeReserved(
-      Need, static_cast<std::size_t>(It - Workers.begin()));
+    return Locality_.place(Now, LogTime_, Ready, Need, Placement);
+  return {.Worker_ = Placement.placeReserved(
+              Need, static_cast<std::size_t>(It - Workers.begin()))};
 }
 
 void JobDispatcher::proposeStart(TimePoint Now, const JobRow &Job, RunName Run,
@@ -518,8 +573,15 @@
 
 void JobDispatcher::handleRunEnd(TimePoint Now, const jobs::EndRow &Row) {
   const JobRow *Job = Table_.find(Row.Run_.Task_.Job_);
-  if (Row.How_ == jobs::RunEnd::Finished)
+  const auto Session = Sessions_.sessions().find(Row.Worker_);
+  if (Job != nullptr && Session != Sessions_.sessions().end())
+    Locality_.recordRelease(
+        Now, Session->second.Hello_.Labels_,
+        Job->Spec_.Steps_[Row.Run_.Task_.Step_].Need_.MilliProcessors_);
+  if (Row.How_ == jobs::RunEnd::Finished) {
     Suspicion_.recordSuccess(Now, Row.Worker_);
+    StartLimits_.recordFinished(Row.Worker_);
+  }
   // Only the first run of a task counts: one that fails repeatedly is probably
   // at fault itself.
   else if (Row.How_ == jobs::RunEnd::Failed && Row.Run_.Run_ == 1 &&
@@ -530,6 +592,13 @@
 void JobDispatcher::recordRunFailure(TimePoint Now, const std::string &Worker) {
   const bool WasSuspect = Suspicion_.isSuspect(Now, Worker);
   Suspicion_.recordFailure(Now, Worker);
+  const jobs::WorkerRow *Row = Table_.findWorker(Worker);
+  const bool WasLimited = StartLimits_.limitOf(Now, Worker).has_value();
+  StartLimits_.recordFailure(Now, Worker,
+                             Row == nullptr ? 0 : Row->FailuresInRow_);
+  if (!WasLimited && StartLimits_.limitOf(Now, Worker))
+    logEvent(Event::WorkerLimited,
+             {{"worker", Worker}, {"failures_in_row", Row->FailuresInRow_}});
   if (!WasSuspect && Suspicion_.isSuspect(Now, Worker))
     logEvent(Event::WorkerSuspected, {{"worker", Worker}});
 }
--- a/src/control/JobDispatcher.h
+++ b/src/control/JobDispatcher.h
@@ -5,6 +5,7 @@
 
 #include "control/DispatchLog.h"
 #include "control/JobBatch.h"
+#include "control/LocalityScheduler.h"
 #include "control/OverdueTasks.h"
 #include "control/RunTimeEstimator.h"
 #include "control/ServingRelocator.h"
@@ -12,6 +13,7 @@
 #include "control/WorkerInterference.h"
 #include "control/WorkerSessions.h"
 #include "dragonfly/decide/JobPlacement.h"
+#include "dragonfly/decide/StartLimits.h"
 #include "dragonfly/decide/WorkerSuspicion.h"
 
 #include <cstdint>
@@ -26,13 +28,14 @@
 public:
   JobDispatcher(const jobs::JobTable &Table, WorkerSessions &Sessions,
                 const WorkerInterference &Interference,
-                const RunTimeEstimator &RunTimes, JobBatch &Batch,
-                Metrics &JobMetrics)
+                const RunTimeEstimator &RunTimes, double RemoteFactor,
+                JobBatch &Batch, Metrics &JobMetrics)
       : Table_(Table), Sessions_(Sessions), Interference_(Interference),
         RunTimes_(RunTimes), Batch_(Batch), Metrics_(JobMetrics),
         Relocator_(Table, Sessions, Interference, JobMetrics),
-        Overdue_(Table, Relocator_), Suspects_(Table), Log_(Table, JobMetrics) {
-  }
+        Overdue_(Table, Relocator_), Suspects_(Table),
+        Locality_(Table, RunTimes, RemoteFactor, JobMetrics),
+        Log_(Table, JobMetrics) {}
 
   /// Drops all state of an earlier term as leader.
   void startLeading() {
@@ -43,6 +46,8 @@
     Overdue_.startLeading();
     Suspects_.startLeading();
     Relocator_.startLeading();
+    Locality_.startLeading();
+    restoreStartLimits();
     NeedsPlacement_ = true;
   }
   /// Stops runs and places tasks where either is due. \p LogTime is the current
@@ -73,7 +78,8 @@
 
   enum class StartResult : std::uint8_t {
     Proposed,
-    Postponed, ///< Proposed before, or suspect and not to be started yet.
+    Postponed, ///< Proposed before, suspect and not to be started yet, or
+               ///< waiting for a place near its data.
     NoRoom
   };
 
@@ -85,6 +91,7 @@
     std::vector<jobs::RunName> ThrottledRuns_;
   };
 
+  void restoreStartLimits();
   void pruneStaleEntries();
   void placeTasks(TimePoint Now, Duration LogTime);
   void placeOverdueTasks(TimePoint Now, const std::vector<PlacementWork> &Work,
@@ -98,9 +105,11 @@
   countRunsPerWorker(const jobs::ReadyStep &Ready,
                      const std::vector<jobs::TaskRow> &Tasks,
                      const decide::JobPlacement &Placement) const;
-  std::optional<std::size_t> placeTask(const jobs::TaskName &Task,
-                                       const decide::PlacementRequest &Need,
-                                       decide::JobPlacement &Placement) const;
+  LocalityScheduler::Result placeTask(TimePoint Now,
+                                      const jobs::ReadyStep &Ready,
+                                      const jobs::TaskName &Task,
+                                      const decide::PlacementRequest &Need,
+                                      decide::JobPlacement &Placement);
   void proposeStart(TimePoint Now, const jobs::JobRow &Job, jobs::RunName Run,
                     const std::string &Worker);
   void handleCommittedStart(TimePoint Now, const jobs::StartRow &Row,
@@ -111,7 +120,13 @@
   void recordRunFailure(TimePoint Now, const std::string &Worker);
   void stopResumableRuns(TimePoint Now, const std::string &Worker,
                          const WorkerSession &Session);
-  std::vector<decide::PlacementWorker> schedulableWorkers(TimePoint Now);
+  std::vector<decide::PlacementWorker> schedulableWorkers(TimePoint Now,
+                                                          Duration LogTime);
+  void setReliability(TimePoint Now, Duration LogTime,
+                      const WorkerSession &Session, const jobs::WorkerRow &Row,
+                      decide::PlacementWorker &Worker) const;
+  std::uint32_t countStartsSince(TimePoint Since, const WorkerSession &Session,
+                                 const jobs::WorkerRow &Row) const;
   decide::PlacementWorker makePlacementWorker(TimePoint Now,
                                               const WorkerSession &Session,
                                               const jobs::WorkerRow &Row) const;
@@ -140,6 +155,7 @@
   ServingRelocator Relocator_;
   OverdueTasks Overdue_;
   SuspectScheduler Suspects_;
+  LocalityScheduler Locality_;
   DispatchLog Log_;
   std::map<jobs::RunName, ProposedStart> ProposedStarts_;
   /// By worker: incremented whenever its entries in `ProposedStarts_` change.
@@ -147,6 +163,7 @@
   /// Placement inputs by worker.
   std::map<std::string, CachedWorker> CachedWorkers_;
   decide::WorkerSuspicion Suspicion_;
+  decide::StartLimits StartLimits_;
   /// Active jobs with a ready step but no task on a worker, by id, with the
   /// time of the first placement that found them so.
   std::map<std::string, TimePoint> IdleSince_;
@@ -155,6 +172,8 @@
   /// Whether less than half of the processors of all workers are reserved.
   bool IsHalfUnreserved_ = false;
   bool NeedsPlacement_ = true;
+  /// Log time of the placement in progress.
+  Duration LogTime_{};
   TimePoint NextStopCheckAt_;
   /// After a change placement runs from the first time on; without one it runs
   /// at the second.
--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -68,8 +68,9 @@
               return Interference_.lossesOn(Worker);
             },
             [this](const jobs::RunName &Run) { noteBegun(Run); }),
-        RunTimes_(Table_), Dispatcher_(Table_, Sessions_, Interference_,
-                                       RunTimes_, Batch_, *Options_.Metrics_) {}
+        RunTimes_(Table_),
+        Dispatcher_(Table_, Sessions_, Interference_, RunTimes_,
+                    Options_.RemoteFactor_, Batch_, *Options_.Metrics_) {}
 
   void noteBegun(const jobs::RunName &Run) {
     BegunJobs_.insert(Run.Task_.Job_);
--- a/src/control/RunTimeEstimator.cpp
+++ b/src/control/RunTimeEstimator.cpp
@@ -110,6 +110,11 @@
   return It == Steps_.end() ? nullptr : &It->second;
 }
 
+Duration RunTimeEstimator::expectedRunTime(const jobs::JobRow &Job,
+                                           std::uint32_t Step) const {
+  return fromSeconds(estimatedSeconds(Job, Step));
+}
+
 Duration RunTimeEstimator::remainingRunTime(const jobs::JobRow &Job,
                                             const jobs::TaskName &Task) const {
   return fromSeconds(
--- a/src/control/RunTimeEstimator.h
+++ b/src/control/RunTimeEstimator.h
@@ -29,6 +29,9 @@
   /// on the clock of `JobRow::AcceptedAt_`.
   decide::JobOutlook outlook(const jobs::JobRow &Job, Duration LogTime) const;
 
+  /// Returns the run time of a task of the step at full speed.
+  Duration expectedRunTime(const jobs::JobRow &Job, std::uint32_t Step) const;
+
   /// Returns the remaining run time of the task at full speed.
   Duration remainingRunTime(const jobs::JobRow &Job,
                             const jobs::TaskName &Task) const;
--- a/src/decide/JobPlacement.cpp
+++ b/src/decide/JobPlacement.cpp
@@ -27,15 +27,31 @@
   return Task.RequiredLabel_.empty() || hasLabel(Row, Task.RequiredLabel_);
 }
 
+bool isFarFromData(const PlacementWorker &Row, const PlacementRequest &Task) {
+  return !Task.DataRack_.empty() && !hasLabel(Row, Task.DataRack_);
+}
+
+/// A place that would be used only if no other fits is not worth the locality.
+bool isGoodNearPlace(const PlacementWorker &Row, const PlacementRequest &Task) {
+  return !isFarFromData(Row, Task) && !Row.Suspect_ &&
+         Row.Name_ != Task.AvoidedWorker_;
+}
+
+bool hasStartLeft(const PlacementWorker &Row, const PlacementRequest &Task) {
+  return !Row.StartsLeft_ || (*Row.StartsLeft_ > 0 && !Task.IsLongRunning_);
+}
+
 } // namespace
 
 /// Sort key of a worker for one task; the lowest is preferred. Workers that are
-/// neither avoided nor suspect come first, then those near the data, then those
-/// that separate latency-critical tasks from batch tasks that interfere with
-/// them, then those that fewer other tasks could use.
+/// neither avoided nor suspect come first, then those whose last run finished,
+/// then those near the data, then those that separate latency-critical tasks
+/// from batch tasks that interfere with them, then those that fewer other tasks
+/// could use.
 struct JobPlacement::Rank {
   bool Avoided_ = false;
   bool Suspect_ = false;
+  bool Failing_ = false;
   std::uint32_t OtherSuspects_ = 0;
   bool FarFromData_ = false;
   /// For a latency-critical task: its image is not on the worker. For a batch
@@ -145,10 +161,21 @@
 bool JobPlacement::isEligible(std::size_t Index,
                               const PlacementRequest &Task) const {
   const PlacementWorker &Row = Workers_[Index];
-  if (Task.IsMove_ && (Row.Suspect_ || Row.Name_ == Task.AvoidedWorker_))
+  if (Task.IsMove_ &&
+      (Row.Suspect_ || Row.StartsLeft_ || Row.Name_ == Task.AvoidedWorker_))
     return false;
   return !Row.Closed_ && Row.Service_ == Task.Service_ &&
-         hasRequiredLabel(Row, Task) && hasSpreadLeft(Index, Task);
+         hasRequiredLabel(Row, Task) && hasSpreadLeft(Index, Task) &&
+         hasStartLeft(Row, Task) &&
+         (!Task.OnlyNearData_ || isGoodNearPlace(Row, Task)) &&
+         (Row.Proven_ || !Task.IsLastAttempt_ || !hasProvenWorker(Task));
+}
+
+bool JobPlacement::hasProvenWorker(const PlacementRequest &Task) const {
+  return std::ranges::any_of(Workers_, [&Task](const PlacementWorker &Row) {
+    return Row.Proven_ && Row.Service_ == Task.Service_ &&
+           hasRequiredLabel(Row, Task) && Task.Need_.fitsIn(Row.Capacity_);
+  });
 }
 
 PlacementObstacles
@@ -165,6 +192,12 @@
       ++Count.Label_;
     else if (!hasSpreadLeft(Index, Task))
       ++Count.TooManyOfStep_;
+    else if (!hasStartLeft(Row, Task))
+      ++Count.StartLimit_;
+    else if (Task.IsLastAttempt_ && !Row.Proven_ && hasProvenWorker(Task))
+      ++Count.Unproven_;
+    else if (Task.OnlyNearData_ && !isGoodNearPlace(Row, Task))
+      ++Count.FarFromData_;
     else if (Row.Reserved_.MemoryMib_ + Task.Need_.MemoryMib_ >
              Row.Capacity_.MemoryMib_)
       ++Count.Memory_;
@@ -184,12 +217,12 @@
   const PlacementWorker &Row = Workers_[Index];
   Rank Result{.Avoided_ = Row.Name_ == Task.AvoidedWorker_,
               .Suspect_ = Row.Suspect_,
+              .Failing_ = Row.FailuresInRow_ > 0,
               .OtherSuspects_ =
                   Task.IsSuspect_
                       ? Row.SuspectTasks_ + (Row.StartedRecently_ ? 1 : 0)
                       : 0,
-              .FarFromData_ =
-                  !Task.DataRack_.empty() && !hasLabel(Row, Task.DataRack_)};
+              .FarFromData_ = isFarFromData(Row, Task)};
   if (Task.IsServing_) {
     // Each latency-critical image on a worker excludes some batch images from
     // it. A worker that has the same image excludes no further ones, and one
@@ -287,6 +320,8 @@
     Reserve.MilliProcessors_ = 0;
   }
   Row.Reserved_ += Reserve;
+  if (Row.StartsLeft_ && *Row.StartsLeft_ > 0)
+    --*Row.StartsLeft_;
   Row.StartedRecently_ = true;
   Row.SuspectTasks_ += Task.IsSuspect_ ? 1 : 0;
   if (Task.IsServing_) {
--- a/src/jobs/JobTable.cpp
+++ b/src/jobs/JobTable.cpp
@@ -100,6 +100,7 @@
       Task.Worker_ != Row.Worker_)
     return false;
   removeRun(Job, Row.Run_, Row.Worker_);
+  recordOutcome(At, Row, Task.Failures_ == 0);
   if (!Row.Checkpoint_.empty())
     Task.Checkpoint_ = Row.Checkpoint_;
   const StepSpec &Spec = Job.Spec_.Steps_[Name.Step_];
@@ -130,6 +131,21 @@
   return true;
 }
 
+/// A task that fails again on another worker is probably at fault itself, so
+/// that only its first failure counts against its worker.
+void JobTable::recordOutcome(Duration At, const EndRow &Row,
+                             bool IsFirstFailure) {
+  const auto It = Workers_.find(Row.Worker_);
+  if (It == Workers_.end())
+    return;
+  if (Row.How_ == RunEnd::Finished) {
+    It->second.LastFinishedAt_ = At;
+    It->second.FailuresInRow_ = 0;
+  } else if (Row.How_ == RunEnd::Failed && IsFirstFailure) {
+    ++It->second.FailuresInRow_;
+  }
+}
+
 void JobTable::recordCrash(Duration At, const WorkerCrash &Crash) {
   std::vector<TaskName> Candidates;
   for (const RunName &Run : Crash.Suspects_)
@@ -177,6 +193,11 @@
 std::uint64_t JobTable::registerWorker(const WorkerLife &Life) {
   WorkerRow &Row = Workers_[Life.Worker_];
   if (Row.Fence_ == 0 || Row.Life_ != Life) {
+    // What an earlier life has shown does not hold for this one.
+    if (Row.Life_.Born_ != Life.Born_) {
+      Row.LastFinishedAt_ = {};
+      Row.FailuresInRow_ = 0;
+    }
     Row.Life_ = Life;
     Row.Fence_ = ++LastFence_;
   }
--- a/src/settings/Describe.cpp
+++ b/src/settings/Describe.cpp
@@ -171,6 +171,9 @@
   Visitor.flag("repairs_group", Value.RepairsGroup_);
   describeInteger(Visitor, "voters", Value.Voters_, Presence::Optional,
                   {.Least_ = 1, .Most_ = MaxControlReplicas});
+  describeInteger(Visitor, "remote_factor_permille",
+                  Value.RemoteFactorPermille_, Presence::Optional,
+                  {.Least_ = Permille, .Most_ = 100 * Permille});
 }
 
 void describeAgent(Fields &Visitor, AgentSettings &Value) {
--- a/tests/decide/JobPlacementTest.cpp
+++ b/tests/decide/JobPlacementTest.cpp
@@ -302,4 +302,66 @@
   CHECK(criticalPathLength(Steps) == seconds(8));
 }
 
+// Load: workers that fail every run take the tasks that have failed elsewhere.
+// Guards against a job that fails because its last attempt meets a second one.
+TEST_CASE("the last attempt of a task waits for a proven worker",
+          "[decide][jobs]") {
+  PlacementRequest Last = batch(8000);
+  Last.IsLastAttempt_ = true;
+  PlacementWorker Proven = worker("w2");
+  Proven.Proven_ = true;
+  Proven.SpareMilliProcessors_ = 60000;
+
+  JobPlacement Placement({worker("w1"), Proven}, options());
+  CHECK_FALSE(Placement.place(Last));
+  CHECK(Placement.countObstacles(Last).Unproven_ == 1);
+  CHECK(Placement.countObstacles(Last).SpareProcessors_ == 1);
+
+  SECTION("which is taken as soon as it has room") {
+    Proven.SpareMilliProcessors_ = 0;
+    JobPlacement Later({worker("w1"), Proven}, options());
+    CHECK(Later.place(Last) == 1U);
+  }
+  SECTION("but takes any where none is proven") {
+    JobPlacement Unproven({worker("w1"), worker("w2")}, options());
+    CHECK(Unproven.place(Last));
+  }
+}
+
+TEST_CASE("a limited worker gets as many runs as it has starts left",
+          "[decide][jobs]") {
+  PlacementWorker Limited = worker("w1");
+  Limited.StartsLeft_ = 2;
+  JobPlacement Placement({Limited}, options());
+  CHECK_FALSE(Placement.place([] {
+    PlacementRequest Lasting = serving();
+    Lasting.IsLongRunning_ = true;
+    return Lasting;
+  }()));
+  CHECK(placeAll(Placement, batch(1000)) == 2);
+  CHECK(Placement.countObstacles(batch(1000)).StartLimit_ == 1);
+}
+
+TEST_CASE("a worker whose last run failed comes after the others",
+          "[decide][jobs]") {
+  PlacementWorker Failing = worker("w1");
+  Failing.FailuresInRow_ = 1;
+  PlacementWorker Busy = worker("w2");
+  Busy.SpareMilliProcessors_ = 40000;
+  JobPlacement Placement({Failing, Busy}, options());
+  CHECK(Placement.place(batch(8000)) == 1U);
+}
+
+TEST_CASE("a task that must be near its data is placed in its rack only",
+          "[decide][locality]") {
+  PlacementWorker Near = worker("w1");
+  Near.Labels_.emplace_back("r1");
+  PlacementRequest Task = batch(8000);
+  Task.DataRack_ = "r1";
+  Task.OnlyNearData_ = true;
+  JobPlacement Placement({Near, worker("w2")}, options());
+  CHECK(placeAll(Placement, Task) == 8);
+  CHECK(Placement.countObstacles(Task).FarFromData_ == 1);
+}
+
 } // namespace dragonfly::decide
