--- a/include/dragonfly/agent/WorkerCalls.h
+++ b/include/dragonfly/agent/WorkerCalls.h
@@ -35,6 +35,8 @@
   bool Draining_ = false;
   /// The least time until it leaves, while it drains.
   Duration DrainTimeLeft_{};
+  /// How much longer it is slow after its start.
+  Duration ColdTimeLeft_{};
 };
 
 enum class StartStatus : std::uint8_t {
--- a/include/dragonfly/base/Event.h
+++ b/include/dragonfly/base/Event.h
@@ -67,6 +67,7 @@
   RoomHeld = 3032,
   LocalityDecided = 3033,
   WorkerLimited = 3034,
+  ZoneEvacuated = 3035,
   // consensus
   LeaderElected = 4001,
   LeaderLost = 4002,
--- a/include/dragonfly/control/Command.h
+++ b/include/dragonfly/control/Command.h
@@ -8,6 +8,7 @@
 #include "dragonfly/base/Ids.h"
 #include "dragonfly/base/Outcome.h"
 #include "dragonfly/base/Resources.h"
+#include "dragonfly/jobs/EvacuationTable.h"
 #include "dragonfly/jobs/ImageLosses.h"
 #include "dragonfly/jobs/JobTable.h"
 #include "dragonfly/settings/Lists.h"
@@ -241,11 +242,23 @@
   template <typename Archive> void serialize(Archive &Ar) { Ar(Crash_); }
 };
 
+/// Evacuates an availability zone or takes it back, unless the zone has changed
+/// since `ExpectedRevision_`.
+struct SetEvacuation {
+  std::string Zone_;
+  bool Evacuated_ = false;
+  std::uint64_t ExpectedRevision_ = 0;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(Zone_, Evacuated_, ExpectedRevision_);
+  }
+};
+
 /// A type's position is its number in the log, so new types go at the end.
 using CommandBody =
     std::variant<PutList, ClaimRequests, MergeReceipts, AcceptTasks, PlaceTasks,
                  ReportTasks, LoseTasks, CancelTasks, ParkTasks, PutQueues,
-                 UpdateJobs, RecordImageLosses, RecordCrash>;
+                 UpdateJobs, RecordImageLosses, RecordCrash, SetEvacuation>;
 
 /// One record of the log.
 struct Command {
@@ -343,9 +356,17 @@
   template <typename Archive> void serialize(Archive &Ar) { Ar(Version_); }
 };
 
+/// Result of a `SetEvacuation`.
+struct EvacuationOutcome {
+  jobs::EvacuationStatus Status_ = jobs::EvacuationStatus::Applied;
+
+  template <typename Archive> void serialize(Archive &Ar) { Ar(Status_); }
+};
+
 /// Result of a command. The position of a type is its number in the encoding.
-using CommandOutput = std::variant<RowsApplied, PutOutcome, ClaimOutcomes,
-                                   AcceptOutcomes, JobOutcomes, QueuesOutcome>;
+using CommandOutput =
+    std::variant<RowsApplied, PutOutcome, ClaimOutcomes, AcceptOutcomes,
+                 JobOutcomes, QueuesOutcome, EvacuationOutcome>;
 
 /// Kinds of bytes that cannot be decoded. `WrongFormat` is a snapshot of an
 /// unsupported format.
--- a/include/dragonfly/control/ControlService.h
+++ b/include/dragonfly/control/ControlService.h
@@ -88,6 +88,12 @@
                std::function<void(consensus::ProposeStatus, PutOutcome)> Done);
   /// Calls \p Done with true once a read of the state is linearizable here.
   void readBarrier(std::function<void(bool)> Done);
+  /// Evacuates a zone or takes it back; the status counts where the record is
+  /// committed.
+  void setEvacuation(
+      SetEvacuation Change,
+      std::function<void(consensus::ProposeStatus, jobs::EvacuationStatus)>
+          Done);
   void changeMember(consensus::Member Target, bool Remove,
                     std::function<void(consensus::ProposeStatus)> Done);
 
--- a/include/dragonfly/control/JobService.h
+++ b/include/dragonfly/control/JobService.h
@@ -7,6 +7,7 @@
 #include "dragonfly/base/Metrics.h"
 #include "dragonfly/consensus/ReplicatedLog.h"
 #include "dragonfly/control/Command.h"
+#include "dragonfly/jobs/EvacuationTable.h"
 #include "dragonfly/jobs/ImageLosses.h"
 #include "dragonfly/jobs/JobTable.h"
 #include "dragonfly/wire/Messages.h"
@@ -56,9 +57,12 @@
 class JobService {
 public:
   using Reply = std::function<void(wire::Message)>;
+  using EvacuationDone =
+      std::function<void(consensus::ProposeStatus, jobs::EvacuationStatus)>;
 
   JobService(JobServiceOptions Options, const jobs::JobTable &Table,
-             const jobs::ImageLosses &Losses);
+             const jobs::ImageLosses &Losses,
+             const jobs::EvacuationTable &Evacuations);
   ~JobService();
 
   /// Starts to lead in the term \p Led. All records of earlier leaders must
@@ -81,6 +85,11 @@
   void putConfiguration(wire::PutConfiguration Request, Reply Answer);
   void fetchConfiguration(const Reply &Answer);
 
+  void fetchEvacuation(const wire::FetchEvacuation &Request,
+                       const Reply &Answer);
+  /// \p Done is called with the outcome of the record.
+  void setEvacuation(SetEvacuation Change, EvacuationDone Done);
+
   void attachWorker(TimePoint Now, wire::WorkerHello Hello,
                     WorkerStream Stream);
   void handleWorkerReport(TimePoint Now, wire::WorkerReport Report,
--- a/include/dragonfly/control/OperatorInterface.h
+++ b/include/dragonfly/control/OperatorInterface.h
@@ -6,6 +6,7 @@
 #include "dragonfly/net/HttpMessage.h"
 
 #include <functional>
+#include <string>
 
 namespace dragonfly::control {
 
@@ -34,6 +35,8 @@
                  std::function<net::HttpResponse()> Read);
   void putList(const net::HttpRequest &Request, const Reply &Answer);
   void changeMember(const net::HttpRequest &Request, const Reply &Answer);
+  void changeEvacuation(const net::HttpRequest &Request, std::string Zone,
+                        const Reply &Answer);
   /// Returns a 307 response to the leader, or 503 if no leader is known.
   net::HttpResponse redirect(const net::HttpRequest &Request) const;
 
--- a/include/dragonfly/control/StateMachine.h
+++ b/include/dragonfly/control/StateMachine.h
@@ -9,6 +9,7 @@
 #include "dragonfly/control/CountTable.h"
 #include "dragonfly/control/ListTable.h"
 #include "dragonfly/control/TaskTable.h"
+#include "dragonfly/jobs/EvacuationTable.h"
 #include "dragonfly/jobs/ImageLosses.h"
 #include "dragonfly/jobs/JobTable.h"
 
@@ -35,7 +36,9 @@
 /// the same state on every replica, so nothing here reads a clock.
 class StateMachine {
 public:
-  static constexpr std::uint32_t SnapshotFormat = 5;
+  static constexpr std::uint32_t SnapshotFormat = 6;
+  /// Format of snapshots without evacuated zones.
+  static constexpr std::uint32_t SnapshotFormatWithoutEvacuations = 5;
   /// Format of snapshots without tasks under which workers crashed that were
   /// not blamed.
   static constexpr std::uint32_t SnapshotFormatWithoutExposures = 4;
@@ -68,6 +71,7 @@
   const TaskTable &tasks() const { return Tasks_; }
   const jobs::JobTable &jobs() const { return Jobs_; }
   const jobs::ImageLosses &imageLosses() const { return ImageLosses_; }
+  const jobs::EvacuationTable &evacuations() const { return Evacuations_; }
   /// Newest log time applied so far.
   Duration logTime() const { return LogTime_; }
 
@@ -85,6 +89,7 @@
   CommandOutput applyBody(const UpdateJobs &Body);
   CommandOutput applyBody(const RecordImageLosses &Body);
   CommandOutput applyBody(const RecordCrash &Body);
+  CommandOutput applyBody(const SetEvacuation &Body);
   void countEndedTask(const TaskRecord &Task);
 
   StateMachineOptions Options_;
@@ -95,6 +100,7 @@
   TaskTable Tasks_;
   jobs::JobTable Jobs_;
   jobs::ImageLosses ImageLosses_;
+  jobs::EvacuationTable Evacuations_;
 };
 
 } // namespace dragonfly::control
--- a/include/dragonfly/wire/JobMessages.h
+++ b/include/dragonfly/wire/JobMessages.h
@@ -7,6 +7,7 @@
 #include "dragonfly/base/Resources.h"
 #include "dragonfly/jobs/Configuration.h"
 #include "dragonfly/jobs/CrashTable.h"
+#include "dragonfly/jobs/EvacuationTable.h"
 #include "dragonfly/jobs/Job.h"
 
 #include <chrono>
@@ -86,6 +87,31 @@
   std::string Document_;
 };
 
+/// Asks for the state of an availability zone.
+struct FetchEvacuation {
+  std::string Zone_;
+};
+
+/// Answers FetchEvacuation.
+struct Evacuation {
+  bool Evacuated_ = false;
+  std::uint64_t Revision_ = 0;
+};
+
+/// Evacuates a zone or takes it back, unless it has changed since
+/// `ExpectedRevision_`, so that a request that arrives late undoes no newer
+/// one.
+struct SetEvacuation {
+  std::string Zone_;
+  bool Evacuated_ = false;
+  std::uint64_t ExpectedRevision_ = 0;
+};
+
+/// Answers SetEvacuation. The state is durable if the status is Applied.
+struct EvacuationReply {
+  jobs::EvacuationStatus Status_ = jobs::EvacuationStatus::Applied;
+};
+
 // Workers: an agent to the leader of control, over TCP.
 
 /// The longest term for which control lets the runs of a worker go on. A new
@@ -175,6 +201,8 @@
   bool Complete_ = false;
   /// The worker does not answer its agent.
   bool Silent_ = false;
+  /// How much longer the worker is slow after its start.
+  Duration ColdTimeLeft_{};
   std::vector<RunReport> Runs_;
   std::vector<EndReport> Ends_;
 };
--- a/include/dragonfly/wire/Messages.h
+++ b/include/dragonfly/wire/Messages.h
@@ -359,7 +359,8 @@
                  PutConfiguration, PutConfigurationAck, FetchConfiguration,
                  CurrentConfiguration, WorkerHello, WorkerOrders, WorkerReport,
                  WorkerReportAck, WorkerGone, JoinGroup, FetchGroup, Group,
-                 WorkerCrashed, ReplicaUnheard>;
+                 WorkerCrashed, ReplicaUnheard, FetchEvacuation, Evacuation,
+                 SetEvacuation, EvacuationReply>;
 
 } // namespace dragonfly::wire
 
--- a/src/agent/WorkerAgent.cpp
+++ b/src/agent/WorkerAgent.cpp
@@ -161,6 +161,7 @@
                             // of which nothing is known yet.
                             .Complete_ = !Complete_ && ListedAll_,
                             .Silent_ = Silent_ || Unsettled_,
+                            .ColdTimeLeft_ = Worker_.ColdTimeLeft_,
                             .Runs_ = Book_.runReports(),
                             .Ends_ = Book_.endReports()};
   Book_.endsReported();
--- a/src/base/Event.cpp
+++ b/src/base/Event.cpp
@@ -134,6 +134,10 @@
      "Runs on a worker failed one after another. It gets one run at a time, "
      "and "
      "more with each one that finishes."},
+    {Event::ZoneEvacuated, Severity::Info, "zone-evacuated",
+     "An operator has evacuated an availability zone, so that its workers get "
+     "no "
+     "more runs, or has taken it back."},
     {Event::LeaderElected, Severity::Info, "leader-elected",
      "This replica leads the replicated log in a new term."},
     {Event::LeaderLost, Severity::Warning, "leader-lost",
--- a/src/control/ControlService.cpp
+++ b/src/control/ControlService.cpp
@@ -49,7 +49,8 @@
              .OnReported_ =
                  [this](const wire::TaskReports &Batch) { reported(Batch); }},
             Machine_),
-        Jobs_(jobOptions(), Machine_.jobs(), Machine_.imageLosses()),
+        Jobs_(jobOptions(), Machine_.jobs(), Machine_.imageLosses(),
+              Machine_.evacuations()),
         Group_(Log_), Log_(logOptions(), std::move(Disk), Now) {
     Options_.Group_.Self_ = Options_.Log_.Self_;
   }
@@ -352,6 +353,24 @@
     whenCurrent(std::move(Answer),
                 [this](const Reply &To) { Jobs_.fetchConfiguration(To); });
   }
+  void serveRequest(const wire::FetchEvacuation &Request, Reply Answer) {
+    whenCurrent(std::move(Answer), [this, Request](const Reply &To) {
+      Jobs_.fetchEvacuation(Request, To);
+    });
+  }
+  void serveRequest(const wire::SetEvacuation &Request, Reply Answer) {
+    Jobs_.setEvacuation(
+        {.Zone_ = Request.Zone_,
+         .Evacuated_ = Request.Evacuated_,
+         .ExpectedRevision_ = Request.ExpectedRevision_},
+        [this, Answer = std::move(Answer)](ProposeStatus Status,
+                                           jobs::EvacuationStatus Result) {
+          if (Status == ProposeStatus::Committed)
+            Answer(wire::EvacuationReply{Result});
+          else if (Status == ProposeStatus::NotLeader)
+            Answer(refusal());
+        });
+  }
   void serveRequest(wire::WorkerReport Request, Reply Answer) {
     Jobs_.handleWorkerReport(Now_, std::move(Request), std::move(Answer));
   }
@@ -476,6 +495,12 @@
   });
 }
 
+void ControlService::setEvacuation(
+    SetEvacuation Change,
+    std::function<void(ProposeStatus, jobs::EvacuationStatus)> Done) {
+  Impl_->Jobs_.setEvacuation(std::move(Change), std::move(Done));
+}
+
 void ControlService::readBarrier(std::function<void(bool)> Done) {
   Impl_->Log_.readBarrier(std::move(Done));
 }
--- a/src/control/JobDispatcher.cpp
+++ b/src/control/JobDispatcher.cpp
@@ -3,6 +3,7 @@
 #include "dragonfly/base/Log.h"
 #include "dragonfly/decide/JobOrder.h"
 #include "dragonfly/decide/RunMove.h"
+#include "dragonfly/decide/SlowStart.h"
 
 #include <algorithm>
 #include <utility>
@@ -39,6 +40,8 @@
 constexpr Duration StalledStartInterval = std::chrono::seconds(1);
 /// Suspect tasks avoid workers with a start more recent than this.
 constexpr Duration RecentStartTime = std::chrono::milliseconds(500);
+/// Starts are confirmed by the next report, each 0.4 s.
+constexpr Duration UnconfirmedStartTime = std::chrono::milliseconds(1000);
 /// A worker is proven by a run that finished within this time.
 constexpr Duration ProvenTime = std::chrono::seconds(10);
 /// Limit of proposed starts in one tick; bounds the duration of a tick.
@@ -90,7 +93,8 @@
   std::vector<decide::PlacementWorker> Workers;
   for (const auto &[Name, Session] : Sessions_.sessions()) {
     const jobs::WorkerRow *Row = Table_.findWorker(Name);
-    if (!Session.isSchedulable() || Row == nullptr)
+    if (!Session.isSchedulable() || Row == nullptr ||
+        Evacuations_.isEvacuated(Session.Hello_.AvailabilityZone_))
       continue;
     CachedWorker &Cached = CachedWorkers_[Name];
     if (Cached.Session_ != Session.Number_ ||
@@ -107,12 +111,30 @@
     Cached.Worker_.StartedRecently_ =
         Now - Session.LastStartAt_ < RecentStartTime;
     setReliability(Now, LogTime, Session, *Row, Cached.Worker_);
+    setSlowStart(LogTime, Session, Cached.Worker_);
     Workers.push_back(Cached.Worker_);
   }
   decide::liftExcessLimits(Workers);
   return Workers;
 }
 
+/// Lowers the capacity for starts of a worker whose zone has just been taken
+/// back: it may be cold.
+void JobDispatcher::setSlowStart(Duration LogTime, const WorkerSession &Session,
+                                 decide::PlacementWorker &Worker) const {
+  Worker.Capacity_ = Session.Hello_.Capacity_;
+  const jobs::ZoneEvacuation Zone =
+      Evacuations_.find(Session.Hello_.AvailabilityZone_);
+  if (Zone.Revision_ == 0)
+    return;
+  constexpr std::int64_t FullPermille = 1000;
+  Worker.Capacity_.MilliProcessors_ =
+      Worker.Capacity_.MilliProcessors_ *
+      decide::slowStartPermille(LogTime - Zone.ChangedAt_,
+                                Session.ColdTimeLeft_) /
+      FullPermille;
+}
+
 void JobDispatcher::setReliability(TimePoint Now, Duration LogTime,
                                    const WorkerSession &Session,
                                    const jobs::WorkerRow &Row,
@@ -539,12 +561,19 @@
   const JobRow *Job = Table_.find(Row.Run_.Task_.Job_);
   if (!Applied || Job == nullptr)
     return;
+  const auto Session = Sessions_.sessions().find(Row.Worker_);
+  const bool IsEvacuated =
+      Session != Sessions_.sessions().end() &&
+      Evacuations_.isEvacuated(Session->second.Hello_.AvailabilityZone_);
   const bool Ordered =
+      !IsEvacuated &&
       Sessions_.sendOrders(Now, Row.Worker_, SessionNumber,
                            {.Starts_ = {startOrderFor(*Job, Row.Run_)}});
   // If the session has ended, no later one sends this order: the run is ended
   // as not started.
-  Metrics_.count("runs_placed", Ordered ? "ordered" : "session-ended");
+  Metrics_.count("runs_placed", Ordered       ? "ordered"
+                                : IsEvacuated ? "zone-evacuated"
+                                              : "session-ended");
   if (!Ordered)
     Batch_.record().Ends_.push_back({.Run_ = Row.Run_,
                                      .Worker_ = Row.Worker_,
@@ -567,6 +596,8 @@
       Sessions_.stopRun(Now, Name, Run);
     if (Session.Draining_)
       stopResumableRuns(Now, Name, Session);
+    if (Evacuations_.isEvacuated(Session.Hello_.AvailabilityZone_))
+      stopEvacuatedStarts(Now, Name, Session);
     stopStalledRuns(Now, Name, Session);
   }
 }
@@ -603,6 +634,21 @@
     logEvent(Event::WorkerSuspected, {{"worker", Worker}});
 }
 
+/// Stops the runs on a worker in an evacuated zone of which no report has shown
+/// within `UnconfirmedStartTime` that they have begun: their agent may still
+/// hold the order, or repeat a call without an answer.
+void JobDispatcher::stopEvacuatedStarts(TimePoint Now,
+                                        const std::string &Worker,
+                                        const WorkerSession &Session) {
+  std::vector<RunName> Unconfirmed;
+  for (const auto &[Run, Info] : Session.Runs_)
+    if (Info.Report_.Phase_ == wire::RunPhase::Starting &&
+        Now - Info.StartOrderedAt_ >= UnconfirmedStartTime)
+      Unconfirmed.push_back(Run);
+  for (const RunName &Run : Unconfirmed)
+    Sessions_.stopRun(Now, Worker, Run);
+}
+
 /// Stops stalled runs, so that their tasks are placed on other workers.
 void JobDispatcher::stopStalledRuns(TimePoint Now, const std::string &Worker,
                                     const WorkerSession &Session) {
--- a/src/control/JobDispatcher.h
+++ b/src/control/JobDispatcher.h
@@ -28,10 +28,12 @@
 public:
   JobDispatcher(const jobs::JobTable &Table, WorkerSessions &Sessions,
                 const WorkerInterference &Interference,
-                const RunTimeEstimator &RunTimes, double RemoteFactor,
+                const RunTimeEstimator &RunTimes,
+                const jobs::EvacuationTable &Evacuations, double RemoteFactor,
                 JobBatch &Batch, Metrics &JobMetrics)
-      : Table_(Table), Sessions_(Sessions), Interference_(Interference),
-        RunTimes_(RunTimes), Batch_(Batch), Metrics_(JobMetrics),
+      : Table_(Table), Evacuations_(Evacuations), Sessions_(Sessions),
+        Interference_(Interference), RunTimes_(RunTimes), Batch_(Batch),
+        Metrics_(JobMetrics),
         Relocator_(Table, Sessions, Interference, JobMetrics),
         Overdue_(Table, Relocator_), Suspects_(Table),
         Locality_(Table, RunTimes, RemoteFactor, JobMetrics),
@@ -122,6 +124,10 @@
                          const WorkerSession &Session);
   std::vector<decide::PlacementWorker> schedulableWorkers(TimePoint Now,
                                                           Duration LogTime);
+  void setSlowStart(Duration LogTime, const WorkerSession &Session,
+                    decide::PlacementWorker &Worker) const;
+  void stopEvacuatedStarts(TimePoint Now, const std::string &Worker,
+                           const WorkerSession &Session);
   void setReliability(TimePoint Now, Duration LogTime,
                       const WorkerSession &Session, const jobs::WorkerRow &Row,
                       decide::PlacementWorker &Worker) const;
@@ -147,6 +153,7 @@
                   const decide::JobPlacement &Placement) const;
 
   const jobs::JobTable &Table_;
+  const jobs::EvacuationTable &Evacuations_;
   WorkerSessions &Sessions_;
   const WorkerInterference &Interference_;
   const RunTimeEstimator &RunTimes_;
--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -57,8 +57,10 @@
 
 struct JobService::Impl {
   Impl(JobServiceOptions Options, const jobs::JobTable &Table,
-       const jobs::ImageLosses &Losses)
+       const jobs::ImageLosses &Losses,
+       const jobs::EvacuationTable &Evacuations)
       : Options_(std::move(Options)), Table_(Table), ReplicatedLosses_(Losses),
+        Evacuations_(Evacuations),
         Batch_(Options_,
                [this](const jobs::EndRow &Row) { handleRunEnd(Row); }),
         Interference_(Table_),
@@ -69,7 +71,7 @@
             },
             [this](const jobs::RunName &Run) { noteBegun(Run); }),
         RunTimes_(Table_),
-        Dispatcher_(Table_, Sessions_, Interference_, RunTimes_,
+        Dispatcher_(Table_, Sessions_, Interference_, RunTimes_, Evacuations_,
                     Options_.RemoteFactor_, Batch_, *Options_.Metrics_) {}
 
   void noteBegun(const jobs::RunName &Run) {
@@ -285,6 +287,25 @@
                       });
   }
 
+  void setEvacuation(SetEvacuation Change, EvacuationDone Done) {
+    Options_.Propose_(
+        Change, [this, Change, Done = std::move(Done)](
+                    ProposeStatus Status, const CommandOutput &Output) {
+          if (Status != ProposeStatus::Committed) {
+            Done(Status, {});
+            return;
+          }
+          const auto Result = std::get<EvacuationOutcome>(Output).Status_;
+          logEvent(Event::ZoneEvacuated,
+                   {{"zone", Change.Zone_},
+                    {"evacuated", Change.Evacuated_ ? "yes" : "no"},
+                    {"status", enumName(Result)}});
+          Options_.Metrics_->count("evacuations", enumName(Result));
+          Dispatcher_.notifyJobsChanged();
+          Done(Status, Result);
+        });
+  }
+
   void recordCrash(const wire::WorkerCrashed &Notice, Reply Answer) {
     Options_.Propose_(RecordCrash{Notice.Crash_},
                       [this, Notice, Answer = std::move(Answer)](
@@ -346,6 +367,7 @@
   JobServiceOptions Options_;
   const jobs::JobTable &Table_;
   const jobs::ImageLosses &ReplicatedLosses_;
+  const jobs::EvacuationTable &Evacuations_;
   TimePoint Now_;
   TimePoint NextLossReplicationAt_;
   JobBatch Batch_;
@@ -359,8 +381,10 @@
 };
 
 JobService::JobService(JobServiceOptions Options, const jobs::JobTable &Table,
-                       const jobs::ImageLosses &Losses)
-    : Impl_(std::make_unique<Impl>(std::move(Options), Table, Losses)) {}
+                       const jobs::ImageLosses &Losses,
+                       const jobs::EvacuationTable &Evacuations)
+    : Impl_(std::make_unique<Impl>(std::move(Options), Table, Losses,
+                                   Evacuations)) {}
 
 JobService::~JobService() = default;
 
@@ -409,6 +433,17 @@
                                     .Document_ = Current.Document_});
 }
 
+void JobService::fetchEvacuation(const wire::FetchEvacuation &Request,
+                                 const Reply &Answer) {
+  const jobs::ZoneEvacuation Zone = Impl_->Evacuations_.find(Request.Zone_);
+  Answer(wire::Evacuation{.Evacuated_ = Zone.Evacuated_,
+                          .Revision_ = Zone.Revision_});
+}
+
+void JobService::setEvacuation(SetEvacuation Change, EvacuationDone Done) {
+  Impl_->setEvacuation(std::move(Change), std::move(Done));
+}
+
 void JobService::attachWorker(TimePoint Now, wire::WorkerHello Hello,
                               WorkerStream Stream) {
   Impl_->Sessions_.attach(Now, std::move(Hello), std::move(Stream));
--- a/src/control/OperatorInterface.cpp
+++ b/src/control/OperatorInterface.cpp
@@ -36,6 +36,19 @@
 constexpr std::size_t MaxChangeIdBytes = 128;
 
 constexpr std::string_view ListsPrefix = "/operator/v1/lists/";
+constexpr std::string_view EvacuationsPath = "/operator/v1/evacuations";
+/// Longest name of an availability zone, in bytes.
+constexpr std::size_t MaxZoneBytes = 128;
+
+/// Returns the zone that a path of evacuations names, or an empty string.
+std::string zoneFromPath(std::string_view Target) {
+  if (!Target.starts_with(EvacuationsPath))
+    return {};
+  Target.remove_prefix(EvacuationsPath.size());
+  if (!Target.starts_with('/') || Target.size() > MaxZoneBytes)
+    return {};
+  return std::string(Target.substr(1));
+}
 
 std::optional<ListName> listNameFromPath(std::string_view Target) {
   if (!Target.starts_with(ListsPrefix))
@@ -178,6 +191,11 @@
     readState(Request, Answer, [this] { return viewCounts(Service_); });
   else if (Get && Path == "/operator/v1/members")
     readState(Request, Answer, [this] { return viewMembers(Service_); });
+  else if (Get && Path == EvacuationsPath)
+    readState(Request, Answer, [this] { return viewEvacuations(Service_); });
+  else if ((Request.Method_ == "PUT" || Request.Method_ == "DELETE") &&
+           !zoneFromPath(Path).empty())
+    changeEvacuation(Request, zoneFromPath(Path), Answer);
   else if (Request.Method_ == "PUT" && List)
     putList(Request, Answer);
   else if (Request.Method_ == "POST" && Path == "/operator/v1/members")
@@ -268,6 +286,32 @@
       });
 }
 
+void OperatorInterface::changeEvacuation(const HttpRequest &Request,
+                                         std::string Zone,
+                                         const Reply &Answer) {
+  if (!Service_.serving()) {
+    Answer(redirect(Request));
+    return;
+  }
+  const jobs::ZoneEvacuation Current =
+      Service_.state().evacuations().find(Zone);
+  Service_.setEvacuation(
+      {.Zone_ = std::move(Zone),
+       .Evacuated_ = Request.Method_ == "PUT",
+       .ExpectedRevision_ = Current.Revision_},
+      [this, Request, Answer](ProposeStatus Status,
+                              jobs::EvacuationStatus Result) {
+        if (Status == ProposeStatus::NotLeader)
+          Answer(redirect(Request));
+        else if (Status != ProposeStatus::Committed)
+          Answer(problemResponse(OutcomeUnknown, "outcome-unknown"));
+        else if (Result == jobs::EvacuationStatus::Applied)
+          Answer(viewEvacuations(Service_));
+        else
+          Answer(problemResponse(ConflictStatus, enumName(Result)));
+      });
+}
+
 HttpResponse OperatorInterface::redirect(const HttpRequest &Request) const {
   const settings::ReplicaSettings *Leader = Service_.leader();
   HttpResponse Response = problemResponse(
--- a/src/control/OperatorViews.cpp
+++ b/src/control/OperatorViews.cpp
@@ -171,6 +171,16 @@
         })}});
 }
 
+net::HttpResponse viewEvacuations(const ControlService &Service) {
+  return jsonResponse(
+      {{"evacuations",
+        toJsonArray(Service.state().evacuations().zones(), [](const auto &Row) {
+          return json::object{{"zone", Row.first},
+                              {"evacuated", Row.second.Evacuated_},
+                              {"revision", Row.second.Revision_}};
+        })}});
+}
+
 net::HttpResponse viewMembers(const ControlService &Service) {
   return jsonResponse(
       {{"members",
--- a/src/control/OperatorViews.h
+++ b/src/control/OperatorViews.h
@@ -37,6 +37,8 @@
 net::HttpResponse viewTasks(const ControlService &Service);
 /// Returns the request counts for each customer and kind.
 net::HttpResponse viewCounts(const ControlService &Service);
+/// Returns the availability zones that have been evacuated or taken back.
+net::HttpResponse viewEvacuations(const ControlService &Service);
 /// Returns the members of the replicated log.
 net::HttpResponse viewMembers(const ControlService &Service);
 
--- a/src/control/StateMachine.cpp
+++ b/src/control/StateMachine.cpp
@@ -125,6 +125,11 @@
   return RowsApplied{.Count_ = 1};
 }
 
+CommandOutput StateMachine::applyBody(const SetEvacuation &Body) {
+  return EvacuationOutcome{Evacuations_.set(
+      LogTime_, Body.Zone_, Body.Evacuated_, Body.ExpectedRevision_)};
+}
+
 /// Counts an ended task like a request, under the request id of its caller.
 void StateMachine::countEndedTask(const TaskRecord &Task) {
   ReceiptRow Row;
@@ -138,7 +143,8 @@
 std::string StateMachine::snapshot() const {
   return encodeValues(SnapshotFormat, LogTime_, Lists_, Claims_, Counts_,
                       Tasks_, Jobs_, ImageLosses_, Jobs_.crashes(),
-                      Jobs_.earlyCancels(), Jobs_.crashes().exposures());
+                      Jobs_.earlyCancels(), Jobs_.crashes().exposures(),
+                      Evacuations_);
 }
 
 void StateMachine::restore(std::string_view Bytes) {
@@ -152,10 +158,14 @@
   jobs::CrashTable Crashes;
   std::map<std::string, Duration> EarlyCancels;
   jobs::CrashTable::Exposures Exposures;
+  jobs::EvacuationTable Evacuations;
   std::uint32_t Format = 0;
   try {
     decodeValues(Bytes, Format);
     if (Format == SnapshotFormat)
+      decodeValues(Bytes, Format, At, Lists, Claims, Counts, Tasks, Jobs,
+                   Losses, Crashes, EarlyCancels, Exposures, Evacuations);
+    else if (Format == SnapshotFormatWithoutEvacuations)
       decodeValues(Bytes, Format, At, Lists, Claims, Counts, Tasks, Jobs,
                    Losses, Crashes, EarlyCancels, Exposures);
     else if (Format == SnapshotFormatWithoutExposures)
@@ -176,7 +186,7 @@
                      "unsupported snapshot format " + std::to_string(Format));
   Tasks.rebuildIndexes();
   Jobs.rebuild();
-  if (Format == SnapshotFormat)
+  if (Format >= SnapshotFormatWithoutEvacuations)
     Crashes.restore(std::move(Exposures));
   else
     Crashes.deriveExposures();
@@ -188,6 +198,7 @@
   Tasks_ = std::move(Tasks);
   Jobs_ = std::move(Jobs);
   ImageLosses_ = std::move(Losses);
+  Evacuations_ = std::move(Evacuations);
   if (Options_.OnRestore_)
     Options_.OnRestore_();
 }
--- a/src/control/WorkerSessions.cpp
+++ b/src/control/WorkerSessions.cpp
@@ -300,6 +300,7 @@
   Session.Draining_ = Report.Draining_;
   Session.DrainDeadline_ = Now + Report.DrainTimeLeft_;
   Session.Silent_ = Report.Silent_;
+  Session.ColdTimeLeft_ = Report.ColdTimeLeft_;
   if (!Options_.HoldsLeaderLease_())
     return Duration::zero();
   Session.LeaseExpiresAt_ = Now + maxLeaseDuration();
--- a/src/control/WorkerSessions.h
+++ b/src/control/WorkerSessions.h
@@ -43,6 +43,8 @@
   /// Whether the worker has stopped answering its agent.
   bool Silent_ = false;
   TimePoint DrainDeadline_;
+  /// How much longer the worker is slow after its start, by its last report.
+  Duration ColdTimeLeft_{};
   /// Every lease granted to the worker has expired by then.
   TimePoint LeaseExpiresAt_;
   TimePoint LastContactAt_;
--- a/src/ctl/Ctl.cpp
+++ b/src/ctl/Ctl.cpp
@@ -103,6 +103,24 @@
   };
 }
 
+/// Makes a command that evacuates a zone or takes it back.
+std::function<CtlExit(const Context &, const Operands &)>
+changeEvacuation(const std::string &Method) {
+  return [Method](const Context &With, const Operands &Rest) {
+    if (Rest.size() != 1) {
+      With.Err_ << "bad-usage: name one availability zone\n";
+      return CtlExit::BadUsage;
+    }
+    const ControlAnswer Answer = With.Control_.call(
+        {.Method_ = Method,
+         .Target_ = "/operator/v1/evacuations/" + Rest.front()});
+    if (Answer.End_ != CallEnd::Answered || Answer.Response_.Status_ != Ok)
+      return reportFailure(With, Answer);
+    print(With, parseJson(Answer.Response_.Body_));
+    return CtlExit::Ok;
+  };
+}
+
 const std::vector<Command> &commands() {
   static const std::vector<Command> Commands{
       {{"lists", "get"}, "NAME", "print a list and its version", getList},
@@ -129,6 +147,18 @@
        "print latencies of --from=ADDRESS,...",
        showHistograms},
       {{"events"}, "", "print the catalogue of events", showEvents},
+      {{"evacuations", "list"},
+       "",
+       "print the evacuated availability zones",
+       showTarget("/operator/v1/evacuations")},
+      {{"evacuations", "start"},
+       "ZONE",
+       "give the workers of a zone no more runs",
+       changeEvacuation("PUT")},
+      {{"evacuations", "end"},
+       "ZONE",
+       "take a zone back",
+       changeEvacuation("DELETE")},
       {{"members", "add"},
        "",
        "add replica --id=N --address=A:P --store=N as a learner",
--- a/src/wire/Serialize.h
+++ b/src/wire/Serialize.h
@@ -203,6 +203,22 @@
   Ar(Row.Version_, Row.Document_);
 }
 
+template <typename Archive> void serialize(Archive &Ar, FetchEvacuation &Row) {
+  Ar(Row.Zone_);
+}
+
+template <typename Archive> void serialize(Archive &Ar, Evacuation &Row) {
+  Ar(Row.Evacuated_, Row.Revision_);
+}
+
+template <typename Archive> void serialize(Archive &Ar, SetEvacuation &Row) {
+  Ar(Row.Zone_, Row.Evacuated_, Row.ExpectedRevision_);
+}
+
+template <typename Archive> void serialize(Archive &Ar, EvacuationReply &Row) {
+  Ar(Row.Status_);
+}
+
 template <typename Archive> void serialize(Archive &Ar, WorkerHello &Row) {
   Ar(Row.Worker_, Row.Born_, Row.Agent_, Row.Vm_, Row.Service_,
      Row.AvailabilityZone_, Row.Labels_, Row.Capacity_);
@@ -233,7 +249,7 @@
 
 template <typename Archive> void serialize(Archive &Ar, WorkerReport &Row) {
   Ar(Row.Worker_, Row.Session_, Row.Draining_, Row.DrainTimeLeft_,
-     Row.Complete_, Row.Silent_, Row.Runs_, Row.Ends_);
+     Row.Complete_, Row.Silent_, Row.Runs_, Row.Ends_, Row.ColdTimeLeft_);
 }
 
 template <typename Archive> void serialize(Archive &Ar, WorkerReportAck &Row) {
--- a/tests/platform/RealProcess.cpp
+++ b/tests/platform/RealProcess.cpp
@@ -59,8 +59,15 @@
 
 Peer::~Peer() { close(Socket_); }
 
-void Peer::send(std::string_view Bytes) const {
-  ::send(Socket_, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
+bool Peer::send(std::string_view Bytes) const {
+  while (!Bytes.empty()) {
+    const ssize_t Sent =
+        ::send(Socket_, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
+    if (Sent <= 0)
+      return false;
+    Bytes.remove_prefix(static_cast<std::size_t>(Sent));
+  }
+  return true;
 }
 
 std::string Peer::readToEnd() const { return readUntil({}); }
@@ -135,6 +142,25 @@
   return WIFSIGNALED(Status) ? -WTERMSIG(Status) : WEXITSTATUS(Status);
 }
 
+bool RealProcess::isRunning() const {
+  return Pid_ > 0 && waitpid(Pid_, nullptr, WNOHANG) == 0;
+}
+
+std::size_t RealProcess::peakMemoryKib() const {
+  std::ifstream In("/proc/" + std::to_string(Pid_) + "/status");
+  constexpr std::string_view Key = "VmHWM:";
+  for (std::string Line; std::getline(In, Line);)
+    if (Line.starts_with(Key))
+      return std::stoul(Line.substr(Key.size()));
+  return 0;
+}
+
+std::size_t RealProcess::openDescriptors() const {
+  const std::filesystem::directory_iterator Open("/proc/" +
+                                                 std::to_string(Pid_) + "/fd");
+  return static_cast<std::size_t>(std::distance(begin(Open), end(Open)));
+}
+
 std::string RealProcess::log() const {
   std::ifstream In(Folder_ + "/log");
   return {std::istreambuf_iterator<char>(In), {}};
--- a/tests/platform/RealProcess.h
+++ b/tests/platform/RealProcess.h
@@ -1,7 +1,8 @@
-/// A program of the project as a process of its own, for tests of its stop.
+/// A program of the project as a process of its own.
 #ifndef DRAGONFLY_TESTS_PLATFORM_REALPROCESS_H
 #define DRAGONFLY_TESTS_PLATFORM_REALPROCESS_H
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -18,7 +19,8 @@
   Peer &operator=(const Peer &) = delete;
   ~Peer();
 
-  void send(std::string_view Bytes) const;
+  /// Sends all bytes; returns false once the process has closed the connection.
+  bool send(std::string_view Bytes) const;
   /// Reads until the connection ends, but not for more than ten seconds.
   std::string readToEnd() const;
   /// Reads until \p Text has come or the connection ends.
@@ -42,6 +44,11 @@
   void signal(int Number) const;
   /// Waits for the end. Returns the exit code, or minus the signal's number.
   int wait();
+  bool isRunning() const;
+  /// Largest resident memory so far, in KiB; 0 if the process has ended.
+  std::size_t peakMemoryKib() const;
+  /// Descriptors that it has open.
+  std::size_t openDescriptors() const;
   /// What it has logged.
   std::string log() const;
   const std::string &folder() const { return Folder_; }
