Wait until an untrusted caller's bytes are read before memory is measured

Without it a crowd in chunks of one byte was measured before its bytes had left the kernel's buffers, so that the fault did not show. Its bodies now have 140 KB.

--- a/tests/platform/RealProcess.cpp
+++ b/tests/platform/RealProcess.cpp
@@ -2,14 +2,17 @@
 
 #include <arpa/inet.h>
 #include <array>
+#include <chrono>
 #include <csignal>
 #include <cstring>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <iomanip>
 #include <iterator>
 #include <netinet/in.h>
 #include <spawn.h>
+#include <sstream>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <sys/stat.h>
@@ -84,6 +87,31 @@
   return Result;
 }
 
+bool waitUntilRead(const std::string &Address, std::uint16_t Port) {
+  constexpr int Tries = 6000;
+  constexpr std::chrono::milliseconds Pause(10);
+  constexpr std::string_view Listening = "0A";
+  const sockaddr_in Local = toAddress(Address, Port);
+  std::ostringstream Name;
+  Name << std::hex << std::uppercase << std::setfill('0') << std::setw(8)
+       << Local.sin_addr.s_addr << ':' << std::setw(4) << Port;
+  for (int Try = 0; Try < Tries; ++Try) {
+    // Columns: number, local address, peer, state, queues "sent:received".
+    std::ifstream In("/proc/net/tcp");
+    bool IsRead = true;
+    std::string Number, Own, Other, State, Queues, Rest;
+    while (In >> Number >> Own >> Other >> State >> Queues &&
+           std::getline(In, Rest))
+      if (Own == Name.str() && State != Listening &&
+          Queues.substr(Queues.find(':') + 1) != "00000000")
+        IsRead = false;
+    if (IsRead)
+      return true;
+    std::this_thread::sleep_for(Pause);
+  }
+  return false;
+}
+
 RealProcess::RealProcess(const std::string &Role, const std::string &Lines)
     : Folder_(makeFolder()) {
   constexpr std::string_view Token = "{folder}";
--- a/tests/platform/RealProcess.h
+++ b/tests/platform/RealProcess.h
@@ -30,6 +30,10 @@
   int Socket_ = -1;
 };
 
+/// Waits until the process that listens has read all that has arrived on its
+/// connections; returns whether it has within a minute.
+bool waitUntilRead(const std::string &Address, std::uint16_t Port);
+
 /// dragonfly-platform with a settings file of its own.
 class RealProcess {
 public:
--- a/tests/untrusted/UntrustedCallersTest.cpp
+++ b/tests/untrusted/UntrustedCallersTest.cpp
@@ -101,6 +101,7 @@
 
   void check() const {
     INFO(Row_.Name_);
+    CHECK(waitUntilRead(Ip_, Row_.Port_));
     REQUIRE(Program_.isRunning());
     if (MemoryIsMeasured)
       CHECK(Program_.peakMemoryKib() < MemoryMb * KibPerMb);
@@ -178,7 +179,7 @@
 // Guards against bytes that are counted as sent, not as held.
 TEST_CASE("many bodies in chunks of one byte do not use up a process's memory",
           "[untrusted]") {
-  constexpr std::size_t BodyBytes = 60'000;
+  constexpr std::size_t BodyBytes = 140'000;
   const std::string Body = oneByteChunks(BodyBytes);
   const ServerRow Row = servers().front();
   Crowd Crowd(Row);
