--- a/daemons/dragonfly-agent.cpp
+++ b/daemons/dragonfly-agent.cpp
@@ -9,6 +9,8 @@
 
 settings::ExitCode run(const settings::AgentSettings &Settings) {
   net::EventLoop Loop;
+  if (const auto Bytes = settings::requestMemoryBytes(Settings.Process_))
+    Loop.memory().setLimit(*Bytes);
   agent::Agent Agent(Loop, Settings);
   settings::ExitCode Code = settings::ExitCode::Ok;
   Loop.onTerminate([&] {
--- a/daemons/dragonfly-control.cpp
+++ b/daemons/dragonfly-control.cpp
@@ -11,6 +11,8 @@
   return settings::runControlProgram(
       Argc, Argv, [](const settings::ControlSettings &Settings) {
         net::EventLoop Loop;
+        if (const auto Bytes = settings::requestMemoryBytes(Settings.Process_))
+          Loop.memory().setLimit(*Bytes);
         control::Control Replica(Loop, Settings);
         auto Code = settings::ExitCode::Ok;
         Loop.onTerminate([&] {
--- a/daemons/dragonfly-entry.cpp
+++ b/daemons/dragonfly-entry.cpp
@@ -11,6 +11,8 @@
   return settings::runEntryProgram(
       Argc, Argv, [](const settings::EntrySettings &Settings) {
         net::EventLoop Loop;
+        if (const auto Bytes = settings::requestMemoryBytes(Settings.Process_))
+          Loop.memory().setLimit(*Bytes);
         entry::Entry Server(Loop, Settings);
         auto Code = settings::ExitCode::Ok;
         Loop.onTerminate([&] {
--- a/daemons/dragonfly-platform.cpp
+++ b/daemons/dragonfly-platform.cpp
@@ -277,6 +277,9 @@
              {{"availability_zone", Site.AvailabilityZone_},
               {"first_start", Site.FirstStart_ ? "yes" : "no"}});
     net::EventLoop Loop;
+    if (const auto Bytes = settings::requestMemoryBytes(
+            {.MemoryLimitMib_ = Site.MemoryLimitMib_}))
+      Loop.memory().setLimit(*Bytes);
     Role->second(Loop, Site);
     logEvent(Event::ProcessStopped);
     return static_cast<int>(settings::ExitCode::Ok);
--- a/include/dragonfly/base/Event.h
+++ b/include/dragonfly/base/Event.h
@@ -101,6 +101,7 @@
   MessageRejected = 6005,
   ConnectionSilent = 6006,
   ConnectionsRefused = 6007,
+  MemoryBudgetExceeded = 6008,
 };
 
 /// One row of the catalogue.
--- a/include/dragonfly/net/EventLoop.h
+++ b/include/dragonfly/net/EventLoop.h
@@ -4,6 +4,7 @@
 #define DRAGONFLY_NET_EVENTLOOP_H
 
 #include "dragonfly/base/Clock.h"
+#include "dragonfly/net/MemoryBudget.h"
 
 #include <functional>
 #include <memory>
@@ -55,6 +56,8 @@
   void onReload(std::function<void()> Work);
 
   boost::asio::io_context &context();
+  /// Bounds what the process holds for requests, over all of its listeners.
+  MemoryBudget &memory();
 
 private:
   struct Impl;
--- a/include/dragonfly/settings/Settings.h
+++ b/include/dragonfly/settings/Settings.h
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -82,10 +83,19 @@
   Severity LogLevel_ = Severity::Info;
   /// A graceful stop that takes longer is cut off, with an event.
   Duration StopBound_ = std::chrono::seconds(20);
+  /// Memory that the process may use, in MiB; 0 if it is not known.
+  std::size_t MemoryLimitMib_ = 0;
+  /// Share of it that requests without a complete response may hold, in
+  /// thousandths.
+  std::uint32_t RequestMemoryPermille_ = 250;
   DeploymentSettings Deployment_;
   std::vector<ReplicaSettings> Control_;
 };
 
+/// Returns the bytes that requests without a complete response may hold, or
+/// nothing if the process's memory limit is not known.
+std::optional<std::size_t> requestMemoryBytes(const ProcessSettings &Process);
+
 struct EntrySettings {
   ProcessSettings Process_;
   /// HTTP for callers, health checks and histograms.
--- a/include/dragonfly/wire/Frame.h
+++ b/include/dragonfly/wire/Frame.h
@@ -77,6 +77,10 @@
 
   /// Bytes held that are not yet a whole frame.
   std::size_t pendingBytes() const { return Buffer_.size() - Consumed_; }
+  /// Memory held for them.
+  std::size_t heldBytes() const { return Buffer_.capacity(); }
+  /// Frees memory that no pending bytes need.
+  void shrink();
 
 private:
   std::string Buffer_;
--- a/src/base/Event.cpp
+++ b/src/base/Event.cpp
@@ -206,6 +206,9 @@
     {Event::ConnectionsRefused, Severity::Warning, "connections-refused",
      "A server had as many connections as it takes; the first request on each "
      "further one was refused."},
+    {Event::MemoryBudgetExceeded, Severity::Warning, "memory-budget-exceeded",
+     "Requests without a complete response held more memory than they may; "
+     "incomplete ones were dropped. At most one line a second."},
 });
 
 } // namespace
--- a/src/net/EventLoop.cpp
+++ b/src/net/EventLoop.cpp
@@ -63,6 +63,8 @@
 }
 
 struct EventLoop::Impl {
+  /// Outlives the connections that handlers of the context keep.
+  MemoryBudget Memory_;
   boost::asio::io_context Context_{1};
   boost::asio::signal_set Signals_{Context_};
   boost::asio::signal_set Reloads_{Context_};
@@ -143,6 +145,8 @@
   Impl_->awaitReload(Work);
 }
 
+MemoryBudget &EventLoop::memory() { return Impl_->Memory_; }
+
 boost::asio::io_context &EventLoop::context() { return Impl_->Context_; }
 
 } // namespace dragonfly::net
--- a/src/net/FrameServer.cpp
+++ b/src/net/FrameServer.cpp
@@ -115,6 +115,10 @@
         Streams_.size() - Extra_.size() >= Options_.MaxConnections_;
     // The stream owns its hooks; they refer to it weakly.
     auto Slot = std::make_shared<std::weak_ptr<FrameStream>>();
+    auto Held = std::make_shared<MemoryBudget::Holder>(Loop_.memory(), [Slot] {
+      if (const auto Dropped = Slot->lock())
+        Dropped->fail();
+    });
     auto Stream = std::make_shared<FrameStream>(
         std::move(Socket), Options_.Self_,
         FrameStream::Hooks{
@@ -134,6 +138,7 @@
                     Server->Extra_.erase(Slot->lock());
                   }
                 },
+            .OnHeld_ = [Held](std::size_t Bytes) { Held->set(Bytes, Bytes); },
             .OnWriting_ = {},
             .OnProbeAnswer_ = {}});
     *Slot = Stream;
--- a/src/net/FrameStream.cpp
+++ b/src/net/FrameStream.cpp
@@ -5,14 +5,22 @@
 
 #include <boost/asio/write.hpp>
 
+#include <array>
 #include <utility>
 
 namespace dragonfly::net {
+namespace {
+
+constexpr std::size_t ReadBytes = 64U << 10U;
+
+} // namespace
 
 FrameStream::FrameStream(boost::asio::ip::tcp::socket Socket, Incarnation Self,
                          Hooks Handlers)
     : Socket_(std::move(Socket)), Self_(Self), Hooks_(std::move(Handlers)) {
   tuneStream(Socket_);
+  boost::system::error_code Ignored;
+  Socket_.non_blocking(true, Ignored);
 }
 
 void FrameStream::start() { read(); }
@@ -55,26 +63,39 @@
 }
 
 void FrameStream::read() {
-  Socket_.async_read_some(
-      boost::asio::buffer(Buffer_),
-      [Self = shared_from_this()](const auto &Fault, std::size_t Size) {
-        if (!Self->Open_)
-          return;
-        if (Fault)
-          Self->fail();
-        else
-          Self->take(Size);
-      });
+  Socket_.async_wait(boost::asio::ip::tcp::socket::wait_read,
+                     [Self = shared_from_this()](const auto &Fault) {
+                       if (!Self->Open_)
+                         return;
+                       if (Fault)
+                         Self->fail();
+                       else
+                         Self->onReadable();
+                     });
+}
+
+void FrameStream::onReadable() {
+  // Shared by all streams: an idle one holds no buffer.
+  thread_local std::array<char, ReadBytes> Scratch;
+  boost::system::error_code Fault;
+  const std::size_t Size =
+      Socket_.read_some(boost::asio::buffer(Scratch), Fault);
+  if (Fault == boost::asio::error::would_block)
+    read();
+  else if (Fault)
+    fail();
+  else
+    take({Scratch.data(), Size});
 }
 
-void FrameStream::take(std::size_t Size) {
+void FrameStream::take(std::string_view Bytes) {
   Heard_ = true;
   if (Finishing_) {
     read();
     return;
   }
   try {
-    Reader_.feed({Buffer_.data(), Size});
+    Reader_.feed(Bytes);
     while (auto Value = Reader_.next()) {
       if (!checkSender(*Value))
         return;
@@ -91,7 +112,11 @@
     return;
   if (Reader_.pendingBytes() > 0)
     ProgressAt_ = Clock::now();
-  read();
+  Reader_.shrink();
+  if (Hooks_.OnHeld_)
+    Hooks_.OnHeld_(Reader_.heldBytes());
+  if (Open_)
+    read();
 }
 
 void FrameStream::takeFrame(wire::Frame Value) {
--- a/src/net/FrameStream.h
+++ b/src/net/FrameStream.h
@@ -7,12 +7,12 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
-#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace dragonfly::net {
@@ -25,6 +25,8 @@
     /// Called once, when the connection has closed for any reason but
     /// `close()`.
     std::function<void()> OnClosed_;
+    /// Called with the memory held for a frame that is not whole yet.
+    std::function<void(std::size_t)> OnHeld_;
     /// Called as queued bytes are handed to the socket.
     std::function<void()> OnWriting_;
     /// Called with the sequence number of a probe that the peer has answered.
@@ -45,6 +47,8 @@
   bool finishing() const { return Finishing_; }
   /// Closes without calling OnClosed_.
   void close();
+  /// Closes as if the peer had.
+  void fail();
   bool open() const { return Open_; }
   std::size_t queuedBytes() const { return Waiting_.size() + Writing_.size(); }
   /// When the socket last took bytes and had no room for those behind them, or
@@ -62,16 +66,14 @@
   void flush();
   /// Returns how much of what is being written is left.
   std::size_t bytesToWrite(std::size_t Taken);
-  void take(std::size_t Size);
+  void onReadable();
+  void take(std::string_view Bytes);
   void takeFrame(wire::Frame Value);
   void sendProbe(wire::FrameKind Kind, std::uint64_t Sequence);
-  void fail();
   /// Ends the sending direction once all bytes have left.
   void endSending();
   bool checkSender(const wire::Frame &Value);
 
-  static constexpr std::size_t ReadBytes = 64U << 10U;
-
   boost::asio::ip::tcp::socket Socket_;
   Incarnation Self_;
   Hooks Hooks_;
@@ -84,7 +86,6 @@
   int IdleSweeps_ = 0;
   bool Open_ = true;
   bool Finishing_ = false;
-  std::array<char, ReadBytes> Buffer_{};
 };
 
 } // namespace dragonfly::net
--- a/src/net/HttpConnection.cpp
+++ b/src/net/HttpConnection.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace dragonfly::net {
 namespace {
@@ -25,6 +26,8 @@
 /// Shortest time between an answer and a refusal that no request has caused.
 constexpr Duration QuietTime = std::chrono::milliseconds(10);
 constexpr TimePoint Never = TimePoint::max();
+/// When a caller may come again whose request did not fit in the memory budget.
+constexpr std::chrono::seconds MemoryRetryAfter{1};
 constexpr std::uint16_t TimeoutStatus = 408;
 constexpr std::uint16_t UnavailableStatus = 503;
 
@@ -74,6 +77,10 @@
 }
 
 void HttpConnection::start() {
+  Memory_.emplace(Owner_->Memory_, [Weak = weak_from_this()] {
+    if (const auto Self = Weak.lock())
+      Self->dropIncomplete();
+  });
   tuneStream(Socket_);
   beast::error_code Ignored;
   Socket_.non_blocking(true, Ignored);
@@ -87,6 +94,7 @@
     queue(std::move(Bytes));
   else
     Request.Held_ += Bytes;
+  countMemory();
 }
 
 void HttpConnection::settle() {
@@ -194,6 +202,7 @@
   const auto Self = shared_from_this();
   beast::error_code Ignored;
   Socket_.close(Ignored);
+  Memory_.reset();
   for (const RequestState &Request : std::exchange(Requests_, {}))
     if (auto Gone = std::exchange(Request->Gone_, nullptr))
       Gone();
@@ -218,6 +227,7 @@
 
 void HttpConnection::resetParser() {
   Parser_.reset();
+  HeadBytes_ = 0;
   HeaderPool_.release();
   Parser_.emplace(
       std::piecewise_construct, std::make_tuple(),
@@ -253,13 +263,18 @@
 void HttpConnection::onReadable() {
   if (Closed_)
     return;
+  // Shared by all connections, so that each holds only what it cannot parse
+  // yet.
+  thread_local std::array<char, ReadBytes> Scratch;
   beast::error_code Failure;
-  const std::size_t Bytes =
-      Socket_.read_some(Buffer_.prepare(ReadBytes), Failure);
-  if (Failure == asio::error::would_block)
+  const std::size_t Bytes = Socket_.read_some(asio::buffer(Scratch), Failure);
+  if (Failure == asio::error::would_block) {
     read();
-  else
-    onRead(Failure, Bytes);
+    return;
+  }
+  if (!Failure && !Discarding_)
+    asio::buffer_copy(Buffer_.prepare(Bytes), asio::buffer(Scratch, Bytes));
+  onRead(Failure, Bytes);
 }
 
 void HttpConnection::onRead(const beast::error_code &Failure,
@@ -285,6 +300,11 @@
   while (consumeOne()) {
   }
   Dispatching_ = false;
+  if (Closed_)
+    return;
+  if (Buffer_.size() == 0)
+    Buffer_.shrink_to_fit();
+  countMemory();
   if (Closed_)
     return;
   if (!Requests_.empty() && !Discarding_ && betweenRequests())
@@ -297,9 +317,18 @@
       Buffer_.size() == 0)
     return false;
   beast::error_code Failure;
-  Buffer_.consume(Parser_->put(Buffer_.data(), Failure));
-  if (Failure == http::error::need_more)
+  const bool IsHead = !Parser_->is_header_done();
+  const std::size_t Parsed = Parser_->put(Buffer_.data(), Failure);
+  Buffer_.consume(Parsed);
+  if (IsHead)
+    HeadBytes_ += Parsed;
+  if (Failure == http::error::need_more) {
+    // Chunk lines and trailers are parsed only once they have arrived whole.
+    if (Parser_->is_header_done() &&
+        Buffer_.size() > Owner_->Options_.MaxHeaderBytes_)
+      refuse(parseFailure(http::error::header_limit));
     return false;
+  }
   if (Failure) {
     refuse(parseFailure(Failure));
     return false;
@@ -315,10 +344,19 @@
   Request->Connection_ = weak_from_this();
   Request->KeepAlive_ = Parser_->keep_alive();
   HttpRequest Message = takeRequest(*Parser_);
+  Request->Bytes_ = Message.Body_.capacity() + HeadBytes_;
   resetParser();
   Requests_.push_back(Request);
   if (!Request->KeepAlive_)
     discardRest();
+  countMemory();
+  if (Closed_)
+    return;
+  if (!Owner_->Memory_.hasRoomFor(0)) {
+    HttpReplier(std::move(Request))
+        .reply(makeUnavailable("memory-budget", MemoryRetryAfter));
+    return;
+  }
   Owner_->Options_.OnRequest_(std::move(Message),
                               HttpReplier(std::move(Request)));
 }
@@ -329,6 +367,47 @@
   ReadDeadline_ = Never;
 }
 
+void HttpConnection::releaseInput() {
+  Buffer_.clear();
+  Buffer_.shrink_to_fit();
+  resetParser();
+}
+
+void HttpConnection::countMemory() {
+  if (Closed_ || !Memory_)
+    return;
+  // The fields of a head take about twice its bytes.
+  const std::size_t Fields =
+      std::max(2 * HeadBytes_, HeaderMemory_.size()) - HeaderMemory_.size();
+  const std::size_t Incomplete =
+      Buffer_.capacity() + Parser_->get().body().capacity() + Fields;
+  std::size_t Complete = Out_.capacity() + InFlight_.capacity();
+  for (const RequestState &Request : Requests_)
+    Complete += Request->Bytes_ + Request->Held_.capacity();
+  const std::size_t Untaken = Requests_.empty() ? Complete : 0;
+  Memory_->set(Incomplete + Complete, Incomplete + Untaken);
+}
+
+void HttpConnection::dropIncomplete() {
+  if (Closed_)
+    return;
+  const auto Self = shared_from_this();
+  const bool IsIncomplete = !betweenRequests() && !Discarding_;
+  if (!IsIncomplete && Requests_.empty()) {
+    close();
+    return;
+  }
+  releaseInput();
+  lingerBriefly();
+  if (Requests_.empty()) {
+    refuse(makeUnavailable("memory-budget", MemoryRetryAfter));
+  } else {
+    Requests_.back()->KeepAlive_ = false;
+    discardRest();
+  }
+  countMemory();
+}
+
 void HttpConnection::queue(std::string Bytes) {
   if (Out_.empty())
     Out_ = std::move(Bytes);
@@ -355,6 +434,9 @@
   WriteDeadline_ = Never;
   WrittenAt_ = Clock::now();
   InFlight_.clear();
+  if (Closed_)
+    return;
+  countMemory();
   if (Closed_)
     return;
   if (Failure) {
--- a/src/net/HttpConnection.h
+++ b/src/net/HttpConnection.h
@@ -4,6 +4,7 @@
 #define DRAGONFLY_SRC_NET_HTTPCONNECTION_H
 
 #include "dragonfly/net/HttpServer.h"
+#include "dragonfly/net/MemoryBudget.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/error.hpp>
@@ -25,6 +26,7 @@
 /// What a connection needs of its server.
 struct HttpConnectionOwner {
   const HttpServerOptions &Options_;
+  MemoryBudget &Memory_;
   /// Answers say that their connections close.
   bool Stopping_ = false;
   /// Time that a caller has to close after its last answer.
@@ -43,6 +45,8 @@
   std::string Held_;
   std::function<void()> Gone_;
   TimePoint ReadAt_ = Clock::now();
+  /// Memory of the request, until it has its whole answer.
+  std::size_t Bytes_ = 0;
 };
 
 /// Returns an answer that says why a request is not run.
@@ -116,6 +120,12 @@
   void dispatch();
   /// No request that arrives later is run.
   void discardRest();
+  /// Frees the buffers of a request that has not arrived whole.
+  void releaseInput();
+  /// Counts the memory that the connection holds.
+  void countMemory();
+  /// Gives up what has not arrived whole, or an answer that is not taken.
+  void dropIncomplete();
   void queue(std::string Bytes);
   void write();
   void onWritten(const boost::beast::error_code &Failure);
@@ -129,6 +139,9 @@
   std::pmr::monotonic_buffer_resource HeaderPool_{HeaderMemory_.data(),
                                                   HeaderMemory_.size()};
   std::optional<Parser> Parser_;
+  /// Bytes of the head of the request that is being read.
+  std::size_t HeadBytes_ = 0;
+  std::optional<MemoryBudget::Holder> Memory_;
   std::deque<RequestState> Requests_;
   std::string Out_;
   std::string InFlight_;
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -193,7 +193,7 @@
 
   EventLoop &Loop_;
   HttpServerOptions Options_;
-  HttpConnectionOwner Owner_{.Options_ = Options_};
+  HttpConnectionOwner Owner_{.Options_ = Options_, .Memory_ = Loop_.memory()};
   std::shared_ptr<Listener> Listener_;
   Endpoint Endpoint_;
   ConnectionSet Connections_;
--- a/src/settings/Describe.cpp
+++ b/src/settings/Describe.cpp
@@ -102,10 +102,22 @@
   describeChoice(Visitor, "log_level", Value.LogLevel_, Presence::Optional);
   describeMilliseconds(Visitor, "stop_bound_ms", Value.StopBound_,
                        AnyMilliseconds);
+  describeInteger(Visitor, "memory_limit_mib", Value.MemoryLimitMib_,
+                  Presence::Optional, {.Least_ = 0, .Most_ = MaxMemoryMib});
+  describeInteger(Visitor, "request_memory_permille",
+                  Value.RequestMemoryPermille_, Presence::Optional,
+                  {.Least_ = 1, .Most_ = Permille});
 }
 
 } // namespace
 
+std::optional<std::size_t> requestMemoryBytes(const ProcessSettings &Process) {
+  if (Process.MemoryLimitMib_ == 0)
+    return std::nullopt;
+  return (Process.MemoryLimitMib_ << 20U) / Permille *
+         Process.RequestMemoryPermille_;
+}
+
 void describeResources(Fields &Visitor, Resources &Value) {
   Visitor.thousandths("processors", Value.MilliProcessors_, Presence::Required,
                       {.Least_ = 0, .Most_ = MaxProcessors});
--- a/src/wire/Frame.cpp
+++ b/src/wire/Frame.cpp
@@ -138,6 +138,15 @@
   Buffer_.append(Bytes);
 }
 
+void FrameReader::shrink() {
+  // A few frames of ordinary size do not cause an allocation each.
+  constexpr std::size_t KeptBytes = 64U << 10U;
+  if (Consumed_ < Buffer_.size() || Buffer_.capacity() <= KeptBytes)
+    return;
+  Buffer_ = {};
+  Consumed_ = 0;
+}
+
 std::optional<Frame> FrameReader::next() {
   const std::string_view Rest = std::string_view(Buffer_).substr(Consumed_);
   if (Rest.size() < HeaderBytes)
