--- a/bench/support/LogCluster.cpp
+++ b/bench/support/LogCluster.cpp
@@ -103,6 +103,7 @@
     Result.FirstMembers_.push_back(
         {.Id_ = Row.Id_, .Store_ = {}, .Voter_ = true, .Address_ = {}});
   Result.SnapshotEveryRecords_ = Options_.SnapshotEveryRecords_;
+  Result.MaxLogBytes_ = Options_.MaxLogBytes_;
   Result.MaxBatchBytes_ = Options_.MaxBatchBytes_;
   constexpr std::uint64_t SeedStride = 1000;
   Result.Seed_ = (Options_.Seed_ * SeedStride + Target.Starts_) * SeedStride +
--- a/bench/support/LogCluster.h
+++ b/bench/support/LogCluster.h
@@ -51,6 +51,7 @@
   std::size_t Replicas_ = 3;
   std::uint64_t Seed_ = 1;
   std::size_t SnapshotEveryRecords_ = 10000;
+  std::uint64_t MaxLogBytes_ = 0;
   std::size_t MaxBatchBytes_ = 256U << 10U;
   Duration Latency_ = std::chrono::milliseconds(1);
   /// Makes the state machine of a process that starts; without it the state is
--- a/include/dragonfly/consensus/ReplicatedLog.h
+++ b/include/dragonfly/consensus/ReplicatedLog.h
@@ -97,6 +97,10 @@
   /// Bound on how much clocks of two VMs may differ in rate, in thousandths.
   std::uint32_t DriftPermille_ = 20;
   std::size_t SnapshotEveryRecords_ = 10000;
+  /// A snapshot is also made once the payloads of the records after the last
+  /// one have this many bytes; 0 is no bound. A few records of a large
+  /// configuration fill a small disk.
+  std::uint64_t MaxLogBytes_ = 0;
   std::size_t MaxBatchBytes_ = 256U << 10U;
   std::uint64_t Seed_ = 1;
   StateMachineHooks Machine_;
--- a/include/dragonfly/settings/Settings.h
+++ b/include/dragonfly/settings/Settings.h
@@ -117,6 +117,10 @@
   bool FirstMember_ = true;
   Duration ElectionTimeout_ = std::chrono::milliseconds(500);
   std::size_t SnapshotEveryRecords_ = 10000;
+  /// Size of the data folder's disk, in MiB; 0 if it is not known.
+  std::size_t DiskMib_ = 0;
+  /// Share of it, in thousandths, that the records after a snapshot may take.
+  std::uint32_t LogSharePermille_ = 125;
   /// True where replicas find each other from the rows of `Control_`, which
   /// need not name all of them, and the leader repairs the group by itself.
   bool RepairsGroup_ = false;
--- a/src/consensus/RaftCore.h
+++ b/src/consensus/RaftCore.h
@@ -159,6 +159,9 @@
   void takeChunk(const InstallRequest &Value, InstallReply &Reply);
   void install(const InstallRequest &Value, std::string State);
   void takeSnapshot();
+  bool isSnapshotDue() const;
+  /// Counts the bytes of the records after the snapshot anew.
+  void countLogBytes();
   LogIndex retainedFrom() const;
   /// True where \p Row has acknowledged within an election timeout.
   bool followsClosely(const Peer &Row) const;
@@ -212,6 +215,8 @@
   bool HardDirty_ = false;
   bool DiskFull_ = false;
   TimePoint DiskRetryAt_;
+  /// Payload bytes of the records after the snapshot.
+  std::uint64_t LogBytes_ = 0;
   TimePoint SnapshotRetryAt_;
   std::vector<Outgoing> Early_;
   std::vector<Outgoing> AfterSync_;
--- a/src/consensus/RecordLog.cpp
+++ b/src/consensus/RecordLog.cpp
@@ -1,5 +1,6 @@
 #include "consensus/RecordLog.h"
 
+#include <algorithm>
 #include <cassert>
 
 namespace dragonfly::consensus {
@@ -63,6 +64,25 @@
   return Result;
 }
 
+std::size_t RecordLog::bytesAfter(LogIndex Index) const {
+  std::size_t Bytes = 0;
+  for (LogIndex I = nextIndex(std::max(Index, Base_)); I <= lastIndex();
+       I = nextIndex(I))
+    Bytes += at(I).Payload_.size();
+  return Bytes;
+}
+
+LogIndex RecordLog::startOfBytes(LogIndex Last, std::size_t MaxBytes) const {
+  std::size_t Bytes = 0;
+  LogIndex First = std::min(Last, lastIndex());
+  for (; First > Base_; First = previousIndex(First)) {
+    Bytes += at(First).Payload_.size();
+    if (Bytes > MaxBytes)
+      break;
+  }
+  return First;
+}
+
 LogIndex RecordLog::firstOfTerm(LogIndex Index) const {
   const std::optional<Term> Wanted = termAt(Index);
   while (Index > Base_ && termAt(previousIndex(Index)) == Wanted)
--- a/src/consensus/SnapshotTransfer.cpp
+++ b/src/consensus/SnapshotTransfer.cpp
@@ -26,10 +26,19 @@
   return Crc.checksum();
 }
 
+bool RaftCore::isSnapshotDue() const {
+  const std::uint64_t Records = Applied_.Value_ - Snapshot_->Index_.Value_;
+  return Records >= Options_.SnapshotEveryRecords_ ||
+         (Records > 0 && Options_.MaxLogBytes_ > 0 &&
+          LogBytes_ >= Options_.MaxLogBytes_);
+}
+
+void RaftCore::countLogBytes() {
+  LogBytes_ = Log_.bytesAfter(Snapshot_->Index_);
+}
+
 void RaftCore::takeSnapshot() {
-  if (Applied_.Value_ - Snapshot_->Index_.Value_ <
-          Options_.SnapshotEveryRecords_ ||
-      Now_ < SnapshotRetryAt_)
+  if (!isSnapshotDue() || Now_ < SnapshotRetryAt_)
     return;
   auto Fresh = std::make_shared<Snapshot>(
       Snapshot{Applied_, *Log_.termAt(Applied_),
@@ -48,6 +57,7 @@
   }
   Snapshot_ = std::move(Fresh);
   Dirty_ = true;
+  countLogBytes();
   Log_.dropThrough(retainedFrom());
   Members_.dropBefore(Snapshot_->Index_);
 }
@@ -58,6 +68,9 @@
   const std::uint64_t Kept = Options_.SnapshotEveryRecords_ / RetainedShare;
   LogIndex Result{Snapshot_->Index_.Value_ -
                   std::min(Kept, Snapshot_->Index_.Value_)};
+  // Few large records hold as much as thousands of others.
+  Result =
+      std::max(Result, Log_.startOfBytes(Snapshot_->Index_, MaxRetainedBytes));
   if (Log_.payloadBytes() > MaxRetainedBytes)
     return Result;
   for (const auto &[Id, Row] : Peers_) {
@@ -163,6 +176,7 @@
     Members_.reset(Value.Index_, std::move(Rows));
   }
   Commit_ = Applied_ = Value.Index_;
+  countLogBytes();
   Options_.Machine_.Restore_(Snapshot_->State_);
   logEvent(Event::SnapshotInstalled, {{"replica", Options_.Self_.Value_},
                                       {"index", Value.Index_.Value_}});
--- a/src/control/Control.cpp
+++ b/src/control/Control.cpp
@@ -75,6 +75,12 @@
   return Members;
 }
 
+std::uint64_t maxLogBytes(const settings::ControlSettings &Settings) {
+  constexpr std::uint64_t FullPermille = 1000;
+  return (std::uint64_t(Settings.DiskMib_) << 20U) *
+         Settings.LogSharePermille_ / FullPermille;
+}
+
 ControlServiceOptions optionsOf(const settings::ControlSettings &Settings) {
   const settings::DeploymentSettings &Shared = Settings.Process_.Deployment_;
   ControlServiceOptions Options;
@@ -82,6 +88,7 @@
   Options.Log_.FirstMembers_ = firstMembersOf(Settings);
   Options.Log_.ElectionTimeout_ = Settings.ElectionTimeout_;
   Options.Log_.SnapshotEveryRecords_ = Settings.SnapshotEveryRecords_;
+  Options.Log_.MaxLogBytes_ = maxLogBytes(Settings);
   Options.Log_.Seed_ = freshRandom();
   Options.Replicas_ = Settings.Process_.Control_;
   Options.LeaseTerm_ = Shared.LeaseTerm_;
--- a/src/settings/Describe.cpp
+++ b/src/settings/Describe.cpp
@@ -35,6 +35,8 @@
 constexpr std::int64_t MaxAccelerators = 1024;
 constexpr std::int64_t MaxSlots = 65536;
 constexpr std::int64_t MaxBytes = 1LL << 30;
+/// The rest of a disk has room for an old and a new snapshot.
+constexpr std::int64_t MaxLogPermille = 250;
 /// A lease survives the loss of one heartbeat and its acknowledgement.
 constexpr int HeartbeatsPerLease = 2;
 
@@ -180,6 +182,10 @@
   describeInteger(Visitor, "snapshot_every_records",
                   Value.SnapshotEveryRecords_, Presence::Optional,
                   {.Least_ = 1});
+  describeInteger(Visitor, "disk_mib", Value.DiskMib_, Presence::Optional,
+                  {.Least_ = 0, .Most_ = MaxMemoryMib});
+  describeInteger(Visitor, "log_share_permille", Value.LogSharePermille_,
+                  Presence::Optional, {.Least_ = 1, .Most_ = MaxLogPermille});
   Visitor.flag("repairs_group", Value.RepairsGroup_);
   describeInteger(Visitor, "voters", Value.Voters_, Presence::Optional,
                   {.Least_ = 1, .Most_ = MaxControlReplicas});
--- a/tests/consensus/ReplicatedLogTest.cpp
+++ b/tests/consensus/ReplicatedLogTest.cpp
@@ -280,3 +280,22 @@
   REQUIRE(Group.runUntil([&] { return Read.has_value(); }, 1s));
   REQUIRE_FALSE(*Read);
 }
+
+// Guards against a disk that some hundred large records fill, since snapshots
+// are made by the number of records alone, and against a replica with a new
+// disk that receives all of them.
+TEST_CASE("the log is compacted by bytes", "[consensus][log]") {
+  constexpr std::size_t RecordBytes = 10'000;
+  constexpr std::size_t MaxLogBytes = 100'000;
+  LogCluster Group({.Seed_ = 13, .MaxLogBytes_ = MaxLogBytes});
+  Replica &Leader = awaitLeader(Group);
+  for (int I = 0; I < 100; ++I)
+    REQUIRE(proposeAt(Group, Leader, std::string(RecordBytes, 'a')).Status_ ==
+            ProposeStatus::Committed);
+  requireSameState(Group);
+  for (const Replica &Row : Group.replicas()) {
+    const Recovered &Kept = Row.Disk_->Current_;
+    CHECK(Kept.Snapshot_.Index_.Value_ >= 90);
+    CHECK(Kept.Records_.size() * RecordBytes <= MaxLogBytes + RecordBytes);
+  }
+}
--- a/tests/control/JobFixture.h
+++ b/tests/control/JobFixture.h
@@ -55,6 +55,7 @@
              .Agent_ = {Process},
              .Vm_ = Vm,
              .Service_ = "sorting",
+             .AvailabilityZone_ = AvailabilityZone_,
              .Capacity_ = Capacity_},
             {.SendPart_ =
                  [NewStream](const wire::Message &Part) {
@@ -129,6 +130,9 @@
   void disconnect() { Stream_->Connected_ = false; }
   /// Sets the capacity that later sessions begin with.
   void setCapacity(const Resources &Capacity) { Capacity_ = Capacity; }
+  void setAvailabilityZone(const std::string &Zone) {
+    AvailabilityZone_ = Zone;
+  }
   void startDraining() { Draining_ = true; }
   /// Sets the phase of all runs in later reports.
   void setPhase(wire::RunPhase Phase) { Phase_ = Phase; }
@@ -169,6 +173,7 @@
   std::string Worker_;
   std::shared_ptr<Stream> Stream_ = std::make_shared<Stream>();
   Resources Capacity_ = {.MilliProcessors_ = 4000, .MemoryMib_ = 4096};
+  std::string AvailabilityZone_;
   bool Draining_ = false;
   wire::RunPhase Phase_ = wire::RunPhase::Running;
   static constexpr std::uint32_t FullSpeed = 100;
