--- a/include/dragonfly/decide/JobPlacement.h
+++ b/include/dragonfly/decide/JobPlacement.h
@@ -192,8 +192,9 @@
   bool hasRoom(std::size_t Index, const PlacementRequest &Task,
                const Losses &LossesByServingImage) const;
   bool isEligible(std::size_t Index, const PlacementRequest &Task) const;
-  /// Returns whether a proven worker could run the task if it had room.
-  bool hasProvenWorker(const PlacementRequest &Task) const;
+  /// Returns whether the task has to wait for a proven worker: it is a last
+  /// attempt, and one could run it if it had room.
+  bool needsProvenWorker(const PlacementRequest &Task) const;
   Rank rankOf(std::size_t Index, const PlacementRequest &Task,
               const Losses &LossesByServingImage) const;
   void commit(std::size_t Index, const PlacementRequest &Task,
--- a/include/dragonfly/decide/StartLimits.h
+++ b/include/dragonfly/decide/StartLimits.h
@@ -25,6 +25,8 @@
   Duration MaxPause_ = std::chrono::milliseconds(2000);
   /// A worker that may have this many open starts is no longer limited.
   std::uint32_t FullLimit_ = 8;
+  /// After this time without a failure a worker counts as any other.
+  Duration MemoryTime_ = std::chrono::seconds(10);
   /// Of so many workers of a service one at most is limited, so that failures
   /// that have another cause than the workers do not close the service.
   std::size_t WorkersPerLimited_ = 3;
@@ -44,8 +46,13 @@
 
   explicit StartLimits(StartLimitsOptions Options = {}) : Options_(Options) {}
 
-  void clear() { Rows_.clear(); }
-  void recordFinished(const std::string &Worker);
+  void clear() {
+    Rows_.clear();
+    FailedAt_.clear();
+  }
+  /// Records a run that finished. One that was started at \p StartedAt, before
+  /// the last failure, tells nothing of the worker since then.
+  void recordFinished(TimePoint StartedAt, const std::string &Worker);
   /// Records a run that failed or stalled, \p FailuresInRow of which have ended
   /// so without a finished one in between.
   void recordFailure(TimePoint Now, const std::string &Worker,
@@ -55,6 +62,9 @@
         Rows_, [&Removed](const auto &Entry) { return Removed(Entry.first); });
   }
 
+  /// Returns whether a run has failed within `MemoryTime_` and none that was
+  /// started since has finished.
+  bool isFailing(TimePoint Now, const std::string &Worker) const;
   /// Returns the limit of the worker, or nothing if it has none.
   std::optional<Limit> limitOf(TimePoint Now, const std::string &Worker) const;
 
@@ -69,6 +79,8 @@
   StartLimitsOptions Options_;
   /// Limited workers.
   std::map<std::string, Row> Rows_;
+  /// Times of the last failures.
+  std::map<std::string, TimePoint> FailedAt_;
 };
 
 /// Removes the limits of the workers of a service with the fewest failures in a
--- a/include/dragonfly/jobs/EvacuationTable.h
+++ b/include/dragonfly/jobs/EvacuationTable.h
@@ -16,9 +16,10 @@
 
 struct ZoneEvacuation {
   bool Evacuated_ = false;
-  /// Grows with each change of any zone.
+  /// Grows with each request that is applied to any zone.
   std::uint64_t Revision_ = 0;
-  /// Log time of the last change.
+  /// Log time at which it was last evacuated or taken back; zero if it never
+  /// was.
   Duration ChangedAt_{};
 
   template <typename Archive> void serialize(Archive &Ar) {
@@ -38,20 +39,21 @@
   static constexpr std::size_t MaxZones = 64;
 
   /// Evacuates the zone or takes it back, unless it has changed since
-  /// \p ExpectedRevision. A request for the state that the zone has is applied
-  /// whatever revision it names, so that it can be repeated.
+  /// \p ExpectedRevision. A request for the state that the zone has makes a new
+  /// revision too, so that requests which were decided on an older one have no
+  /// effect after it.
   EvacuationStatus set(Duration At, const std::string &Zone, bool Evacuated,
                        std::uint64_t ExpectedRevision) {
     const ZoneEvacuation Current = find(Zone);
-    if (Current.Evacuated_ == Evacuated)
-      return EvacuationStatus::Applied;
     if (Current.Revision_ != ExpectedRevision)
       return EvacuationStatus::Outdated;
     if (!Zones_.contains(Zone) && Zones_.size() >= MaxZones)
       return EvacuationStatus::TooMany;
     Zones_[Zone] = {.Evacuated_ = Evacuated,
                     .Revision_ = ++LastRevision_,
-                    .ChangedAt_ = At};
+                    .ChangedAt_ = Current.Evacuated_ == Evacuated
+                                      ? Current.ChangedAt_
+                                      : At};
     return EvacuationStatus::Applied;
   }
 
--- a/src/consensus/Commit.cpp
+++ b/src/consensus/Commit.cpp
@@ -131,6 +131,7 @@
 void RaftCore::applyCommitted() {
   while (Applied_ < Commit_) {
     Applied_ = nextIndex(Applied_);
+    LogBytes_ += Log_.at(Applied_).Payload_.size();
     applyRecord(Log_.at(Applied_));
   }
 }
--- a/src/consensus/RaftCore.cpp
+++ b/src/consensus/RaftCore.cpp
@@ -32,7 +32,6 @@
       Members_.add(Value.Index_, decodeMembers(Value.Payload_));
     Log_.append(std::move(Value));
   }
-  countLogBytes();
 }
 
 void RaftCore::tick(TimePoint Now) {
@@ -151,7 +150,6 @@
   Dirty_ = true;
   if (Value.Kind_ == RecordKind::Membership)
     Members_.add(Value.Index_, decodeMembers(Value.Payload_));
-  LogBytes_ += Value.Payload_.size();
   Log_.append(std::move(Value));
 }
 
--- a/src/consensus/RaftCore.h
+++ b/src/consensus/RaftCore.h
@@ -160,8 +160,6 @@
   void install(const InstallRequest &Value, std::string State);
   void takeSnapshot();
   bool isSnapshotDue() const;
-  /// Counts the bytes of the records after the snapshot anew.
-  void countLogBytes();
   LogIndex retainedFrom() const;
   /// True where \p Row has acknowledged within an election timeout.
   bool followsClosely(const Peer &Row) const;
@@ -215,7 +213,7 @@
   bool HardDirty_ = false;
   bool DiskFull_ = false;
   TimePoint DiskRetryAt_;
-  /// Payload bytes of the records after the snapshot.
+  /// Payload bytes of the records applied since the snapshot.
   std::uint64_t LogBytes_ = 0;
   TimePoint SnapshotRetryAt_;
   std::vector<Outgoing> Early_;
--- a/src/consensus/RecordLog.cpp
+++ b/src/consensus/RecordLog.cpp
@@ -64,14 +64,6 @@
   return Result;
 }
 
-std::size_t RecordLog::bytesAfter(LogIndex Index) const {
-  std::size_t Bytes = 0;
-  for (LogIndex I = nextIndex(std::max(Index, Base_)); I <= lastIndex();
-       I = nextIndex(I))
-    Bytes += at(I).Payload_.size();
-  return Bytes;
-}
-
 LogIndex RecordLog::startOfBytes(LogIndex Last, std::size_t MaxBytes) const {
   std::size_t Bytes = 0;
   LogIndex First = std::min(Last, lastIndex());
--- a/src/consensus/RecordLog.h
+++ b/src/consensus/RecordLog.h
@@ -27,12 +27,10 @@
   void dropThrough(LogIndex Index);
 
   /// Bytes of the payloads that are held.
-  /// Payload bytes of the records after \p Index.
-  std::size_t bytesAfter(LogIndex Index) const;
-  /// Returns the lowest index from which on the records up to \p Last have at
-  /// most \p MaxBytes bytes of payload.
-  LogIndex startOfBytes(LogIndex Last, std::size_t MaxBytes) const;
   std::size_t payloadBytes() const { return PayloadBytes_; }
+  /// Returns the index before the first of the newest records up to \p Last
+  /// that together have at most \p MaxBytes bytes of payload.
+  LogIndex startOfBytes(LogIndex Last, std::size_t MaxBytes) const;
   LogIndex baseIndex() const { return Base_; }
   LogIndex lastIndex() const { return {Base_.Value_ + Records_.size()}; }
   Term lastTerm() const;
--- a/src/consensus/SnapshotTransfer.cpp
+++ b/src/consensus/SnapshotTransfer.cpp
@@ -33,10 +33,6 @@
           LogBytes_ >= Options_.MaxLogBytes_);
 }
 
-void RaftCore::countLogBytes() {
-  LogBytes_ = Log_.bytesAfter(Snapshot_->Index_);
-}
-
 void RaftCore::takeSnapshot() {
   if (!isSnapshotDue() || Now_ < SnapshotRetryAt_)
     return;
@@ -57,7 +53,7 @@
   }
   Snapshot_ = std::move(Fresh);
   Dirty_ = true;
-  countLogBytes();
+  LogBytes_ = 0;
   Log_.dropThrough(retainedFrom());
   Members_.dropBefore(Snapshot_->Index_);
 }
@@ -71,7 +67,7 @@
   // Few large records hold as much as thousands of others.
   Result =
       std::max(Result, Log_.startOfBytes(Snapshot_->Index_, MaxRetainedBytes));
-  if (Log_.payloadBytes() > MaxRetainedBytes)
+  if (Log_.payloadBytes() > MaxRetainedBytes + Options_.MaxLogBytes_)
     return Result;
   for (const auto &[Id, Row] : Peers_) {
     if (Row.Transfer_)
@@ -176,7 +172,7 @@
     Members_.reset(Value.Index_, std::move(Rows));
   }
   Commit_ = Applied_ = Value.Index_;
-  countLogBytes();
+  LogBytes_ = 0;
   Options_.Machine_.Restore_(Snapshot_->State_);
   logEvent(Event::SnapshotInstalled, {{"replica", Options_.Self_.Value_},
                                       {"index", Value.Index_.Value_}});
--- a/src/control/JobDispatcher.cpp
+++ b/src/control/JobDispatcher.cpp
@@ -40,6 +40,11 @@
 constexpr Duration StalledStartInterval = std::chrono::seconds(1);
 /// Suspect tasks avoid workers with a start more recent than this.
 constexpr Duration RecentStartTime = std::chrono::milliseconds(500);
+/// A worker that is cold later than this has restarted since its zone was taken
+/// back.
+constexpr Duration MaxSlowStartTime = std::chrono::seconds(30);
+/// A last attempt waits this long for a proven worker with room.
+constexpr Duration MaxProvenWait = std::chrono::seconds(3);
 /// Starts are confirmed by the next report, each 0.4 s.
 constexpr Duration UnconfirmedStartTime = std::chrono::milliseconds(1000);
 /// A worker is proven by a run that finished within this time.
@@ -125,22 +130,23 @@
   Worker.Capacity_ = Session.Hello_.Capacity_;
   const jobs::ZoneEvacuation Zone =
       Evacuations_.find(Session.Hello_.AvailabilityZone_);
-  if (Zone.Revision_ == 0)
+  const Duration Returned = LogTime - Zone.ChangedAt_;
+  if (Zone.ChangedAt_ == Duration::zero() || Returned >= MaxSlowStartTime)
     return;
   constexpr std::int64_t FullPermille = 1000;
   Worker.Capacity_.MilliProcessors_ =
       Worker.Capacity_.MilliProcessors_ *
-      decide::slowStartPermille(LogTime - Zone.ChangedAt_,
-                                Session.ColdTimeLeft_) /
-      FullPermille;
+      decide::slowStartPermille(Returned, Session.ColdTimeLeft_) / FullPermille;
 }
 
 void JobDispatcher::setReliability(TimePoint Now, Duration LogTime,
                                    const WorkerSession &Session,
                                    const jobs::WorkerRow &Row,
                                    decide::PlacementWorker &Worker) const {
-  Worker.FailuresInRow_ = Row.FailuresInRow_;
-  Worker.Proven_ = Row.FailuresInRow_ == 0 && !Worker.Suspect_ &&
+  const bool IsFailing = StartLimits_.isFailing(Now, Worker.Name_);
+  Worker.FailuresInRow_ =
+      IsFailing ? std::max<std::uint32_t>(Row.FailuresInRow_, 1) : 0;
+  Worker.Proven_ = !IsFailing && !Worker.Suspect_ &&
                    Row.LastFinishedAt_ > Duration::zero() &&
                    LogTime - Row.LastFinishedAt_ < ProvenTime;
   Worker.StartsLeft_.reset();
@@ -152,14 +158,16 @@
 }
 
 /// Counts the runs that are proposed for the worker, or were ordered since
-/// \p Since and have not ended.
+/// \p Since and have not ended. Long-running ones would never end.
 std::uint32_t
 JobDispatcher::countStartsSince(TimePoint Since, const WorkerSession &Session,
                                 const jobs::WorkerRow &Row) const {
   const auto Ordered =
       std::ranges::count_if(Session.Runs_, [&](const auto &Entry) {
+        const JobRow *Job = Table_.find(Entry.first.Task_.Job_);
         return Entry.second.StartOrderedAt_ >= Since &&
-               Row.Runs_.contains(Entry.first);
+               Row.Runs_.contains(Entry.first) && Job != nullptr &&
+               !Job->Spec_.Steps_[Entry.first.Task_.Step_].LongRunning_;
       });
   const auto Proposed =
       std::ranges::count_if(ProposedStarts_, [&](const auto &Entry) {
@@ -172,7 +180,8 @@
 void JobDispatcher::restoreStartLimits() {
   StartLimits_.clear();
   for (const auto &[Name, Row] : Table_.workers())
-    StartLimits_.recordFailure({}, Name, Row.FailuresInRow_);
+    if (Row.FailuresInRow_ > 0)
+      StartLimits_.recordFailure(Clock::now(), Name, Row.FailuresInRow_);
 }
 
 /// Returns the placement input of a worker. Its reservations cover the runs
@@ -302,6 +311,7 @@
       placementNeedOf({.Job_ = Job.Id_, .Step_ = Run.Task_.Step_}, Placement);
   Need.AvoidedWorker_ = Task.Worker_;
   Need.IsMove_ = true;
+  Need.IsLastAttempt_ = mustNotFail(Now, Job, Run.Task_);
   const auto Chosen = Placement.place(Need);
   if (!Chosen)
     return;
@@ -320,6 +330,12 @@
   std::erase_if(CachedWorkers_, [this](const auto &Entry) {
     return !Sessions_.sessions().contains(Entry.first);
   });
+  std::erase_if(LastAttemptSince_, [this](const auto &Entry) {
+    const JobRow *Job = Table_.find(Entry.first.Job_);
+    return Job == nullptr || !Job->active() ||
+           Job->Steps_[Entry.first.Step_].Tasks_[Entry.first.Index_].Phase_ !=
+               TaskPhase::Waiting;
+  });
   StartLimits_.removeWorkersIf([this](const std::string &Name) {
     return Table_.findWorker(Name) == nullptr;
   });
@@ -477,6 +493,19 @@
   }
 }
 
+/// Returns whether the job fails with the next failure of the task. After
+/// `MaxProvenWait` the task takes any worker.
+bool JobDispatcher::mustNotFail(TimePoint Now, const JobRow &Job,
+                                const jobs::TaskName &Name) {
+  const TaskRow &Task = Job.Steps_[Name.Step_].Tasks_[Name.Index_];
+  if (Job.Spec_.Steps_[Name.Step_].LongRunning_ || Task.Failures_ == 0 ||
+      Task.Failures_ + 1 < Job.Queue_.MaxAttempts_)
+    return false;
+  const TimePoint Since =
+      LastAttemptSince_.try_emplace(Name, Now).first->second;
+  return Now - Since < MaxProvenWait;
+}
+
 /// Proposes the start of a waiting task on the best worker with room, unless
 /// that has been done already or the task is suspect and has to wait.
 JobDispatcher::StartResult
@@ -494,15 +523,15 @@
   if (How == SuspectScheduler::Start::Postponed)
     return StartResult::Postponed;
   Need.AvoidedWorker_ = Task.Worker_;
-  Need.IsLastAttempt_ = !Need.IsLongRunning_ && Task.Failures_ > 0 &&
-                        Task.Failures_ + 1 >= Job.Queue_.MaxAttempts_;
+  Need.IsLastAttempt_ = mustNotFail(Now, Job, Next.Task_);
   const auto [Chosen, Waits] =
       placeTask(Now, Ready, Next.Task_, Need, Placement);
   if (Waits)
     return StartResult::Postponed;
   if (!Chosen) {
     NeedsPlacement_ |= Suspects_.passTurn(Now, Job.Id_, How);
-    return StartResult::NoRoom;
+    // Other tasks of the step may run on workers that this one may not.
+    return Need.IsLastAttempt_ ? StartResult::Postponed : StartResult::NoRoom;
   }
   if (!Need.StepRunsPerWorker_.empty())
     ++Need.StepRunsPerWorker_[*Chosen];
@@ -522,11 +551,20 @@
   const auto It =
       std::ranges::find(Workers, Target, &decide::PlacementWorker::Name_);
   if (Target.empty() || It == Workers.end())
-    return Locality_.place(Now, LogTime_, Ready, Need, Placement);
+    return Locality_.place(Now, LogTime_, Ready, Need,
+                           mayWaitForData(Now, Ready), Placement);
   return {.Worker_ = Placement.placeReserved(
               Need, static_cast<std::size_t>(It - Workers.begin()))};
 }
 
+/// A task that lasts, or whose job stands still, takes any place.
+bool JobDispatcher::mayWaitForData(TimePoint Now,
+                                   const jobs::ReadyStep &Ready) {
+  const JobRow &Job = *Table_.find(Ready.Job_);
+  const StepSpec &Step = Job.Spec_.Steps_[Ready.Step_];
+  return !Step.DataRack_.empty() && !Step.LongRunning_ && !isStalled(Now, Job);
+}
+
 void JobDispatcher::proposeStart(TimePoint Now, const JobRow &Job, RunName Run,
                                  const std::string &Worker) {
   const WorkerSession &Session = Sessions_.sessions().at(Worker);
@@ -605,19 +643,28 @@
 void JobDispatcher::handleRunEnd(TimePoint Now, const jobs::EndRow &Row) {
   const JobRow *Job = Table_.find(Row.Run_.Task_.Job_);
   const auto Session = Sessions_.sessions().find(Row.Worker_);
-  if (Job != nullptr && Session != Sessions_.sessions().end())
-    Locality_.recordRelease(
-        Now, Session->second.Hello_.Labels_,
-        Job->Spec_.Steps_[Row.Run_.Task_.Step_].Need_.MilliProcessors_);
+  const bool HasSession = Session != Sessions_.sessions().end();
   if (Row.How_ == jobs::RunEnd::Finished) {
     Suspicion_.recordSuccess(Now, Row.Worker_);
-    StartLimits_.recordFinished(Row.Worker_);
+    const auto Run = HasSession ? Session->second.Runs_.find(Row.Run_)
+                                : std::map<RunName, RunInfo>::const_iterator();
+    if (HasSession && Run != Session->second.Runs_.end())
+      StartLimits_.recordFinished(Run->second.StartOrderedAt_, Row.Worker_);
+    if (Job != nullptr && HasSession && Session->second.isSchedulable())
+      Locality_.recordRelease(Now, Session->second.Hello_.Labels_,
+                              Job->Spec_.Steps_[Row.Run_.Task_.Step_]);
+  }
+  // Only the first failure of a task counts: one that fails repeatedly is
+  // probably at fault itself.
+  else if (Row.How_ == jobs::RunEnd::Failed && Job != nullptr) {
+    const jobs::TaskName &Name = Row.Run_.Task_;
+    const bool IsFirst =
+        Job->Spec_.Steps_[Name.Step_].LongRunning_
+            ? Row.Run_.Run_ == 1
+            : Job->Steps_[Name.Step_].Tasks_[Name.Index_].Failures_ == 1;
+    if (IsFirst)
+      recordRunFailure(Now, Row.Worker_);
   }
-  // Only the first run of a task counts: one that fails repeatedly is probably
-  // at fault itself.
-  else if (Row.How_ == jobs::RunEnd::Failed && Row.Run_.Run_ == 1 &&
-           Job != nullptr)
-    recordRunFailure(Now, Row.Worker_);
 }
 
 void JobDispatcher::recordRunFailure(TimePoint Now, const std::string &Worker) {
--- a/src/control/JobDispatcher.h
+++ b/src/control/JobDispatcher.h
@@ -107,6 +107,9 @@
   countRunsPerWorker(const jobs::ReadyStep &Ready,
                      const std::vector<jobs::TaskRow> &Tasks,
                      const decide::JobPlacement &Placement) const;
+  bool mustNotFail(TimePoint Now, const jobs::JobRow &Job,
+                   const jobs::TaskName &Name);
+  bool mayWaitForData(TimePoint Now, const jobs::ReadyStep &Ready);
   LocalityScheduler::Result placeTask(TimePoint Now,
                                       const jobs::ReadyStep &Ready,
                                       const jobs::TaskName &Task,
@@ -174,6 +177,8 @@
   /// Active jobs with a ready step but no task on a worker, by id, with the
   /// time of the first placement that found them so.
   std::map<std::string, TimePoint> IdleSince_;
+  /// When the last attempts of waiting tasks were first due.
+  std::map<jobs::TaskName, TimePoint> LastAttemptSince_;
   /// By service: when the first task of a stalled job may come first again.
   std::map<std::string, TimePoint> NextStalledStartAt_;
   /// Whether less than half of the processors of all workers are reserved.
--- a/src/control/LocalityScheduler.h
+++ b/src/control/LocalityScheduler.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,9 +30,9 @@
         Metrics_(JobMetrics) {}
 
   void startLeading();
-  /// Records the processors that a run has freed on a worker with \p Labels.
+  /// Records that a run of \p Step has ended on a worker with \p Labels.
   void recordRelease(TimePoint Now, const std::vector<std::string> &Labels,
-                     std::int64_t MilliProcessors);
+                     const jobs::StepSpec &Step);
   void beginPlacement();
 
   struct Result {
@@ -44,12 +45,14 @@
   /// Places a task of the step near its data, or elsewhere if a wait does not
   /// pay off.
   Result place(TimePoint Now, Duration LogTime, const jobs::ReadyStep &Ready,
-               decide::PlacementRequest Need, decide::JobPlacement &Placement);
+               decide::PlacementRequest Need, bool MayWait,
+               decide::JobPlacement &Placement);
 
 private:
   struct WaitingStep {
     TimePoint Since_;
     std::optional<decide::LocalityChoice> LoggedChoice_;
+    TimePoint LoggedAt_;
   };
 
   bool mustWait(TimePoint Now, Duration LogTime, const jobs::ReadyStep &Ready,
@@ -57,7 +60,7 @@
   decide::LocalityRequest makeRequest(TimePoint Now, Duration LogTime,
                                       const jobs::ReadyStep &Ready,
                                       const decide::PlacementRequest &Need);
-  void logChoice(const jobs::ReadyStep &Ready,
+  void logChoice(TimePoint Now, const jobs::ReadyStep &Ready,
                  const decide::PlacementRequest &Need,
                  const decide::LocalityDecision &Decision,
                  const decide::LocalityRequest &Request);
@@ -70,7 +73,9 @@
   /// By rack: thousandths of a processor that waiting tasks want there.
   std::map<std::string, std::int64_t, std::less<>> Wanted_;
   /// Steps without a place near their data in this placement.
-  std::map<jobs::ReadyStep, decide::LocalityRequest> Full_;
+  std::set<jobs::ReadyStep> Full_;
+  /// What the decisions on a step rest on in this placement.
+  std::map<jobs::ReadyStep, decide::LocalityRequest> Requests_;
   std::map<jobs::ReadyStep, WaitingStep> Waiting_;
 };
 
--- a/src/control/ServingRelocator.cpp
+++ b/src/control/ServingRelocator.cpp
@@ -105,11 +105,12 @@
   std::map<std::pair<std::string, std::uint32_t>, std::pair<std::size_t, bool>>
       Steps;
   for (const decide::PlacementWorker &Worker : Workers) {
-    decide::LayoutWorker &Row = Result.Workers_.emplace_back(
-        decide::LayoutWorker{.Service_ = Worker.Service_,
-                             .Capacity_ = Worker.Capacity_,
-                             .Reserved_ = Worker.Reserved_,
-                             .Suspect_ = Worker.Suspect_});
+    decide::LayoutWorker &Row =
+        Result.Workers_.emplace_back(decide::LayoutWorker{
+            .Service_ = Worker.Service_,
+            .Capacity_ = Worker.Capacity_,
+            .Reserved_ = Worker.Reserved_,
+            .Suspect_ = Worker.Suspect_ || Worker.StartsLeft_.has_value()});
     std::vector<RunName> &Runs = Result.Runs_.emplace_back();
     for (const RunName &Run : Table_.findWorker(Worker.Name_)->Runs_) {
       const JobRow *Job = Table_.find(Run.Task_.Job_);
--- a/src/decide/JobPlacement.cpp
+++ b/src/decide/JobPlacement.cpp
@@ -167,20 +167,23 @@
   return !Row.Closed_ && Row.Service_ == Task.Service_ &&
          hasRequiredLabel(Row, Task) && hasSpreadLeft(Index, Task) &&
          hasStartLeft(Row, Task) &&
-         (!Task.OnlyNearData_ || isGoodNearPlace(Row, Task)) &&
-         (Row.Proven_ || !Task.IsLastAttempt_ || !hasProvenWorker(Task));
+         (!Task.OnlyNearData_ || isGoodNearPlace(Row, Task));
 }
 
-bool JobPlacement::hasProvenWorker(const PlacementRequest &Task) const {
-  return std::ranges::any_of(Workers_, [&Task](const PlacementWorker &Row) {
-    return Row.Proven_ && Row.Service_ == Task.Service_ &&
-           hasRequiredLabel(Row, Task) && Task.Need_.fitsIn(Row.Capacity_);
-  });
+bool JobPlacement::needsProvenWorker(const PlacementRequest &Task) const {
+  if (!Task.IsLastAttempt_)
+    return false;
+  for (std::size_t Index = 0; Index < Workers_.size(); ++Index)
+    if (Workers_[Index].Proven_ && isEligible(Index, Task) &&
+        Task.Need_.fitsIn(Workers_[Index].Capacity_))
+      return true;
+  return false;
 }
 
 PlacementObstacles
 JobPlacement::countObstacles(const PlacementRequest &Task) const {
   PlacementObstacles Count;
+  const bool NeedsProven = needsProvenWorker(Task);
   for (std::size_t Index = 0; Index < Workers_.size(); ++Index) {
     const PlacementWorker &Row = Workers_[Index];
     const bool NeedsReserve = !Task.UsesSpareProcessors_;
@@ -194,7 +197,7 @@
       ++Count.TooManyOfStep_;
     else if (!hasStartLeft(Row, Task))
       ++Count.StartLimit_;
-    else if (Task.IsLastAttempt_ && !Row.Proven_ && hasProvenWorker(Task))
+    else if (NeedsProven && !Row.Proven_)
       ++Count.Unproven_;
     else if (Task.OnlyNearData_ && !isGoodNearPlace(Row, Task))
       ++Count.FarFromData_;
@@ -256,10 +259,12 @@
   static const Losses NoLosses;
   const Losses &LossesByServingImage =
       Task.UsesSpareProcessors_ ? lossesCausedBy(Task.Image_) : NoLosses;
+  const bool NeedsProven = needsProvenWorker(Task);
   std::optional<std::size_t> Best;
   Rank BestRank;
   for (std::size_t Index = 0; Index < Workers_.size(); ++Index) {
-    if (!isEligible(Index, Task) || !hasRoom(Index, Task, LossesByServingImage))
+    if ((NeedsProven && !Workers_[Index].Proven_) || !isEligible(Index, Task) ||
+        !hasRoom(Index, Task, LossesByServingImage))
       continue;
     const Rank Candidate = rankOf(Index, Task, LossesByServingImage);
     if (!Best || Candidate < BestRank) {
--- a/src/decide/StartLimits.cpp
+++ b/src/decide/StartLimits.cpp
@@ -4,7 +4,12 @@
 
 namespace dragonfly::decide {
 
-void StartLimits::recordFinished(const std::string &Worker) {
+void StartLimits::recordFinished(TimePoint StartedAt,
+                                 const std::string &Worker) {
+  const auto Failed = FailedAt_.find(Worker);
+  if (Failed != FailedAt_.end() && StartedAt < Failed->second)
+    return;
+  FailedAt_.erase(Worker);
   const auto It = Rows_.find(Worker);
   if (It == Rows_.end())
     return;
@@ -16,6 +21,7 @@
 
 void StartLimits::recordFailure(TimePoint Now, const std::string &Worker,
                                 std::uint32_t FailuresInRow) {
+  FailedAt_[Worker] = Now;
   const auto It = Rows_.find(Worker);
   if (It == Rows_.end() && FailuresInRow < Options_.FailuresInRow_)
     return;
@@ -33,10 +39,17 @@
   Limited.PausedUntil_ = Now + Limited.Pause_;
 }
 
+bool StartLimits::isFailing(TimePoint Now, const std::string &Worker) const {
+  const auto It = FailedAt_.find(Worker);
+  return It != FailedAt_.end() && Now - It->second < Options_.MemoryTime_;
+}
+
 std::optional<StartLimits::Limit>
 StartLimits::limitOf(TimePoint Now, const std::string &Worker) const {
   const auto It = Rows_.find(Worker);
-  if (It == Rows_.end())
+  const auto Failed = FailedAt_.find(Worker);
+  if (It == Rows_.end() || (Failed != FailedAt_.end() &&
+                            Now - Failed->second >= Options_.MemoryTime_))
     return std::nullopt;
   const Row &Limited = It->second;
   return Limit{.OpenStarts_ =
--- a/src/jobs/JobTable.cpp
+++ b/src/jobs/JobTable.cpp
@@ -100,10 +100,11 @@
       Task.Worker_ != Row.Worker_)
     return false;
   removeRun(Job, Row.Run_, Row.Worker_);
-  recordOutcome(At, Row, Task.Failures_ == 0);
   if (!Row.Checkpoint_.empty())
     Task.Checkpoint_ = Row.Checkpoint_;
   const StepSpec &Spec = Job.Spec_.Steps_[Name.Step_];
+  recordOutcome(At, Row,
+                Spec.LongRunning_ ? Row.Run_.Run_ == 1 : Task.Failures_ == 0);
   // The worker itself has listed such an end.
   if (Row.How_ == RunEnd::Finished || Row.How_ == RunEnd::Failed ||
       Row.How_ == RunEnd::Stopped)
--- a/src/net/FrameServer.cpp
+++ b/src/net/FrameServer.cpp
@@ -138,7 +138,10 @@
                     Server->Extra_.erase(Slot->lock());
                   }
                 },
-            .OnHeld_ = [Held](std::size_t Bytes) { Held->set(Bytes, Bytes); },
+            .OnHeld_ =
+                [Held](std::size_t Bytes, std::size_t Incomplete) {
+                  Held->set(Bytes, Incomplete);
+                },
             .OnWriting_ = {},
             .OnProbeAnswer_ = {}});
     *Slot = Stream;
--- a/src/net/FrameStream.cpp
+++ b/src/net/FrameStream.cpp
@@ -58,6 +58,9 @@
 
 void FrameStream::close() {
   Open_ = false;
+  // The stream lives on until its pending handlers have run.
+  if (Hooks_.OnHeld_)
+    Hooks_.OnHeld_(0, 0);
   boost::system::error_code Ignored;
   Socket_.close(Ignored);
 }
@@ -90,6 +93,7 @@
 
 void FrameStream::take(std::string_view Bytes) {
   Heard_ = true;
+  bool HasTakenFrame = false;
   if (Finishing_) {
     read();
     return;
@@ -99,6 +103,7 @@
     while (auto Value = Reader_.next()) {
       if (!checkSender(*Value))
         return;
+      HasTakenFrame = true;
       takeFrame(std::move(*Value));
       if (!Open_ || Finishing_)
         break;
@@ -113,8 +118,7 @@
   if (Reader_.pendingBytes() > 0)
     ProgressAt_ = Clock::now();
   Reader_.shrink();
-  if (Hooks_.OnHeld_)
-    Hooks_.OnHeld_(Reader_.heldBytes());
+  reportHeld(HasTakenFrame);
   if (Open_)
     read();
 }
@@ -168,7 +172,20 @@
   return Left;
 }
 
+/// A frame that is not whole counts as begun when the one before it was taken.
+void FrameStream::reportHeld(bool HasTakenFrame) {
+  if (!Hooks_.OnHeld_)
+    return;
+  const std::size_t Held = Reader_.heldBytes();
+  if (HasTakenFrame)
+    Hooks_.OnHeld_(Held, 0);
+  if (Open_ && Reader_.pendingBytes() > 0)
+    Hooks_.OnHeld_(Held, Held);
+}
+
 void FrameStream::fail() {
+  if (!Open_)
+    return;
   close();
   if (const auto Handler = std::exchange(Hooks_.OnClosed_, nullptr))
     Handler();
--- a/src/net/FrameStream.h
+++ b/src/net/FrameStream.h
@@ -25,8 +25,9 @@
     /// Called once, when the connection has closed for any reason but
     /// `close()`.
     std::function<void()> OnClosed_;
-    /// Called with the memory held for a frame that is not whole yet.
-    std::function<void(std::size_t)> OnHeld_;
+    /// Called with the memory held for received bytes, and the part of it that
+    /// is held for a frame that is not whole yet.
+    std::function<void(std::size_t Held, std::size_t Incomplete)> OnHeld_;
     /// Called as queued bytes are handed to the socket.
     std::function<void()> OnWriting_;
     /// Called with the sequence number of a probe that the peer has answered.
@@ -68,6 +69,7 @@
   std::size_t bytesToWrite(std::size_t Taken);
   void onReadable();
   void take(std::string_view Bytes);
+  void reportHeld(bool HasTakenFrame);
   void takeFrame(wire::Frame Value);
   void sendProbe(wire::FrameKind Kind, std::uint64_t Sequence);
   /// Ends the sending direction once all bytes have left.
--- a/src/net/HttpConnection.cpp
+++ b/src/net/HttpConnection.cpp
@@ -28,6 +28,8 @@
 constexpr TimePoint Never = TimePoint::max();
 /// When a caller may come again whose request did not fit in the memory budget.
 constexpr std::chrono::seconds MemoryRetryAfter{1};
+/// An answer that its caller has not taken for this long may be given up.
+constexpr Duration StalledAnswerTime = std::chrono::seconds(2);
 constexpr std::uint16_t TimeoutStatus = 408;
 constexpr std::uint16_t UnavailableStatus = 503;
 
@@ -186,6 +188,10 @@
 }
 
 void HttpConnection::checkTimeouts(TimePoint Now) {
+  if (Writing_)
+    countMemory();
+  if (Closed_)
+    return;
   if (Now >= WriteDeadline_ || (Lingering_ && Now >= ReadDeadline_)) {
     close();
   } else if (Now >= ReadDeadline_) {
@@ -321,11 +327,11 @@
   const std::size_t Parsed = Parser_->put(Buffer_.data(), Failure);
   Buffer_.consume(Parsed);
   if (IsHead)
-    HeadBytes_ += Parsed;
+    HeadBytes_ += Parsed - Parser_->get().body().size();
   if (Failure == http::error::need_more) {
     // Chunk lines and trailers are parsed only once they have arrived whole.
     if (Parser_->is_header_done() &&
-        Buffer_.size() > Owner_->Options_.MaxHeaderBytes_)
+        HeadBytes_ + Buffer_.size() > Owner_->Options_.MaxHeaderBytes_)
       refuse(parseFailure(http::error::header_limit));
     return false;
   }
@@ -353,6 +359,8 @@
   if (Closed_)
     return;
   if (!Owner_->Memory_.hasRoomFor(0)) {
+    Request->KeepAlive_ = false;
+    discardRest();
     HttpReplier(std::move(Request))
         .reply(makeUnavailable("memory-budget", MemoryRetryAfter));
     return;
@@ -379,33 +387,42 @@
   // The fields of a head take about twice its bytes.
   const std::size_t Fields =
       std::max(2 * HeadBytes_, HeaderMemory_.size()) - HeaderMemory_.size();
-  const std::size_t Incomplete =
+  const std::size_t Input =
       Buffer_.capacity() + Parser_->get().body().capacity() + Fields;
-  std::size_t Complete = Out_.capacity() + InFlight_.capacity();
+  std::size_t Rest = Out_.capacity() + InFlight_.capacity();
   for (const RequestState &Request : Requests_)
-    Complete += Request->Bytes_ + Request->Held_.capacity();
-  const std::size_t Untaken = Requests_.empty() ? Complete : 0;
-  Memory_->set(Incomplete + Complete, Incomplete + Untaken);
+    Rest += Request->Bytes_ + Request->Held_.capacity();
+  Memory_->set(Input + Rest,
+               (isIncomplete() ? Input : 0) + (isAnswerStalled() ? Rest : 0));
+}
+
+/// Returns whether a request has begun to arrive that can be given up. Whole
+/// ones may wait in the buffer while requests are handed over.
+bool HttpConnection::isIncomplete() const {
+  return !Dispatching_ && !Discarding_ && !betweenRequests() &&
+         Requests_.size() < MaxPipelined;
+}
+
+/// Returns whether the caller has not taken the last answer for
+/// `StalledAnswerTime`.
+bool HttpConnection::isAnswerStalled() const {
+  return Requests_.empty() && Writing_ && Owner_ != nullptr &&
+         Clock::now() + Owner_->Options_.WriteTimeout_ - WriteDeadline_ >=
+             StalledAnswerTime;
 }
 
 void HttpConnection::dropIncomplete() {
   if (Closed_)
     return;
   const auto Self = shared_from_this();
-  const bool IsIncomplete = !betweenRequests() && !Discarding_;
-  if (!IsIncomplete && Requests_.empty()) {
+  if (isAnswerStalled()) {
     close();
-    return;
-  }
-  releaseInput();
-  lingerBriefly();
-  if (Requests_.empty()) {
+  } else if (isIncomplete()) {
+    releaseInput();
+    lingerBriefly();
     refuse(makeUnavailable("memory-budget", MemoryRetryAfter));
-  } else {
-    Requests_.back()->KeepAlive_ = false;
-    discardRest();
+    countMemory();
   }
-  countMemory();
 }
 
 void HttpConnection::queue(std::string Bytes) {
@@ -434,6 +451,8 @@
   WriteDeadline_ = Never;
   WrittenAt_ = Clock::now();
   InFlight_.clear();
+  if (InFlight_.capacity() > ReadBytes)
+    std::string().swap(InFlight_);
   if (Closed_)
     return;
   countMemory();
--- a/src/net/HttpConnection.h
+++ b/src/net/HttpConnection.h
@@ -124,6 +124,8 @@
   void releaseInput();
   /// Counts the memory that the connection holds.
   void countMemory();
+  bool isIncomplete() const;
+  bool isAnswerStalled() const;
   /// Gives up what has not arrived whole, or an answer that is not taken.
   void dropIncomplete();
   void queue(std::string Bytes);
--- a/src/wire/Frame.cpp
+++ b/src/wire/Frame.cpp
@@ -143,7 +143,7 @@
   constexpr std::size_t KeptBytes = 64U << 10U;
   if (Consumed_ < Buffer_.size() || Buffer_.capacity() <= KeptBytes)
     return;
-  Buffer_ = {};
+  std::string().swap(Buffer_);
   Consumed_ = 0;
 }
 
