--- a/src/decide/StartLimits.cpp
+++ b/src/decide/StartLimits.cpp
@@ -1,6 +1,8 @@
 #include "dragonfly/decide/StartLimits.h"
 
 #include <algorithm>
+#include <string_view>
+#include <utility>
 
 namespace dragonfly::decide {
 
@@ -68,8 +70,10 @@
   for (PlacementWorker &Row : Workers)
     if (Row.StartsLeft_)
       Limited.push_back(&Row);
-  std::ranges::stable_sort(Limited, std::ranges::greater{},
-                           &PlacementWorker::FailuresInRow_);
+  std::ranges::sort(
+      Limited, std::ranges::greater{}, [](const PlacementWorker *Row) {
+        return std::pair(Row->FailuresInRow_, std::string_view(Row->Name_));
+      });
   for (PlacementWorker *Row : Limited) {
     std::size_t &Left = Allowed[Row->Service_];
     if (Left > 0)
--- a/tests/decide/LocalityWaitTest.cpp
+++ b/tests/decide/LocalityWaitTest.cpp
@@ -58,7 +58,7 @@
 TEST_CASE("a hot rack sheds the tasks that it cannot serve soon enough",
           "[decide][locality]") {
   LocalityRequest Task = request();
-  int Waiting = 0;
+  std::int64_t Waiting = 0;
   for (int I = 0; I < 100; ++I) {
     Task.WantedMilliProcessors_ = (Waiting + 1) * 1000;
     if (choose(Task) == LocalityChoice::Wait)
--- a/tests/decide/StartLimitsTest.cpp
+++ b/tests/decide/StartLimitsTest.cpp
@@ -70,6 +70,7 @@
 TEST_CASE("a third of a service's workers is limited at most",
           "[decide][jobs]") {
   std::vector<PlacementWorker> Workers;
+  Workers.reserve(6);
   for (std::uint32_t I = 0; I < 6; ++I)
     Workers.push_back(limitedWorker("w" + std::to_string(I), I + 2));
   liftExcessLimits(Workers);
