--- a/src/control/JobDispatcher.cpp
+++ b/src/control/JobDispatcher.cpp
@@ -43,6 +43,9 @@
 /// A worker that is cold later than this has restarted since its zone was taken
 /// back.
 constexpr Duration MaxSlowStartTime = std::chrono::seconds(30);
+/// Queues with more attempts survive some workers that fail every run; their
+/// services are placed without regard to failed runs.
+constexpr std::uint32_t FewAttempts = 2;
 /// A last attempt waits this long for a proven worker with room.
 constexpr Duration MaxProvenWait = std::chrono::seconds(3);
 /// Starts are confirmed by the next report, each 0.4 s.
@@ -143,13 +146,17 @@
                                    const WorkerSession &Session,
                                    const jobs::WorkerRow &Row,
                                    decide::PlacementWorker &Worker) const {
+  Worker.StartsLeft_.reset();
+  Worker.FailuresInRow_ = 0;
+  Worker.Proven_ = false;
+  if (!ServicesWithFewAttempts_.contains(Worker.Service_))
+    return;
   const bool IsFailing = StartLimits_.isFailing(Now, Worker.Name_);
   Worker.FailuresInRow_ =
       IsFailing ? std::max<std::uint32_t>(Row.FailuresInRow_, 1) : 0;
   Worker.Proven_ = !IsFailing && !Worker.Suspect_ &&
                    Row.LastFinishedAt_ > Duration::zero() &&
                    LogTime - Row.LastFinishedAt_ < ProvenTime;
-  Worker.StartsLeft_.reset();
   if (const auto Limit = StartLimits_.limitOf(Now, Worker.Name_)) {
     const std::uint32_t Open = countStartsSince(Limit->Since_, Session, Row);
     Worker.StartsLeft_ =
@@ -176,6 +183,16 @@
   return static_cast<std::uint32_t>(Ordered + Proposed);
 }
 
+void JobDispatcher::updateServicesWithFewAttempts() {
+  const jobs::Configuration &Current = Table_.configuration();
+  if (std::exchange(AttemptsVersion_, Current.Version_) == Current.Version_)
+    return;
+  ServicesWithFewAttempts_.clear();
+  for (const jobs::Queue &Queue : Current.Queues_)
+    if (Queue.MaxAttempts_ <= FewAttempts)
+      ServicesWithFewAttempts_.insert(Queue.Service_);
+}
+
 /// Limits the workers whose last runs failed under an earlier leader.
 void JobDispatcher::restoreStartLimits() {
   StartLimits_.clear();
@@ -350,6 +367,7 @@
 
 void JobDispatcher::placeTasks(TimePoint Now, Duration LogTime) {
   LogTime_ = LogTime;
+  updateServicesWithFewAttempts();
   std::vector<decide::PlacementWorker> Workers =
       schedulableWorkers(Now, LogTime);
   Relocator_.tick(Now, Workers);
@@ -498,7 +516,8 @@
 bool JobDispatcher::mustNotFail(TimePoint Now, const JobRow &Job,
                                 const jobs::TaskName &Name) {
   const TaskRow &Task = Job.Steps_[Name.Step_].Tasks_[Name.Index_];
-  if (Job.Spec_.Steps_[Name.Step_].LongRunning_ || Task.Failures_ == 0 ||
+  if (Job.Queue_.MaxAttempts_ > FewAttempts ||
+      Job.Spec_.Steps_[Name.Step_].LongRunning_ || Task.Failures_ == 0 ||
       Task.Failures_ + 1 < Job.Queue_.MaxAttempts_)
     return false;
   const TimePoint Since =
@@ -667,16 +686,24 @@
   }
 }
 
-void JobDispatcher::recordRunFailure(TimePoint Now, const std::string &Worker) {
-  const bool WasSuspect = Suspicion_.isSuspect(Now, Worker);
-  Suspicion_.recordFailure(Now, Worker);
+void JobDispatcher::limitFailingWorker(TimePoint Now,
+                                       const std::string &Worker) {
+  const auto Session = Sessions_.sessions().find(Worker);
   const jobs::WorkerRow *Row = Table_.findWorker(Worker);
+  if (Session == Sessions_.sessions().end() || Row == nullptr ||
+      !ServicesWithFewAttempts_.contains(Session->second.Hello_.Service_))
+    return;
   const bool WasLimited = StartLimits_.limitOf(Now, Worker).has_value();
-  StartLimits_.recordFailure(Now, Worker,
-                             Row == nullptr ? 0 : Row->FailuresInRow_);
+  StartLimits_.recordFailure(Now, Worker, Row->FailuresInRow_);
   if (!WasLimited && StartLimits_.limitOf(Now, Worker))
     logEvent(Event::WorkerLimited,
              {{"worker", Worker}, {"failures_in_row", Row->FailuresInRow_}});
+}
+
+void JobDispatcher::recordRunFailure(TimePoint Now, const std::string &Worker) {
+  const bool WasSuspect = Suspicion_.isSuspect(Now, Worker);
+  Suspicion_.recordFailure(Now, Worker);
+  limitFailingWorker(Now, Worker);
   if (!WasSuspect && Suspicion_.isSuspect(Now, Worker))
     logEvent(Event::WorkerSuspected, {{"worker", Worker}});
 }
--- a/src/control/JobDispatcher.h
+++ b/src/control/JobDispatcher.h
@@ -18,6 +18,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -94,6 +95,7 @@
   };
 
   void restoreStartLimits();
+  void updateServicesWithFewAttempts();
   void pruneStaleEntries();
   void placeTasks(TimePoint Now, Duration LogTime);
   void placeOverdueTasks(TimePoint Now, const std::vector<PlacementWork> &Work,
@@ -123,6 +125,7 @@
   void stopStalledRuns(TimePoint Now, const std::string &Worker,
                        const WorkerSession &Session);
   void recordRunFailure(TimePoint Now, const std::string &Worker);
+  void limitFailingWorker(TimePoint Now, const std::string &Worker);
   void stopResumableRuns(TimePoint Now, const std::string &Worker,
                          const WorkerSession &Session);
   std::vector<decide::PlacementWorker> schedulableWorkers(TimePoint Now,
@@ -174,6 +177,10 @@
   std::map<std::string, CachedWorker> CachedWorkers_;
   decide::WorkerSuspicion Suspicion_;
   decide::StartLimits StartLimits_;
+  /// Services with a queue of `FewAttempts` or fewer, and the version of the
+  /// configuration that they were taken from.
+  std::set<std::string> ServicesWithFewAttempts_;
+  std::uint64_t AttemptsVersion_ = 0;
   /// Active jobs with a ready step but no task on a worker, by id, with the
   /// time of the first placement that found them so.
   std::map<std::string, TimePoint> IdleSince_;
