--- a/include/dragonfly/base/Event.h
+++ b/include/dragonfly/base/Event.h
@@ -68,6 +68,8 @@
   LocalityDecided = 3033,
   WorkerLimited = 3034,
   ZoneEvacuated = 3035,
+  ConfigurationRead = 3036,
+  OperatorAnswered = 3037,
   // consensus
   LeaderElected = 4001,
   LeaderLost = 4002,
@@ -79,6 +81,8 @@
   DiskFull = 4008,
   DiskHasRoom = 4009,
   LeadershipTransferred = 4010,
+  SnapshotSaved = 4011,
+  LearnerCaughtUp = 4012,
   // agent
   AgentReady = 5001,
   AgentDraining = 5002,
--- a/src/base/Event.cpp
+++ b/src/base/Event.cpp
@@ -138,6 +138,11 @@
      "An operator has evacuated an availability zone, so that its workers get "
      "no "
      "more runs, or has taken it back."},
+    {Event::ConfigurationRead, Severity::Info, "configuration-read",
+     "The leader answered a read of the configuration with this version."},
+    {Event::OperatorAnswered, Severity::Info, "operator-answered",
+     "An operator's call about the configuration was answered, so long after "
+     "it had been read whole."},
     {Event::LeaderElected, Severity::Info, "leader-elected",
      "This replica leads the replicated log in a new term."},
     {Event::LeaderLost, Severity::Warning, "leader-lost",
@@ -162,6 +167,12 @@
     {Event::LeadershipTransferred, Severity::Info, "leadership-transferred",
      "This replica stops and asks another one, which has every record, to lead "
      "in its place."},
+    {Event::SnapshotSaved, Severity::Info, "snapshot-saved",
+     "The state is durable as a snapshot, which replaces that many bytes of "
+     "records."},
+    {Event::LearnerCaughtUp, Severity::Info, "learner-caught-up",
+     "A learner holds every committed record, so long after this leader "
+     "began to send to it."},
     {Event::AgentReady, Severity::Info, "agent-ready",
      "The agent knows what its VM runs and admits work."},
     {Event::AgentDraining, Severity::Info, "agent-draining",
--- a/src/consensus/RaftCore.h
+++ b/src/consensus/RaftCore.h
@@ -44,6 +44,8 @@
   /// True while records or a chunk are under way.
   bool Awaiting_ = false;
   TimePoint AwaitingSince_{};
+  /// It has held every committed record since this row was made.
+  bool CaughtUp_ = false;
   std::optional<Transfer> Transfer_;
 };
 
@@ -143,6 +145,8 @@
   void sendHeartbeat(const Member &Row, Peer &To);
   Peer *acknowledge(ReplicaId From, StoreId Store, Term ReplyTerm,
                     const Stamp &Value);
+  /// Logs the first time that \p Row holds every committed record.
+  void noteProgress(ReplicaId Id, Peer &Row);
   AppendReply answerAppend(const AppendRequest &Value);
   void takeRecords(const AppendRequest &Value);
   void on(ReplicaId From, StoreId Store, const AppendRequest &Value);
--- a/src/consensus/Replication.cpp
+++ b/src/consensus/Replication.cpp
@@ -161,12 +161,26 @@
   return &Row;
 }
 
+void RaftCore::noteProgress(ReplicaId Id, Peer &Row) {
+  const Member *Known = Members_.find(Id);
+  if (Row.CaughtUp_ || Row.Match_ < Commit_ || !Known || Known->Voter_)
+    return;
+  Row.CaughtUp_ = true;
+  logEvent(Event::LearnerCaughtUp,
+           {{"replica", Id.Value_},
+            {"store", Row.Store_.Value_},
+            {"index", Row.Match_.Value_},
+            {"age_ms", static_cast<std::uint64_t>(
+                           toMilliseconds(Now_ - Row.KnownSince_))}});
+}
+
 void RaftCore::on(ReplicaId From, StoreId Store, const AppendReply &Value) {
   Peer *Row = acknowledge(From, Store, Value.Term_, Value.Stamp_);
   if (!Row)
     return;
   if (Value.Matched_) {
     Row->Match_ = std::max(Row->Match_, Value.Index_);
+    noteProgress(From, *Row);
     if (Row->Match_ >= Row->Next_) {
       Row->Next_ = nextIndex(Row->Match_);
       Row->Awaiting_ = false;
--- a/src/consensus/SnapshotTransfer.cpp
+++ b/src/consensus/SnapshotTransfer.cpp
@@ -51,6 +51,12 @@
              {{"replica", Options_.Self_.Value_}, {"detail", Failure.what()}});
     return;
   }
+  logEvent(Event::SnapshotSaved,
+           {{"replica", Options_.Self_.Value_},
+            {"index", Fresh->Index_.Value_},
+            {"state_bytes", Fresh->State_.size()},
+            {"records", Fresh->Index_.Value_ - Snapshot_->Index_.Value_},
+            {"log_bytes", LogBytes_}});
   Snapshot_ = std::move(Fresh);
   Dirty_ = true;
   LogBytes_ = 0;
@@ -113,6 +119,7 @@
     Row->Match_ = std::max(Row->Match_, Value.Index_);
     Row->Next_ = std::max(Row->Next_, nextIndex(Row->Match_));
     Row->Transfer_.reset();
+    noteProgress(From, *Row);
   } else if (Value.NextOffset_ <= Row->Transfer_->Snapshot_->State_.size()) {
     Row->Transfer_->Offset_ = Value.NextOffset_;
   }
--- a/src/control/GroupKeeper.cpp
+++ b/src/control/GroupKeeper.cpp
@@ -45,13 +45,15 @@
       .Store_ = Notice.Store_, .Address_ = Notice.Address_, .SeenAt_ = Now};
 }
 
+std::size_t GroupKeeper::countVoters() const {
+  return static_cast<std::size_t>(
+      std::ranges::count(Log_.members(), true, &consensus::Member::Voter_));
+}
+
 bool GroupKeeper::replacementIsDue(TimePoint Now,
                                    const GroupPlanOptions &Options) const {
-  const std::vector<consensus::Member> &Members = Log_.members();
-  const auto Voters =
-      std::ranges::count(Members, true, &consensus::Member::Voter_);
-  const bool LacksVoters = static_cast<std::size_t>(Voters) < Options.Voters_;
-  return std::ranges::any_of(Members, [&](const consensus::Member &Row) {
+  const bool LacksVoters = countVoters() < Options.Voters_;
+  return std::ranges::any_of(Log_.members(), [&](const consensus::Member &Row) {
     const auto Found = Seen_.find(Row.Id_);
     if (Row.Id_ == Options.Self_ || Found == Seen_.end() ||
         Now - Found->second.SeenAt_ >= Options.PresentTime_)
@@ -111,6 +113,7 @@
   logEvent(Event::MemberChanged, {{"replica", Change.Target_.Id_.Value_},
                                   {"store", Change.Target_.Store_.Value_},
                                   {"role", roleOf(Change)},
+                                  {"voters", countVoters()},
                                   {"address", Change.Target_.Address_}});
 }
 
--- a/src/control/GroupKeeper.h
+++ b/src/control/GroupKeeper.h
@@ -32,6 +32,7 @@
   void tick(TimePoint Now, const GroupPlanOptions &Options);
 
 private:
+  std::size_t countVoters() const;
   /// Drops announcements that may be older than the store that the member has
   /// now: a change of the members since the last look came after them.
   void forgetReplacedStores();
--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -272,19 +272,25 @@
       Answer(wire::PutConfigurationAck{Table_.configuration().Version_});
       return;
     }
-    Options_.Propose_(PutQueues{std::move(Request.Value_)},
-                      [this, Answer = std::move(Answer)](
-                          ProposeStatus Status, const CommandOutput &Output) {
-                        if (Status != ProposeStatus::Committed) {
-                          refuseIfNotLeader(Status, Answer);
-                          return;
-                        }
-                        const std::uint64_t Version =
-                            std::get<QueuesOutcome>(Output).Version_;
-                        logEvent(Event::QueuesChanged, {{"version", Version}});
-                        Dispatcher_.notifyJobsChanged();
-                        Answer(wire::PutConfigurationAck{Version});
-                      });
+    const std::size_t Bytes = Request.Value_.Document_.size();
+    Options_.Propose_(
+        PutQueues{std::move(Request.Value_)},
+        [this, Bytes, Began = Clock::now(), Answer = std::move(Answer)](
+            ProposeStatus Status, const CommandOutput &Output) {
+          if (Status != ProposeStatus::Committed) {
+            refuseIfNotLeader(Status, Answer);
+            return;
+          }
+          const std::uint64_t Version =
+              std::get<QueuesOutcome>(Output).Version_;
+          logEvent(Event::QueuesChanged,
+                   {{"version", Version},
+                    {"bytes", Bytes},
+                    {"age_ms", static_cast<std::uint64_t>(
+                                   toMilliseconds(Clock::now() - Began))}});
+          Dispatcher_.notifyJobsChanged();
+          Answer(wire::PutConfigurationAck{Version});
+        });
   }
 
   void setEvacuation(SetEvacuation Change, EvacuationDone Done) {
@@ -429,6 +435,8 @@
 
 void JobService::fetchConfiguration(const Reply &Answer) {
   const jobs::Configuration &Current = Impl_->Table_.configuration();
+  logEvent(Event::ConfigurationRead, {{"version", Current.Version_},
+                                      {"bytes", Current.Document_.size()}});
   Answer(wire::CurrentConfiguration{.Version_ = Current.Version_,
                                     .Document_ = Current.Document_});
 }
