--- a/src/consensus/RaftCore.h
+++ b/src/consensus/RaftCore.h
@@ -164,6 +164,9 @@
   void install(const InstallRequest &Value, std::string State);
   void takeSnapshot();
   bool isSnapshotDue() const;
+  /// True where a peer that needs a snapshot gets fewer bytes if one is made
+  /// now than with the records behind the last one.
+  bool isFreshSnapshotWorthwhile() const;
   LogIndex retainedFrom() const;
   /// True where \p Row has acknowledged within an election timeout.
   bool followsClosely(const Peer &Row) const;
@@ -220,6 +223,8 @@
   /// Payload bytes of the records applied since the snapshot.
   std::uint64_t LogBytes_ = 0;
   TimePoint SnapshotRetryAt_;
+  /// A peer waits for a snapshot that is to be made for it.
+  bool FreshSnapshotDue_ = false;
   std::vector<Outgoing> Early_;
   std::vector<Outgoing> AfterSync_;
   std::vector<std::function<void()>> Deferred_;
--- a/src/consensus/Replication.cpp
+++ b/src/consensus/Replication.cpp
@@ -102,8 +102,14 @@
   if (To.Transfer_ && Now_ - std::max(To.AckedAt_, To.KnownSince_) >=
                           TransferPatience * Options_.ElectionTimeout_)
     To.Transfer_.reset();
+  const bool HoldsNothing = To.Next_ == nextIndex({});
+  const bool NeedsSnapshot =
+      To.Transfer_ || To.Next_ <= Log_.baseIndex() ||
+      (HoldsNothing && (Snapshot_->Index_ || isFreshSnapshotWorthwhile()));
   if (!To.Awaiting_) {
-    if (To.Transfer_ || To.Next_ <= Log_.baseIndex())
+    if (NeedsSnapshot && !To.Transfer_ && isFreshSnapshotWorthwhile())
+      FreshSnapshotDue_ = true;
+    else if (NeedsSnapshot)
       sendChunk(Row, To);
     else if (To.Next_ <= Log_.lastIndex())
       sendRecords(Row, To);
--- a/src/consensus/SnapshotTransfer.cpp
+++ b/src/consensus/SnapshotTransfer.cpp
@@ -17,6 +17,9 @@
 /// Payload bytes in memory beyond which no record is kept for a peer.
 static constexpr std::size_t MaxRetainedBytes = 16U << 20U;
 
+/// Payload bytes behind a snapshot up to which it is sent to a peer as it is.
+static constexpr std::uint64_t MinFreshSnapshotBytes = 1U << 20U;
+
 /// How soon a snapshot that found no room is made again.
 static constexpr Duration SnapshotRetryPeriod = std::chrono::seconds(1);
 
@@ -26,9 +29,15 @@
   return Crc.checksum();
 }
 
+bool RaftCore::isFreshSnapshotWorthwhile() const {
+  return LogBytes_ > std::max<std::uint64_t>(MinFreshSnapshotBytes,
+                                             Snapshot_->State_.size()) &&
+         Now_ >= SnapshotRetryAt_;
+}
+
 bool RaftCore::isSnapshotDue() const {
   const std::uint64_t Records = Applied_.Value_ - Snapshot_->Index_.Value_;
-  return Records >= Options_.SnapshotEveryRecords_ ||
+  return FreshSnapshotDue_ || Records >= Options_.SnapshotEveryRecords_ ||
          (Records > 0 && Options_.MaxLogBytes_ > 0 &&
           LogBytes_ >= Options_.MaxLogBytes_);
 }
@@ -36,6 +45,7 @@
 void RaftCore::takeSnapshot() {
   if (!isSnapshotDue() || Now_ < SnapshotRetryAt_)
     return;
+  FreshSnapshotDue_ = false;
   auto Fresh = std::make_shared<Snapshot>(
       Snapshot{Applied_, *Log_.termAt(Applied_),
                encodeMembers(Members_.membersAt(Applied_)),
--- a/tests/consensus/ReplicatedLogTest.cpp
+++ b/tests/consensus/ReplicatedLogTest.cpp
@@ -36,6 +36,29 @@
   return *Result;
 }
 
+/// Makes the link between each pair of replicas carry \p BytesPerMs, one
+/// message after the other.
+void limitLinks(LogCluster &Group, std::size_t BytesPerMs) {
+  using Pair = std::pair<ReplicaId, ReplicaId>;
+  const auto FreeAt = std::make_shared<std::map<Pair, TimePoint>>();
+  Group.Route_ = [&Group, BytesPerMs, FreeAt](const RoutedBytes &Value) {
+    TimePoint &Free = (*FreeAt)[{Value.From_, Value.To_}];
+    Free = std::max(Free, Group.now()) +
+           Duration(1ms) * static_cast<Duration::rep>(Value.Bytes_.size()) /
+               static_cast<Duration::rep>(BytesPerMs);
+    return std::vector<Duration>{Free - Group.now() + 1ms};
+  };
+}
+
+/// Makes the newest command the whole state of each replica.
+void keepNewestOnly(LogCluster &Group) {
+  Group.OnApply_ = [&Group](ReplicaId Id, std::string_view, bool After) {
+    std::vector<std::string> &Applied = Group.replica(Id).Applied_;
+    if (After && Applied.size() > 1)
+      Applied.erase(Applied.begin(), Applied.end() - 1);
+  };
+}
+
 void requireSameState(LogCluster &Group) {
   const std::vector<std::string> Wanted = awaitLeader(Group).Applied_;
   REQUIRE(Group.runUntil(
@@ -299,3 +322,33 @@
     CHECK(Kept.Records_.size() * RecordBytes <= MaxLogBytes + RecordBytes);
   }
 }
+
+// Guards against a replacement that cannot vote within the time that it is
+// given (4 s), while further disks are lost: it was sent the records behind the
+// last snapshot, which may be many times the state.
+TEST_CASE("a new disk catches up in the time that the state takes to copy",
+          "[consensus][snapshot]") {
+  constexpr std::size_t RecordBytes = 350'000;
+  constexpr std::size_t MaxLogBytes = 16U << 20U;
+  constexpr std::size_t BytesPerMs = 3'125; // 25 Mbit/s
+  LogCluster Group({.Seed_ = 21, .MaxLogBytes_ = MaxLogBytes});
+  keepNewestOnly(Group);
+  Replica &Leader = awaitLeader(Group);
+  const std::size_t Compacted = GENERATE(0U, 1U);
+  const std::size_t Records = (Compacted + 1) * MaxLogBytes / RecordBytes - 1;
+  for (std::size_t I = 0; I < Records; ++I)
+    REQUIRE(proposeAt(Group, Leader, std::string(RecordBytes, 'a')).Status_ ==
+            ProposeStatus::Committed);
+  limitLinks(Group, BytesPerMs);
+  const ReplicaId Wiped{Leader.Id_.Value_ % 3 + 1};
+  Group.loseDisk(Wiped);
+  Group.run(1s);
+  const auto HasCaughtUp = [&] {
+    const Replica &New = Group.replica(Wiped);
+    return New.Log_ && New.Log_->appliedIndex() >= Leader.Log_->commitIndex();
+  };
+  REQUIRE(
+      changeAt(Group, Leader, {.Id_ = Wiped, .Store_ = {}, .Voter_ = false}) ==
+      ProposeStatus::Committed);
+  CHECK(Group.runUntil(HasCaughtUp, 4s));
+}
