Redirect operators who move a configuration to the leader

Cause: a process that does not lead passed the whole document on, within 1,900 ms for a change and 900 ms for a read. On a link of 2 Mbit/s 277 KB take 1,100 ms, and a change carries the queues as well. Each such call ended as 504 or 503, and the operator began again elsewhere: a time bound that does not know how many bytes it waits for.

The body is not waited for. Without a leader that answered lately it serves as before.

Ruled out: slow commits, since the leader answered within 0.2 s throughout.

--- a/include/dragonfly/link/LeaderClient.h
+++ b/include/dragonfly/link/LeaderClient.h
@@ -77,6 +77,10 @@
   /// Replaces the first addresses; learnt ones stay.
   void setSeeds(std::vector<std::string> Seeds);
 
+  /// Returns the frame address of the leader, or an empty text where none has
+  /// answered within two refresh periods.
+  std::string recentLeader() const;
+
   /// When a leader last answered.
   TimePoint lastAnswer() const;
 
--- a/include/dragonfly/net/HttpServer.h
+++ b/include/dragonfly/net/HttpServer.h
@@ -9,8 +9,10 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -61,6 +63,13 @@
   /// Where false, connections wait in the system's queue until
   /// `startAccepting()`.
   bool AcceptAtOnce_ = true;
+  /// Where set, called with the head of a request whose body has not arrived
+  /// whole, and with the length that the head gives for the body, 0 where it
+  /// gives none. A response that it returns is sent at once; the body is
+  /// discarded and the connection closed.
+  std::function<std::optional<HttpResponse>(const HttpRequest &Head,
+                                            std::uint64_t BodyBytes)>
+      OnHead_;
   std::function<void(HttpRequest, HttpReplier)> OnRequest_;
 };
 
--- a/src/link/LeaderClient.cpp
+++ b/src/link/LeaderClient.cpp
@@ -274,6 +274,12 @@
   Impl_->Options_.Seeds_ = std::move(Seeds);
 }
 
+std::string LeaderClient::recentLeader() const {
+  const bool Recent =
+      Clock::now() - Impl_->LastAnswer_ <= 2 * Impl_->Options_.RefreshPeriod_;
+  return Recent ? Impl_->Leader_ : std::string();
+}
+
 TimePoint LeaderClient::lastAnswer() const { return Impl_->LastAnswer_; }
 
 } // namespace dragonfly::link
--- a/src/net/HttpConnection.cpp
+++ b/src/net/HttpConnection.cpp
@@ -33,16 +33,21 @@
 constexpr std::uint16_t TimeoutStatus = 408;
 constexpr std::uint16_t UnavailableStatus = 503;
 
-template <typename Parser> HttpRequest takeRequest(Parser &Source) {
-  auto Message = Source.release();
+template <typename Message> HttpRequest copyHead(const Message &Source) {
   HttpRequest Result;
-  Result.Method_ = std::string(Message.method_string());
-  Result.Target_ = std::string(Message.target());
+  Result.Method_ = std::string(Source.method_string());
+  Result.Target_ = std::string(Source.target());
   Result.Headers_.reserve(
-      static_cast<std::size_t>(std::distance(Message.begin(), Message.end())));
-  for (const auto &Field : Message)
+      static_cast<std::size_t>(std::distance(Source.begin(), Source.end())));
+  for (const auto &Field : Source)
     Result.Headers_.push_back(
         {std::string(Field.name_string()), std::string(Field.value())});
+  return Result;
+}
+
+template <typename Parser> HttpRequest takeRequest(Parser &Source) {
+  auto Message = Source.release();
+  HttpRequest Result = copyHead(Message);
   Result.Body_ = std::move(Message.body());
   return Result;
 }
@@ -292,6 +297,10 @@
     return;
   }
   if (Discarding_) {
+    if (Lingering_ && !Owner_->Stopping_)
+      ReadDeadline_ =
+          std::max(ReadDeadline_,
+                   std::min(Clock::now() + Owner_->LingerTime_, DrainEndsAt_));
     read();
     return;
   }
@@ -328,6 +337,9 @@
   Buffer_.consume(Parsed);
   if (IsHead)
     HeadBytes_ += Parsed - Parser_->get().body().size();
+  if (IsHead && Parser_->is_header_done() && !Parser_->is_done() &&
+      answerHead())
+    return false;
   if (Failure == http::error::need_more) {
     // Chunk lines and trailers are parsed only once they have arrived whole.
     if (Parser_->is_header_done() &&
@@ -345,6 +357,20 @@
   return true;
 }
 
+bool HttpConnection::answerHead() {
+  if (!Owner_->Options_.OnHead_)
+    return false;
+  std::optional<HttpResponse> Answer = Owner_->Options_.OnHead_(
+      copyHead(Parser_->get()), Parser_->content_length().value_or(0));
+  if (!Answer)
+    return false;
+  // A caller may send the whole body before it reads the answer.
+  DrainEndsAt_ = Clock::now() + Owner_->Options_.IdleTimeout_;
+  refuse(std::move(*Answer));
+  releaseInput();
+  return true;
+}
+
 void HttpConnection::dispatch() {
   auto Request = std::make_shared<HttpReplier::State>();
   Request->Connection_ = weak_from_this();
--- a/src/net/HttpConnection.h
+++ b/src/net/HttpConnection.h
@@ -117,6 +117,9 @@
   void consume();
   /// Hands over the next whole request; false where none has come.
   bool consumeOne();
+  /// Lets the owner answer a request whose body has not arrived. Returns
+  /// whether it did.
+  bool answerHead();
   void dispatch();
   /// No request that arrives later is run.
   void discardRest();
@@ -151,6 +154,8 @@
   /// When bytes last left.
   TimePoint WrittenAt_ = TimePoint::min();
   TimePoint WriteDeadline_ = TimePoint::max();
+  /// Until when a body that was answered before it had arrived is read.
+  TimePoint DrainEndsAt_ = TimePoint::min();
   bool Reading_ = false;
   bool Writing_ = false;
   bool Dispatching_ = false;
