Bound what a learner may lack in bytes where it raises the quorum

A learner counted as caught up once it lacked no more than 1,000 records. Of a large configuration that is hundreds of megabytes; where an absent voter of three is replaced, four voters need three acknowledgements, the learner's among them, and nothing is committed until it has copied everything, the record that removes the absent one included.

Change: where the group has an odd number of voters, so that one more raises the quorum, a learner may lack no more than one message. Where the number is even a vote can only help, and the bound stays as it was.

ReplicatedLogTest, 40 records of 350 KB on links of 25 Mbit/s: nothing committed for 4,780 ms before, where a second is allowed; passes. control, faults, disks, chain and platform tests pass.

--- a/src/consensus/Commit.cpp
+++ b/src/consensus/Commit.cpp
@@ -100,11 +100,20 @@
   return std::nullopt;
 }
 
+/// With one more voter an odd group needs one more acknowledgement of each
+/// record: the learner must then lack no more than one message, whatever its
+/// records weigh.
 bool RaftCore::hasCaughtUp(ReplicaId Id) const {
   const auto Progress = Peers_.find(Id);
-  return Progress != Peers_.end() && Progress->second.Match_ &&
-         Progress->second.Match_.Value_ + MaxPromotionLagRecords >=
-             Commit_.Value_;
+  if (Progress == Peers_.end() || !Progress->second.Match_)
+    return false;
+  const LogIndex Match = Progress->second.Match_;
+  if (Match.Value_ + MaxPromotionLagRecords < Commit_.Value_)
+    return false;
+  const bool RaisesQuorum =
+      std::ranges::count(members(), true, &Member::Voter_) % 2 == 1;
+  return !RaisesQuorum || nextIndex(Match) >= Commit_ ||
+         Log_.startOfBytes(Commit_, Options_.MaxBatchBytes_) <= Match;
 }
 
 /// Only records of the present term are committed by counting; they carry
--- a/tests/consensus/ReplicatedLogTest.cpp
+++ b/tests/consensus/ReplicatedLogTest.cpp
@@ -352,3 +352,39 @@
       ProposeStatus::Committed);
   CHECK(Group.runUntil(HasCaughtUp, 4s));
 }
+
+// Guards against a group that stands still once a learner votes: it counted as
+// caught up by its number of records, lacked many megabytes, and was needed for
+// each commit.
+TEST_CASE("a learner that lacks large records does not raise the quorum",
+          "[consensus][membership]") {
+  constexpr std::size_t RecordBytes = 350'000;
+  constexpr std::size_t BytesPerMs = 3'125; // 25 Mbit/s
+  LogCluster Group({.Replicas_ = 4, .Seed_ = 22});
+  keepNewestOnly(Group);
+  Replica &Leader = awaitLeader(Group);
+  const ReplicaId Id{Leader.Id_.Value_ % 4 + 1};
+  const ReplicaId Gone{Id.Value_ % 4 + 1};
+  proposeAt(Group, Leader, "before");
+  Member Row{.Id_ = Id,
+             .Store_ = Group.replica(Id).Log_->store(),
+             .Voter_ = false,
+             .Address_ = {}};
+  REQUIRE(changeAt(Group, Leader, Row) == ProposeStatus::Committed);
+  Group.isolate(Id);
+  for (int I = 0; I < 40; ++I)
+    REQUIRE(proposeAt(Group, Leader, std::string(RecordBytes, 'a')).Status_ ==
+            ProposeStatus::Committed);
+  limitLinks(Group, BytesPerMs);
+  Group.heal();
+  Group.isolate(Gone);
+  Row.Voter_ = true;
+  REQUIRE(Group.runUntil(
+      [&] { return !Leader.Log_->changeObstacle(Row, false); }, Patience));
+  const TimePoint Began = Group.now();
+  REQUIRE(changeAt(Group, Leader, Row) == ProposeStatus::Committed);
+  REQUIRE(proposeAt(Group, Leader, "after").Status_ ==
+          ProposeStatus::Committed);
+  // An operator asks another process after a second without an answer.
+  CHECK(Group.now() - Began < 1s);
+}
