Send large records of the log in parts, with heartbeats between them

The log does not repeat a message that is still leaving (IsSending_), and two at most wait for each link.

Ruled out: acknowledging each part, which needs a window that fits each link, and parts within the log, since its messages would then bound a link's throughput.

--- a/include/dragonfly/consensus/ReplicatedLog.h
+++ b/include/dragonfly/consensus/ReplicatedLog.h
@@ -106,6 +106,9 @@
   StateMachineHooks Machine_;
   /// Sends bytes to a peer; they may be lost, doubled or late.
   std::function<void(ReplicaId To, std::string Bytes)> Send_;
+  /// Returns whether bytes of the last long message to a peer have not left
+  /// yet; it is not sent again until they have. May be empty.
+  std::function<bool(ReplicaId To)> IsSending_;
   /// Called when this replica becomes leader or stops being it.
   std::function<void(bool Leader)> OnLeadership_;
 };
--- a/include/dragonfly/net/FrameClient.h
+++ b/include/dragonfly/net/FrameClient.h
@@ -43,6 +43,9 @@
   /// A connection on which nothing has been sent for so long, and no call is
   /// open, is closed until it is needed again.
   Duration IdleTime_ = std::chrono::seconds(20);
+  /// Bytes that the system may hold for the peer; 0 leaves that to the system.
+  /// What it holds delays whatever is sent next.
+  std::size_t SendBufferBytes_ = 0;
   /// Where false, the owner knows by other ways whether frames without an
   /// answer arrive, and calls `verify()`.
   bool VerifiesOneWay_ = true;
--- a/include/dragonfly/wire/Messages.h
+++ b/include/dragonfly/wire/Messages.h
@@ -335,6 +335,18 @@
   std::string Bytes_;
 };
 
+/// A part of ReplicaTraffic that is too long to hold up what follows it. Parts
+/// of one message arrive in order; a gap means that the message is lost.
+struct ReplicaPart {
+  ReplicaId From_;
+  /// Rises with each message of the sender's process.
+  std::uint64_t Number_ = 0;
+  /// Where the part begins in the message, and how long that is, in bytes.
+  std::uint64_t Offset_ = 0;
+  std::uint64_t TotalBytes_ = 0;
+  std::string Bytes_;
+};
+
 /// Tells a replica that nothing comes from it although messages leave for it.
 struct ReplicaUnheard {
   ReplicaId From_;
@@ -360,7 +372,7 @@
                  CurrentConfiguration, WorkerHello, WorkerOrders, WorkerReport,
                  WorkerReportAck, WorkerGone, JoinGroup, FetchGroup, Group,
                  WorkerCrashed, ReplicaUnheard, FetchEvacuation, Evacuation,
-                 SetEvacuation, EvacuationReply>;
+                 SetEvacuation, EvacuationReply, ReplicaPart>;
 
 } // namespace dragonfly::wire
 
--- a/src/consensus/Replication.cpp
+++ b/src/consensus/Replication.cpp
@@ -97,6 +97,9 @@
 }
 
 void RaftCore::replicateTo(const Member &Row, Peer &To) {
+  // How long a message takes to leave depends on its size and on the link.
+  if (To.Awaiting_ && Options_.IsSending_ && Options_.IsSending_(Row.Id_))
+    To.AwaitingSince_ = Now_;
   if (To.Awaiting_ && Now_ - To.AwaitingSince_ >= Options_.ElectionTimeout_ / 2)
     To.Awaiting_ = false;
   if (To.Transfer_ && Now_ - std::max(To.AckedAt_, To.KnownSince_) >=
--- a/src/control/Control.cpp
+++ b/src/control/Control.cpp
@@ -183,8 +183,10 @@
     ControlServiceOptions Options = optionsOf(Settings_);
     Options.Metrics_ = Counts_;
     Options.Log_.Send_ = [this](ReplicaId To, std::string Bytes) {
-      Peers_.send(To, wire::ReplicaTraffic{.From_ = Settings_.Replica_,
-                                           .Bytes_ = std::move(Bytes)});
+      Peers_.sendTraffic(To, std::move(Bytes));
+    };
+    Options.Log_.IsSending_ = [this](ReplicaId To) {
+      return Peers_.isSending(To);
     };
     return Options;
   }
@@ -197,11 +199,23 @@
       Heartbeats_.send(From, *Ack);
   }
 
+  void takeTraffic(ReplicaId From, std::string_view Bytes) {
+    Peers_.heardFrom(From);
+    Service_.receivePeer(Clock::now(), From, Bytes);
+    tickSoon();
+  }
+
   void takeFrame(wire::Message Value, net::FrameReplier To) {
     if (const auto *Traffic = std::get_if<wire::ReplicaTraffic>(&Value)) {
-      Peers_.heardFrom(Traffic->From_);
-      Service_.receivePeer(Clock::now(), Traffic->From_, Traffic->Bytes_);
-      tickSoon();
+      takeTraffic(Traffic->From_, Traffic->Bytes_);
+      return;
+    }
+    if (auto *Part = std::get_if<wire::ReplicaPart>(&Value)) {
+      const ReplicaId From = Part->From_;
+      if (const auto Whole = Peers_.takePart(std::move(*Part)))
+        takeTraffic(From, *Whole);
+      else
+        Peers_.heardFrom(From);
       return;
     }
     if (const auto *Doubt = std::get_if<wire::ReplicaUnheard>(&Value)) {
--- a/src/net/FrameClient.cpp
+++ b/src/net/FrameClient.cpp
@@ -103,6 +103,11 @@
 
   /// A stream whose events count while it is in use or is the second one.
   std::shared_ptr<FrameStream> makeStream(tcp::socket Socket) {
+    boost::system::error_code Ignored;
+    if (Options_.SendBufferBytes_ > 0)
+      Socket.set_option(tcp::socket::send_buffer_size(
+                            static_cast<int>(Options_.SendBufferBytes_)),
+                        Ignored);
     const auto Slot = std::make_shared<std::weak_ptr<FrameStream>>();
     // Calls \p Work with this object and the stream, where both still exist.
     const auto Hook = [Self = weak_from_this(), Slot](auto Work) {
--- a/src/wire/Serialize.h
+++ b/src/wire/Serialize.h
@@ -158,6 +158,10 @@
   Ar(Row.From_, Row.Bytes_);
 }
 
+template <typename Archive> void serialize(Archive &Ar, ReplicaPart &Row) {
+  Ar(Row.From_, Row.Number_, Row.Offset_, Row.TotalBytes_, Row.Bytes_);
+}
+
 template <typename Archive> void serialize(Archive &Ar, ReplicaUnheard &Row) {
   Ar(Row.From_);
 }
--- a/tests/control/GroupLinksTest.cpp
+++ b/tests/control/GroupLinksTest.cpp
@@ -74,6 +74,17 @@
       }
   }
 
+  /// Makes each link between two replicas carry \p BytesPerMs.
+  void limitLinks(std::size_t BytesPerMs) {
+    for (auto &Row : Relays_)
+      for (auto &Relay : Row)
+        Relay->limitRate(BytesPerMs);
+  }
+
+  const consensus::ReplicatedLog &log(std::size_t I) {
+    return Nodes_.at(I).Service_->log();
+  }
+
   /// Between two replicas new connections work again; open ones stay silent.
   void join(std::size_t I, std::size_t Other) {
     Relays_.at(I).at(Other)->admit(NewConnections::Forwarded);
@@ -128,13 +139,14 @@
     return leader();
   }
 
-  bool put(std::size_t I, PutList Change) {
+  /// Returns whether \p Change is committed within \p Limit.
+  bool put(std::size_t I, PutList Change, Duration Limit = 500ms) {
     const auto Done = std::make_shared<bool>(false);
     Nodes_.at(I).Service_->putList(
         std::move(Change), [Done](consensus::ProposeStatus Status, PutOutcome) {
           *Done = Status == consensus::ProposeStatus::Committed;
         });
-    run(500ms);
+    run(Limit);
     return *Done;
   }
 
@@ -152,9 +164,10 @@
     Options.Log_.Self_ = {I + 1};
     Options.Log_.Seed_ = I + 1;
     Options.Log_.Send_ = [this, I](ReplicaId To, std::string Bytes) {
-      Nodes_.at(I).Links_->send(
-          To, wire::ReplicaTraffic{.From_ = ReplicaId{I + 1},
-                                   .Bytes_ = std::move(Bytes)});
+      Nodes_.at(I).Links_->sendTraffic(To, std::move(Bytes));
+    };
+    Options.Log_.IsSending_ = [this, I](ReplicaId To) {
+      return Nodes_.at(I).Links_->isSending(To);
     };
     for (std::size_t Each = 0; Each < Replicas; ++Each)
       Options.Log_.FirstMembers_.push_back({.Id_ = {Each + 1}});
@@ -162,12 +175,20 @@
     return Options;
   }
 
+  static void takeTraffic(Node &Each, ReplicaId From, std::string_view Bytes) {
+    Each.Links_->heardFrom(From);
+    Each.Service_->receivePeer(Clock::now(), From, Bytes);
+    Each.Service_->tick(Clock::now());
+  }
+
   void take(std::size_t I, const wire::Message &Value) {
     Node &Each = Nodes_.at(I);
     if (const auto *Traffic = std::get_if<wire::ReplicaTraffic>(&Value)) {
-      Each.Links_->heardFrom(Traffic->From_);
-      Each.Service_->receivePeer(Clock::now(), Traffic->From_, Traffic->Bytes_);
-      Each.Service_->tick(Clock::now());
+      takeTraffic(Each, Traffic->From_, Traffic->Bytes_);
+    } else if (const auto *Part = std::get_if<wire::ReplicaPart>(&Value)) {
+      Each.Links_->heardFrom(Part->From_);
+      if (const auto Whole = Each.Links_->takePart(*Part))
+        takeTraffic(Each, Part->From_, *Whole);
     } else if (const auto *Doubt = std::get_if<wire::ReplicaUnheard>(&Value)) {
       Each.Links_->unheardBy(Doubt->From_);
     }
@@ -230,4 +251,25 @@
   CHECK(Cluster.leader() == Back);
 }
 
+// Guards against a group that a large record keeps without a leader: heartbeats
+// waited behind its bytes for longer than an election timeout, and it was sent
+// again from the start before it had left.
+TEST_CASE("a leader keeps its place while a large record leaves",
+          "[control][links]") {
+  constexpr std::size_t BytesPerMs = 3'125; // 25 Mbit/s
+  constexpr std::size_t LargeBytes = 4'000'000;
+  LinkedCluster Cluster;
+  REQUIRE(Cluster.timeUntilLed(10s) < 10s);
+  const std::size_t Leader = *Cluster.leader();
+  Cluster.run(1s);
+  const Term Before = Cluster.log(Leader).term();
+  Cluster.limitLinks(BytesPerMs);
+  const PutList Large{
+      settings::ListName::Plans, {1}, "large", std::string(LargeBytes, 'x')};
+  // Its bytes take 1.3 s.
+  CHECK(Cluster.put(Leader, Large, 3s));
+  CHECK(Cluster.leader() == Leader);
+  CHECK(Cluster.log(Leader).term() == Before);
+}
+
 } // namespace dragonfly::control
--- a/tests/control/PeerLinksTest.cpp
+++ b/tests/control/PeerLinksTest.cpp
@@ -234,4 +234,54 @@
   CHECK(Two.ToSecond_.bytesFromCallers() - Before == Messages * FrameBytes);
 }
 
+// Guards against a message that is put together from parts of two, after a
+// connection was replaced in the middle of it.
+TEST_CASE("a message in parts is whole or lost", "[control][links]") {
+  net::EventLoop Loop;
+  PeerLinks Links(Loop, {1}, {1}, [](ReplicaId) { return ""; });
+  const auto Take = [&](std::uint64_t Number, std::uint64_t Offset,
+                        std::uint64_t Total, std::string Bytes) {
+    return Links.takePart({.From_ = Peer,
+                           .Number_ = Number,
+                           .Offset_ = Offset,
+                           .TotalBytes_ = Total,
+                           .Bytes_ = std::move(Bytes)});
+  };
+  CHECK_FALSE(Take(1, 0, 4, "ab"));
+  CHECK(Take(1, 2, 4, "cd") == "abcd");
+  CHECK_FALSE(Take(1, 2, 4, "cd"));
+
+  CHECK_FALSE(Take(2, 0, 6, "ab"));
+  CHECK_FALSE(Take(2, 4, 6, "ef"));
+  CHECK_FALSE(Take(3, 2, 4, "cd"));
+  CHECK_FALSE(Take(4, 0, 4, "gh"));
+  CHECK(Take(4, 2, 4, "ij") == "ghij");
+
+  // A new process of the peer counts from 1 again.
+  CHECK_FALSE(Take(1, 0, 4, "kl"));
+  CHECK(Take(1, 2, 4, "mn") == "klmn");
+  CHECK_FALSE(Take(2, 0, wire::MaxPayloadBytes + 1ULL, "ab"));
+  CHECK_FALSE(Take(3, 0, 1, "ab"));
+}
+
+// Guards against memory that grows with each message for a replica that is
+// gone: 135 MB of 260 were queued for members that had been replaced.
+TEST_CASE("messages for a silent replica do not pile up", "[control][links]") {
+  const net::PausedClock Paused;
+  net::EventLoop Loop;
+  const Listener Gone(Loop);
+  net::SilentRelay Relay(Loop, Gone.Server_.endpoint());
+  PeerLinks Links(Loop, {1}, {1},
+                  [&](ReplicaId) { return Relay.endpoint().text(); });
+  sendSome(Loop, Links);
+  Relay.limitRate(1);
+  constexpr std::size_t Large = 1U << 20U;
+  for (int Count = 0; Count < 100; ++Count) {
+    Links.sendTraffic(Peer, std::string(Large, 'x'));
+    net::pollSome(Loop);
+  }
+  CHECK(Links.isSending(Peer));
+  CHECK(Links.waitingBytes() <= 2 * Large);
+}
+
 } // namespace dragonfly::control
--- a/tests/net/SilentRelay.h
+++ b/tests/net/SilentRelay.h
@@ -3,6 +3,7 @@
 #ifndef DRAGONFLY_TESTS_NET_SILENTRELAY_H
 #define DRAGONFLY_TESTS_NET_SILENTRELAY_H
 
+#include "dragonfly/base/Clock.h"
 #include "dragonfly/net/Endpoint.h"
 #include "dragonfly/net/EventLoop.h"
 
@@ -11,7 +12,9 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -33,6 +36,10 @@
       : Loop_(Loop), Acceptor_(Loop.context(),
                                {boost::asio::ip::make_address("127.0.0.1"), 0}),
         Target_(boost::asio::ip::make_address(Target.Address_), Target.Port_) {
+    // What waits for a narrow link waits at its sender.
+    constexpr int ReceiveBytes = 16 << 10;
+    Acceptor_.set_option(
+        boost::asio::socket_base::receive_buffer_size(ReceiveBytes));
     accept();
   }
 
@@ -49,6 +56,12 @@
     }
   }
   void silence() { silence(true, true); }
+  /// Passes on at most \p BytesPerMs of what callers send, from now on, over
+  /// all connections.
+  void limitRate(std::size_t BytesPerMs) {
+    BytesPerMs_ = BytesPerMs;
+    FreeAt_ = Clock::now();
+  }
   void admit(NewConnections Kind) { Admitted_ = Kind; }
   /// Ends the connection that was accepted last.
   void closeNewest() {
@@ -125,10 +138,30 @@
             BytesFromCallers_ += Size;
           if (!Drops)
             boost::asio::write(To, boost::asio::buffer(*Buffer, Size), Ignored);
-          pump(Each, From, To, Drops);
+          if (&From == &Each->Caller_ && BytesPerMs_ > 0)
+            FreeAt_ = std::max(FreeAt_, Clock::now()) +
+                      Duration(std::chrono::milliseconds(1)) *
+                          static_cast<Duration::rep>(Size) /
+                          static_cast<Duration::rep>(BytesPerMs_);
+          pumpWhenFree(Each, From, To, Drops);
         });
   }
 
+  void pumpWhenFree(const std::shared_ptr<Pair> &Each,
+                    boost::asio::ip::tcp::socket &From,
+                    boost::asio::ip::tcp::socket &To, bool &Drops) {
+    // A step of the paused clock is longer than a piece takes.
+    constexpr Duration Step = std::chrono::milliseconds(5);
+    if (&From != &Each->Caller_ || FreeAt_ <= Clock::now() + Step) {
+      pump(Each, From, To, Drops);
+      return;
+    }
+    Waiting_.push_back(Loop_.after(FreeAt_ - Clock::now() - Step,
+                                   [this, Each, &From, &To, &Drops] {
+                                     pumpWhenFree(Each, From, To, Drops);
+                                   }));
+  }
+
   EventLoop &Loop_;
   boost::asio::ip::tcp::acceptor Acceptor_;
   boost::asio::ip::tcp::endpoint Target_;
@@ -136,6 +169,11 @@
   NewConnections Admitted_ = NewConnections::Forwarded;
   std::size_t Accepted_ = 0;
   std::size_t BytesFromCallers_ = 0;
+  /// Bytes that callers' direction carries in a millisecond; 0 for any number.
+  std::size_t BytesPerMs_ = 0;
+  /// When the link has carried what it was given.
+  TimePoint FreeAt_;
+  std::vector<Timer> Waiting_;
 };
 
 } // namespace dragonfly::net
