--- a/src/consensus/FileOps.cpp
+++ b/src/consensus/FileOps.cpp
@@ -87,10 +87,12 @@
   File(Hooks, Folder, O_RDONLY | O_DIRECTORY).sync();
 }
 
+std::string temporaryOf(const std::string &Path) { return Path + ".new"; }
+
 void replaceFile(const FileHooks &Hooks, const std::string &Folder,
                  const std::string &Name, std::string_view Payload) {
   const std::string Path = Folder + "/" + Name;
-  const std::string Temporary = Path + ".new";
+  const std::string Temporary = temporaryOf(Path);
   try {
     std::string Bytes;
     putInteger(Bytes, FileMagic);
--- a/src/consensus/FileOps.h
+++ b/src/consensus/FileOps.h
@@ -56,6 +56,9 @@
 /// Makes renames and removals in \p Folder durable.
 void syncFolder(const FileHooks &Hooks, const std::string &Folder);
 
+/// Returns the name under which `replaceFile` writes before it renames.
+std::string temporaryOf(const std::string &Path);
+
 /// Replaces \p Folder / \p Name by a checksummed file that holds \p Payload:
 /// afterwards, and after a crash at any point, it is whole, old or new.
 void replaceFile(const FileHooks &Hooks, const std::string &Folder,
--- a/src/consensus/FileStorage.cpp
+++ b/src/consensus/FileStorage.cpp
@@ -67,6 +67,9 @@
   std::string path(const std::string &Name) const {
     return Options_.Folder_ + "/" + Name;
   }
+  /// Removes what a process left that died as it replaced a file: on a disk
+  /// that is nearly full it takes the room of the next term and vote.
+  void removeUnfinished();
   void recoverIdentity(Recovered &Found);
   void recoverSegments(Recovered &Found);
   void dropCovered(Recovered &Found);
@@ -81,6 +84,7 @@
 
 Recovered FileStorage::recover() {
   Recovered Found;
+  removeUnfinished();
   recoverIdentity(Found);
   Found.Hard_ = readFile(path(HardStateName), StorageFault::CorruptRecord,
                          decodeHardState)
@@ -93,6 +97,15 @@
   return Found;
 }
 
+void FileStorage::removeUnfinished() {
+  for (const char *Name : {IdentityName, HardStateName, SnapshotName}) {
+    std::error_code Failure;
+    std::filesystem::remove(temporaryOf(path(Name)), Failure);
+    if (Failure)
+      throw StorageError(StorageFault::CannotWrite, Failure.message());
+  }
+}
+
 /// A folder without identity is new only where it holds nothing else: a lost
 /// identity must not turn an old folder into a fresh one.
 void FileStorage::recoverIdentity(Recovered &Found) {
@@ -104,7 +117,7 @@
   for (const auto &Entry :
        std::filesystem::directory_iterator(Options_.Folder_)) {
     const std::string Name = Entry.path().filename().string();
-    if (Name != "lock" && Name != std::string(IdentityName) + ".new")
+    if (Name != "lock")
       throw StorageError(StorageFault::WrongFormat,
                          Name + " in a folder without identity");
   }
--- a/tests/consensus/FileStorageTest.cpp
+++ b/tests/consensus/FileStorageTest.cpp
@@ -275,6 +275,19 @@
     CHECK(Found.Records_[I].Index_ == LogIndex{I + 1});
 }
 
+// Guards against a disk that stays full: a process was killed as it wrote a
+// snapshot, and what it left took the room for the next term and vote.
+TEST_CASE("a snapshot that was interrupted gives its room back",
+          "[consensus][storage]") {
+  const DataFolder Folder;
+  writeRecords(Folder.path(), 3);
+  for (const char *Name : {"/snapshot.new", "/hard-state.new"})
+    std::ofstream(Folder.path() + Name) << std::string(1000, 'x');
+  CHECK(openFileStorage(Folder.path())->recover().Records_.size() == 3);
+  CHECK_FALSE(fs::exists(Folder.path() + "/snapshot.new"));
+  CHECK_FALSE(fs::exists(Folder.path() + "/hard-state.new"));
+}
+
 TEST_CASE("failed system calls are typed", "[consensus][storage]") {
   struct Case {
     int Errno_;
