Test that a learner catches up while large records go on

No change was needed. Where more is recorded than the link carries no learner can follow, until it is less again.

--- a/tests/consensus/ReplicatedLogTest.cpp
+++ b/tests/consensus/ReplicatedLogTest.cpp
@@ -388,3 +388,35 @@
   // An operator asks another process after a second without an answer.
   CHECK(Group.now() - Began < 1s);
 }
+
+// Guards against a learner for which a snapshot is always too old: the records
+// behind it are gone by the time that its bytes have arrived.
+TEST_CASE("a learner catches up while large records go on",
+          "[consensus][snapshot]") {
+  constexpr std::size_t RecordBytes = 350'000;
+  constexpr std::size_t BytesPerMs = 3'125; // 25 Mbit/s
+  constexpr Duration RecordPeriod = 200ms;  // 14 Mbit/s
+  LogCluster Group({.Seed_ = 23, .MaxLogBytes_ = 4 * RecordBytes});
+  keepNewestOnly(Group);
+  Replica &Leader = awaitLeader(Group);
+  limitLinks(Group, BytesPerMs);
+  TimePoint NextRecord = Group.now();
+  Group.OnTime_ = [&] {
+    if (Group.now() < NextRecord)
+      return;
+    NextRecord += RecordPeriod;
+    Leader.Log_->propose(std::string(RecordBytes, 'a'), [](auto) {});
+  };
+  Group.run(5s);
+  const ReplicaId Wiped{Leader.Id_.Value_ % 3 + 1};
+  Group.loseDisk(Wiped);
+  Group.run(1s);
+  REQUIRE(
+      changeAt(Group, Leader, {.Id_ = Wiped, .Store_ = {}, .Voter_ = false}) ==
+      ProposeStatus::Committed);
+  const auto HasCaughtUp = [&] {
+    const Replica &New = Group.replica(Wiped);
+    return New.Log_ && New.Log_->appliedIndex() >= Leader.Log_->commitIndex();
+  };
+  CHECK(Group.runUntil(HasCaughtUp, 4s));
+}
