--- a/src/consensus/RaftCore.h
+++ b/src/consensus/RaftCore.h
@@ -141,6 +141,8 @@
   void tickLeader();
   void syncPeers();
   void replicateTo(const Member &Row, Peer &To);
+  /// Sends the next records or the next chunk of a snapshot.
+  void sendMissing(const Member &Row, Peer &To);
   void sendRecords(const Member &Row, Peer &To);
   void sendHeartbeat(const Member &Row, Peer &To);
   Peer *acknowledge(ReplicaId From, StoreId Store, Term ReplyTerm,
@@ -162,6 +164,8 @@
   void on(ReplicaId From, StoreId Store, const InstallReply &Value);
   void takeChunk(const InstallRequest &Value, InstallReply &Reply);
   void install(const InstallRequest &Value, std::string State);
+  /// True where \p Row lacks records that are gone, or holds nothing at all.
+  bool needsSnapshot(const Peer &Row) const;
   void takeSnapshot();
   bool isSnapshotDue() const;
   /// True where a peer that needs a snapshot gets fewer bytes if one is made
--- a/src/consensus/Replication.cpp
+++ b/src/consensus/Replication.cpp
@@ -105,18 +105,8 @@
   if (To.Transfer_ && Now_ - std::max(To.AckedAt_, To.KnownSince_) >=
                           TransferPatience * Options_.ElectionTimeout_)
     To.Transfer_.reset();
-  const bool HoldsNothing = To.Next_ == nextIndex({});
-  const bool NeedsSnapshot =
-      To.Transfer_ || To.Next_ <= Log_.baseIndex() ||
-      (HoldsNothing && (Snapshot_->Index_ || isFreshSnapshotWorthwhile()));
-  if (!To.Awaiting_) {
-    if (NeedsSnapshot && !To.Transfer_ && isFreshSnapshotWorthwhile())
-      FreshSnapshotDue_ = true;
-    else if (NeedsSnapshot)
-      sendChunk(Row, To);
-    else if (To.Next_ <= Log_.lastIndex())
-      sendRecords(Row, To);
-  }
+  if (!To.Awaiting_)
+    sendMissing(Row, To);
   const bool CommitUnknown =
       !To.Awaiting_ && To.SentCommit_ < std::min(Commit_, To.Match_);
   const bool BarrierWaits = !Barriers_.empty() && To.SentRound_ < Round_;
@@ -125,6 +115,17 @@
     sendHeartbeat(Row, To);
 }
 
+void RaftCore::sendMissing(const Member &Row, Peer &To) {
+  if (needsSnapshot(To)) {
+    if (!To.Transfer_ && isFreshSnapshotWorthwhile())
+      FreshSnapshotDue_ = true;
+    else
+      sendChunk(Row, To);
+  } else if (To.Next_ <= Log_.lastIndex()) {
+    sendRecords(Row, To);
+  }
+}
+
 void RaftCore::sendRecords(const Member &Row, Peer &To) {
   const LogIndex Previous = previousIndex(To.Next_);
   AppendRequest Value{
--- a/src/consensus/SnapshotTransfer.cpp
+++ b/src/consensus/SnapshotTransfer.cpp
@@ -29,6 +29,13 @@
   return Crc.checksum();
 }
 
+bool RaftCore::needsSnapshot(const Peer &Row) const {
+  if (Row.Transfer_ || Row.Next_ <= Log_.baseIndex())
+    return true;
+  const bool HoldsNothing = Row.Next_ == nextIndex({});
+  return HoldsNothing && (Snapshot_->Index_ || isFreshSnapshotWorthwhile());
+}
+
 bool RaftCore::isFreshSnapshotWorthwhile() const {
   return LogBytes_ > std::max<std::uint64_t>(MinFreshSnapshotBytes,
                                              Snapshot_->State_.size()) &&
