Refuse jobs while the state has no room on the disk

Cause: each accepted job stays in the state until 150 s after its end, and nothing refused one for the size of the state. Ended jobs were forgotten only when another one was submitted.

Ended jobs are forgotten with each second of the log's time, the same on all replicas.

Ruled out: a bound on the number of jobs, which does not know their sizes, and on the bytes submitted, which does not know what tasks and checkpoints take.

--- a/include/dragonfly/consensus/ReplicatedLog.h
+++ b/include/dragonfly/consensus/ReplicatedLog.h
@@ -157,6 +157,11 @@
   std::optional<ChangeObstacle> changeObstacle(const Member &Target,
                                                bool Remove) const;
 
+  /// Makes a snapshot within a later `tick()`, if records follow the last one.
+  void requestSnapshot();
+  /// Bytes of the state in the newest snapshot.
+  std::size_t snapshotBytes() const;
+
   /// Calls \p Visit with each command that is in this replica's log and not
   /// applied yet, committed or not, in order.
   void visitUnapplied(
--- a/include/dragonfly/control/ControlService.h
+++ b/include/dragonfly/control/ControlService.h
@@ -16,6 +16,7 @@
 #include "dragonfly/wire/Messages.h"
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -38,6 +39,9 @@
   Duration ExpiryPeriod_ = std::chrono::milliseconds(100);
   decide::PlacementOptions Placement_;
   std::function<bool(const std::string &Kind)> Evictable_;
+  /// Bytes of the state, in its newest snapshot, beyond which jobs are refused;
+  /// 0 is no bound.
+  std::uint64_t MaxStateBytes_ = 0;
   /// How long a worker's runs go on without a renewal.
   Duration WorkerLeaseTerm_ = JobServiceOptions().WorkerLeaseTerm_;
   double RemoteFactor_ = JobServiceOptions().RemoteFactor_;
--- a/include/dragonfly/control/JobService.h
+++ b/include/dragonfly/control/JobService.h
@@ -48,8 +48,12 @@
   /// task waits for a place near its data.
   double RemoteFactor_ = 1;
   std::shared_ptr<Metrics> Metrics_ = std::make_shared<Metrics>();
+  /// Returns whether the state has no room for further jobs; may be empty.
+  std::function<bool()> IsStateFull_;
   /// How long clients should wait before they retry a rejected request.
   Duration RetryAfter_ = std::chrono::seconds(1);
+  /// The same where the state is full, which is measured this often.
+  Duration FullStateRetryAfter_ = std::chrono::seconds(5);
 };
 
 /// The other functions may be called only between `startLeading` and
--- a/include/dragonfly/jobs/JobTable.h
+++ b/include/dragonfly/jobs/JobTable.h
@@ -193,6 +193,8 @@
   std::uint64_t registerWorker(const WorkerLife &Life);
   /// Forgets a worker that has no runs.
   bool forgetWorker(const std::string &Worker);
+  /// Drops the jobs that ended `EndedJobRetention` before \p At.
+  void forgetEnded(Duration At);
 
   const Configuration &configuration() const { return Configuration_; }
   const CrashTable &crashes() const { return Crashes_; }
@@ -228,7 +230,6 @@
   /// Returns whether \p Run was started, and its task has not finished.
   bool isOfUnfinishedTask(const RunName &Run) const;
   void recordOutcome(Duration At, const EndRow &Row, bool IsFirstFailure);
-  void forgetEnded(Duration At);
   CancelStatus recordEarlyCancel(Duration At, const std::string &Job);
   /// Forgets the early cancel of \p Job; returns whether it held at \p At.
   bool consumeEarlyCancel(Duration At, const std::string &Job);
--- a/include/dragonfly/settings/Settings.h
+++ b/include/dragonfly/settings/Settings.h
@@ -121,6 +121,9 @@
   std::size_t DiskMib_ = 0;
   /// Share of it, in thousandths, that the records after a snapshot may take.
   std::uint32_t LogSharePermille_ = 125;
+  /// Share of it, in thousandths, that the state may take in a snapshot before
+  /// jobs are refused. An old and a new one have to fit beside the records.
+  std::uint32_t StateSharePermille_ = 125;
   /// True where replicas find each other from the rows of `Control_`, which
   /// need not name all of them, and the leader repairs the group by itself.
   bool RepairsGroup_ = false;
--- a/src/consensus/RaftCore.h
+++ b/src/consensus/RaftCore.h
@@ -72,6 +72,8 @@
   std::optional<ChangeObstacle> changeObstacle(Member Target,
                                                bool Remove) const;
   void transferLeadership();
+  void requestSnapshot() { FreshSnapshotDue_ = true; }
+  std::size_t snapshotBytes() const { return Snapshot_->State_.size(); }
 
   void visitUnapplied(
       const std::function<void(std::string_view Command)> &Visit) const;
@@ -227,7 +229,7 @@
   /// Payload bytes of the records applied since the snapshot.
   std::uint64_t LogBytes_ = 0;
   TimePoint SnapshotRetryAt_;
-  /// A peer waits for a snapshot that is to be made for it.
+  /// A snapshot has been asked for, by the owner or for a peer that waits.
   bool FreshSnapshotDue_ = false;
   std::vector<Outgoing> Early_;
   std::vector<Outgoing> AfterSync_;
--- a/src/consensus/ReplicatedLog.cpp
+++ b/src/consensus/ReplicatedLog.cpp
@@ -42,6 +42,12 @@
 
 void ReplicatedLog::transferLeadership() { Impl_->Core_.transferLeadership(); }
 
+void ReplicatedLog::requestSnapshot() { Impl_->Core_.requestSnapshot(); }
+
+std::size_t ReplicatedLog::snapshotBytes() const {
+  return Impl_->Core_.snapshotBytes();
+}
+
 void ReplicatedLog::visitUnapplied(
     const std::function<void(std::string_view Command)> &Visit) const {
   Impl_->Core_.visitUnapplied(Visit);
--- a/src/consensus/SnapshotTransfer.cpp
+++ b/src/consensus/SnapshotTransfer.cpp
@@ -44,9 +44,10 @@
 
 bool RaftCore::isSnapshotDue() const {
   const std::uint64_t Records = Applied_.Value_ - Snapshot_->Index_.Value_;
-  return FreshSnapshotDue_ || Records >= Options_.SnapshotEveryRecords_ ||
-         (Records > 0 && Options_.MaxLogBytes_ > 0 &&
-          LogBytes_ >= Options_.MaxLogBytes_);
+  return Records >= Options_.SnapshotEveryRecords_ ||
+         (Records > 0 &&
+          (FreshSnapshotDue_ ||
+           (Options_.MaxLogBytes_ > 0 && LogBytes_ >= Options_.MaxLogBytes_)));
 }
 
 void RaftCore::takeSnapshot() {
--- a/src/control/Control.cpp
+++ b/src/control/Control.cpp
@@ -75,10 +75,11 @@
   return Members;
 }
 
-std::uint64_t maxLogBytes(const settings::ControlSettings &Settings) {
+/// Returns \p Permille of the disk in bytes; 0 where its size is not known.
+std::uint64_t diskShare(const settings::ControlSettings &Settings,
+                        std::uint32_t Permille) {
   constexpr std::uint64_t FullPermille = 1000;
-  return (std::uint64_t(Settings.DiskMib_) << 20U) *
-         Settings.LogSharePermille_ / FullPermille;
+  return (std::uint64_t(Settings.DiskMib_) << 20U) * Permille / FullPermille;
 }
 
 ControlServiceOptions optionsOf(const settings::ControlSettings &Settings) {
@@ -88,7 +89,8 @@
   Options.Log_.FirstMembers_ = firstMembersOf(Settings);
   Options.Log_.ElectionTimeout_ = Settings.ElectionTimeout_;
   Options.Log_.SnapshotEveryRecords_ = Settings.SnapshotEveryRecords_;
-  Options.Log_.MaxLogBytes_ = maxLogBytes(Settings);
+  Options.Log_.MaxLogBytes_ = diskShare(Settings, Settings.LogSharePermille_);
+  Options.MaxStateBytes_ = diskShare(Settings, Settings.StateSharePermille_);
   Options.Log_.Seed_ = freshRandom();
   Options.Replicas_ = Settings.Process_.Control_;
   Options.LeaseTerm_ = Shared.LeaseTerm_;
--- a/src/control/ControlService.cpp
+++ b/src/control/ControlService.cpp
@@ -64,12 +64,27 @@
       return Serving_ && Log_.holdsLeaderLease(Now_);
     };
     Result.MakeRefusal_ = [this] { return refusal(); };
+    Result.IsStateFull_ = [this] { return isStateFull(); };
     Result.WorkerLeaseTerm_ = Options_.WorkerLeaseTerm_;
     Result.RemoteFactor_ = Options_.RemoteFactor_;
     Result.Metrics_ = Options_.Metrics_;
     return Result;
   }
 
+  bool isStateFull() const {
+    return Options_.MaxStateBytes_ > 0 &&
+           Log_.snapshotBytes() > Options_.MaxStateBytes_;
+  }
+
+  /// Records the time, with which ended jobs are forgotten, and measures what
+  /// is left.
+  void shrinkState() {
+    StateCheckAt_ = Now_ + JobServiceOptions().FullStateRetryAfter_;
+    propose(UpdateJobs{}, [this](ProposeStatus, const CommandOutput &) {
+      Log_.requestSnapshot();
+    });
+  }
+
   StateMachineOptions machineOptions() {
     StateMachineOptions Result = Options_.Machine_;
     Result.OnTaskChange_ = [this](TaskChange Change, const TaskRecord &Task,
@@ -106,6 +121,8 @@
       });
     if (RepairEndsAt_ && !repairsFirst())
       serve();
+    if (Serving_ && isStateFull() && Now >= StateCheckAt_)
+      shrinkState();
     if (Now >= ExpiryCheckAt_) {
       ExpiryCheckAt_ = Now + Options_.ExpiryPeriod_;
       Upstreams_.tick(Now);
@@ -425,6 +442,7 @@
   /// Until when this replica, which leads, may put the repair of the group
   /// before serving.
   std::optional<TimePoint> RepairEndsAt_;
+  TimePoint StateCheckAt_;
   bool NamedStale_ = true;
   NamedVersions Named_;
   Duration LogOffset_ = Duration::min() / 2;
--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -157,6 +157,14 @@
       Answer(wire::JobReply{.Status_ = JobStatus::Accepted});
       return;
     }
+    if (Options_.IsStateFull_ && Options_.IsStateFull_()) {
+      logEvent(Event::JobRejected,
+               {{"job", Request.Job_}, {"reason", "state-full"}});
+      Options_.Metrics_->count("jobs", "state-full");
+      Answer(wire::JobReply{.Status_ = JobStatus::Rejected,
+                            .RetryAfter_ = Options_.FullStateRetryAfter_});
+      return;
+    }
     const std::size_t Index = Batch_.record().Submits_.size();
     Batch_.record().Submits_.push_back({.Job_ = Request.Job_,
                                         .Host_ = std::move(Request.Host_),
--- a/src/control/StateMachine.cpp
+++ b/src/control/StateMachine.cpp
@@ -31,7 +31,12 @@
       }) {}
 
 CommandOutput StateMachine::apply(const Command &Value) {
+  using std::chrono::seconds;
+  const auto Before = std::chrono::floor<seconds>(LogTime_);
   LogTime_ = std::max(LogTime_, Value.At_);
+  // The same on each replica, and also where no job is submitted.
+  if (std::chrono::floor<seconds>(LogTime_) != Before)
+    Jobs_.forgetEnded(LogTime_);
   return std::visit([this](const auto &Body) { return applyBody(Body); },
                     Value.Body_);
 }
--- a/src/settings/Describe.cpp
+++ b/src/settings/Describe.cpp
@@ -186,6 +186,8 @@
                   {.Least_ = 0, .Most_ = MaxMemoryMib});
   describeInteger(Visitor, "log_share_permille", Value.LogSharePermille_,
                   Presence::Optional, {.Least_ = 1, .Most_ = MaxLogPermille});
+  describeInteger(Visitor, "state_share_permille", Value.StateSharePermille_,
+                  Presence::Optional, {.Least_ = 1, .Most_ = MaxLogPermille});
   Visitor.flag("repairs_group", Value.RepairsGroup_);
   describeInteger(Visitor, "voters", Value.Voters_, Presence::Optional,
                   {.Least_ = 1, .Most_ = MaxControlReplicas});
--- a/tests/platform/LogSizeTest.cpp
+++ b/tests/platform/LogSizeTest.cpp
@@ -85,6 +85,11 @@
          std::uint64_t Version) {
   bool Stored = false;
   jobs::Configuration Value{.Version_ = Version,
+                            .Queues_ = {{.Name_ = "q",
+                                         .Host_ = "h",
+                                         .PathPrefix_ = "/p/",
+                                         .Service_ = "s"}},
+                            .Services_ = {{.Name_ = "s"}},
                             .Document_ = std::string(DocumentBytes, 'x')};
   for (int Tries = 0; Tries < 10 && !Stored; ++Tries) {
     bool Ended = false;
@@ -102,17 +107,51 @@
   return Stored;
 }
 
+/// Submits jobs with numbers from \p First on, or cancels them, and returns how
+/// many were accepted or cancelled.
+std::size_t forJobs(net::EventLoop &Loop, net::FrameClient &ToLeader,
+                    std::size_t First, std::size_t Count, bool Cancel) {
+  constexpr std::size_t PayloadBytes = 4'000;
+  std::size_t Ended = 0;
+  std::size_t Done = 0;
+  for (std::size_t I = First; I < First + Count; ++I) {
+    const std::string Id = std::to_string(1'000'000'000'000'000 + I);
+    const std::string Path = "/p/" + Id;
+    const auto OnEnd = [&](const net::CallResult &Result) {
+      ++Ended;
+      const auto *Reply = std::get_if<wire::JobReply>(&Result.Answer_);
+      if (Reply != nullptr && (Reply->Status_ == wire::JobStatus::Accepted ||
+                               Reply->Status_ == wire::JobStatus::Known))
+        ++Done;
+    };
+    if (Cancel)
+      ToLeader.call(wire::JobRequest{wire::JobAction::Cancel, Id, "h", Path},
+                    2s, OnEnd);
+    else
+      ToLeader.call(wire::SubmitJob{Id,
+                                    "h",
+                                    Path,
+                                    {.Payload_ = std::string(PayloadBytes, 'x'),
+                                     .Steps_ = {{.Count_ = 1}}}},
+                    2s, OnEnd);
+  }
+  while (Ended < Count)
+    run(Loop, 2ms);
+  return Done;
+}
+
 /// A leader that has stored many changes, and the largest size that its folder
 /// had.
 struct History {
-  History() {
+  explicit History(std::uint64_t Versions = Changes) {
     configureLog({.Sink_ = [](std::string_view) {}});
     Leader_.emplace(Loop_, 1, true);
-    net::FrameClient ToLeader(
+    ToLeader_.emplace(
         Loop_,
-        {.Peer_ = net::Endpoint::make(Leader_->address()), .Self_ = {1}});
-    for (std::uint64_t Version = 1; Version <= Changes; ++Version) {
-      REQUIRE(put(Loop_, ToLeader, Version));
+        net::FrameClientOptions{
+            .Peer_ = net::Endpoint::make(Leader_->address()), .Self_ = {1}});
+    for (std::uint64_t Version = 1; Version <= Versions; ++Version) {
+      REQUIRE(put(Loop_, *ToLeader_, Version));
       Largest_ = std::max(Largest_, Leader_->diskBytes());
     }
   }
@@ -120,6 +159,7 @@
   net::PausedClock Clock_;
   net::EventLoop Loop_;
   std::optional<Replica> Leader_;
+  std::optional<net::FrameClient> ToLeader_;
   std::uintmax_t Largest_ = 0;
 };
 
@@ -146,4 +186,30 @@
   CHECK(New.diskBytes() < LogShare + 4 * DocumentBytes);
 }
 
+// Guards against a state without a bound: jobs that wait filled the disk beside
+// their own snapshot.
+TEST_CASE("jobs that wait do not fill the disk", "[platform][log]") {
+  constexpr std::size_t Batch = 100;
+  constexpr std::size_t Batches = 80;
+  History Past(1);
+  std::size_t Accepted = 0;
+  for (std::size_t I = 0; I < Batches; ++I) {
+    Accepted += forJobs(Past.Loop_, *Past.ToLeader_, I * Batch, Batch, false);
+    Past.Largest_ = std::max(Past.Largest_, Past.Leader_->diskBytes());
+  }
+  CHECK(Past.Largest_ < DiskBytes);
+  CHECK(Accepted > 0);
+
+  // Once they have ended and are forgotten, jobs are accepted again.
+  for (std::size_t I = 0; I < Batches; ++I)
+    forJobs(Past.Loop_, *Past.ToLeader_, I * Batch, Batch, true);
+  for (int Second = 0; Second < 170; ++Second) {
+    Clock::advance(1s);
+    run(Past.Loop_, 10ms);
+    if (Second % 10 == 0)
+      forJobs(Past.Loop_, *Past.ToLeader_, 0, 1, true);
+  }
+  CHECK(forJobs(Past.Loop_, *Past.ToLeader_, Batch * Batches, 1, false) == 1);
+}
+
 } // namespace dragonfly::platform
