--- a/src/net/HttpConnection.cpp
+++ b/src/net/HttpConnection.cpp
@@ -366,8 +366,8 @@
     return false;
   // A caller may send the whole body before it reads the answer.
   DrainEndsAt_ = Clock::now() + Owner_->Options_.IdleTimeout_;
-  refuse(std::move(*Answer));
   releaseInput();
+  refuse(std::move(*Answer));
   return true;
 }
 
