Bound the log by memory where the disk is large or unknown

Cause: the bound is a share of the disk. Of a large disk the share is more than the memory that holds the records too.

Change: 64 MiB at most, and where the size is not known. Disks of 128 to 192 MB keep their 16 to 24 MB.

Ruled out: the size of the file system in place of the setting, which is other programs' too.

--- a/src/control/Control.cpp
+++ b/src/control/Control.cpp
@@ -82,6 +82,14 @@
   return (std::uint64_t(Settings.DiskMib_) << 20U) * Permille / FullPermille;
 }
 
+/// The records behind a snapshot are held in memory too, so that a share of a
+/// large disk, or of one whose size is not known, is no bound.
+std::uint64_t maxLogBytes(const settings::ControlSettings &Settings) {
+  constexpr std::uint64_t MostBytes = 64U << 20U;
+  const std::uint64_t Share = diskShare(Settings, Settings.LogSharePermille_);
+  return Share == 0 ? MostBytes : std::min(Share, MostBytes);
+}
+
 ControlServiceOptions optionsOf(const settings::ControlSettings &Settings) {
   const settings::DeploymentSettings &Shared = Settings.Process_.Deployment_;
   ControlServiceOptions Options;
@@ -89,7 +97,7 @@
   Options.Log_.FirstMembers_ = firstMembersOf(Settings);
   Options.Log_.ElectionTimeout_ = Settings.ElectionTimeout_;
   Options.Log_.SnapshotEveryRecords_ = Settings.SnapshotEveryRecords_;
-  Options.Log_.MaxLogBytes_ = diskShare(Settings, Settings.LogSharePermille_);
+  Options.Log_.MaxLogBytes_ = maxLogBytes(Settings);
   Options.MaxStateBytes_ = diskShare(Settings, Settings.StateSharePermille_);
   Options.Log_.Seed_ = freshRandom();
   Options.Replicas_ = Settings.Process_.Control_;
--- a/tests/platform/LogSizeTest.cpp
+++ b/tests/platform/LogSizeTest.cpp
@@ -24,12 +24,15 @@
 constexpr std::uintmax_t DiskBytes = 16U << 20U;
 constexpr std::size_t DocumentBytes = 500'000;
 constexpr std::uint64_t Changes = 40;
+/// For a disk whose size is not known.
+constexpr std::uintmax_t UnknownSize = 0;
 
 /// A control process of the platform in this process, on a real folder.
 class Replica {
 public:
-  Replica(net::EventLoop &Loop, int Number, bool First)
-      : Site_(parseSettings(settings(Number, First))) {
+  Replica(net::EventLoop &Loop, int Number, bool First,
+          std::uintmax_t Disk = DiskBytes)
+      : Site_(parseSettings(settings(Number, First, Disk))) {
     const std::vector<wire::GroupRow> Founders{
         {.Id_ = toGroupRow(Site_).Id_, .Address_ = Site_.controlAddress()}};
     Control_ = std::make_unique<control::Control>(
@@ -55,7 +58,7 @@
   }
 
 private:
-  std::string settings(int Number, bool First) {
+  std::string settings(int Number, bool First, std::uintmax_t Disk) {
     std::string Pattern = fs::temp_directory_path() / "dragonfly-XXXXXX";
     Folder_ = ::mkdtemp(Pattern.data());
     const std::string Ip = "127.201.6." + std::to_string(Number);
@@ -64,7 +67,7 @@
            "Bind.Control=" +
            Ip + ":8166\nBootstrap=" + (First ? "true" : "false") +
            "\nFaultTolerance.Machines=1\nLimits.DiskMb=" +
-           std::to_string(DiskBytes >> 20U) + "\nDataDir=" + Folder_ + "\n";
+           std::to_string(Disk >> 20U) + "\nDataDir=" + Folder_ + "\n";
   }
 
   std::string Folder_;
@@ -143,9 +146,10 @@
 /// A leader that has stored many changes, and the largest size that its folder
 /// had.
 struct History {
-  explicit History(std::uint64_t Versions = Changes) {
+  explicit History(std::uint64_t Versions = Changes,
+                   std::uintmax_t Disk = DiskBytes) {
     configureLog({.Sink_ = [](std::string_view) {}});
-    Leader_.emplace(Loop_, 1, true);
+    Leader_.emplace(Loop_, 1, true, Disk);
     ToLeader_.emplace(
         Loop_,
         net::FrameClientOptions{
@@ -174,6 +178,17 @@
   CHECK(Past.Largest_ < DiskBytes);
 }
 
+// Guards against a log without a bound where the size of the disk is not known,
+// or whose share of a large disk no memory holds.
+TEST_CASE("records behind a snapshot stay within the memory of a replica",
+          "[platform][log]") {
+  constexpr std::uintmax_t DaemonMemory = 128U << 20U;
+  const std::uintmax_t Disk =
+      GENERATE(as<std::uintmax_t>{}, UnknownSize, std::uintmax_t(4) << 30U);
+  const History Past(300, Disk);
+  CHECK(Past.Largest_ < DaemonMemory);
+}
+
 // Guards against a replacement that has to copy every change since the first
 // start before it can vote, while further disks are lost.
 TEST_CASE("a replica with a new disk copies no more than the log may hold",
