--- a/src/base/Event.cpp
+++ b/src/base/Event.cpp
@@ -139,10 +139,11 @@
      "no "
      "more runs, or has taken it back."},
     {Event::ConfigurationRead, Severity::Info, "configuration-read",
-     "The leader answered a read of the configuration with this version."},
+     "The leader answered a read of the configuration with this version. At "
+     "most some lines a second."},
     {Event::OperatorAnswered, Severity::Info, "operator-answered",
      "An operator's call about the configuration was answered, so long after "
-     "it had been read whole."},
+     "it had been read whole. At most some lines a second."},
     {Event::LeaderElected, Severity::Info, "leader-elected",
      "This replica leads the replicated log in a new term."},
     {Event::LeaderLost, Severity::Warning, "leader-lost",
--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -5,6 +5,7 @@
 #include "control/RunTimeEstimator.h"
 #include "control/WorkerInterference.h"
 #include "control/WorkerSessions.h"
+#include "dragonfly/base/LineBudget.h"
 #include "dragonfly/base/Log.h"
 
 #include <algorithm>
@@ -378,7 +379,10 @@
                         [](ProposeStatus, const CommandOutput &) {});
   }
 
+  static constexpr std::size_t MaxReadLinesPerSecond = 20;
+
   JobServiceOptions Options_;
+  LineBudget ReadLines_{MaxReadLinesPerSecond};
   const jobs::JobTable &Table_;
   const jobs::ImageLosses &ReplicatedLosses_;
   const jobs::EvacuationTable &Evacuations_;
@@ -443,8 +447,9 @@
 
 void JobService::fetchConfiguration(const Reply &Answer) {
   const jobs::Configuration &Current = Impl_->Table_.configuration();
-  logEvent(Event::ConfigurationRead, {{"version", Current.Version_},
-                                      {"bytes", Current.Document_.size()}});
+  if (Impl_->ReadLines_.take(Clock::now()))
+    logEvent(Event::ConfigurationRead, {{"version", Current.Version_},
+                                        {"bytes", Current.Document_.size()}});
   Answer(wire::CurrentConfiguration{.Version_ = Current.Version_,
                                     .Document_ = Current.Document_});
 }
