--- a/src/net/HttpConnection.cpp
+++ b/src/net/HttpConnection.cpp
@@ -31,7 +31,6 @@
 /// An answer that its caller has not taken for this long may be given up.
 constexpr Duration StalledAnswerTime = std::chrono::seconds(2);
 constexpr std::uint16_t TimeoutStatus = 408;
-constexpr std::uint16_t UnavailableStatus = 503;
 
 template <typename Message> HttpRequest copyHead(const Message &Source) {
   HttpRequest Result;
@@ -67,22 +66,6 @@
 
 } // namespace
 
-HttpResponse makeRefusal(std::uint16_t Status, std::string_view Type) {
-  return {.Status_ = Status,
-          .ContentType_ = "application/problem+json",
-          .Headers_ = {{"Dragonfly-Outcome", "refused-not-run"}},
-          .Body_ = R"({"type":")" + std::string(Type) +
-                   R"(","outcome":"refused-not-run"})"};
-}
-
-HttpResponse makeUnavailable(std::string_view Type,
-                             std::chrono::seconds RetryAfter) {
-  HttpResponse Answer = makeRefusal(UnavailableStatus, Type);
-  Answer.Headers_.push_back(
-      {"Retry-After", std::to_string(RetryAfter.count())});
-  return Answer;
-}
-
 void HttpConnection::start() {
   Memory_.emplace(Owner_->Memory_, [Weak = weak_from_this()] {
     if (const auto Self = Weak.lock())
--- a/src/net/HttpConnection.h
+++ b/src/net/HttpConnection.h
@@ -5,6 +5,7 @@
 
 #include "dragonfly/net/HttpServer.h"
 #include "dragonfly/net/MemoryBudget.h"
+#include "net/HttpRefusal.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/error.hpp>
@@ -49,12 +50,6 @@
   std::size_t Bytes_ = 0;
 };
 
-/// Returns an answer that says why a request is not run.
-HttpResponse makeRefusal(std::uint16_t Status, std::string_view Type);
-/// Returns a refusal with 503 and the time after which to come again.
-HttpResponse makeUnavailable(std::string_view Type,
-                             std::chrono::seconds RetryAfter);
-
 /// The owner must outlive the connection, or call `detach()`. After its last
 /// answer a connection reads on until the caller closes: closing a socket that
 /// holds unread bytes resets it, and a reset may overtake the answer.
