Hold a row only for tasks that have begun and not finished

Callers saw nothing: 600 jobs of 148 bytes were answered 200 within 2 s.

TaskRows keeps rows of tasks that have begun, one bit for a finished one and nothing for the others; loops go over the rows that there are. A step passes over 1,024 tasks at most in one placement. Steps and payload of an ended job are dropped 30 s after its end, once no run of it is left; its state stays for 150 s.

What a job costs now follows from what was done for it, so that no number that a caller writes down can outgrow the machine.

"tasks that have not begun cost control no memory" failed on the code before (six checks of the memory of control, three of them after a restart) and passes. control_tests (157 cases) and jobs_tests (but for its known red) pass.

--- a/include/dragonfly/control/StateMachine.h
+++ b/include/dragonfly/control/StateMachine.h
@@ -36,7 +36,9 @@
 /// the same state on every replica, so nothing here reads a clock.
 class StateMachine {
 public:
-  static constexpr std::uint32_t SnapshotFormat = 6;
+  static constexpr std::uint32_t SnapshotFormat = 7;
+  /// Format of snapshots with a row for each task, begun or not.
+  static constexpr std::uint32_t SnapshotFormatWithAllTasks = 6;
   /// Format of snapshots without evacuated zones.
   static constexpr std::uint32_t SnapshotFormatWithoutEvacuations = 5;
   /// Format of snapshots without tasks under which workers crashed that were
--- a/include/dragonfly/jobs/Job.h
+++ b/include/dragonfly/jobs/Job.h
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -61,6 +62,9 @@
   }
 };
 
+/// Returns the memory that \p Spec holds beside the object itself, in bytes.
+std::size_t heldBytes(const JobSpec &Spec);
+
 /// Names one task of a job.
 struct TaskName {
   std::string Job_;
--- a/include/dragonfly/jobs/JobTable.h
+++ b/include/dragonfly/jobs/JobTable.h
@@ -7,7 +7,9 @@
 #include "dragonfly/jobs/Configuration.h"
 #include "dragonfly/jobs/CrashTable.h"
 #include "dragonfly/jobs/Job.h"
+#include "dragonfly/jobs/TaskRows.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -81,27 +83,16 @@
   }
 };
 
-enum class TaskPhase : std::uint8_t { Waiting, OnWorker, Finished };
-
-struct TaskRow {
-  TaskPhase Phase_ = TaskPhase::Waiting;
-  /// Number of the newest run; 0 before the first.
-  std::uint32_t Run_ = 0;
-  std::uint32_t Failures_ = 0;
-  /// Where the newest run is or was.
-  std::string Worker_;
-  std::string Checkpoint_;
-
-  template <typename Archive> void serialize(Archive &Ar) {
-    Ar(Phase_, Run_, Failures_, Worker_, Checkpoint_);
-  }
-};
-
 struct StepRow {
-  std::vector<TaskRow> Tasks_;
+  TaskRows Tasks_;
   std::uint32_t Finished_ = 0;
   std::uint32_t Waiting_ = 0;
 
+  /// Number of tasks that may be on a worker.
+  std::uint32_t onWorkers() const {
+    return Tasks_.size() - Finished_ - Waiting_;
+  }
+
   template <typename Archive> void serialize(Archive &Ar) {
     Ar(Tasks_, Finished_, Waiting_);
   }
@@ -131,6 +122,11 @@
   }
 };
 
+/// Returns the memory that the job holds in the table of the leader, in bytes.
+std::size_t heldBytes(const JobRow &Job);
+/// Returns the same for a job of \p Spec of which no task has begun.
+std::size_t newJobBytes(const JobSpec &Spec);
+
 /// A worker that has registered or still has runs.
 struct WorkerRow {
   WorkerLife Life_;
@@ -174,6 +170,9 @@
   /// How long an ended job's state can be read, in log time; the platform asks
   /// for two minutes.
   static constexpr Duration EndedJobRetention = std::chrono::seconds(150);
+  /// How long the steps of an ended job are kept once none of its runs is left,
+  /// in log time. Its state is kept for `EndedJobRetention`.
+  static constexpr Duration EndedStepsRetention = std::chrono::seconds(30);
   /// How long a cancel of an unknown job holds, in log time. It must
   /// exceed the time for which entries retry a submission.
   static constexpr Duration EarlyCancelRetention = std::chrono::seconds(30);
@@ -193,9 +192,13 @@
   std::uint64_t registerWorker(const WorkerLife &Life);
   /// Forgets a worker that has no runs.
   bool forgetWorker(const std::string &Worker);
-  /// Drops the jobs that ended `EndedJobRetention` before \p At.
+  /// Drops the jobs that ended `EndedJobRetention` before \p At, and the steps
+  /// of those that ended `EndedStepsRetention` before.
   void forgetEnded(Duration At);
 
+  /// Memory that all jobs hold, in bytes.
+  std::size_t heldBytes() const { return HeldBytes_; }
+
   const Configuration &configuration() const { return Configuration_; }
   const CrashTable &crashes() const { return Crashes_; }
   /// Log times of cancels of unknown jobs, by id.
@@ -227,6 +230,10 @@
   }
 
 private:
+  /// Changes a row and counts its memory.
+  void setTask(StepRow &Step, std::uint32_t Index, TaskRow Row);
+  /// Drops what only the runs of an ended job need.
+  void dropSteps(JobRow &Job);
   /// Returns whether \p Run was started, and its task has not finished.
   bool isOfUnfinishedTask(const RunName &Run) const;
   void recordOutcome(Duration At, const EndRow &Row, bool IsFirstFailure);
@@ -248,6 +255,8 @@
   CrashTable Crashes_;
   std::map<std::string, Duration> EarlyCancels_;
   std::set<ReadyStep> Ready_;
+  /// Derived.
+  std::size_t HeldBytes_ = 0;
 };
 
 } // namespace dragonfly::jobs
--- a/src/control/JobDispatcher.cpp
+++ b/src/control/JobDispatcher.cpp
@@ -54,6 +54,10 @@
 constexpr Duration ProvenTime = std::chrono::seconds(10);
 /// Limit of proposed starts in one tick; bounds the duration of a tick.
 constexpr std::size_t MaxStartsPerTick = 256;
+/// Limit of tasks of one step that a placement passes over; bounds its duration
+/// where a step has many tasks. More than a tick proposes, so that starts which
+/// are not committed yet hide no later task.
+constexpr std::size_t MaxPostponedPerStep = 4 * MaxStartsPerTick;
 
 wire::StartOrder startOrderFor(const JobRow &Job, const RunName &Run) {
   const StepSpec &Step = Job.Spec_.Steps_[Run.Task_.Step_];
@@ -69,9 +73,7 @@
 
 bool hasTaskOnWorker(const JobRow &Job) {
   return std::ranges::any_of(Job.Steps_, [](const jobs::StepRow &Step) {
-    return std::ranges::any_of(Step.Tasks_, [](const TaskRow &Task) {
-      return Task.Phase_ == TaskPhase::OnWorker;
-    });
+    return Step.onWorkers() > 0;
   });
 }
 
@@ -247,9 +249,8 @@
   std::vector<std::uint32_t> Indexes;
   if (!Job.Spec_.Steps_[Ready.Step_].LongRunning_)
     return Indexes;
-  const std::vector<TaskRow> &Tasks = Job.Steps_[Ready.Step_].Tasks_;
-  for (std::uint32_t Index = 0; Index < Tasks.size(); ++Index)
-    if (Tasks[Index].Phase_ == TaskPhase::Waiting && Tasks[Index].Run_ > 0)
+  for (const auto &[Index, Task] : Job.Steps_[Ready.Step_].Tasks_.begun())
+    if (Task.Phase_ == TaskPhase::Waiting)
       Indexes.push_back(Index);
   return Indexes;
 }
@@ -260,13 +261,11 @@
 JobDispatcher::firstStalledTask(TimePoint Now, const jobs::ReadyStep &Ready) {
   const JobRow &Job = *Table_.find(Ready.Job_);
   TimePoint &NextAt = NextStalledStartAt_[Job.Queue_.Service_];
-  const std::vector<TaskRow> &Tasks = Job.Steps_[Ready.Step_].Tasks_;
-  const auto First =
-      std::ranges::find(Tasks, TaskPhase::Waiting, &TaskRow::Phase_);
+  const auto First = Job.Steps_[Ready.Step_].Tasks_.nextWaiting(0);
   if (!Job.Spec_.Steps_[Ready.Step_].LongRunning_ || !isStalled(Now, Job) ||
-      Now < NextAt || First == Tasks.end())
+      Now < NextAt || !First)
     return {};
-  return {static_cast<std::uint32_t>(First - Tasks.begin())};
+  return {*First};
 }
 
 /// Returns the jobs with ready steps or with throttled runs that are worth
@@ -411,7 +410,7 @@
 /// of \p Placement. The last element counts those on all other workers.
 std::vector<std::uint32_t>
 JobDispatcher::countRunsPerWorker(const jobs::ReadyStep &Ready,
-                                  const std::vector<TaskRow> &Tasks,
+                                  const jobs::TaskRows &Tasks,
                                   const decide::JobPlacement &Placement) const {
   const std::vector<decide::PlacementWorker> &Workers = Placement.workers();
   std::vector<std::uint32_t> Counts(Workers.size() + 1);
@@ -420,12 +419,16 @@
         std::ranges::find(Workers, Worker, &decide::PlacementWorker::Name_);
     return Counts[static_cast<std::size_t>(It - Workers.begin())];
   };
-  for (std::uint32_t Index = 0; Index < Tasks.size(); ++Index) {
-    const RunName Next{{Ready.Job_, Ready.Step_, Index}, Tasks[Index].Run_ + 1};
-    if (Tasks[Index].Phase_ == TaskPhase::OnWorker)
-      ++CountAt(Tasks[Index].Worker_);
-    else if (const auto It = ProposedStarts_.find(Next);
-             It != ProposedStarts_.end())
+  for (const auto &[Index, Task] : Tasks.begun())
+    if (Task.Phase_ == TaskPhase::OnWorker)
+      ++CountAt(Task.Worker_);
+  const jobs::TaskName FirstOfStep{Ready.Job_, Ready.Step_, 0};
+  for (auto It = ProposedStarts_.lower_bound({FirstOfStep, 0});
+       It != ProposedStarts_.end() && It->first.Task_.Job_ == Ready.Job_ &&
+       It->first.Task_.Step_ == Ready.Step_;
+       ++It) {
+    const TaskRow &Task = Tasks[It->first.Task_.Index_];
+    if (Task.Phase_ != TaskPhase::OnWorker && It->first.Run_ == Task.Run_ + 1)
       ++CountAt(It->second.Worker_);
   }
   return Counts;
@@ -494,17 +497,20 @@
   decide::PlacementRequest Need = placementNeedOf(Ready, Placement);
   Need.MayOvercommit_ =
       Need.UsesSpareProcessors_ && isStalled(Now, Job) && IsHalfUnreserved_;
-  const std::vector<TaskRow> &Tasks = Job.Steps_[Ready.Step_].Tasks_;
-  for (std::uint32_t Index = 0; Index < Tasks.size(); ++Index) {
-    if (Tasks[Index].Phase_ != TaskPhase::Waiting)
-      continue;
-    const StartResult Result = startTask(Now, Ready, Index, Need, Placement);
+  const jobs::TaskRows &Tasks = Job.Steps_[Ready.Step_].Tasks_;
+  std::size_t Postponed = 0;
+  for (auto Index = Tasks.nextWaiting(0); Index;
+       Index = Tasks.nextWaiting(*Index + 1)) {
+    const StartResult Result = startTask(Now, Ready, *Index, Need, Placement);
     if (Result == StartResult::NoRoom) {
       Log_.logObstacles(Now, Ready, Placement, Need);
       return;
     }
-    if (Result != StartResult::Proposed)
+    if (Result != StartResult::Proposed) {
+      if (++Postponed >= MaxPostponedPerStep)
+        return;
       continue;
+    }
     Need.MayOvercommit_ = false;
     if (Batch_.record().Starts_.size() >= MaxStartsPerTick)
       return;
--- a/src/control/JobDispatcher.h
+++ b/src/control/JobDispatcher.h
@@ -106,8 +106,7 @@
                         std::uint32_t Index, decide::PlacementRequest &Need,
                         decide::JobPlacement &Placement);
   std::vector<std::uint32_t>
-  countRunsPerWorker(const jobs::ReadyStep &Ready,
-                     const std::vector<jobs::TaskRow> &Tasks,
+  countRunsPerWorker(const jobs::ReadyStep &Ready, const jobs::TaskRows &Tasks,
                      const decide::JobPlacement &Placement) const;
   bool mustNotFail(TimePoint Now, const jobs::JobRow &Job,
                    const jobs::TaskName &Name);
--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -49,8 +49,8 @@
 /// Returns whether a run of the step has finished or failed.
 bool hasEndedRun(const jobs::StepRow &Step) {
   return Step.Finished_ > 0 ||
-         std::ranges::any_of(Step.Tasks_, [](const jobs::TaskRow &Task) {
-           return Task.Failures_ > 0;
+         std::ranges::any_of(Step.Tasks_.begun(), [](const auto &Entry) {
+           return Entry.second.Failures_ > 0;
          });
 }
 
--- a/src/control/RunTimeEstimator.cpp
+++ b/src/control/RunTimeEstimator.cpp
@@ -133,18 +133,17 @@
     const jobs::StepSpec &Spec = Job.Spec_.Steps_[Step];
     const double Seconds = estimatedSeconds(Job, Step);
     const StepRunTimes *Times = findStep(Job.Id_, Step);
-    double LongestTask = 0;
-    for (std::uint32_t Index = 0; Index < Spec.Count_; ++Index) {
-      const jobs::TaskRow &Task = Job.Steps_[Step].Tasks_[Index];
-      if (Task.Phase_ == jobs::TaskPhase::Finished)
+    const jobs::StepRow &Row = Job.Steps_[Step];
+    const double Processors =
+        static_cast<double>(Spec.Need_.MilliProcessors_) / 1000;
+    double LongestTask = Row.Waiting_ > 0 ? Seconds : 0;
+    Result.RemainingWork_ += Seconds * Processors * Row.Waiting_;
+    for (const auto &[Index, Task] : Row.Tasks_.begun()) {
+      if (Task.Phase_ != jobs::TaskPhase::OnWorker)
         continue;
-      const double Share = Task.Phase_ == jobs::TaskPhase::OnWorker
-                               ? remainingShare(Times, Index)
-                               : 1;
+      const double Share = remainingShare(Times, Index);
       LongestTask = std::max(LongestTask, Seconds * Share);
-      Result.RemainingWork_ +=
-          Seconds * Share * static_cast<double>(Spec.Need_.MilliProcessors_) /
-          1000;
+      Result.RemainingWork_ += Seconds * Share * Processors;
     }
     Result.LongRunning_ = Result.LongRunning_ || Spec.LongRunning_;
     WholeSteps.push_back(
--- a/src/control/ServingRelocator.cpp
+++ b/src/control/ServingRelocator.cpp
@@ -68,16 +68,16 @@
 
 /// Returns whether all tasks of the step are at work.
 bool ServingRelocator::isAtWork(const JobRow &Job, std::uint32_t Step) const {
-  const std::vector<jobs::TaskRow> &Tasks = Job.Steps_[Step].Tasks_;
-  for (std::uint32_t Index = 0; Index < Tasks.size(); ++Index) {
-    if (Tasks[Index].Phase_ != TaskPhase::OnWorker)
-      return false;
-    const auto Session = Sessions_.sessions().find(Tasks[Index].Worker_);
+  const jobs::StepRow &Row = Job.Steps_[Step];
+  if (Row.onWorkers() != Row.Tasks_.size())
+    return false;
+  for (const auto &[Index, Task] : Row.Tasks_.begun()) {
+    const auto Session = Sessions_.sessions().find(Task.Worker_);
     if (Session == Sessions_.sessions().end() ||
         !Session->second.isSchedulable())
       return false;
     const auto Run =
-        Session->second.Runs_.find({{Job.Id_, Step, Index}, Tasks[Index].Run_});
+        Session->second.Runs_.find({{Job.Id_, Step, Index}, Task.Run_});
     if (Run == Session->second.Runs_.end() ||
         Run->second.StopSentAt_ != TimePoint() ||
         Run->second.Report_.Phase_ != wire::RunPhase::Running ||
--- a/src/control/StateMachine.cpp
+++ b/src/control/StateMachine.cpp
@@ -167,7 +167,7 @@
   std::uint32_t Format = 0;
   try {
     decodeValues(Bytes, Format);
-    if (Format == SnapshotFormat)
+    if (Format == SnapshotFormat || Format == SnapshotFormatWithAllTasks)
       decodeValues(Bytes, Format, At, Lists, Claims, Counts, Tasks, Jobs,
                    Losses, Crashes, EarlyCancels, Exposures, Evacuations);
     else if (Format == SnapshotFormatWithoutEvacuations)
--- a/src/control/SuspectScheduler.cpp
+++ b/src/control/SuspectScheduler.cpp
@@ -78,12 +78,11 @@
   if (Table_.crashes().empty())
     return Counts;
   for (const jobs::ReadyStep &Ready : Table_.readySteps()) {
-    const std::vector<jobs::TaskRow> &Tasks =
-        Table_.find(Ready.Job_)->Steps_[Ready.Step_].Tasks_;
-    for (std::uint32_t Index = 0; Index < Tasks.size(); ++Index) {
-      const RunName Next{{Ready.Job_, Ready.Step_, Index},
-                         Tasks[Index].Run_ + 1};
-      if (Tasks[Index].Phase_ == jobs::TaskPhase::Waiting &&
+    // A suspect task has begun.
+    for (const auto &[Index, Task] :
+         Table_.find(Ready.Job_)->Steps_[Ready.Step_].Tasks_.begun()) {
+      const RunName Next{{Ready.Job_, Ready.Step_, Index}, Task.Run_ + 1};
+      if (Task.Phase_ == jobs::TaskPhase::Waiting &&
           Table_.crashes().crashes(Next.Task_) > 1 && !IsProposed(Next))
         ++Counts[Ready.Job_];
     }
--- a/src/jobs/JobTable.cpp
+++ b/src/jobs/JobTable.cpp
@@ -1,9 +1,66 @@
 #include "dragonfly/jobs/JobTable.h"
 
+#include "dragonfly/base/HeldBytes.h"
+
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace dragonfly::jobs {
+namespace {
+
+/// Memory of a text as long as a job's id.
+constexpr std::size_t IdBytes = allocatedBytes(32);
+constexpr std::size_t JobBytes =
+    nodeBytes(sizeof(std::pair<const std::string, JobRow>)) + 2 * IdBytes;
+/// A row of the step, with room to grow, and its name where it is ready.
+constexpr std::size_t StepBytes =
+    2 * sizeof(StepRow) + nodeBytes(sizeof(ReadyStep)) + IdBytes;
+/// What the leader's tables keep of an active job beside this one.
+constexpr std::size_t LeaderBytes = 512;
+
+bool hasRuns(const JobRow &Job) {
+  return std::ranges::any_of(
+      Job.Steps_, [](const StepRow &Step) { return Step.onWorkers() > 0; });
+}
+
+std::size_t heldBytes(const Queue &Row) {
+  return dragonfly::heldBytes(Row.Name_) + dragonfly::heldBytes(Row.Host_) +
+         dragonfly::heldBytes(Row.PathPrefix_) +
+         dragonfly::heldBytes(Row.Service_);
+}
+
+std::size_t heldBytes(const StepSpec &Step) {
+  return dragonfly::heldBytes(Step.DependsOn_) +
+         dragonfly::heldBytes(Step.Image_) +
+         dragonfly::heldBytes(Step.RequiredLabel_) +
+         dragonfly::heldBytes(Step.DataRack_);
+}
+
+} // namespace
+
+std::size_t heldBytes(const JobSpec &Spec) {
+  std::size_t Bytes =
+      dragonfly::heldBytes(Spec.Payload_) + dragonfly::heldBytes(Spec.Steps_);
+  for (const StepSpec &Step : Spec.Steps_)
+    Bytes += heldBytes(Step);
+  return Bytes;
+}
+
+std::size_t heldBytes(const JobRow &Job) {
+  std::size_t Bytes = JobBytes + heldBytes(Job.Queue_) + heldBytes(Job.Spec_);
+  if (Job.Steps_.empty())
+    return Bytes;
+  Bytes += LeaderBytes + Job.Steps_.size() * StepBytes;
+  for (const StepRow &Step : Job.Steps_)
+    Bytes += Step.Tasks_.heldBytes();
+  return Bytes;
+}
+
+std::size_t newJobBytes(const JobSpec &Spec) {
+  return JobBytes + heldBytes(Spec) + LeaderBytes +
+         Spec.Steps_.size() * StepBytes;
+}
 
 void reserve(WorkerRow &Worker, const StepSpec &Step, std::int64_t Sign) {
   Resources Need = Step.Need_;
@@ -49,9 +106,10 @@
   Job.Sequence_ = ++LastSequence_;
   Job.AcceptedAt_ = At;
   for (const StepSpec &Step : Job.Spec_.Steps_)
-    Job.Steps_.push_back({.Tasks_ = std::vector<TaskRow>(Step.Count_),
+    Job.Steps_.push_back({.Tasks_ = TaskRows(Step.Count_),
                           .Finished_ = 0,
                           .Waiting_ = Step.Count_});
+  HeldBytes_ += jobs::heldBytes(Job);
   if (consumeEarlyCancel(At, Job.Id_))
     finish(At, Job, JobState::Cancelled);
   else
@@ -72,12 +130,13 @@
       !Job.isStepDue(Name.Step_))
     return false;
   StepRow &Step = Job.Steps_[Name.Step_];
-  TaskRow &Task = Step.Tasks_[Name.Index_];
+  TaskRow Task = Step.Tasks_[Name.Index_];
   if (Task.Phase_ != TaskPhase::Waiting || Row.Run_.Run_ != Task.Run_ + 1)
     return false;
   Task.Phase_ = TaskPhase::OnWorker;
   Task.Run_ = Row.Run_.Run_;
   Task.Worker_ = Row.Worker_;
+  setTask(Step, Name.Index_, std::move(Task));
   Job.State_ = JobState::Running;
   addRun(Job, Row.Run_, Row.Worker_);
   if (--Step.Waiting_ == 0)
@@ -95,7 +154,7 @@
       Name.Index_ >= Job.Steps_[Name.Step_].Tasks_.size())
     return false;
   StepRow &Step = Job.Steps_[Name.Step_];
-  TaskRow &Task = Step.Tasks_[Name.Index_];
+  TaskRow Task = Step.Tasks_[Name.Index_];
   if (Task.Phase_ != TaskPhase::OnWorker || Task.Run_ != Row.Run_.Run_ ||
       Task.Worker_ != Row.Worker_)
     return false;
@@ -116,10 +175,15 @@
     Task.Phase_ = TaskPhase::Waiting;
     ++Step.Waiting_;
   }
+  const bool IsFailure =
+      Job.active() && Row.How_ == RunEnd::Failed && !Spec.LongRunning_;
+  Task.Failures_ += IsFailure ? 1 : 0;
+  const bool IsLastFailure =
+      IsFailure && Task.Failures_ >= Job.Queue_.MaxAttempts_;
+  setTask(Step, Name.Index_, std::move(Task));
   if (!Job.active())
     return true;
-  if (Row.How_ == RunEnd::Failed && !Spec.LongRunning_ &&
-      ++Task.Failures_ >= Job.Queue_.MaxAttempts_)
+  if (IsLastFailure)
     finish(At, Job, JobState::Failed);
   else if (Job.Steps_.size() == static_cast<std::size_t>(std::ranges::count_if(
                                     Job.Steps_, [](const StepRow &Each) {
@@ -132,6 +196,12 @@
   return true;
 }
 
+void JobTable::setTask(StepRow &Step, std::uint32_t Index, TaskRow Row) {
+  HeldBytes_ -= Step.Tasks_.heldBytes();
+  Step.Tasks_.set(Index, std::move(Row));
+  HeldBytes_ += Step.Tasks_.heldBytes();
+}
+
 /// A task that fails again on another worker is probably at fault itself, so
 /// that only its first failure counts against its worker.
 void JobTable::recordOutcome(Duration At, const EndRow &Row,
@@ -243,32 +313,44 @@
     Worker.ServingRuns_ = 0;
     Worker.ServingMilliProcessors_ = 0;
   }
-  for (const auto &[Id, Job] : Jobs_) {
-    for (std::uint32_t Step = 0; Step < Job.Steps_.size(); ++Step)
-      for (std::uint32_t Index = 0; Index < Job.Steps_[Step].Tasks_.size();
-           ++Index) {
-        const TaskRow &Task = Job.Steps_[Step].Tasks_[Index];
+  HeldBytes_ = 0;
+  for (auto &[Id, Job] : Jobs_) {
+    for (std::uint32_t Step = 0; Step < Job.Steps_.size(); ++Step) {
+      TaskRows &Tasks = Job.Steps_[Step].Tasks_;
+      Tasks.resize(Job.Spec_.Steps_[Step].Count_);
+      for (const auto &[Index, Task] : Tasks.begun())
         if (Task.Phase_ == TaskPhase::OnWorker)
           addRun(Job, {{Id, Step, Index}, Task.Run_}, Task.Worker_);
-      }
+    }
+    HeldBytes_ += jobs::heldBytes(Job);
     if (Job.active())
       setReady(Job);
   }
 }
 
 void JobTable::forgetEnded(Duration At) {
-  std::erase_if(Jobs_, [At](const auto &Each) {
-    const JobRow &Job = Each.second;
-    return !Job.active() && Job.EndedAt_ + EndedJobRetention < At &&
-           std::ranges::none_of(
-               Job.Steps_,
-               [](const StepRow &Step) {
-                 return std::ranges::any_of(
-                     Step.Tasks_, [](const TaskRow &Task) {
-                       return Task.Phase_ == TaskPhase::OnWorker;
-                     });
-               });
-  });
+  for (auto It = Jobs_.begin(); It != Jobs_.end();) {
+    JobRow &Job = It->second;
+    const auto Next = std::next(It);
+    if (!Job.active() && !hasRuns(Job)) {
+      if (Job.EndedAt_ + EndedStepsRetention < At && !Job.Steps_.empty())
+        dropSteps(Job);
+      if (Job.EndedAt_ + EndedJobRetention < At) {
+        HeldBytes_ -= jobs::heldBytes(Job);
+        Jobs_.erase(It);
+      }
+    }
+    It = Next;
+  }
+}
+
+void JobTable::dropSteps(JobRow &Job) {
+  HeldBytes_ -= jobs::heldBytes(Job);
+  // An assignment would keep the memory of the payload.
+  JobSpec Spec;
+  std::swap(Job.Spec_, Spec);
+  std::vector<StepRow>().swap(Job.Steps_);
+  HeldBytes_ += jobs::heldBytes(Job);
 }
 
 void JobTable::setReady(const JobRow &Job) {
