Bound the memory of accepted jobs, counted when one is accepted

Callers saw 200 for each of 3,072 jobs of 256 steps (3 KB each). Each control process then held more than its 48 MB, and again after it was killed.

The leader refuses a submission, before it is proposed, that would bring the jobs it holds or has proposed beyond job_memory_permille (125) of the memory limit, with Retry-After: 5. A refused job was never proposed, so that it never runs. While little is left the time is recorded each 5 s, so that ended jobs are forgotten although none is submitted.

The metric job_memory_bytes tells how far off the bound is, event 3011 (20 lines a second at most) names it.

--- a/include/dragonfly/control/ControlService.h
+++ b/include/dragonfly/control/ControlService.h
@@ -42,6 +42,8 @@
   /// Bytes of the state, in its newest snapshot, beyond which jobs are refused;
   /// 0 is no bound.
   std::uint64_t MaxStateBytes_ = 0;
+  /// Memory that jobs may hold, in bytes; 0 is no bound.
+  std::size_t MaxJobBytes_ = 0;
   /// How long a worker's runs go on without a renewal.
   Duration WorkerLeaseTerm_ = JobServiceOptions().WorkerLeaseTerm_;
   double RemoteFactor_ = JobServiceOptions().RemoteFactor_;
--- a/include/dragonfly/control/JobService.h
+++ b/include/dragonfly/control/JobService.h
@@ -50,9 +50,13 @@
   std::shared_ptr<Metrics> Metrics_ = std::make_shared<Metrics>();
   /// Returns whether the state has no room for further jobs; may be empty.
   std::function<bool()> IsStateFull_;
+  /// Memory that jobs may hold, in bytes; further ones are refused. 0 is no
+  /// bound.
+  std::size_t MaxJobBytes_ = 0;
   /// How long clients should wait before they retry a rejected request.
   Duration RetryAfter_ = std::chrono::seconds(1);
-  /// The same where the state is full, which is measured this often.
+  /// The same where the state or the memory for jobs is full; ended jobs are
+  /// forgotten this often then.
   Duration FullStateRetryAfter_ = std::chrono::seconds(5);
 };
 
@@ -79,6 +83,9 @@
   /// time on the clock of the log.
   void tick(TimePoint Now, Duration LogTime);
 
+  /// Returns whether little memory is left for jobs.
+  bool isJobMemoryScarce() const;
+
   /// Each request is answered within this call or a later tick, or never if its
   /// outcome is unknown.
   void submitJob(TimePoint Now, wire::SubmitJob Request, Reply Answer);
--- a/include/dragonfly/settings/Settings.h
+++ b/include/dragonfly/settings/Settings.h
@@ -124,6 +124,9 @@
   /// Share of it, in thousandths, that the state may take in a snapshot before
   /// jobs are refused. An old and a new one have to fit beside the records.
   std::uint32_t StateSharePermille_ = 125;
+  /// Share of the process's memory, in thousandths, that jobs may hold before
+  /// further ones are refused.
+  std::uint32_t JobMemoryPermille_ = 125;
   /// True where replicas find each other from the rows of `Control_`, which
   /// need not name all of them, and the leader repairs the group by itself.
   bool RepairsGroup_ = false;
@@ -134,6 +137,10 @@
   std::uint32_t RemoteFactorPermille_ = 1000;
 };
 
+/// Returns the bytes that jobs may hold: a share of the process's memory limit,
+/// or 64 MiB if that is not known.
+std::size_t jobMemoryBytes(const ControlSettings &Settings);
+
 struct AgentSettings {
   ProcessSettings Process_;
   /// Frames over TCP and heartbeats over UDP.
--- a/src/control/Control.cpp
+++ b/src/control/Control.cpp
@@ -99,6 +99,7 @@
   Options.Log_.SnapshotEveryRecords_ = Settings.SnapshotEveryRecords_;
   Options.Log_.MaxLogBytes_ = maxLogBytes(Settings);
   Options.MaxStateBytes_ = diskShare(Settings, Settings.StateSharePermille_);
+  Options.MaxJobBytes_ = settings::jobMemoryBytes(Settings);
   Options.Log_.Seed_ = freshRandom();
   Options.Replicas_ = Settings.Process_.Control_;
   Options.LeaseTerm_ = Shared.LeaseTerm_;
--- a/src/control/ControlService.cpp
+++ b/src/control/ControlService.cpp
@@ -65,6 +65,7 @@
     };
     Result.MakeRefusal_ = [this] { return refusal(); };
     Result.IsStateFull_ = [this] { return isStateFull(); };
+    Result.MaxJobBytes_ = Options_.MaxJobBytes_;
     Result.WorkerLeaseTerm_ = Options_.WorkerLeaseTerm_;
     Result.RemoteFactor_ = Options_.RemoteFactor_;
     Result.Metrics_ = Options_.Metrics_;
@@ -81,7 +82,8 @@
   void shrinkState() {
     StateCheckAt_ = Now_ + JobServiceOptions().FullStateRetryAfter_;
     propose(UpdateJobs{}, [this](ProposeStatus, const CommandOutput &) {
-      Log_.requestSnapshot();
+      if (isStateFull())
+        Log_.requestSnapshot();
     });
   }
 
@@ -121,7 +123,8 @@
       });
     if (RepairEndsAt_ && !repairsFirst())
       serve();
-    if (Serving_ && isStateFull() && Now >= StateCheckAt_)
+    if (Serving_ && Now >= StateCheckAt_ &&
+        (isStateFull() || Jobs_.isJobMemoryScarce()))
       shrinkState();
     if (Now >= ExpiryCheckAt_) {
       ExpiryCheckAt_ = Now + Options_.ExpiryPeriod_;
--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -159,21 +159,25 @@
       return;
     }
     if (Options_.IsStateFull_ && Options_.IsStateFull_()) {
-      logEvent(Event::JobRejected,
-               {{"job", Request.Job_}, {"reason", "state-full"}});
-      Options_.Metrics_->count("jobs", "state-full");
-      Answer(wire::JobReply{.Status_ = JobStatus::Rejected,
-                            .RetryAfter_ = Options_.FullStateRetryAfter_});
+      rejectJob(Request.Job_, "state-full", Answer);
       return;
     }
+    const std::size_t Bytes = jobs::newJobBytes(Request.Spec_);
+    if (Options_.MaxJobBytes_ > 0 &&
+        Table_.heldBytes() + ProposedBytes_ + Bytes > Options_.MaxJobBytes_) {
+      rejectJob(Request.Job_, "job-memory-full", Answer);
+      return;
+    }
+    ProposedBytes_ += Bytes;
     const std::size_t Index = Batch_.record().Submits_.size();
     Batch_.record().Submits_.push_back({.Job_ = Request.Job_,
                                         .Host_ = std::move(Request.Host_),
                                         .Path_ = std::move(Request.Path_),
                                         .Spec_ = std::move(Request.Spec_)});
-    Batch_.onOutcome([this, Index, Job = std::move(Request.Job_),
+    Batch_.onOutcome([this, Index, Bytes, Job = std::move(Request.Job_),
                       Answer = std::move(Answer)](ProposeStatus Status,
                                                   const JobOutcomes *Outcomes) {
+      ProposedBytes_ -= Bytes;
       if (Outcomes == nullptr) {
         refuseIfNotLeader(Status, Answer);
         return;
@@ -188,6 +192,27 @@
     });
   }
 
+  /// Refuses a submission that was not proposed.
+  void rejectJob(const std::string &Job, std::string_view Reason,
+                 const Reply &Answer) {
+    Options_.Metrics_->count("jobs", Reason);
+    ++Rejections_;
+    if (RejectLines_.take(Clock::now()))
+      logEvent(Event::JobRejected, {{"job", Job},
+                                    {"reason", Reason},
+                                    {"held_bytes", Table_.heldBytes()},
+                                    {"bound", Options_.MaxJobBytes_},
+                                    {"rejections", Rejections_}});
+    Answer(wire::JobReply{.Status_ = JobStatus::Rejected,
+                          .RetryAfter_ = Options_.FullStateRetryAfter_});
+  }
+
+  bool isJobMemoryScarce() const {
+    constexpr std::size_t ScarceEighths = 7;
+    return Options_.MaxJobBytes_ > 0 &&
+           Table_.heldBytes() > Options_.MaxJobBytes_ / 8 * ScarceEighths;
+  }
+
   void logSubmission(const std::string &Id, bool Accepted) const {
     const std::uint64_t Version = Table_.configuration().Version_;
     const jobs::JobRow *Job = Table_.find(Id);
@@ -363,6 +388,8 @@
       return;
     NextLossReplicationAt_ = Now_ + LossReplicationInterval;
     RunTimes_.pruneEndedJobs();
+    Options_.Metrics_->set("job_memory_bytes", {},
+                           static_cast<double>(Table_.heldBytes()));
     std::erase_if(BegunJobs_, [this](const std::string &Id) {
       const jobs::JobRow *Job = Table_.find(Id);
       return Job == nullptr || !Job->active();
@@ -380,9 +407,15 @@
   }
 
   static constexpr std::size_t MaxReadLinesPerSecond = 20;
+  static constexpr std::size_t MaxRejectLinesPerSecond = 20;
 
   JobServiceOptions Options_;
   LineBudget ReadLines_{MaxReadLinesPerSecond};
+  LineBudget RejectLines_{MaxRejectLinesPerSecond};
+  /// Submissions refused for want of room so far.
+  std::uint64_t Rejections_ = 0;
+  /// Memory of jobs that have been proposed and have no outcome yet.
+  std::size_t ProposedBytes_ = 0;
   const jobs::JobTable &Table_;
   const jobs::ImageLosses &ReplicatedLosses_;
   const jobs::EvacuationTable &Evacuations_;
@@ -426,6 +459,10 @@
   Impl_->replicateLossesAndPrune();
 }
 
+bool JobService::isJobMemoryScarce() const {
+  return Impl_->isJobMemoryScarce();
+}
+
 void JobService::submitJob(TimePoint, wire::SubmitJob Request, Reply Answer) {
   Impl_->submitJob(std::move(Request), std::move(Answer));
 }
--- a/src/settings/Describe.cpp
+++ b/src/settings/Describe.cpp
@@ -120,6 +120,14 @@
          Process.RequestMemoryPermille_;
 }
 
+std::size_t jobMemoryBytes(const ControlSettings &Settings) {
+  constexpr std::size_t UnknownLimitBytes = std::size_t(64) << 20U;
+  const std::size_t LimitMib = Settings.Process_.MemoryLimitMib_;
+  return LimitMib == 0
+             ? UnknownLimitBytes
+             : (LimitMib << 20U) / Permille * Settings.JobMemoryPermille_;
+}
+
 void describeResources(Fields &Visitor, Resources &Value) {
   Visitor.thousandths("processors", Value.MilliProcessors_, Presence::Required,
                       {.Least_ = 0, .Most_ = MaxProcessors});
@@ -188,6 +196,8 @@
                   Presence::Optional, {.Least_ = 1, .Most_ = MaxLogPermille});
   describeInteger(Visitor, "state_share_permille", Value.StateSharePermille_,
                   Presence::Optional, {.Least_ = 1, .Most_ = MaxLogPermille});
+  describeInteger(Visitor, "job_memory_permille", Value.JobMemoryPermille_,
+                  Presence::Optional, {.Least_ = 1, .Most_ = Permille});
   Visitor.flag("repairs_group", Value.RepairsGroup_);
   describeInteger(Visitor, "voters", Value.Voters_, Presence::Optional,
                   {.Least_ = 1, .Most_ = MaxControlReplicas});
