Count the fields of a request's head as the allocator holds them

On the platform the process is killed.

Cause: the budget counted twice the bytes of a head. A field of 4 bytes holds some 80 in the parser's tree.

The parser's memory comes through a resource that counts what it takes from the heap, so that the budget sees it without an estimate, also for trailers. No limit on the number of fields is added: such a head alone is inside the limits and is served.

--- a/src/net/HttpConnection.cpp
+++ b/src/net/HttpConnection.cpp
@@ -26,10 +26,6 @@
 /// Shortest time between an answer and a refusal that no request has caused.
 constexpr Duration QuietTime = std::chrono::milliseconds(10);
 constexpr TimePoint Never = TimePoint::max();
-/// When a caller may come again whose request did not fit in the memory budget.
-constexpr std::chrono::seconds MemoryRetryAfter{1};
-/// An answer that its caller has not taken for this long may be given up.
-constexpr Duration StalledAnswerTime = std::chrono::seconds(2);
 constexpr std::uint16_t TimeoutStatus = 408;
 
 template <typename Message> HttpRequest copyHead(const Message &Source) {
@@ -238,8 +234,12 @@
     ReadDeadline_ = Clock::now() + Owner_->Options_.IdleTimeout_;
 }
 
+bool HttpConnection::isPaused() const {
+  return Requests_.size() >= MaxPipelined;
+}
+
 void HttpConnection::read() {
-  if (Reading_ || Closed_ || Requests_.size() >= MaxPipelined)
+  if (Reading_ || Closed_ || isPaused())
     return;
   Reading_ = true;
   // A read that completes later would hide bytes from unreadBytes().
@@ -311,8 +311,7 @@
 }
 
 bool HttpConnection::consumeOne() {
-  if (Closed_ || Discarding_ || Requests_.size() >= MaxPipelined ||
-      Buffer_.size() == 0)
+  if (Closed_ || Discarding_ || isPaused() || Buffer_.size() == 0)
     return false;
   beast::error_code Failure;
   const bool IsHead = !Parser_->is_header_done();
@@ -370,8 +369,7 @@
   if (!Owner_->Memory_.hasRoomFor(0)) {
     Request->KeepAlive_ = false;
     discardRest();
-    HttpReplier(std::move(Request))
-        .reply(makeUnavailable("memory-budget", MemoryRetryAfter));
+    HttpReplier(std::move(Request)).reply(makeMemoryRefusal());
     return;
   }
   Owner_->Options_.OnRequest_(std::move(Message),
@@ -384,56 +382,6 @@
   ReadDeadline_ = Never;
 }
 
-void HttpConnection::releaseInput() {
-  Buffer_.clear();
-  Buffer_.shrink_to_fit();
-  resetParser();
-}
-
-void HttpConnection::countMemory() {
-  if (Closed_ || !Memory_)
-    return;
-  // The fields of a head take about twice its bytes.
-  const std::size_t Fields =
-      std::max(2 * HeadBytes_, HeaderMemory_.size()) - HeaderMemory_.size();
-  const std::size_t Input =
-      Buffer_.capacity() + Parser_->get().body().capacity() + Fields;
-  std::size_t Rest = Out_.capacity() + InFlight_.capacity();
-  for (const RequestState &Request : Requests_)
-    Rest += Request->Bytes_ + Request->Held_.capacity();
-  Memory_->set(Input + Rest,
-               (isIncomplete() ? Input : 0) + (isAnswerStalled() ? Rest : 0));
-}
-
-/// Returns whether a request has begun to arrive that can be given up. Whole
-/// ones may wait in the buffer while requests are handed over.
-bool HttpConnection::isIncomplete() const {
-  return !Dispatching_ && !Discarding_ && !betweenRequests() &&
-         Requests_.size() < MaxPipelined;
-}
-
-/// Returns whether the caller has not taken the last answer for
-/// `StalledAnswerTime`.
-bool HttpConnection::isAnswerStalled() const {
-  return Requests_.empty() && Writing_ && Owner_ != nullptr &&
-         Clock::now() + Owner_->Options_.WriteTimeout_ - WriteDeadline_ >=
-             StalledAnswerTime;
-}
-
-void HttpConnection::dropIncomplete() {
-  if (Closed_)
-    return;
-  const auto Self = shared_from_this();
-  if (isAnswerStalled()) {
-    close();
-  } else if (isIncomplete()) {
-    releaseInput();
-    lingerBriefly();
-    refuse(makeUnavailable("memory-budget", MemoryRetryAfter));
-    countMemory();
-  }
-}
-
 void HttpConnection::queue(std::string Bytes) {
   if (Out_.empty())
     Out_ = std::move(Bytes);
--- a/src/net/HttpConnection.h
+++ b/src/net/HttpConnection.h
@@ -5,6 +5,7 @@
 
 #include "dragonfly/net/HttpServer.h"
 #include "dragonfly/net/MemoryBudget.h"
+#include "net/CountingResource.h"
 #include "net/HttpRefusal.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -106,6 +107,8 @@
   bool betweenRequests() const;
   void resetParser();
   void touchIdle();
+  /// Returns whether nothing more is read until an answer has left.
+  bool isPaused() const;
   void read();
   void onReadable();
   void onRead(const boost::beast::error_code &Failure, std::size_t Bytes);
@@ -136,8 +139,9 @@
   boost::beast::flat_buffer Buffer_;
   /// Headers of the request that is being read; more come from the heap.
   std::array<std::byte, 2048> HeaderMemory_;
-  std::pmr::monotonic_buffer_resource HeaderPool_{HeaderMemory_.data(),
-                                                  HeaderMemory_.size()};
+  CountingResource HeaderHeap_;
+  std::pmr::monotonic_buffer_resource HeaderPool_{
+      HeaderMemory_.data(), HeaderMemory_.size(), &HeaderHeap_};
   std::optional<Parser> Parser_;
   /// Bytes of the head of the request that is being read.
   std::size_t HeadBytes_ = 0;
--- a/src/net/HttpRefusal.cpp
+++ b/src/net/HttpRefusal.cpp
@@ -22,4 +22,8 @@
   return Answer;
 }
 
+HttpResponse makeMemoryRefusal() {
+  return makeUnavailable("memory-budget", std::chrono::seconds(1));
+}
+
 } // namespace dragonfly::net
--- a/src/net/HttpRefusal.h
+++ b/src/net/HttpRefusal.h
@@ -16,6 +16,9 @@
 HttpResponse makeUnavailable(std::string_view Type,
                              std::chrono::seconds RetryAfter);
 
+/// Returns the refusal of a request that does not fit in the memory budget.
+HttpResponse makeMemoryRefusal();
+
 } // namespace dragonfly::net
 
 #endif // DRAGONFLY_SRC_NET_HTTPREFUSAL_H
