Bound the connections of all servers by the process's descriptors

Callers on one port could take every descriptor of a process with few: with MaxFds 600 and as many silent connections five servers had more than the 400 open that the platform leaves, and the next file or connection of the process itself would fail.

Cause: Limits.MaxFds was read nowhere; the bound of each server is a constant of its own.

ConnectionLimits gives each server its part of what is left after the platform's 200 and the process's own 64. With 4100 descriptors, as on all sites, nothing changes; below that all bounds shrink in proportion. The setting is descriptor_limit, Limits.MaxFds on the platform.

--- a/daemons/dragonfly-agent.cpp
+++ b/daemons/dragonfly-agent.cpp
@@ -11,6 +11,8 @@
   net::EventLoop Loop;
   if (const auto Bytes = settings::requestMemoryBytes(Settings.Process_))
     Loop.memory().setLimit(*Bytes);
+  Loop.connectionLimits().setDescriptorLimit(
+      Settings.Process_.DescriptorLimit_);
   agent::Agent Agent(Loop, Settings);
   settings::ExitCode Code = settings::ExitCode::Ok;
   Loop.onTerminate([&] {
--- a/daemons/dragonfly-control.cpp
+++ b/daemons/dragonfly-control.cpp
@@ -13,6 +13,8 @@
         net::EventLoop Loop;
         if (const auto Bytes = settings::requestMemoryBytes(Settings.Process_))
           Loop.memory().setLimit(*Bytes);
+        Loop.connectionLimits().setDescriptorLimit(
+            Settings.Process_.DescriptorLimit_);
         control::Control Replica(Loop, Settings);
         auto Code = settings::ExitCode::Ok;
         Loop.onTerminate([&] {
--- a/daemons/dragonfly-platform.cpp
+++ b/daemons/dragonfly-platform.cpp
@@ -280,6 +280,7 @@
     if (const auto Bytes = settings::requestMemoryBytes(
             {.MemoryLimitMib_ = Site.MemoryLimitMib_}))
       Loop.memory().setLimit(*Bytes);
+    Loop.connectionLimits().setDescriptorLimit(Site.DescriptorLimit_);
     Role->second(Loop, Site);
     logEvent(Event::ProcessStopped);
     return static_cast<int>(settings::ExitCode::Ok);
--- a/include/dragonfly/net/EventLoop.h
+++ b/include/dragonfly/net/EventLoop.h
@@ -4,6 +4,7 @@
 #define DRAGONFLY_NET_EVENTLOOP_H
 
 #include "dragonfly/base/Clock.h"
+#include "dragonfly/net/ConnectionLimits.h"
 #include "dragonfly/net/MemoryBudget.h"
 
 #include <functional>
@@ -58,6 +59,8 @@
   boost::asio::io_context &context();
   /// Bounds what the process holds for requests, over all of its listeners.
   MemoryBudget &memory();
+  /// Bounds the connections of all listeners of the process.
+  ConnectionLimits &connectionLimits();
 
 private:
   struct Impl;
--- a/include/dragonfly/settings/Settings.h
+++ b/include/dragonfly/settings/Settings.h
@@ -88,6 +88,8 @@
   /// Share of it that requests without a complete response may hold, in
   /// thousandths.
   std::uint32_t RequestMemoryPermille_ = 250;
+  /// Descriptors that the process may have open; 0 if that is not known.
+  std::size_t DescriptorLimit_ = 0;
   DeploymentSettings Deployment_;
   std::vector<ReplicaSettings> Control_;
 };
--- a/src/net/EventLoop.cpp
+++ b/src/net/EventLoop.cpp
@@ -65,6 +65,7 @@
 struct EventLoop::Impl {
   /// Outlives the connections that handlers of the context keep.
   MemoryBudget Memory_;
+  ConnectionLimits Connections_;
   boost::asio::io_context Context_{1};
   boost::asio::signal_set Signals_{Context_};
   boost::asio::signal_set Reloads_{Context_};
@@ -147,6 +148,8 @@
 
 MemoryBudget &EventLoop::memory() { return Impl_->Memory_; }
 
+ConnectionLimits &EventLoop::connectionLimits() { return Impl_->Connections_; }
+
 boost::asio::io_context &EventLoop::context() { return Impl_->Context_; }
 
 } // namespace dragonfly::net
--- a/src/net/FrameServer.cpp
+++ b/src/net/FrameServer.cpp
@@ -18,8 +18,8 @@
 
 /// Parts of the idle timeout after which connections are looked at.
 constexpr int SweepsPerIdleTimeout = 6;
-/// Connections beyond the bound that may wait for their refusal; more wait in
-/// the system's queue.
+/// Connections beyond the bound that may wait for their refusal, on a process
+/// with enough descriptors; more wait in the system's queue.
 constexpr std::size_t MaxExtraConnections = 64;
 
 } // namespace
@@ -65,7 +65,11 @@
 
 struct FrameServer::Impl : std::enable_shared_from_this<FrameServer::Impl> {
   Impl(EventLoop &Loop, FrameServerOptions Options)
-      : Loop_(Loop), Options_(std::move(Options)) {}
+      : Loop_(Loop), Options_(std::move(Options)) {
+    Options_.MaxConnections_ =
+        Loop.connectionLimits().connections(Options_.MaxConnections_);
+    MaxExtra_ = Loop.connectionLimits().connections(MaxExtraConnections);
+  }
 
   void start() {
     Listener_ = std::make_shared<Listener>(
@@ -85,7 +89,7 @@
     armSweep();
   }
 
-  bool hasRoom() const { return Extra_.size() < MaxExtraConnections; }
+  bool hasRoom() const { return Extra_.size() < MaxExtra_; }
 
   void armSweep() {
     Sweep_ = Loop_.after(Options_.IdleTimeout_ / SweepsPerIdleTimeout,
@@ -195,6 +199,7 @@
 
   EventLoop &Loop_;
   FrameServerOptions Options_;
+  std::size_t MaxExtra_ = 0;
   std::shared_ptr<Listener> Listener_;
   Endpoint Endpoint_;
   /// Those of them that are beyond the bound.
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -19,8 +19,8 @@
 
 /// How often connections are checked for their timeouts.
 constexpr Duration SweepPeriod = std::chrono::milliseconds(100);
-/// Refused connections that may wait for their callers to close; more wait in
-/// the system's queue.
+/// Refused connections that may wait for their callers to close, on a process
+/// with enough descriptors; more wait in the system's queue.
 constexpr std::size_t MaxRefused = 128;
 /// When a caller may come again that found too many connections.
 constexpr std::chrono::seconds FullRetryAfter{1};
@@ -46,6 +46,9 @@
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
   Impl(EventLoop &Loop, HttpServerOptions Options)
       : Loop_(Loop), Options_(std::move(Options)) {
+    Options_.MaxConnections_ =
+        Loop.connectionLimits().connections(Options_.MaxConnections_);
+    MaxRefused_ = Loop.connectionLimits().connections(MaxRefused);
     Owner_.OnClosed_ = [this](const std::shared_ptr<HttpConnection> &Closed) {
       Connections_.erase(Closed);
       Refused_.erase(Closed);
@@ -58,7 +61,8 @@
         Listener::Hooks{.HasRoom_ =
                             [Weak = weak_from_this()] {
                               const auto Self = Weak.lock();
-                              return Self && Self->Refused_.size() < MaxRefused;
+                              return Self &&
+                                     Self->Refused_.size() < Self->MaxRefused_;
                             },
                         .OnAccepted_ =
                             [Weak = weak_from_this()](tcp::socket Peer) {
@@ -193,6 +197,7 @@
 
   EventLoop &Loop_;
   HttpServerOptions Options_;
+  std::size_t MaxRefused_ = 0;
   HttpConnectionOwner Owner_{.Options_ = Options_, .Memory_ = Loop_.memory()};
   std::shared_ptr<Listener> Listener_;
   Endpoint Endpoint_;
--- a/src/settings/Describe.cpp
+++ b/src/settings/Describe.cpp
@@ -34,6 +34,7 @@
 constexpr std::int64_t MaxMemoryMib = 1LL << 26;
 constexpr std::int64_t MaxAccelerators = 1024;
 constexpr std::int64_t MaxSlots = 65536;
+constexpr std::int64_t MaxDescriptors = 1LL << 20;
 constexpr std::int64_t MaxBytes = 1LL << 30;
 /// The rest of a disk has room for an old and a new snapshot.
 constexpr std::int64_t MaxLogPermille = 250;
@@ -106,6 +107,8 @@
                        AnyMilliseconds);
   describeInteger(Visitor, "memory_limit_mib", Value.MemoryLimitMib_,
                   Presence::Optional, {.Least_ = 0, .Most_ = MaxMemoryMib});
+  describeInteger(Visitor, "descriptor_limit", Value.DescriptorLimit_,
+                  Presence::Optional, {.Least_ = 0, .Most_ = MaxDescriptors});
   describeInteger(Visitor, "request_memory_permille",
                   Value.RequestMemoryPermille_, Presence::Optional,
                   {.Least_ = 1, .Most_ = Permille});
