Close who waits for longest in favour of a newcomer

Ordinary callers got 503 too-many-connections, or nothing, for as long as others kept all slots of a server with silent connections, half heads or half bodies: 2,048 on callers, 1,024 on operators and workers, 64 on metrics and on readiness, where 64 strangers took an entry out of rotation. On the internal port a new connection was not accepted at all while 1,088 others were silent.

Cause: a server at its bound refused whoever came, and kept for 30 s whoever was there. Refused connections that said nothing filled a second bound, on which accepting waited.

An HTTP server at its bound closes, behind a 503, the connection that has waited for a whole request for longest; what has arrived there is read first. A connection with a request in progress or an answer on its way stays, so that whoever sent a whole request keeps the answer; where all are in use the newcomer is refused as before. A frame server closes first who has never sent a whole frame (after 200 ms), then who has been quiet for 10 s; peers send one each few seconds. One search finds 64 connections, and one that makes no room is not repeated for 100 ms, which bounds the turn. No limit is added. Metric clients_turned_away{displaced, refused, memory-budget}, event 6009 once a second for each server.

--- a/daemons/dragonfly-platform.cpp
+++ b/daemons/dragonfly-platform.cpp
@@ -79,19 +79,33 @@
 
 constexpr std::size_t MaxMetricsReaders = 64;
 
+/// Records what the process has refused or closed for want of room.
+void recordPressure(net::EventLoop &Loop, Metrics &Counts) {
+  const auto Set = [&Counts](std::string_view Label, std::uint64_t Value) {
+    Counts.set("clients_turned_away", Label, static_cast<double>(Value));
+  };
+  Set("displaced", Loop.connectionLimits().counts().Displaced_);
+  Set("refused", Loop.connectionLimits().counts().Refused_);
+  Set("memory-budget", Loop.memory().dropped());
+  Counts.set("request_memory_bytes", {},
+             static_cast<double>(Loop.memory().bytes()));
+}
+
 /// Serves a process's metrics as text.
 class MetricsServer {
 public:
   MetricsServer(net::EventLoop &Loop, const platform::SiteSettings &Site,
                 std::uint16_t Port, std::shared_ptr<Metrics> Counts)
-      : Server_(Loop, {.Name_ = "metrics",
-                       .Listen_ = {.Address_ = Site.Ip_, .Port_ = Port},
-                       .MaxConnections_ = MaxMetricsReaders,
-                       .OnRequest_ = [Counts](const net::HttpRequest &,
-                                              const net::HttpReplier &To) {
-                         To.reply({.ContentType_ = "text/plain",
-                                   .Body_ = Counts->text()});
-                       }}) {}
+      : Server_(Loop,
+                {.Name_ = "metrics",
+                 .Listen_ = {.Address_ = Site.Ip_, .Port_ = Port},
+                 .MaxConnections_ = MaxMetricsReaders,
+                 .OnRequest_ = [Counts, &Loop](const net::HttpRequest &,
+                                               const net::HttpReplier &To) {
+                   recordPressure(Loop, *Counts);
+                   To.reply(
+                       {.ContentType_ = "text/plain", .Body_ = Counts->text()});
+                 }}) {}
 
   net::StopPart stopPart() { return Server_.stopPart(); }
 
--- a/include/dragonfly/base/Event.h
+++ b/include/dragonfly/base/Event.h
@@ -106,6 +106,7 @@
   ConnectionSilent = 6006,
   ConnectionsRefused = 6007,
   MemoryBudgetExceeded = 6008,
+  ConnectionsDisplaced = 6009,
 };
 
 /// One row of the catalogue.
--- a/include/dragonfly/net/HttpServer.h
+++ b/include/dragonfly/net/HttpServer.h
@@ -49,7 +49,9 @@
   /// Names the server in log lines.
   std::string Name_ = "http";
   Endpoint Listen_;
-  /// The request on each further connection is refused with 503.
+  /// Fewer where the process has few descriptors. A further connection takes
+  /// the place of the one that has waited for a whole request for longest;
+  /// where all are in use its request is refused with 503.
   std::size_t MaxConnections_ = 1024;
   std::size_t MaxHeaderBytes_ = 16U << 10U;
   std::size_t MaxBodyBytes_ = 1U << 20U;
--- a/src/base/Event.cpp
+++ b/src/base/Event.cpp
@@ -221,6 +221,9 @@
     {Event::MemoryBudgetExceeded, Severity::Warning, "memory-budget-exceeded",
      "Requests without a complete response held more memory than they may; "
      "incomplete ones were dropped. At most one line a second."},
+    {Event::ConnectionsDisplaced, Severity::Warning, "connections-displaced",
+     "A server at its bound closes connections on which nothing whole has come "
+     "for longest, in favour of newcomers."},
 });
 
 } // namespace
--- a/src/net/FrameServer.cpp
+++ b/src/net/FrameServer.cpp
@@ -1,5 +1,6 @@
 #include "dragonfly/net/FrameServer.h"
 
+#include "dragonfly/base/LineBudget.h"
 #include "dragonfly/base/Log.h"
 #include "dragonfly/net/EventLoop.h"
 #include "net/FrameStream.h"
@@ -7,6 +8,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <algorithm>
 #include <unordered_set>
 #include <utility>
 
@@ -21,6 +23,11 @@
 /// Connections beyond the bound that may wait for their refusal, on a process
 /// with enough descriptors; more wait in the system's queue.
 constexpr std::size_t MaxExtraConnections = 64;
+/// A connection that has sent no frame for longer gives way to another. Clients
+/// send one each few seconds.
+constexpr Duration MaxQuietTime = std::chrono::seconds(10);
+/// A new connection has this long to send its first frame before it gives way.
+constexpr Duration FirstFrameTime = std::chrono::milliseconds(200);
 
 } // namespace
 
@@ -89,7 +96,53 @@
     armSweep();
   }
 
-  bool hasRoom() const { return Extra_.size() < MaxExtra_; }
+  bool hasRoom() {
+    if (Extra_.size() >= MaxExtra_)
+      closeSilentExtras();
+    return Extra_.size() < MaxExtra_;
+  }
+
+  /// Those beyond the bound wait for their first request to be refused.
+  void closeSilentExtras() {
+    const TimePoint Now = Clock::now();
+    std::erase_if(Extra_, [&](const auto &Stream) {
+      if (Stream->hasTakenFrame() ||
+          Now - Stream->lastFrameAt() < FirstFrameTime)
+        return false;
+      Stream->close();
+      Streams_.erase(Stream);
+      return true;
+    });
+  }
+
+  /// Closes the connection that least deserves its place: one that has never
+  /// sent a whole frame, or has been quiet for long. Returns false where there
+  /// is none.
+  bool makeRoom() {
+    const TimePoint Now = Clock::now();
+    const auto Rank = [](const std::shared_ptr<FrameStream> &Stream) {
+      return std::pair(Stream->hasTakenFrame(), Stream->lastFrameAt());
+    };
+    const auto Least = std::ranges::min_element(Streams_, {}, Rank);
+    if (Least == Streams_.end())
+      return false;
+    const std::shared_ptr<FrameStream> Stream = *Least;
+    const Duration Quiet = Now - Stream->lastFrameAt();
+    if (Quiet < (Stream->hasTakenFrame() ? MaxQuietTime : FirstFrameTime))
+      return false;
+    Stream->close();
+    Streams_.erase(Stream);
+    Extra_.erase(Stream);
+    ++Counts_.Displaced_;
+    if (DisplacedLines_.take(Now))
+      logEvent(
+          Event::ConnectionsDisplaced,
+          {{"server", "frames"},
+           {"bound", Options_.MaxConnections_},
+           {"waited_ms", static_cast<std::uint64_t>(toMilliseconds(Quiet))},
+           {"displaced", Counts_.Displaced_}});
+    return true;
+  }
 
   void armSweep() {
     Sweep_ = Loop_.after(Options_.IdleTimeout_ / SweepsPerIdleTimeout,
@@ -116,7 +169,9 @@
 
   void open(tcp::socket Socket) {
     const bool IsFull =
-        Streams_.size() - Extra_.size() >= Options_.MaxConnections_;
+        Streams_.size() - Extra_.size() >= Options_.MaxConnections_ &&
+        !makeRoom();
+    Counts_.Refused_ += IsFull ? 1 : 0;
     // The stream owns its hooks; they refer to it weakly.
     auto Slot = std::make_shared<std::weak_ptr<FrameStream>>();
     auto Held = std::make_shared<MemoryBudget::Holder>(Loop_.memory(), [Slot] {
@@ -200,6 +255,8 @@
   EventLoop &Loop_;
   FrameServerOptions Options_;
   std::size_t MaxExtra_ = 0;
+  ConnectionCounts &Counts_ = Loop_.connectionLimits().counts();
+  LineBudget DisplacedLines_{1};
   std::shared_ptr<Listener> Listener_;
   Endpoint Endpoint_;
   /// Those of them that are beyond the bound.
--- a/src/net/FrameStream.cpp
+++ b/src/net/FrameStream.cpp
@@ -104,6 +104,7 @@
       if (!checkSender(*Value))
         return;
       HasTakenFrame = true;
+      LastFrameAt_ = Clock::now();
       takeFrame(std::move(*Value));
       if (!Open_ || Finishing_)
         break;
--- a/src/net/FrameStream.h
+++ b/src/net/FrameStream.h
@@ -62,6 +62,11 @@
     return IdleSweeps_;
   }
 
+  /// When the last whole frame had come, or the stream had been opened.
+  TimePoint lastFrameAt() const { return LastFrameAt_; }
+  /// Whether the peer has sent a whole frame.
+  bool hasTakenFrame() const { return Peer_ != Incarnation(); }
+
 private:
   void read();
   void flush();
@@ -84,6 +89,7 @@
   std::string Waiting_;
   std::string Writing_;
   TimePoint ProgressAt_;
+  TimePoint LastFrameAt_ = Clock::now();
   bool Heard_ = false;
   int IdleSweeps_ = 0;
   bool Open_ = true;
--- a/src/net/HttpConnection.cpp
+++ b/src/net/HttpConnection.cpp
@@ -72,6 +72,7 @@
   Socket_.non_blocking(true, Ignored);
   resetParser();
   touchIdle();
+  WaitingSince_ = Clock::now();
   read();
 }
 
@@ -92,8 +93,10 @@
     if (!Requests_.empty() && !Requests_.front()->Held_.empty())
       queue(std::exchange(Requests_.front()->Held_, {}));
   }
-  if (Requests_.empty() && !Discarding_)
+  if (Requests_.empty() && !Discarding_) {
     touchIdle();
+    WaitingSince_ = Clock::now();
+  }
   closeIfFinished();
   if (!Dispatching_)
     consume();
@@ -151,6 +154,30 @@
   }
 }
 
+bool HttpConnection::isWaiting() const {
+  return !Closed_ && !Discarding_ && Requests_.empty() && !Writing_ &&
+         Out_.empty();
+}
+
+bool HttpConnection::giveWay(const HttpResponse &Answer) {
+  const auto Self = shared_from_this();
+  beast::error_code Ignored;
+  // What has arrived may be the rest of a request. Besides, closing a socket
+  // that holds unread bytes resets it.
+  if (isWaiting() && Socket_.available(Ignored) > 0)
+    onReadable();
+  if (!isWaiting() || Socket_.available(Ignored) > 0)
+    return false;
+  std::string Bytes;
+  appendResponse(Bytes, Answer, KeepAlive::No);
+  Socket_.write_some(asio::buffer(Bytes), Ignored);
+  Socket_.shutdown(tcp::socket::shutdown_send, Ignored);
+  // The object lives on until its pending read has been called back.
+  releaseInput();
+  close();
+  return true;
+}
+
 void HttpConnection::shortenLinger() {
   if (Lingering_)
     ReadDeadline_ = std::min(ReadDeadline_, Clock::now() + Owner_->LingerTime_);
--- a/src/net/HttpConnection.h
+++ b/src/net/HttpConnection.h
@@ -80,6 +80,14 @@
   /// where its answer has begun. Makes \p Refusal the last answer of a
   /// connection without requests.
   void cutOff(const HttpResponse &Answer, const HttpResponse &Refusal);
+  /// Returns whether no request is in progress and no answer on its way, so
+  /// that the connection may be closed in favour of another.
+  bool isWaiting() const;
+  /// Since when the connection has waited for a whole request.
+  TimePoint waitingSince() const { return WaitingSince_; }
+  /// Sends \p Answer as far as the socket takes it and closes the connection,
+  /// if what has arrived leaves it waiting; returns whether it did.
+  bool giveWay(const HttpResponse &Answer);
   /// Bounds the time for the last answer by the owner's new linger time.
   void shortenLinger();
   /// Keeps the connection for a short time only behind its last answer.
@@ -150,6 +158,7 @@
   std::string Out_;
   std::string InFlight_;
   TimePoint ReadDeadline_ = TimePoint::max();
+  TimePoint WaitingSince_ = TimePoint::max();
   /// When bytes last left.
   TimePoint WrittenAt_ = TimePoint::min();
   TimePoint WriteDeadline_ = TimePoint::max();
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "dragonfly/net/HttpServer.h"
 
+#include "dragonfly/base/LineBudget.h"
 #include "dragonfly/base/Log.h"
 #include "dragonfly/net/EventLoop.h"
 #include "net/HttpConnection.h"
@@ -10,6 +11,8 @@
 
 #include <algorithm>
 #include <unordered_set>
+#include <utility>
+#include <vector>
 
 namespace dragonfly::net {
 namespace {
@@ -22,6 +25,9 @@
 /// Refused connections that may wait for their callers to close, on a process
 /// with enough descriptors; more wait in the system's queue.
 constexpr std::size_t MaxRefused = 128;
+/// Waiting connections that one search finds; more are looked for only once
+/// these have been closed or used.
+constexpr std::size_t MaxCandidates = 64;
 /// When a caller may come again that found too many connections.
 constexpr std::chrono::seconds FullRetryAfter{1};
 /// Time that callers of a stopping server have to close after the last answer.
@@ -80,7 +86,9 @@
 
   void add(tcp::socket Peer) {
     const bool IsFull =
-        Connections_.size() - Refused_.size() >= Options_.MaxConnections_;
+        !Refusing_ &&
+        Connections_.size() - Refused_.size() >= Options_.MaxConnections_ &&
+        !makeRoom();
     const auto Added =
         std::make_shared<HttpConnection>(Owner_, std::move(Peer));
     Connections_.insert(Added);
@@ -99,12 +107,61 @@
 
   /// Logs once until there is room again.
   void logFull(bool IsFull) {
+    Counts_.Refused_ += IsFull ? 1 : 0;
     if (std::exchange(WasFull_, IsFull) || !IsFull)
       return;
     logEvent(Event::ConnectionsRefused,
              {{"server", Options_.Name_}, {"bound", Options_.MaxConnections_}});
   }
 
+  /// Closes the connection that has waited for a whole request for longest.
+  /// Returns false where all are in use.
+  bool makeRoom() {
+    const TimePoint Now = Clock::now();
+    bool HasSearched = false;
+    while (true) {
+      // A second search would find those again that have not given way.
+      if (Candidates_.empty() &&
+          (std::exchange(HasSearched, true) || !findCandidates(Now))) {
+        NextSearchAt_ = Now + SweepPeriod;
+        return false;
+      }
+      const auto [Since, Weak] = std::move(Candidates_.back());
+      Candidates_.pop_back();
+      const auto Longest = Weak.lock();
+      if (!Longest || Longest->waitingSince() != Since ||
+          !Longest->giveWay(
+              makeUnavailable("too-many-connections", FullRetryAfter)))
+        continue;
+      ++Counts_.Displaced_;
+      if (DisplacedLines_.take(Now))
+        logEvent(Event::ConnectionsDisplaced,
+                 {{"server", Options_.Name_},
+                  {"bound", Options_.MaxConnections_},
+                  {"waited_ms",
+                   static_cast<std::uint64_t>(toMilliseconds(Now - Since))},
+                  {"displaced", Counts_.Displaced_}});
+      return true;
+    }
+  }
+
+  /// Collects the connections that wait for longest, the longest one last.
+  /// Where all are in use, they are not visited again for a while.
+  bool findCandidates(TimePoint Now) {
+    if (Now < NextSearchAt_)
+      return false;
+    for (const auto &Open : Connections_)
+      if (Open->isWaiting())
+        Candidates_.emplace_back(Open->waitingSince(), Open);
+    const std::size_t Kept = std::min(Candidates_.size(), MaxCandidates);
+    std::ranges::partial_sort(
+        Candidates_, Candidates_.begin() + static_cast<std::ptrdiff_t>(Kept),
+        {}, &Candidate::first);
+    Candidates_.resize(Kept);
+    std::ranges::reverse(Candidates_);
+    return Kept > 0;
+  }
+
   /// Those who connect in the middle of a stop do not prolong it.
   std::size_t unfinished() const {
     return Connections_.size() - (Closing_ ? 0 : Refused_.size());
@@ -195,9 +252,15 @@
       armSweep();
   }
 
+  using Candidate = std::pair<TimePoint, std::weak_ptr<HttpConnection>>;
+
   EventLoop &Loop_;
   HttpServerOptions Options_;
   std::size_t MaxRefused_ = 0;
+  ConnectionCounts &Counts_ = Loop_.connectionLimits().counts();
+  LineBudget DisplacedLines_{1};
+  std::vector<Candidate> Candidates_;
+  TimePoint NextSearchAt_;
   HttpConnectionOwner Owner_{.Options_ = Options_, .Memory_ = Loop_.memory()};
   std::shared_ptr<Listener> Listener_;
   Endpoint Endpoint_;
