Answer HEAD without a body

Callers who sent HEAD got an answer with a body, and took it for the beginning of the next answer on that connection.

Cause: the server serialized every response in the same way.

A request remembers that it was HEAD; its answer keeps the length that the body would have and leaves the body out, also where it is streamed. Two cases of HttpContractTest failed before and pass.

--- a/src/net/HttpConnection.cpp
+++ b/src/net/HttpConnection.cpp
@@ -384,6 +384,7 @@
   auto Request = std::make_shared<HttpReplier::State>();
   Request->Connection_ = weak_from_this();
   Request->KeepAlive_ = Parser_->keep_alive();
+  Request->IsHead_ = Parser_->get().method() == http::verb::head;
   HttpRequest Message = takeRequest(*Parser_);
   Request->Bytes_ = Message.Body_.capacity() + HeadBytes_;
   resetParser();
--- a/src/net/HttpConnection.h
+++ b/src/net/HttpConnection.h
@@ -40,6 +40,8 @@
 struct HttpReplier::State {
   std::weak_ptr<HttpConnection> Connection_;
   bool KeepAlive_ = true;
+  /// The answer has a head only.
+  bool IsHead_ = false;
   /// The head of the answer has been handed over.
   bool Begun_ = false;
   bool Done_ = false;
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -284,6 +284,8 @@
     return;
   std::string Bytes;
   appendResponse(Bytes, Response, keepAlive(*State_, *Caller));
+  if (State_->IsHead_)
+    Bytes.resize(Bytes.size() - Response.Body_.size());
   State_->Begun_ = true;
   State_->Done_ = true;
   Caller->append(*State_, std::move(Bytes));
@@ -302,7 +304,7 @@
 
 void HttpReplier::chunk(std::string_view Bytes) const {
   const auto Caller = State_->Connection_.lock();
-  if (!Caller || State_->Done_ || Bytes.empty())
+  if (!Caller || State_->Done_ || State_->IsHead_ || Bytes.empty())
     return;
   std::string Framed;
   appendChunk(Framed, Bytes);
@@ -314,7 +316,8 @@
   if (!Caller || State_->Done_)
     return;
   std::string Last;
-  appendChunk(Last, {});
+  if (!State_->IsHead_)
+    appendChunk(Last, {});
   State_->Done_ = true;
   Caller->append(*State_, std::move(Last));
   Caller->settle();
--- /dev/null
+++ b/tests/net/HttpContractTest.cpp
@@ -0,0 +1,71 @@
+/// What HTTP/1.1 promises on one connection, where a caller or another server
+/// on the way would otherwise take one message for another.
+#include "dragonfly/net/HttpServer.h"
+#include "net/HttpPeers.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace dragonfly::net;
+
+namespace {
+
+/// A server that answers each request with its method and body, once it is told
+/// to.
+struct EchoServer {
+  EchoServer()
+      : Server_(Loop_,
+                {.Listen_ = AnyPort,
+                 .OnRequest_ = [this](HttpRequest Request, HttpReplier To) {
+                   Requests_.push_back(std::move(Request));
+                   Pending_.push_back(std::move(To));
+                   if (!Holds_)
+                     answer(Pending_.size() - 1);
+                 }}) {}
+
+  void answer(std::size_t Index) {
+    Pending_[Index].reply({.Body_ = "<" + Requests_[Index].Method_ + ":" +
+                                    Requests_[Index].Body_ + ">"});
+  }
+
+  EventLoop Loop_;
+  bool Holds_ = false;
+  std::vector<HttpRequest> Requests_;
+  std::vector<HttpReplier> Pending_;
+  HttpServer Server_;
+};
+
+} // namespace
+
+TEST_CASE("an answer to HEAD has no body", "[net][http][contract]") {
+  EchoServer On;
+  RawCaller Caller(On.Loop_, On.Server_.endpoint());
+  Caller.write("HEAD /x HTTP/1.1\r\nHost: a\r\n\r\n"
+               "GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+  REQUIRE(Caller.waitFor("<GET:>"));
+  const std::string Bytes = Caller.received();
+  CHECK(Bytes.find("<HEAD") == std::string::npos);
+  CHECK(Bytes.find("Content-Length: 7") != std::string::npos);
+  // The second answer begins where the head of the first one ends.
+  const std::size_t End = Bytes.find("\r\n\r\n") + 4;
+  CHECK(Bytes.substr(End).starts_with("HTTP/1.1 200"));
+}
+
+TEST_CASE("a streamed answer to HEAD has no body", "[net][http][contract]") {
+  EchoServer On;
+  On.Holds_ = true;
+  RawCaller Caller(On.Loop_, On.Server_.endpoint());
+  Caller.write("HEAD /x HTTP/1.1\r\nHost: a\r\n\r\n"
+               "GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+  REQUIRE(pollUntil(On.Loop_, [&] { return On.Pending_.size() == 2; }));
+  On.Pending_[0].beginChunks({});
+  On.Pending_[0].chunk("part");
+  On.Pending_[0].endChunks();
+  On.answer(1);
+  REQUIRE(Caller.waitFor("<GET:>"));
+  const std::string Bytes = Caller.received();
+  const std::size_t End = Bytes.find("\r\n\r\n") + 4;
+  CHECK(Bytes.substr(End).starts_with("HTTP/1.1 200"));
+}
