Refuse heads whose length or host can be read in two ways

Behind a balancer a caller could hide a request in the body of another one: beside "Transfer-Encoding: xchunked" a body was read by its Content-Length, "gzip, chunked" as if it were not compressed, two transfer codings and codings in HTTP/1.0 were accepted. A request with two Host fields, or none in HTTP/1.1, was routed.

Cause: the parser decodes "chunked" where it finds it and passes over the rest.

A head is refused before anything of it is run: 501 for any transfer coding but "chunked" alone, 400 for one before HTTP/1.1 and for other than one Host (HTTP/1.0 may name none). The connection closes, since it is unknown where the next request would begin.

--- a/src/net/HttpConnection.cpp
+++ b/src/net/HttpConnection.cpp
@@ -1,5 +1,6 @@
 #include "net/HttpConnection.h"
 
+#include "net/HttpHead.h"
 #include "net/HttpText.h"
 
 #include "net/Sockets.h"
@@ -346,8 +347,8 @@
   Buffer_.consume(Parsed);
   if (IsHead)
     HeadBytes_ += Parsed - Parser_->get().body().size();
-  if (IsHead && Parser_->is_header_done() && !Parser_->is_done() &&
-      answerHead())
+  const bool IsBroken = Failure && Failure != http::error::need_more;
+  if (IsHead && Parser_->is_header_done() && !IsBroken && !acceptHead())
     return false;
   if (Failure == http::error::need_more) {
     // Chunk lines and trailers are parsed only once they have arrived whole.
@@ -366,6 +367,16 @@
   return true;
 }
 
+bool HttpConnection::acceptHead() {
+  if (auto Refusal = refuseHead(Parser_->get())) {
+    refuse(std::move(*Refusal));
+    return false;
+  }
+  if (Parser_->is_done())
+    return true;
+  return !answerHead();
+}
+
 bool HttpConnection::answerHead() {
   if (!Owner_->Options_.OnHead_)
     return false;
--- a/src/net/HttpConnection.h
+++ b/src/net/HttpConnection.h
@@ -125,6 +125,9 @@
   void consume();
   /// Hands over the next whole request; false where none has come.
   bool consumeOne();
+  /// Refuses a head that may be read in another way, or lets the owner answer
+  /// it. Returns whether the request goes on.
+  bool acceptHead();
   /// Lets the owner answer a request whose body has not arrived. Returns
   /// whether it did.
   bool answerHead();
--- a/tests/net/HttpContractTest.cpp
+++ b/tests/net/HttpContractTest.cpp
@@ -69,3 +69,51 @@
   const std::size_t End = Bytes.find("\r\n\r\n") + 4;
   CHECK(Bytes.substr(End).starts_with("HTTP/1.1 200"));
 }
+
+// Guards against a request whose body another server takes for the next one.
+TEST_CASE("a body whose length can be read in two ways is refused",
+          "[net][http][contract]") {
+  const std::string Code = GENERATE(
+      as<std::string>(), "Transfer-Encoding: xchunked\r\nContent-Length: 4\r\n",
+      "Transfer-Encoding: gzip, chunked\r\n", "Transfer-Encoding: identity\r\n",
+      "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+      "Transfer-Encoding: chunked, chunked\r\n",
+      "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n");
+  EchoServer On;
+  RawCaller Caller(On.Loop_, On.Server_.endpoint());
+  Caller.write("POST /x HTTP/1.1\r\nHost: a\r\n" + Code + "\r\n0\r\n\r\n");
+  CHECK(Caller.waitForEnd());
+  CHECK(Caller.received().find("refused-not-run") != std::string::npos);
+  CHECK(Caller.received().find(" 200 ") == std::string::npos);
+  CHECK(On.Requests_.empty());
+}
+
+TEST_CASE("a request for more or less than one host is refused",
+          "[net][http][contract]") {
+  EchoServer On;
+  RawCaller Caller(On.Loop_, On.Server_.endpoint());
+  SECTION("none") { Caller.write("GET /x HTTP/1.1\r\n\r\n"); }
+  SECTION("two") {
+    Caller.write("GET /x HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n");
+  }
+  CHECK(Caller.waitForEnd());
+  CHECK(Caller.received().starts_with("HTTP/1.1 400"));
+  CHECK(On.Requests_.empty());
+}
+
+TEST_CASE("HTTP/1.0 names no host and no transfer coding",
+          "[net][http][contract]") {
+  EchoServer On;
+  RawCaller Caller(On.Loop_, On.Server_.endpoint());
+  SECTION("without a host it is served") {
+    Caller.write("GET /x HTTP/1.0\r\n\r\n");
+    CHECK(Caller.waitFor("<GET:>"));
+  }
+  SECTION("chunked it is refused") {
+    Caller.write("POST /x HTTP/1.0\r\nHost: a\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+    CHECK(Caller.waitForEnd());
+    CHECK(Caller.received().find("refused-not-run") != std::string::npos);
+    CHECK(On.Requests_.empty());
+  }
+}
