Tell callers that wait for it to send their body

Callers who sent "Expect: 100-continue" and waited got nothing within 4 s: no interim and no final answer.

Cause: the field was not looked at.

Once such a head has been accepted and its body has not arrived, the server sends 100 Continue; behind requests that have no answer yet it waits for these, since answers leave in order. A head that is refused gets its final answer instead. The case of HttpContractTest, with and without a request before, failed before and passes.

--- a/src/net/HttpConnection.cpp
+++ b/src/net/HttpConnection.cpp
@@ -97,6 +97,7 @@
   if (Requests_.empty() && !Discarding_) {
     touchIdle();
     WaitingSince_ = Clock::now();
+    sendContinue();
   }
   closeIfFinished();
   if (!Dispatching_)
@@ -246,6 +247,7 @@
 void HttpConnection::resetParser() {
   Parser_.reset();
   HeadBytes_ = 0;
+  OwesContinue_ = false;
   HeaderPool_.release();
   Parser_.emplace(
       std::piecewise_construct, std::make_tuple(),
@@ -374,7 +376,16 @@
   }
   if (Parser_->is_done())
     return true;
-  return !answerHead();
+  if (answerHead())
+    return false;
+  OwesContinue_ = expectsContinue(Parser_->get());
+  sendContinue();
+  return true;
+}
+
+void HttpConnection::sendContinue() {
+  if (Requests_.empty() && !Discarding_ && std::exchange(OwesContinue_, false))
+    queue("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
 bool HttpConnection::answerHead() {
--- a/src/net/HttpConnection.h
+++ b/src/net/HttpConnection.h
@@ -132,6 +132,9 @@
   /// whether it did.
   bool answerHead();
   void dispatch();
+  /// Tells a caller that waits for it to send its body, once all requests
+  /// before have their answers.
+  void sendContinue();
   /// No request that arrives later is run.
   void discardRest();
   /// Frees the buffers of a request that has not arrived whole.
@@ -173,6 +176,8 @@
   bool Writing_ = false;
   bool Dispatching_ = false;
   bool CloseAfterWrite_ = false;
+  /// The caller waits for leave to send its body.
+  bool OwesContinue_ = false;
   /// True once input is only discarded.
   bool Discarding_ = false;
   /// The last answer has left; the caller closes next.
--- a/src/net/HttpHead.h
+++ b/src/net/HttpHead.h
@@ -35,6 +35,14 @@
   return std::nullopt;
 }
 
+/// Returns whether the caller waits for an interim answer before it sends the
+/// body.
+template <typename Message> bool expectsContinue(const Message &Head) {
+  return Head.version() >= Http11 &&
+         boost::beast::iequals(Head[boost::beast::http::field::expect],
+                               "100-continue");
+}
+
 } // namespace dragonfly::net
 
 #endif // DRAGONFLY_SRC_NET_HTTPHEAD_H
--- a/tests/net/HttpContractTest.cpp
+++ b/tests/net/HttpContractTest.cpp
@@ -6,12 +6,15 @@
 #include <catch2/catch.hpp>
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 using namespace dragonfly::net;
 
 namespace {
 
+constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+
 /// A server that answers each request with its method and body, once it is told
 /// to.
 struct EchoServer {
@@ -70,6 +73,31 @@
   CHECK(Bytes.substr(End).starts_with("HTTP/1.1 200"));
 }
 
+TEST_CASE("a caller that waits for leave to send its body gets it",
+          "[net][http][contract]") {
+  EchoServer On;
+  RawCaller Caller(On.Loop_, On.Server_.endpoint());
+  const std::string Head =
+      "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
+      "Expect: 100-continue\r\n\r\n";
+  SECTION("on an idle connection") {
+    Caller.write(Head);
+    REQUIRE(Caller.waitFor(Continue));
+  }
+  SECTION("behind a request without an answer") {
+    On.Holds_ = true;
+    Caller.write("GET /x HTTP/1.1\r\nHost: a\r\n\r\n" + Head);
+    REQUIRE(pollUntil(On.Loop_, [&] { return On.Pending_.size() == 1; }));
+    CHECK(Caller.received().empty());
+    On.Holds_ = false;
+    On.answer(0);
+    REQUIRE(Caller.waitFor(Continue));
+    CHECK(Caller.received().find("<GET:>") < Caller.received().find(Continue));
+  }
+  Caller.write("body");
+  CHECK(Caller.waitFor("<POST:body>"));
+}
+
 // Guards against a request whose body another server takes for the next one.
 TEST_CASE("a body whose length can be read in two ways is refused",
           "[net][http][contract]") {
