Bound the memory of the rows of a frame

A peer on the internal port could send a whole frame of 6 MB with a right checksum whose message holds 201 MB: 6.3 million labels, one byte each. A control process of 96 MB outgrew its machine as it read it, the relay as well as the replica.

Cause: the payload of a frame is bounded (8 MiB), what its message takes once it is decoded was not. An empty string takes 1 byte in the frame and 32 in memory.

Decoding a frame counts the rows that it makes and rejects the frame beyond 16 MiB of them, as it does a malformed one.

--- a/include/dragonfly/wire/Frame.h
+++ b/include/dragonfly/wire/Frame.h
@@ -24,6 +24,9 @@
 inline constexpr std::uint8_t ProtocolVersion = 1;
 /// Longest payload that is accepted, in bytes.
 inline constexpr std::uint32_t MaxPayloadBytes = 8U << 20U;
+/// Most memory of all rows of a message that is accepted, in bytes, without
+/// what they point to. The queues of a configuration of 4 MiB take the most.
+inline constexpr std::size_t MaxRowBytes = std::size_t(16) << 20U;
 
 enum class FrameKind : std::uint8_t {
   Request,
--- a/src/base/Archive.h
+++ b/src/base/Archive.h
@@ -11,6 +11,7 @@
 #include <concepts>
 #include <cstdint>
 #include <cstring>
+#include <limits>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -19,15 +20,21 @@
 namespace dragonfly {
 
 /// Ways in which bytes can fail to be an encoded value.
-enum class ArchiveFault : std::uint8_t { Truncated, BadNumber, BadVariant };
+enum class ArchiveFault : std::uint8_t {
+  Truncated,
+  BadNumber,
+  BadVariant,
+  TooManyRows
+};
 
 using ArchiveError = TypedError<ArchiveFault>;
 
 template <> struct EnumTable<ArchiveFault> {
-  static constexpr std::array<EnumName<ArchiveFault>, 3> Rows{{
+  static constexpr std::array<EnumName<ArchiveFault>, 4> Rows{{
       {ArchiveFault::Truncated, "value-truncated"},
       {ArchiveFault::BadNumber, "bad-number"},
       {ArchiveFault::BadVariant, "bad-variant"},
+      {ArchiveFault::TooManyRows, "too-many-rows"},
   }};
 };
 
@@ -62,10 +69,14 @@
     : public cereal::InputArchive<InputArchive,
                                   cereal::AllowEmptyClassElision> {
 public:
-  explicit InputArchive(std::string_view In)
+  /// \p MaxRowBytes bounds the memory of all rows that are read, without what
+  /// they point to: rows may take one byte each where they are encoded.
+  explicit InputArchive(
+      std::string_view In,
+      std::size_t MaxRowBytes = std::numeric_limits<std::size_t>::max())
       : cereal::InputArchive<InputArchive, cereal::AllowEmptyClassElision>(
             this),
-        In_(In) {}
+        In_(In), RowBytesLeft_(MaxRowBytes) {}
 
   std::uint64_t number() {
     constexpr unsigned MaxShift = 63;
@@ -89,11 +100,19 @@
     In_.remove_prefix(Size);
   }
 
+  /// Counts one more row of \p Bytes.
+  void takeRow(std::size_t Bytes) {
+    if (Bytes > RowBytesLeft_)
+      throw ArchiveError(ArchiveFault::TooManyRows, "rows");
+    RowBytesLeft_ -= Bytes;
+  }
+
   /// Bytes that have not been read yet.
   std::size_t remaining() const { return In_.size(); }
 
 private:
   std::string_view In_;
+  std::size_t RowBytesLeft_;
 };
 
 /// Maps signed numbers to unsigned ones so that small magnitudes stay small.
@@ -160,8 +179,10 @@
   if (Size > Ar.remaining())
     throw ArchiveError(ArchiveFault::Truncated, "rows");
   Rows.clear();
-  for (std::uint64_t Row = 0; Row < Size; ++Row)
+  for (std::uint64_t Row = 0; Row < Size; ++Row) {
+    Ar.takeRow(sizeof(T));
     Ar(Rows.emplace_back());
+  }
 }
 
 } // namespace dragonfly
--- a/src/wire/Frame.cpp
+++ b/src/wire/Frame.cpp
@@ -55,7 +55,7 @@
 
 Message decodePayload(std::string_view Payload) {
   try {
-    InputArchive In(Payload);
+    InputArchive In(Payload, MaxRowBytes);
     Message Value = loadAlternative(In, In.number());
     if (In.remaining() != 0)
       throw FrameError(FrameFault::BadPayload, "bytes left over");
