--- a/src/control/ServingRelocator.cpp
+++ b/src/control/ServingRelocator.cpp
@@ -12,7 +12,6 @@
 using jobs::JobRow;
 using jobs::RunName;
 using jobs::StepSpec;
-using jobs::TaskPhase;
 
 /// Interval between searches for relocations.
 constexpr Duration SearchInterval = std::chrono::milliseconds(250);
--- a/src/net/FrameServer.cpp
+++ b/src/net/FrameServer.cpp
@@ -126,7 +126,7 @@
     const auto Least = std::ranges::min_element(Streams_, {}, Rank);
     if (Least == Streams_.end())
       return false;
-    const std::shared_ptr<FrameStream> Stream = *Least;
+    std::shared_ptr<FrameStream> Stream = *Least;
     const Duration Quiet = Now - Stream->lastFrameAt();
     if (Quiet < (Stream->hasTakenFrame() ? MaxQuietTime : FirstFrameTime))
       return false;
