Take a displaced stream out of its set in one step

The linter takes a copy of the pointer for needless, although the set gives up its own; extracting the element needs none. No behaviour changes. net_tests and the tests of silent connections pass.

--- a/src/net/FrameServer.cpp
+++ b/src/net/FrameServer.cpp
@@ -126,13 +126,12 @@
     const auto Least = std::ranges::min_element(Streams_, {}, Rank);
     if (Least == Streams_.end())
       return false;
-    std::shared_ptr<FrameStream> Stream = *Least;
-    const Duration Quiet = Now - Stream->lastFrameAt();
-    if (Quiet < (Stream->hasTakenFrame() ? MaxQuietTime : FirstFrameTime))
+    const Duration Quiet = Now - (*Least)->lastFrameAt();
+    if (Quiet < ((*Least)->hasTakenFrame() ? MaxQuietTime : FirstFrameTime))
       return false;
-    Stream->close();
-    Streams_.erase(Stream);
-    Extra_.erase(Stream);
+    const auto Closed = Streams_.extract(Least);
+    Closed.value()->close();
+    Extra_.erase(Closed.value());
     ++Counts_.Displaced_;
     if (DisplacedLines_.take(Now))
       logEvent(
