Split what bounds the memory for jobs out of JobService

JobMemory decides whether a job fits and counts what is proposed; RecentNames moves to a header of its own.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -2,6 +2,8 @@
 
 #include "control/JobBatch.h"
 #include "control/JobDispatcher.h"
+#include "control/JobMemory.h"
+#include "control/RecentNames.h"
 #include "control/RunTimeEstimator.h"
 #include "control/WorkerInterference.h"
 #include "control/WorkerSessions.h"
@@ -9,7 +11,6 @@
 #include "dragonfly/base/Log.h"
 
 #include <algorithm>
-#include <deque>
 #include <set>
 #include <string_view>
 #include <utility>
@@ -25,27 +26,6 @@
 /// misses no more than what was learnt in one interval.
 constexpr Duration LossReplicationInterval = std::chrono::seconds(1);
 
-/// A set of the names inserted most recently, in bounded memory.
-class RecentNames {
-public:
-  /// Inserts \p Name; returns false if it is in the set already.
-  bool insert(const std::string &Name) {
-    if (!Names_.insert(Name).second)
-      return false;
-    Order_.push_back(Name);
-    if (Order_.size() > MaxNames) {
-      Names_.erase(Order_.front());
-      Order_.pop_front();
-    }
-    return true;
-  }
-
-private:
-  static constexpr std::size_t MaxNames = 4096;
-  std::set<std::string> Names_;
-  std::deque<std::string> Order_;
-};
-
 /// Returns whether a run of the step has finished or failed.
 bool hasEndedRun(const jobs::StepRow &Step) {
   return Step.Finished_ > 0 ||
@@ -163,12 +143,11 @@
       return;
     }
     const std::size_t Bytes = jobs::newJobBytes(Request.Spec_);
-    if (Options_.MaxJobBytes_ > 0 &&
-        Table_.heldBytes() + ProposedBytes_ + Bytes > Options_.MaxJobBytes_) {
+    if (!Memory_.hasRoomFor(Bytes)) {
       rejectJob(Request.Job_, "job-memory-full", Answer);
       return;
     }
-    ProposedBytes_ += Bytes;
+    Memory_.addProposed(Bytes);
     const std::size_t Index = Batch_.record().Submits_.size();
     Batch_.record().Submits_.push_back({.Job_ = Request.Job_,
                                         .Host_ = std::move(Request.Host_),
@@ -177,7 +156,7 @@
     Batch_.onOutcome([this, Index, Bytes, Job = std::move(Request.Job_),
                       Answer = std::move(Answer)](ProposeStatus Status,
                                                   const JobOutcomes *Outcomes) {
-      ProposedBytes_ -= Bytes;
+      Memory_.removeProposed(Bytes);
       if (Outcomes == nullptr) {
         refuseIfNotLeader(Status, Answer);
         return;
@@ -196,23 +175,15 @@
   void rejectJob(const std::string &Job, std::string_view Reason,
                  const Reply &Answer) {
     Options_.Metrics_->count("jobs", Reason);
-    ++Rejections_;
     if (RejectLines_.take(Clock::now()))
       logEvent(Event::JobRejected, {{"job", Job},
                                     {"reason", Reason},
                                     {"held_bytes", Table_.heldBytes()},
-                                    {"bound", Options_.MaxJobBytes_},
-                                    {"rejections", Rejections_}});
+                                    {"bound", Options_.MaxJobBytes_}});
     Answer(wire::JobReply{.Status_ = JobStatus::Rejected,
                           .RetryAfter_ = Options_.FullStateRetryAfter_});
   }
 
-  bool isJobMemoryScarce() const {
-    constexpr std::size_t ScarceEighths = 7;
-    return Options_.MaxJobBytes_ > 0 &&
-           Table_.heldBytes() > Options_.MaxJobBytes_ / 8 * ScarceEighths;
-  }
-
   void logSubmission(const std::string &Id, bool Accepted) const {
     const std::uint64_t Version = Table_.configuration().Version_;
     const jobs::JobRow *Job = Table_.find(Id);
@@ -412,11 +383,8 @@
   JobServiceOptions Options_;
   LineBudget ReadLines_{MaxReadLinesPerSecond};
   LineBudget RejectLines_{MaxRejectLinesPerSecond};
-  /// Submissions refused for want of room so far.
-  std::uint64_t Rejections_ = 0;
-  /// Memory of jobs that have been proposed and have no outcome yet.
-  std::size_t ProposedBytes_ = 0;
   const jobs::JobTable &Table_;
+  JobMemory Memory_{Table_, Options_.MaxJobBytes_};
   const jobs::ImageLosses &ReplicatedLosses_;
   const jobs::EvacuationTable &Evacuations_;
   TimePoint Now_;
@@ -459,9 +427,7 @@
   Impl_->replicateLossesAndPrune();
 }
 
-bool JobService::isJobMemoryScarce() const {
-  return Impl_->isJobMemoryScarce();
-}
+bool JobService::isJobMemoryScarce() const { return Impl_->Memory_.isScarce(); }
 
 void JobService::submitJob(TimePoint, wire::SubmitJob Request, Reply Answer) {
   Impl_->submitJob(std::move(Request), std::move(Answer));
