Test requests whose answers nobody reads, and a core that is halted

The leader of that test accepted connections and answered nothing, so that the calm answer was itself one of a failing system, and which of the two an entry gives depends on whether its connection is open or waits to be opened again. Both are right there.

Change: three real control processes answer in calm, are halted while the crowd hands in its jobs, and go on afterwards. The ordinary request then has to get the answer of a working system, byte for byte, and the descriptors of the entry are checked as before. Crowd and bound are what they were. While control is halted a caller gets 503 or 504.

--- a/tests/platform/RealProcess.cpp
+++ b/tests/platform/RealProcess.cpp
@@ -25,6 +25,7 @@
 namespace {
 
 constexpr int MaxReadSeconds = 10;
+constexpr int MaxBlockedSeconds = 1;
 constexpr int MaxConnects = 2000000;
 
 std::string makeFolder() {
@@ -74,6 +75,12 @@
   return true;
 }
 
+bool Peer::sendWhileTaken(std::string_view Bytes) const {
+  const timeval Limit{.tv_sec = MaxBlockedSeconds, .tv_usec = 0};
+  setsockopt(Socket_, SOL_SOCKET, SO_SNDTIMEO, &Limit, sizeof Limit);
+  return send(Bytes);
+}
+
 std::string Peer::readToEnd() const { return readUntil({}); }
 
 std::string Peer::readUntil(std::string_view Text) const {
--- a/tests/untrusted/AcceptedJobsTest.cpp
+++ b/tests/untrusted/AcceptedJobsTest.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -109,14 +110,23 @@
   const Machine Limits;
   const std::size_t Jobs =
       2 * Limits.MemoryMb_ * BytesPerMb / (Steps * LeastBytesPerStep);
-  const SilentListener Leader("127.201.8.3", 7720);
-  Crowd On(httpServers().front(), Limits, ask, "127.201.8.3");
+  Group On(Limits);
+  const std::string Ordinary = jobRequest("GET", jobId(OrdinaryJob));
+  const Answer Calm = On.call(Ordinary);
+  REQUIRE(Calm.Status_ == 410);
+  On.freezeControl();
   const std::string Body = jobBody(Steps, 1);
+  std::vector<std::unique_ptr<Peer>> Open;
   for (std::size_t Sent = 0; Sent < Jobs; Sent += Window) {
     std::string Requests;
     for (std::size_t I = 0; I < Window; ++I)
       Requests += jobRequest("POST", jobId(Sent + I), Body);
-    On.connect().send(Requests);
+    Open.push_back(std::make_unique<Peer>(On.entryIp(), 8161));
+    Open.back()->send(Requests);
   }
-  On.check();
+  const int Silent = On.call(Ordinary).Status_;
+  CHECK((Silent == 503 || Silent == 504));
+  On.thawControl();
+  CHECK(On.callUntil(Ordinary, Calm.Status_).Body_ == Calm.Body_);
+  On.check(Open.size());
 }
--- a/tests/untrusted/Crowd.cpp
+++ b/tests/untrusted/Crowd.cpp
@@ -4,10 +4,6 @@
 
 #include <catch2/catch.hpp>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 #include <utility>
 
 namespace dragonfly::untrusted {
@@ -34,8 +30,9 @@
 }
 
 std::string settingsOf(const Target &Server, const std::string &Ip,
-                       const std::string &SeedIp, const Machine &Limits) {
-  std::string Lines = sharedSettings(Ip, SeedIp, Limits) + "Bootstrap=false\n";
+                       const Machine &Limits) {
+  std::string Lines =
+      sharedSettings(Ip, "127.201.8.1", Limits) + "Bootstrap=false\n";
   if (Server.Role_ == "entry")
     Lines += "Bind.Frontend=" + Ip + ":8161\nBind.Readiness=" + Ip + ":8167\n";
   else
@@ -119,33 +116,23 @@
              : "kind " + std::to_string(static_cast<int>(Answer[KindAt]));
 }
 
-SilentListener::SilentListener(const std::string &Ip, std::uint16_t Port)
-    : Socket_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-  constexpr int Backlog = 64;
-  sockaddr_in At{};
-  At.sin_family = AF_INET;
-  At.sin_port = htons(Port);
-  inet_pton(AF_INET, Ip.c_str(), &At.sin_addr);
-  const int Reuse = 1;
-  setsockopt(Socket_, SOL_SOCKET, SO_REUSEADDR, &Reuse, sizeof Reuse);
-  REQUIRE(bind(Socket_, reinterpret_cast<const sockaddr *>(&At), sizeof At) ==
-          0);
-  REQUIRE(listen(Socket_, Backlog) == 0);
-}
-
-SilentListener::~SilentListener() { close(Socket_); }
-
 void checkMemory(const RealProcess &Program, const Machine &Limits) {
   REQUIRE(Program.isRunning());
   if (MemoryIsMeasured)
     CHECK(Program.peakMemoryKib() < Limits.MemoryMb_ * KibPerMb);
 }
 
-Crowd::Crowd(Target Server, Machine Limits, Question Ordinary,
-             const std::string &SeedIp)
+void checkDescriptors(const RealProcess &Program, const Machine &Limits,
+                      std::size_t Callers) {
+  const std::size_t Descriptors = Program.openDescriptors();
+  CHECK(Descriptors <= Callers + OwnDescriptors);
+  CHECK(Descriptors <= Limits.MaxFds_ - ReservedFds);
+}
+
+Crowd::Crowd(Target Server, Machine Limits, Question Ordinary)
     : Server_(std::move(Server)), Limits_(Limits),
       Ordinary_(std::move(Ordinary)), Ip_(nextIp()),
-      Program_(Server_.Role_, settingsOf(Server_, Ip_, SeedIp, Limits_)),
+      Program_(Server_.Role_, settingsOf(Server_, Ip_, Limits_)),
       CalmAnswer_(Ordinary_(Peer(Ip_, Server_.Port_))) {}
 
 const Peer &Crowd::connect() {
@@ -160,9 +147,7 @@
 void Crowd::check() const {
   INFO(Server_.Name_);
   checkMemory(Program_, Limits_);
-  const std::size_t Descriptors = Program_.openDescriptors();
-  CHECK(Descriptors <= Open_.size() + OwnDescriptors);
-  CHECK(Descriptors <= Limits_.MaxFds_ - ReservedFds);
+  checkDescriptors(Program_, Limits_, Open_.size());
   REQUIRE_FALSE(CalmAnswer_.empty());
   CHECK(Ordinary_(Peer(Ip_, Server_.Port_)) == CalmAnswer_);
   CHECK(Program_.isRunning());
--- a/tests/untrusted/Crowd.h
+++ b/tests/untrusted/Crowd.h
@@ -53,28 +53,19 @@
 /// Sends a probe; returns the kind of the frame that comes back.
 std::string probe(const platform::Peer &Caller);
 
-/// An address where connections open and nothing is ever answered.
-class SilentListener {
-public:
-  SilentListener(const std::string &Ip, std::uint16_t Port);
-  SilentListener(const SilentListener &) = delete;
-  SilentListener &operator=(const SilentListener &) = delete;
-  ~SilentListener();
-
-private:
-  int Socket_ = -1;
-};
-
-/// Fails the test unless each process runs within the memory of its machine.
+/// Fails the test unless the process runs within the memory of its machine.
 void checkMemory(const platform::RealProcess &Program, const Machine &Limits);
+/// Fails the test unless the process, to which \p Callers connections are open,
+/// has no descriptors that its machine does not allow or nothing needs.
+void checkDescriptors(const platform::RealProcess &Program,
+                      const Machine &Limits, std::size_t Callers);
 
 class Crowd {
 public:
   using Question = std::function<std::string(const platform::Peer &)>;
 
   /// Starts the process and keeps its answer to \p Ordinary in calm.
-  explicit Crowd(Target Server, Machine Limits = {}, Question Ordinary = ask,
-                 const std::string &SeedIp = "127.201.8.1");
+  explicit Crowd(Target Server, Machine Limits = {}, Question Ordinary = ask);
 
   /// Opens a connection that stays open.
   const platform::Peer &connect();
--- a/tests/untrusted/Group.cpp
+++ b/tests/untrusted/Group.cpp
@@ -133,10 +133,24 @@
     Controls_[I]->restart(controlSettings(I, false));
 }
 
-void Group::check() const {
+void Group::freezeControl() const {
   for (const auto &Each : Controls_)
-    checkMemory(*Each, Limits_);
+    Each->signal(SIGSTOP);
+}
+
+void Group::thawControl() const {
+  for (const auto &Each : Controls_)
+    Each->signal(SIGCONT);
+}
+
+void Group::check(std::size_t Callers) const {
+  for (std::size_t I = 0; I < Controls; ++I) {
+    INFO("control " << I);
+    checkMemory(*Controls_[I], Limits_);
+  }
+  INFO("entry");
   checkMemory(*Entry_, Limits_);
+  checkDescriptors(*Entry_, Limits_, Callers);
 }
 
 } // namespace dragonfly::untrusted
--- a/tests/untrusted/Group.h
+++ b/tests/untrusted/Group.h
@@ -47,8 +47,13 @@
   Answer callUntil(const std::string &Request, int Status) const;
   /// Kills all control processes and starts them again.
   void restartControl();
-  /// Checks each process against its machine.
-  void check() const;
+  /// Halts all control processes: their connections stay open, and nothing is
+  /// answered.
+  void freezeControl() const;
+  void thawControl() const;
+  /// Checks each process against its machine, while the entry has \p Callers
+  /// open connections.
+  void check(std::size_t Callers = 0) const;
 
 private:
   static constexpr std::size_t Controls = 3;
