Count parsed jobs that an entry keeps for control

Callers saw nothing while control was halted, and then a dead entry: jobs of 256 steps each, handed in within the callers' limits, made it hold 79 of 48 MB.

Cause: CallerServer parses a job and LeaderClient keeps it until control has answered. The memory budget counted the request's bytes only; a step of 30 bytes of text becomes a StepSpec with four strings and a vector.

Change: HttpReplier::hold counts what a request takes beside its own bytes until its answer is whole, if that fits into the budget.

--- a/include/dragonfly/net/HttpServer.h
+++ b/include/dragonfly/net/HttpServer.h
@@ -27,6 +27,10 @@
   struct State;
   explicit HttpReplier(std::shared_ptr<State> Request);
 
+  /// Counts memory that the request takes, beside its own bytes, until it has
+  /// its whole response. Returns false, and counts nothing, where the process
+  /// has no room for \p Bytes.
+  bool hold(std::size_t Bytes) const;
   /// Sends a whole response.
   void reply(HttpResponse Response) const;
   /// Starts a chunked response; its body is ignored.
--- a/src/net/HttpConnection.h
+++ b/src/net/HttpConnection.h
@@ -66,6 +66,9 @@
   void start();
   /// Takes bytes of one request's answer, or holds them back.
   void append(HttpReplier::State &Request, std::string Bytes);
+  /// Counts \p Bytes more for a request until its answer is whole, if they fit
+  /// into the memory budget; returns whether they do.
+  bool hold(HttpReplier::State &Request, std::size_t Bytes);
   /// Lets the next answers leave once the first request is done.
   void settle();
   /// Whether the connection stays open behind the answer to \p Request. In a
--- a/src/net/HttpConnectionMemory.cpp
+++ b/src/net/HttpConnectionMemory.cpp
@@ -26,6 +26,14 @@
                (isIncomplete() ? Input : 0) + (isAnswerStalled() ? Rest : 0));
 }
 
+bool HttpConnection::hold(HttpReplier::State &Request, std::size_t Bytes) {
+  if (Owner_ == nullptr || !Owner_->Memory_.hasRoomFor(Bytes))
+    return false;
+  Request.Bytes_ += Bytes;
+  countMemory();
+  return true;
+}
+
 /// Returns whether a request has begun to arrive that can be given up. Whole
 /// ones may wait in the buffer while requests are handed over.
 bool HttpConnection::isIncomplete() const {
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -278,6 +278,11 @@
 HttpReplier::HttpReplier(std::shared_ptr<State> Request)
     : State_(std::move(Request)) {}
 
+bool HttpReplier::hold(std::size_t Bytes) const {
+  const auto Caller = State_->Connection_.lock();
+  return Caller && Caller->hold(*State_, Bytes);
+}
+
 void HttpReplier::reply(HttpResponse Response) const {
   const auto Caller = State_->Connection_.lock();
   if (!Caller || State_->Done_)
