Read no further requests while answers wait to be taken

Callers, operators, workers and those who read metrics or readiness got 503 "memory-budget" after two connections had sent requests without reading any answer: for two seconds, and again with the next such connections.

Cause: a connection was paused for requests without an answer only. One whose answers are ready at once is never paused, and what the socket does not take is queued: as much as the caller likes, up to the whole budget of the process.

Change: reading pauses too while more than 4 KiB of answers wait, and goes on once the socket has taken them. A caller that reads sees no difference: the bytes leave as fast as the socket takes them, and its next request is read in the same turn of the loop or the one after. Nothing that was read is given up for it. 4 KiB times the 2,048 connections of an entry is 8 MiB.

--- a/src/net/HttpConnection.cpp
+++ b/src/net/HttpConnection.cpp
@@ -20,6 +20,9 @@
 
 /// Requests of one connection that may wait for their answers.
 constexpr std::size_t MaxPipelined = 16;
+/// Bytes of answers that may wait for their caller to take them; with more,
+/// nothing further is read from it.
+constexpr std::size_t MaxUntakenBytes = 4U << 10U;
 /// Bytes read at once.
 constexpr std::size_t ReadBytes = 16U << 10U;
 /// Linger time of a connection on which nothing is expected.
@@ -265,7 +268,8 @@
 }
 
 bool HttpConnection::isPaused() const {
-  return Requests_.size() >= MaxPipelined;
+  return Requests_.size() >= MaxPipelined ||
+         Out_.size() + InFlight_.size() > MaxUntakenBytes;
 }
 
 void HttpConnection::read() {
@@ -471,6 +475,9 @@
   }
   write();
   closeIfFinished();
+  // Reading may have paused until the bytes had been taken.
+  if (!Closed_)
+    consume();
 }
 
 void HttpConnection::closeIfFinished() {
--- a/tests/platform/RealProcess.cpp
+++ b/tests/platform/RealProcess.cpp
@@ -25,7 +25,7 @@
 namespace {
 
 constexpr int MaxReadSeconds = 10;
-constexpr int MaxBlockedSeconds = 1;
+constexpr int MaxBlockedMicroseconds = 300'000;
 constexpr int MaxConnects = 2000000;
 
 std::string makeFolder() {
@@ -76,7 +76,7 @@
 }
 
 bool Peer::sendWhileTaken(std::string_view Bytes) const {
-  const timeval Limit{.tv_sec = MaxBlockedSeconds, .tv_usec = 0};
+  const timeval Limit{.tv_sec = 0, .tv_usec = MaxBlockedMicroseconds};
   setsockopt(Socket_, SOL_SOCKET, SO_SNDTIMEO, &Limit, sizeof Limit);
   return send(Bytes);
 }
--- a/tests/platform/RealProcess.h
+++ b/tests/platform/RealProcess.h
@@ -22,7 +22,7 @@
   /// Sends all bytes; returns false once the process has closed the connection.
   bool send(std::string_view Bytes) const;
   /// Sends all bytes, but gives up once the process has taken none of them for
-  /// a second; returns whether it took all.
+  /// a while; returns whether it took all.
   bool sendWhileTaken(std::string_view Bytes) const;
   /// Reads until the connection ends, but not for more than ten seconds.
   std::string readToEnd() const;
