Take no further frames while a peer's answers wait

A stranger on an internal port could end a control process: two connections that send probes, and read none of the answers, made a relay and a replica hold 265 of 48 MB.

Cause: a server of frames queues each answer in FrameStream, whatever is queued already.

Change: the server's end of a connection takes no further frames while more than 32 KiB wait for the peer, and goes on once the socket has taken them. Only that end: if both waited, neither would read again.

--- a/src/net/FrameServer.cpp
+++ b/src/net/FrameServer.cpp
@@ -23,6 +23,9 @@
 /// Connections beyond the bound that may wait for their refusal, on a process
 /// with enough descriptors; more wait in the system's queue.
 constexpr std::size_t MaxExtraConnections = 64;
+/// Bytes of answers that may wait for a peer to take them; with more, nothing
+/// further is read from it.
+constexpr std::size_t MaxUntakenBytes = 32U << 10U;
 /// A connection that has sent no frame for longer gives way to another. Clients
 /// send one each few seconds.
 constexpr Duration MaxQuietTime = std::chrono::seconds(10);
@@ -203,6 +206,7 @@
             .OnWriting_ = {},
             .OnProbeAnswer_ = {}});
     *Slot = Stream;
+    Stream->pauseBeyond(MaxUntakenBytes);
     Streams_.insert(Stream);
     if (IsFull)
       Extra_.insert(Stream);
--- a/src/net/FrameStream.cpp
+++ b/src/net/FrameStream.cpp
@@ -93,14 +93,21 @@
 
 void FrameStream::take(std::string_view Bytes) {
   Heard_ = true;
-  bool HasTakenFrame = false;
   if (Finishing_) {
     read();
     return;
   }
+  Reader_.feed(Bytes);
+  takeFrames();
+}
+
+void FrameStream::takeFrames() {
+  bool HasTakenFrame = false;
   try {
-    Reader_.feed(Bytes);
-    while (auto Value = Reader_.next()) {
+    while (!isPaused()) {
+      auto Value = Reader_.next();
+      if (!Value)
+        break;
       if (!checkSender(*Value))
         return;
       HasTakenFrame = true;
@@ -120,7 +127,8 @@
     ProgressAt_ = Clock::now();
   Reader_.shrink();
   reportHeld(HasTakenFrame);
-  if (Open_)
+  Paused_ = isPaused();
+  if (Open_ && !Paused_)
     read();
 }
 
@@ -163,13 +171,26 @@
           Self->flush();
         else if (Self->Finishing_)
           Self->endSending();
+        Self->resume();
       });
 }
 
+void FrameStream::resume() {
+  if (!Open_ || !Paused_ || isPaused())
+    return;
+  Paused_ = false;
+  if (Finishing_)
+    read();
+  else
+    takeFrames();
+}
+
 std::size_t FrameStream::bytesToWrite(std::size_t Taken) {
   const std::size_t Left = Writing_.size() - Taken;
   if (Taken > 0 && Left > 0)
     ProgressAt_ = Clock::now();
+  // A peer that takes answers is not idle, though nothing is read from it.
+  Heard_ = Heard_ || (Paused_ && Taken > 0);
   return Left;
 }
 
--- a/src/net/FrameStream.h
+++ b/src/net/FrameStream.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -37,6 +38,10 @@
   FrameStream(boost::asio::ip::tcp::socket Socket, Incarnation Self,
               Hooks Handlers);
 
+  /// Takes no further frames while more than \p Bytes wait for the peer to take
+  /// them. For one end of a connection only: two that waited for each other
+  /// would never read again.
+  void pauseBeyond(std::size_t Bytes) { MaxUntakenBytes_ = Bytes; }
   void start();
   /// Queues the bytes of a frame.
   void write(const std::string &Bytes);
@@ -70,10 +75,15 @@
 private:
   void read();
   void flush();
+  /// Reads on where that had paused and enough bytes have left.
+  void resume();
   /// Returns how much of what is being written is left.
   std::size_t bytesToWrite(std::size_t Taken);
   void onReadable();
   void take(std::string_view Bytes);
+  /// Hands over the whole frames that have arrived, and reads on.
+  void takeFrames();
+  bool isPaused() const { return queuedBytes() > MaxUntakenBytes_; }
   void reportHeld(bool HasTakenFrame);
   void takeFrame(wire::Frame Value);
   void sendProbe(wire::FrameKind Kind, std::uint64_t Sequence);
@@ -88,6 +98,9 @@
   Incarnation Peer_;
   std::string Waiting_;
   std::string Writing_;
+  std::size_t MaxUntakenBytes_ = std::numeric_limits<std::size_t>::max();
+  /// Nothing is read until queued bytes have left.
+  bool Paused_ = false;
   TimePoint ProgressAt_;
   TimePoint LastFrameAt_ = Clock::now();
   bool Heard_ = false;
