Test several large configurations at once

As many as the memory of the smallest control machine (96 MB) holds bodies go to each of three control processes; the memory of each and the answer to a caller afterwards are checked.

Measured before any cure, arm64, serial: the leader held 239 MB (numbers), 163 (lists) and 165 (objects) of 96.

--- /dev/null
+++ b/tests/untrusted/OperatorBodiesTest.cpp
@@ -0,0 +1,63 @@
+/// Load: several large configurations at once. Guards against a control process
+/// that outgrows its machine while it reads them.
+#include "untrusted/Group.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace dragonfly::untrusted;
+using dragonfly::platform::Peer;
+
+namespace {
+
+/// Longest body that operators may send.
+constexpr std::size_t MaxBodyBytes = std::size_t(4) << 20U;
+
+/// Returns a valid configuration of \p Bytes bytes or a little less, whose
+/// fields beside the known ones are \p Filler again and again.
+std::string configuration(std::size_t Version, std::size_t Bytes,
+                          const std::string &Filler) {
+  std::string Body =
+      R"({"Version":)" + std::to_string(Version) +
+      R"(,"Routes":[{"Name":"checks","Host":"a.example",)"
+      R"("PathPrefix":"/checks/","Kind":"unsafe","TimeoutMs":3000,)"
+      R"("TargetLatencyMs":250,"Service":"sorting","MaxAttempts":4,)"
+      R"("SlackFactor":2.0}],"Services":[{"Name":"sorting"}],"Extra":[)";
+  while (Body.size() + 2 * Filler.size() + 3 < Bytes)
+    Body += Filler + ",";
+  return Body + Filler + "]}";
+}
+
+} // namespace
+
+TEST_CASE("configurations in progress do not use up control's memory",
+          "[untrusted][operators]") {
+  // Control has twice as much as any other role.
+  const Machine Limits{.MemoryMb_ = 96};
+  const std::size_t Operators = Limits.MemoryMb_ * BytesPerMb / MaxBodyBytes;
+  std::string Filler;
+  SECTION("numbers") { Filler = "0"; }
+  SECTION("lists") { Filler = "[]"; }
+  SECTION("objects") { Filler = R"({"a":{}})"; }
+  Group On(Limits);
+  const std::string Ordinary = jobRequest("GET", jobId(1));
+  const Answer Calm = On.call(Ordinary);
+  REQUIRE(Calm.Status_ == 410);
+  std::vector<std::unique_ptr<Peer>> Open;
+  for (std::size_t I = 0; I < Operators; ++I) {
+    const std::string Body = configuration(2 + I, MaxBodyBytes, Filler);
+    // All three, since only the leader reads a large one.
+    for (std::size_t Control = 0; Control < 3; ++Control) {
+      Open.push_back(std::make_unique<Peer>(On.controlIp(Control), 8166));
+      Open.back()->send("PUT /v1/config HTTP/1.1\r\nHost: a\r\n"
+                        "Content-Length: " +
+                        std::to_string(Body.size()) + "\r\n\r\n" + Body);
+    }
+  }
+  CHECK(On.callUntil(Ordinary, Calm.Status_).Body_ == Calm.Body_);
+  On.check();
+}
