Bound what configurations in progress hold

Operators whose clients hand in large configurations at once could end the leader: 24 bodies of 4 MiB to each control process made it hold 239 MB of 96 (numbers), 163 (lists), 165 (objects), and 137 of 96 with long texts.

Cause, in two parts, both of memory that a body causes and no budget knew: the values of one body take up to 24 times its bytes while it is read (4 MiB of "0," take 96 MB, measured with a limited allocator), and a change that the leader has not answered exists as request, record and two queued copies, counted as one body.

Change: JSON is read into a LimitedResource of one and a half times the budget of requests; beyond it BodyError(TooLarge), answered with 400. The longest configuration made of routes alone takes 26 MB, on a machine of 96 MB the bound is 36.

--- a/include/dragonfly/jobs/Configuration.h
+++ b/include/dragonfly/jobs/Configuration.h
@@ -7,6 +7,7 @@
 #include "dragonfly/base/Error.h"
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -61,6 +62,11 @@
   }
 };
 
+/// Returns the memory that \p Row holds beside the object itself, in bytes.
+std::size_t heldBytes(const Queue &Row);
+/// Returns the memory that \p Value holds beside the object itself, in bytes.
+std::size_t heldBytes(const Configuration &Value);
+
 enum class ConfigurationFault : std::uint8_t {
   Unreadable,
   UnknownService,
--- a/include/dragonfly/net/MemoryBudget.h
+++ b/include/dragonfly/net/MemoryBudget.h
@@ -51,6 +51,9 @@
 
   void setLimit(std::size_t Bytes) { Limit_ = Bytes; }
   std::size_t limit() const { return Limit_; }
+  /// Most memory that the values of one request's body may take while they are
+  /// read, in bytes. A configuration of 4 MiB takes up to 26 MB.
+  std::size_t valuesLimit() const { return Limit_ + Limit_ / 2; }
   /// Bytes that all holders hold.
   std::size_t bytes() const { return Bytes_; }
   /// Returns whether \p More bytes fit.
--- a/src/jobs/Configuration.cpp
+++ b/src/jobs/Configuration.cpp
@@ -1,5 +1,7 @@
 #include "dragonfly/jobs/Configuration.h"
 
+#include "dragonfly/base/HeldBytes.h"
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -17,6 +19,23 @@
   return Longest;
 }
 
+std::size_t heldBytes(const Queue &Row) {
+  return dragonfly::heldBytes(Row.Name_) + dragonfly::heldBytes(Row.Host_) +
+         dragonfly::heldBytes(Row.PathPrefix_) +
+         dragonfly::heldBytes(Row.Service_);
+}
+
+std::size_t heldBytes(const Configuration &Value) {
+  std::size_t Bytes = dragonfly::heldBytes(Value.Queues_) +
+                      dragonfly::heldBytes(Value.Services_) +
+                      dragonfly::heldBytes(Value.Document_);
+  for (const Queue &Row : Value.Queues_)
+    Bytes += heldBytes(Row);
+  for (const Service &Row : Value.Services_)
+    Bytes += dragonfly::heldBytes(Row.Name_);
+  return Bytes;
+}
+
 void validate(const Configuration &Value) {
   std::set<std::pair<std::string_view, std::string_view>> Places;
   for (const Queue &Row : Value.Queues_) {
--- a/src/jobs/JobTable.cpp
+++ b/src/jobs/JobTable.cpp
@@ -24,12 +24,6 @@
       Job.Steps_, [](const StepRow &Step) { return Step.onWorkers() > 0; });
 }
 
-std::size_t heldBytes(const Queue &Row) {
-  return dragonfly::heldBytes(Row.Name_) + dragonfly::heldBytes(Row.Host_) +
-         dragonfly::heldBytes(Row.PathPrefix_) +
-         dragonfly::heldBytes(Row.Service_);
-}
-
 std::size_t heldBytes(const StepSpec &Step) {
   return dragonfly::heldBytes(Step.DependsOn_) +
          dragonfly::heldBytes(Step.Image_) +
--- a/tests/platform/HostileBodiesTest.cpp
+++ b/tests/platform/HostileBodiesTest.cpp
@@ -121,6 +121,21 @@
   }
 }
 
+TEST_CASE("a body whose values take too much memory is refused",
+          "[platform][hostile]") {
+  std::string Text = R"({"Version":1,"Routes":[],"Services":[],"Extra":[0)";
+  for (int I = 0; I < 10'000; ++I)
+    Text += ",0";
+  Text += "]}";
+  CHECK(parseConfiguration(Text).Version_ == 1);
+  try {
+    parseConfiguration(Text, Text.size());
+    FAIL_CHECK("accepted");
+  } catch (const BodyError &Fault) {
+    CHECK(Fault.code() == BodyFault::TooLarge);
+  }
+}
+
 namespace {
 
 std::string deep(std::size_t Levels) {
--- a/tests/untrusted/OperatorBodiesTest.cpp
+++ b/tests/untrusted/OperatorBodiesTest.cpp
@@ -32,6 +32,26 @@
   return Body + Filler + "]}";
 }
 
+/// Returns a configuration of \p Bytes bytes at most, with as many routes as
+/// they can name.
+std::string routes(std::size_t Version, std::size_t Bytes) {
+  std::string Body = R"({"Version":)" + std::to_string(Version) +
+                     R"(,"Services":[{"Name":"s"}],"Routes":[)";
+  for (std::size_t I = 0;; ++I) {
+    const std::string Row = R"({"Name":"r","Host":"a","PathPrefix":"/)" +
+                            std::to_string(I) + R"(","Service":"s"})";
+    if (Body.size() + Row.size() + 3 > Bytes)
+      break;
+    Body += (I > 0 ? "," : "") + Row;
+  }
+  return Body + "]}";
+}
+
+std::string putRequest(const std::string &Body) {
+  return "PUT /v1/config HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+         std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
 } // namespace
 
 TEST_CASE("configurations in progress do not use up control's memory",
@@ -43,6 +63,7 @@
   SECTION("numbers") { Filler = "0"; }
   SECTION("lists") { Filler = "[]"; }
   SECTION("objects") { Filler = R"({"a":{}})"; }
+  SECTION("text") { Filler = '"' + std::string(1000, 'x') + '"'; }
   Group On(Limits);
   const std::string Ordinary = jobRequest("GET", jobId(1));
   const Answer Calm = On.call(Ordinary);
@@ -53,11 +74,26 @@
     // All three, since only the leader reads a large one.
     for (std::size_t Control = 0; Control < 3; ++Control) {
       Open.push_back(std::make_unique<Peer>(On.controlIp(Control), 8166));
-      Open.back()->send("PUT /v1/config HTTP/1.1\r\nHost: a\r\n"
-                        "Content-Length: " +
-                        std::to_string(Body.size()) + "\r\n\r\n" + Body);
+      Open.back()->send(putRequest(Body));
     }
   }
   CHECK(On.callUntil(Ordinary, Calm.Status_).Body_ == Calm.Body_);
   On.check();
 }
+
+// A bound on what a configuration holds must leave room for the longest one.
+TEST_CASE("the longest configuration is stored in calm",
+          "[untrusted][operators]") {
+  constexpr std::size_t MaxTries = 100;
+  const Machine Limits{.MemoryMb_ = 96};
+  Group On(Limits);
+  const std::string Request = putRequest(routes(2, MaxBodyBytes));
+  int Status = 0;
+  for (std::size_t Try = 0; Try < MaxTries && Status != 200; ++Try) {
+    const Peer Operator(On.controlIp(Try % 3), 8166);
+    Operator.send(Request);
+    Status = parseAnswer(Operator.readAnswer()).Status_;
+  }
+  CHECK(Status == 200);
+  On.check();
+}
