Look services up in a set when a configuration is checked

An operator's client could keep a control process from answering anybody: four valid configurations of 4 MiB, each half services and half routes that name the last of them, at once; an ordinary request got no answer within the ten seconds that the tests read for.

Cause: validate() searched the list of services for each route, 100,000 for each of tens of thousands, within one turn of the loop.

Change: a set of names, built once for each configuration. What is accepted and what is refused stay as they were.

--- a/src/jobs/Configuration.cpp
+++ b/src/jobs/Configuration.cpp
@@ -2,7 +2,6 @@
 
 #include "dragonfly/base/HeldBytes.h"
 
-#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -37,10 +36,12 @@
 }
 
 void validate(const Configuration &Value) {
+  std::set<std::string_view> Services;
+  for (const Service &Row : Value.Services_)
+    Services.insert(Row.Name_);
   std::set<std::pair<std::string_view, std::string_view>> Places;
   for (const Queue &Row : Value.Queues_) {
-    if (std::ranges::find(Value.Services_, Row.Service_, &Service::Name_) ==
-        Value.Services_.end())
+    if (!Services.contains(Row.Service_))
       throw ConfigurationError(ConfigurationFault::UnknownService,
                                "queue " + Row.Name_ + " names service " +
                                    Row.Service_);
--- a/tests/untrusted/OperatorBodiesTest.cpp
+++ b/tests/untrusted/OperatorBodiesTest.cpp
@@ -97,3 +97,36 @@
   CHECK(Status == 200);
   On.check();
 }
+
+// Guards against checks that take one turn of the loop for many seconds.
+TEST_CASE("a configuration of many routes and services is checked at once",
+          "[untrusted][operators]") {
+  constexpr std::size_t Operators = 4;
+  // Half of the body for each; the routes name the last service.
+  constexpr std::size_t Services = 100'000;
+  std::string Body = R"({"Version":2,"Services":[{"Name":"0"})";
+  for (std::size_t I = 1; I < Services; ++I)
+    Body += R"(,{"Name":")" + std::to_string(I) + R"("})";
+  Body += R"(],"Routes":[)";
+  const std::string Last = std::to_string(Services - 1);
+  for (std::size_t I = 0; Body.size() + 100 < MaxBodyBytes; ++I)
+    Body += (I > 0 ? "," : "") +
+            std::string(R"({"Name":"r","Host":"a","PathPrefix":"/)") +
+            std::to_string(I) + R"(","Service":")" + Last + R"("})";
+  Body += "]}";
+  const Machine Limits{.MemoryMb_ = 192};
+  for (const Target &Server : httpServers()) {
+    if (Server.Name_.starts_with("operators")) {
+      Crowd On(Server, Limits);
+      const std::string Request = putRequest(Body);
+      std::vector<const Peer *> Open;
+      for (std::size_t I = 0; I < Operators; ++I) {
+        Open.push_back(&On.connect());
+        Open.back()->send(Request.substr(0, Request.size() - 1));
+      }
+      for (const Peer *Each : Open)
+        Each->send(Request.substr(Request.size() - 1));
+      On.check();
+    }
+  }
+}
