Bound the length of a log line

A process whose log goes to a pipe could be halted by a caller: a job of 256 steps that depend on many others, or a path of 16 KiB in a rejected request, is logged in a line longer than 4,096 bytes.

Cause: LogSink asks poll() whether the descriptor is writable. For a pipe that means room for 4,096 bytes; a blocking write of more waits until the reader has taken the rest, in the event loop. Evidence: with the write end made non-blocking, so that the wait shows, the reader got 100,000 bytes of a line in part and without its end.

Change: text of a field is cut at 1,024 bytes, at 64 where the line would still be too long, on a character's border; the sink drops and counts lines over 4,096 bytes all the same, as it does with those nobody reads.

--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -42,36 +42,63 @@
   return Levels[static_cast<std::size_t>(Value)];
 }
 
+/// Room for the time in front of a line.
+constexpr std::size_t PrefixBytes = 64;
+/// Bytes of a field's text that a line carries; callers' text may be longer.
+constexpr std::size_t MaxFieldBytes = 1024;
+/// The same in a line that would be too long otherwise.
+constexpr std::size_t MaxFieldBytesOfLongLine = 64;
+
+/// Returns \p Text, or its beginning and a mark where it is longer than \p Most
+/// bytes. No character is cut in two.
+std::string cut(std::string Text, std::size_t Most) {
+  constexpr unsigned char ContinuationMask = 0xC0;
+  constexpr unsigned char Continuation = 0x80;
+  if (Text.size() <= Most)
+    return Text;
+  while (Most > 0 && (static_cast<unsigned char>(Text[Most]) &
+                      ContinuationMask) == Continuation)
+    --Most;
+  Text.resize(Most);
+  return Text + "...";
+}
+
 std::string formatJson(const EventRow &Row, const std::string &Process,
-                       std::initializer_list<LogField> Fields) {
+                       std::initializer_list<LogField> Fields,
+                       std::size_t MaxBytes) {
   boost::json::object Line;
   Line["event"] = static_cast<std::uint16_t>(Row.Event_);
   Line["name"] = Row.Name_;
   Line["severity"] = SeverityNames[static_cast<std::size_t>(Row.Severity_)];
   Line["process"] = Process;
   for (const LogField &Field : Fields)
-    Line[Field.Key_] = Field.Value_;
+    Line[Field.Key_] = cut(Field.Value_, MaxBytes);
   return boost::json::serialize(Line);
 }
 
 std::string formatText(const EventRow &Row, const std::string &Process,
-                       std::initializer_list<LogField> Fields) {
+                       std::initializer_list<LogField> Fields,
+                       std::size_t MaxBytes) {
   std::string Line = Process + " " +
                      std::to_string(static_cast<std::uint16_t>(Row.Event_)) +
                      " " + std::string(Row.Name_);
   for (const LogField &Field : Fields)
-    Line += " " + std::string(Field.Key_) + "=" + Field.Value_;
+    Line += " " + std::string(Field.Key_) + "=" + cut(Field.Value_, MaxBytes);
   return Line;
 }
 
-/// The line itself, as the sink writes it past the logger.
-std::string dropNotice(std::uint64_t Count) {
-  const EventRow &Row = eventRow(Event::LogLinesDropped);
+std::string format(const EventRow &Row, std::initializer_list<LogField> Fields,
+                   std::size_t MaxBytes) {
   const LogOptions &Options = state().Options_;
-  const auto Fields = {LogField("lines", Count)};
   return Options.Format_ == LogFormat::Json
-             ? formatJson(Row, Options.Process_, Fields)
-             : formatText(Row, Options.Process_, Fields);
+             ? formatJson(Row, Options.Process_, Fields, MaxBytes)
+             : formatText(Row, Options.Process_, Fields, MaxBytes);
+}
+
+/// The line itself, as the sink writes it past the logger.
+std::string dropNotice(std::uint64_t Count) {
+  return format(eventRow(Event::LogLinesDropped), {{"lines", Count}},
+                MaxFieldBytes);
 }
 
 } // namespace
@@ -100,10 +127,9 @@
   const EventRow &Row = eventRow(Value);
   if (!State.Logger_ || !State.Logger_->should_log(toLevel(Row.Severity_)))
     return;
-  const std::string Line =
-      State.Options_.Format_ == LogFormat::Json
-          ? formatJson(Row, State.Options_.Process_, Fields)
-          : formatText(Row, State.Options_.Process_, Fields);
+  std::string Line = format(Row, Fields, MaxFieldBytes);
+  if (Line.size() + PrefixBytes > LogSink::MaxLineBytes)
+    Line = format(Row, Fields, MaxFieldBytesOfLongLine);
   // The pattern opens a JSON line with the time; a hook gets the line without.
   const bool Opened =
       State.Options_.Format_ == LogFormat::Json && !State.Options_.Sink_;
--- a/src/base/LogSink.cpp
+++ b/src/base/LogSink.cpp
@@ -14,8 +14,11 @@
   return ++LinesOfSecond_ <= Options_.MaxLinesPerSecond_;
 }
 
-/// A pipe that polls as writable takes a line of up to 4,096 bytes whole.
+/// A pipe that polls as writable takes a line of up to `MaxLineBytes` whole; a
+/// longer one would wait for the reader, and the process with it.
 bool LogSink::write(const char *Bytes, std::size_t Size) const {
+  if (Size > MaxLineBytes)
+    return false;
   pollfd Output{.fd = Options_.Descriptor_, .events = POLLOUT, .revents = 0};
   if (::poll(&Output, 1, 0) != 1 || (Output.revents & POLLOUT) == 0)
     return false;
--- a/src/base/LogSink.h
+++ b/src/base/LogSink.h
@@ -8,6 +8,7 @@
 #include <spdlog/sinks/base_sink.h>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -22,10 +23,13 @@
   std::function<std::string(std::uint64_t Count)> DropNotice_;
 };
 
-/// Drops lines that the reader does not take, and those beyond the bound, and
+/// Drops lines that the reader does not take, and those beyond the bounds, and
 /// writes their count once a line can be written again.
 class LogSink : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
 public:
+  /// Longest line that is written, with its end.
+  static constexpr std::size_t MaxLineBytes = 4096;
+
   explicit LogSink(LogSinkOptions Options) : Options_(std::move(Options)) {}
 
   std::uint64_t dropped() const { return Dropped_; }
--- a/tests/base/LogSinkTest.cpp
+++ b/tests/base/LogSinkTest.cpp
@@ -30,6 +30,15 @@
 
   int writeEnd() const { return Ends_[1]; }
 
+  /// A write that would wait ends early instead, so that a test can see it.
+  void showWaits() const { ::fcntl(Ends_[1], F_SETFL, O_NONBLOCK); }
+
+  std::string readPage() const {
+    std::array<char, 4096> Buffer{};
+    const ssize_t Count = ::read(Ends_[0], Buffer.data(), Buffer.size());
+    return {Buffer.data(), static_cast<std::size_t>(Count > 0 ? Count : 0)};
+  }
+
   std::string readAll() const {
     std::string All;
     std::array<char, 4096> Buffer{};
@@ -87,3 +96,22 @@
   On.Logger_.info("next");
   CHECK(On.Pipe_.readAll() == "dropped 15\nnext\n");
 }
+
+// A caller's text can make a line longer than what a pipe takes at once.
+TEST_CASE("a line that the pipe does not take whole is dropped",
+          "[base][log]") {
+  Fixture On(100000);
+  On.Pipe_.showWaits();
+  On.Logger_.info(std::string(100'000, 'x'));
+  CHECK(On.Sink_->dropped() == 1);
+  CHECK(On.Pipe_.readAll().empty());
+  const std::string Line(1000, 'y');
+  while (On.Sink_->dropped() < 3)
+    On.Logger_.info(Line);
+  // The pipe polls as writable, and has room for a page.
+  std::string Read = On.Pipe_.readPage();
+  On.Logger_.info(std::string(8000, 'z'));
+  Read += On.Pipe_.readAll();
+  CHECK(Read.find('z') == std::string::npos);
+  CHECK(Read.ends_with('\n'));
+}
--- a/tests/base/LogTest.cpp
+++ b/tests/base/LogTest.cpp
@@ -41,3 +41,21 @@
   REQUIRE(Lines.size() == 1);
   CHECK(Lines[0] == "entry-1 1005 settings-rejected count=2");
 }
+
+TEST_CASE("a line is short whatever its fields hold", "[base][log]") {
+  std::string Line;
+  configureLog({.Sink_ = [&Line](std::string_view Text) { Line = Text; }});
+  const std::string Text = std::string(999, 'x') + std::string(3000, '\1');
+  logEvent(Event::ListRejected, {{"list", Text}});
+  CHECK(Line.size() < 4096);
+  CHECK(boost::json::parse(Line).at("list").as_string().starts_with("xxx"));
+  logEvent(Event::ListRejected,
+           {{"list", std::string(1023, 'x') + "\u00e4\u00e4"}});
+  CHECK(boost::json::parse(Line).at("list").as_string() ==
+        std::string(1023, 'x') + "...");
+  logEvent(Event::ListRejected,
+           {{"list", Text}, {"name", Text}, {"fault", Text}, {"why", Text}});
+  CHECK(Line.size() < 4096);
+  CHECK(boost::json::parse(Line).at("why").as_string().ends_with("..."));
+  configureLog({});
+}
