Start our own programs too in the tests of untrusted clients

Three HTTP servers and two of frames of these programs join the targets, so that each crowd meets them with the same bounds. Settings are one file, with the deployment inside it.

--- a/tests/platform/RealProcess.cpp
+++ b/tests/platform/RealProcess.cpp
@@ -189,8 +189,10 @@
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&Files, STDOUT_FILENO, STDERR_FILENO);
   posix_spawn_file_actions_addclosefrom_np(&Files, STDERR_FILENO + 1);
-  std::string Program = DRAGONFLY_BINARY_DIR "/dragonfly-platform";
-  std::string Flag = "--role=" + Role;
+  const bool IsOwn = Role.starts_with(OwnProgramPrefix);
+  std::string Program = std::string(DRAGONFLY_BINARY_DIR "/") +
+                        (IsOwn ? Role : "dragonfly-platform");
+  std::string Flag = IsOwn ? "--settings=" + settingsFile() : "--role=" + Role;
   std::string Setting = "DRAGONFLYPROXY_SETTINGS=" + settingsFile();
   std::array<char *, 3> Arguments{Program.data(), Flag.data(), nullptr};
   std::array<char *, 2> Environment{Setting.data(), nullptr};
--- a/tests/platform/RealProcess.h
+++ b/tests/platform/RealProcess.h
@@ -44,7 +44,11 @@
 /// connections; returns whether it has within a minute.
 bool waitUntilRead(const std::string &Address, std::uint16_t Port);
 
-/// dragonfly-platform with a settings file of its own.
+/// Roles that begin so are names of programs of their own.
+inline constexpr std::string_view OwnProgramPrefix = "dragonfly-";
+
+/// dragonfly-platform, or one of the project's own programs, with a settings
+/// file of its own.
 class RealProcess {
 public:
   /// Starts the program; \p Lines is the content of its settings file, with
--- a/tests/untrusted/Crowd.cpp
+++ b/tests/untrusted/Crowd.cpp
@@ -29,8 +29,36 @@
   return "127.201.9." + std::to_string(++Number);
 }
 
+/// Returns the settings of one of the project's own programs.
+std::string ownSettingsOf(const Target &Server, const std::string &Ip,
+                          const Machine &Limits) {
+  const auto Replica = [](int Id, const std::string &Address) {
+    return R"({"id":)" + std::to_string(Id) + R"(,"address":")" + Address +
+           R"(:7000","operator_address":")" + Address + R"(:7001"})";
+  };
+  std::string Own;
+  if (Server.Role_ == "dragonfly-entry")
+    Own = R"("listen":")" + Ip + R"(:8080")";
+  else if (Server.Role_ == "dragonfly-control")
+    Own = R"("replica":1,"data_folder":"{folder}/disk")";
+  else
+    Own = R"("listen":")" + Ip + R"(:7100","status_listen":")" + Ip +
+          R"(:7101","upstream":"127.201.8.2:9000",)"
+          R"("capacity":{"processors":8,"memory_mib":1024})";
+  return R"({"name":"n","availability_zone":"z","memory_limit_mib":)" +
+         std::to_string(Limits.MemoryMb_) + R"(,"descriptor_limit":)" +
+         std::to_string(Limits.MaxFds_ - ReservedFds) + "," + Own +
+         R"(,"deployment":{"name":"d","kinds":[{"name":"checks",)"
+         R"("urgency":"latency-critical","carrier":"request",)"
+         R"("deadline_ms":500}],"control":[)" +
+         Replica(1, Ip) + "," + Replica(2, "127.201.8.1") + "," +
+         Replica(3, "127.201.8.4") + "]}}";
+}
+
 std::string settingsOf(const Target &Server, const std::string &Ip,
                        const Machine &Limits) {
+  if (Server.Role_.starts_with(platform::OwnProgramPrefix))
+    return ownSettingsOf(Server, Ip, Limits);
   std::string Lines =
       sharedSettings(Ip, "127.201.8.1", Limits) + "Bootstrap=false\n";
   if (Server.Role_ == "entry")
@@ -53,12 +81,17 @@
           {"operators of a relay", "control", 8166},
           {"operators of a replica", "control", 8166, true},
           {"members", "control", 7721, true},
-          {"workers", "agent", 8166}};
+          {"workers", "agent", 8166},
+          {"callers of our own program", "dragonfly-entry", 8080},
+          {"operators of our own program", "dragonfly-control", 7001, true},
+          {"status of our own program", "dragonfly-agent", 7101}};
 }
 
 std::vector<Target> frameServers() {
   return {{"frames of a relay", "control", 7720},
-          {"frames of a replica", "control", 7720, true}};
+          {"frames of a replica", "control", 7720, true},
+          {"frames of our own replica", "dragonfly-control", 7000, true},
+          {"frames of our own agent", "dragonfly-agent", 7100}};
 }
 
 std::string sharedSettings(const std::string &Ip, const std::string &SeedIp,
--- a/tests/untrusted/Crowd.h
+++ b/tests/untrusted/Crowd.h
@@ -32,7 +32,7 @@
   bool HasDisk_ = false;
 };
 
-/// All HTTP servers of the platform's program.
+/// All HTTP servers of the platform's program and of our own.
 std::vector<Target> httpServers();
 /// All servers of frames.
 std::vector<Target> frameServers();
