Test floods of resets and of datagrams

Afterwards the descriptors have to come back, memory is checked, and the ordinary request is answered.

No fault found. Before the test waited for the process to close what was gone, it failed on descriptors that were still being closed (137 and 413 of 64); it asks ordinary requests until they are, at most a thousand.

--- a/tests/platform/RealProcess.cpp
+++ b/tests/platform/RealProcess.cpp
@@ -81,6 +81,11 @@
   return send(Bytes);
 }
 
+void Peer::resetOnClose() const {
+  const linger AtOnce{.l_onoff = 1, .l_linger = 0};
+  setsockopt(Socket_, SOL_SOCKET, SO_LINGER, &AtOnce, sizeof AtOnce);
+}
+
 std::string Peer::readToEnd() const { return readUntil({}); }
 
 std::string Peer::readUntil(std::string_view Text) const {
--- a/tests/platform/RealProcess.h
+++ b/tests/platform/RealProcess.h
@@ -24,6 +24,8 @@
   /// Sends all bytes, but gives up once the process has taken none of them for
   /// a while; returns whether it took all.
   bool sendWhileTaken(std::string_view Bytes) const;
+  /// Makes the end of this object reset the connection.
+  void resetOnClose() const;
   /// Reads until the connection ends, but not for more than ten seconds.
   std::string readToEnd() const;
   /// Reads until \p Text has come or the connection ends.
--- a/tests/untrusted/Crowd.cpp
+++ b/tests/untrusted/Crowd.cpp
@@ -177,6 +177,14 @@
   CHECK(platform::waitUntilRead(Ip_, Server_.Port_));
 }
 
+void Crowd::awaitClosed() const {
+  constexpr int MaxTries = 1000;
+  for (int Try = 0; Try < MaxTries && Program_.isRunning() &&
+                    Program_.openDescriptors() > Open_.size() + OwnDescriptors;
+       ++Try)
+    Ordinary_(Peer(Ip_, Server_.Port_));
+}
+
 void Crowd::check() const {
   INFO(Server_.Name_);
   checkMemory(Program_, Limits_);
