Let two crowds of large jobs share their size

Cause: two cases of AcceptedJobsTest computed the same number of jobs from the machine's memory in the same lines. Change: largeJobs(); the crowd, 2 * MemoryMb over 256 steps of 128 bytes, and the bounds are what they were.

--- a/tests/untrusted/AcceptedJobsTest.cpp
+++ b/tests/untrusted/AcceptedJobsTest.cpp
@@ -39,6 +39,16 @@
   return Answers;
 }
 
+constexpr std::size_t LargeJobSteps = 256;
+
+/// Returns how many jobs of `LargeJobSteps` steps hold twice the memory of the
+/// machine.
+std::size_t largeJobs(const Machine &Limits) {
+  constexpr std::size_t LeastBytesPerStep = 128;
+  return 2 * Limits.MemoryMb_ * BytesPerMb /
+         (LargeJobSteps * LeastBytesPerStep);
+}
+
 } // namespace
 
 // Guards against a row for each task that a caller only names.
@@ -67,15 +77,13 @@
 // Guards against accepted jobs that are bounded by their number of tasks only.
 TEST_CASE("jobs that wait do not use up control's memory",
           "[untrusted][jobs]") {
-  constexpr std::size_t Steps = 256;
-  constexpr std::size_t LeastBytesPerStep = 128;
   const Machine Limits;
-  const std::size_t Jobs =
-      2 * Limits.MemoryMb_ * BytesPerMb / (Steps * LeastBytesPerStep);
+  const std::size_t Jobs = largeJobs(Limits);
   Group On(Limits);
   const Answer Unknown = On.call(jobRequest("GET", jobId(OrdinaryJob)));
   REQUIRE(Unknown.Status_ == 410);
-  const std::vector<Answer> Answers = submitAll(On, Jobs, jobBody(Steps, 1));
+  const std::vector<Answer> Answers =
+      submitAll(On, Jobs, jobBody(LargeJobSteps, 1));
   On.check();
   std::map<int, std::size_t> Counts;
   for (const Answer &Each : Answers) {
@@ -105,17 +113,14 @@
 // has answered.
 TEST_CASE("jobs without an answer do not use up an entry's memory",
           "[untrusted][jobs]") {
-  constexpr std::size_t Steps = 256;
-  constexpr std::size_t LeastBytesPerStep = 128;
   const Machine Limits;
-  const std::size_t Jobs =
-      2 * Limits.MemoryMb_ * BytesPerMb / (Steps * LeastBytesPerStep);
+  const std::size_t Jobs = largeJobs(Limits);
   Group On(Limits);
   const std::string Ordinary = jobRequest("GET", jobId(OrdinaryJob));
   const Answer Calm = On.call(Ordinary);
   REQUIRE(Calm.Status_ == 410);
   On.freezeControl();
-  const std::string Body = jobBody(Steps, 1);
+  const std::string Body = jobBody(LargeJobSteps, 1);
   std::vector<std::unique_ptr<Peer>> Open;
   for (std::size_t Sent = 0; Sent < Jobs; Sent += Window) {
     std::string Requests;
