--- a/review/standin-3/deploy.py
+++ b/review/standin-3/deploy.py
@@ -75,7 +75,8 @@
 
 
 class Deployment:
-    def __init__(self, workers=4, cpu=16000, first_label="a"):
+    def __init__(self, workers=4, cpu=16000, first_label="a",
+                 last_service=SERVICE):
         self.dir = tempfile.mkdtemp(prefix="review3-")
         self.net = free_network()
         self.record_lines = []
@@ -86,8 +87,11 @@
         self.lives = 0
         self.cpu = cpu
         self.first_label = first_label
+        self.last_service = last_service
         self.worker_log = os.path.join(self.dir, "workers.log")
         open(self.worker_log, "w").close()
+        self.late = os.path.join(self.dir, "late")
+        os.makedirs(self.late)
         if not os.path.exists(os.path.join(ROOT, "target/dragonfly-platform")):
             raise CannotRun("target/dragonfly-platform is not built")
         self.edges = [f"{self.net}.{11 + i}" for i in range(3)]
@@ -112,9 +116,9 @@
                  "Region=region", f"Zones.{ZONE}=region",
                  f"InternalPorts={INTERNAL},{INTERNAL + 15}", f"Seeds={seeds}",
                  "Bootstrap=true", "Limits.MemoryMb=260", "Limits.MaxFds=4100",
-                 "HeartbeatMs=500", "FaultTolerance.Machines=1",
+                 "HeartbeatMs=1100", "FaultTolerance.Machines=1",
                  "Bounds.GraceS=6", "Bounds.HoldMaxMs=10000",
-                 "Bounds.StopTimeoutMs=900", "Bounds.RemoteFactor=1.5",
+                 "Bounds.StopTimeoutMs=400", "Bounds.RemoteFactor=1.5",
                  "config_mode=highest", "Orders=push",
                  "Contracts=base,drain,config,cost,recover,sched,advice,"
                  "upkeep,sharing"]
@@ -126,7 +130,7 @@
                       f"Bind.Readiness={ip}:{READY}", "Serves=edge"]
         else:
             lines += [f"Bind.Control={ip}:{CONTROL}", f"app={ip}:{APP}",
-                      f"Service={SERVICE}", "Serves=side"]
+                      f"Service={self.service_of(ip)}", "Serves=side"]
         path = os.path.join(self.dir, f"{role}-{ip}.conf")
         with open(path, "w") as f:
             f.write("\n".join(lines) + "\n")
@@ -140,15 +144,20 @@
         self.processes.append(p)
         return p
 
-    def start_worker(self, ip):
+    def service_of(self, ip):
+        return self.last_service if ip == self.sides[-1] else SERVICE
+
+    def start_worker(self, ip, name=None):
+        """Starts a life of the worker, under a new id or the one that it had."""
         self.lives += 1
-        name = f"i-{self.lives:08x}"
+        name = name or f"i-{self.lives:08x}"
         args = [sys.executable, os.path.join(os.path.dirname(__file__),
                                              "worker.py"),
                 "--id", name, "--ip", ip, "--port", str(APP),
-                "--agent", f"{ip}:{CONTROL}", "--service", SERVICE,
+                "--agent", f"{ip}:{CONTROL}",
+                "--service", self.service_of(ip),
                 "--zone", ZONE, "--log", self.worker_log,
-                "--cpu", str(self.cpu),
+                "--cpu", str(self.cpu), "--late", self.late,
                 "--labels", (self.first_label if ip == self.sides[0]
                              else "a") + ",r1-1"]
         p = Process(args, os.path.join(self.dir, f"worker-{ip}.log"))
@@ -156,10 +165,20 @@
         self.workers[ip] = (name, p)
         return name
 
+    def arm_late_order(self, job, seconds):
+        """The next start of the job gets no answer and is carried out late."""
+        with open(os.path.join(self.late, "arm.new"), "w") as f:
+            f.write(f"{job} {seconds}")
+        os.rename(os.path.join(self.late, "arm.new"),
+                  os.path.join(self.late, "arm"))
+
     def crash_worker(self, ip):
         name, p = self.workers[ip]
         p.kill()
-        self.note("worker crashed", worker=name)
+        # What ran on it has ended by now.
+        with open(self.worker_log, "a") as f:
+            f.write(json.dumps({"t": round(time.monotonic(), 4), "what": "down",
+                                "worker": name}) + "\n")
 
     def note(self, what, /, **more):
         with self.lock:
@@ -198,11 +217,12 @@
     def put_config(self, version, routes, deadline_s=20):
         """As the operator: sends it again, to any daemon, until there is a
         final answer."""
+        services = sorted({r["Service"] for r in routes})
         body = {"Version": version, "Routes": routes,
-                "Services": [{"Name": SERVICE, "HealthPath": "/healthz",
+                "Services": [{"Name": name, "HealthPath": "/healthz",
                               "MaxConnections": 64, "Protocol": "h1",
                               "Tls": False, "AdmissionCheck": False,
-                              "Standby": False}],
+                              "Standby": False} for name in services],
                 "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144,
                            "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}}
         until = time.monotonic() + deadline_s
@@ -216,10 +236,10 @@
         return None
 
     def route(self, name, prefix, attempts=4, priority=0, target=1000,
-              slack=2.0, host=HOST):
+              slack=2.0, host=HOST, service=SERVICE):
         return {"Name": name, "Host": host, "PathPrefix": prefix,
                 "Kind": "unsafe", "TimeoutMs": 3000, "TargetLatencyMs": target,
-                "Priority": priority, "Service": SERVICE,
+                "Priority": priority, "Service": service,
                 "MaxAttempts": attempts, "SlackFactor": slack}
 
     def wait_ready(self, deadline_s=15):
--- a/review/standin-3/worker.py
+++ b/review/standin-3/worker.py
@@ -9,11 +9,12 @@
 import argparse
 import asyncio
 import json
+import os
 import signal
 import sys
 import time
 
-STOP_S = 0.05           # StopTimeoutMs of the sheets is 400 or more
+STOP_S = 0.3            # StopTimeoutMs of the sheets is 400 or more
 STARTUP_S = 0.2         # a lasting task shows 100 percent after this
 ENDS_AT_ONCE = 500
 
@@ -25,11 +26,29 @@
     p.add_argument("--labels", default="a,r1-1")
     p.add_argument("--cpu", type=int, default=16000)
     p.add_argument("--mem", type=int, default=64000)
-    p.add_argument("--beat", type=float, default=0.5)
+    p.add_argument("--beat", type=float, default=1.1)
     p.add_argument("--hold-max-ms", type=int, default=10000)
+    p.add_argument("--late", default="",
+                   help="folder of orders that are carried out late")
     return p.parse_args()
 
 
+def take_arm(folder, task):
+    """Returns after how many seconds the order is to be carried out, or None.
+    The script arms one order by a file that holds the job and that time; the
+    first worker that gets a start of the job takes it."""
+    path = os.path.join(folder, "arm")
+    try:
+        with open(path) as f:
+            job, seconds = f.read().split()
+        if not task.startswith(job):
+            return None
+        os.rename(path, path + ".taken")
+        return float(seconds)
+    except (OSError, ValueError):
+        return None
+
+
 class Worker:
     def __init__(self, args):
         self.args = args
@@ -108,6 +127,28 @@
                   fence=body.get("FencingToken", 0))
         return 200, {}
 
+    def leave_unanswered(self, body, seconds):
+        """The call is still on its way, whoever has the worker's id then."""
+        path = os.path.join(self.args.late, "order-" + self.args.id)
+        with open(path + ".new", "w") as f:
+            json.dump({"at": time.monotonic() + seconds, "body": body}, f)
+        os.rename(path + ".new", path)
+        self.note("unanswered", task=body["Task"], run=body["Run"],
+                  fence=body.get("FencingToken", 0))
+
+    def carry_out_late(self):
+        path = os.path.join(self.args.late, "order-" + self.args.id)
+        if not self.args.late or not os.path.exists(path):
+            return
+        with open(path) as f:
+            order = json.load(f)
+        if time.monotonic() < order["at"]:
+            return
+        os.remove(path)
+        status, reply = self.start(order["body"])
+        self.note("late", task=order["body"]["Task"], run=order["body"]["Run"],
+                  status=status, reason=reply.get("Reason", ""))
+
     def stop(self, body):
         task, number = body["Task"], body["Run"]
         if self.fenced(body):
@@ -154,6 +195,11 @@
             return 421, {}
         self.tick()
         if path == "/v1/run-start":
+            if self.args.late:
+                seconds = take_arm(self.args.late, body["Task"])
+                if seconds is not None:
+                    self.leave_unanswered(body, seconds)
+                    await asyncio.sleep(3600)
             return self.start(body)
         if path == "/v1/run-stop":
             return self.stop(body)
@@ -220,9 +266,8 @@
                     "Sequence": self.sequence, "born": self.born}
             try:
                 status = await self.call_agent("PUT", body)
-                if self.sequence % 10 == 1:
-                    self.note("heartbeat", state=self.state,
-                              sequence=self.sequence, status=status)
+                self.note("heartbeat", service=a.service, state=self.state,
+                          sequence=self.sequence, status=status)
                 await asyncio.sleep(a.beat)
             except (OSError, ValueError, IndexError, asyncio.TimeoutError):
                 await asyncio.sleep(0.2)
@@ -232,8 +277,9 @@
                                             int(self.args.port),
                                             reuse_address=True)
         self.note("up", born=self.born)
-        beats = asyncio.create_task(self.beat())
+        self.beats = asyncio.create_task(self.beat())
         while True:
+            self.carry_out_late()
             self.tick()
             await asyncio.sleep(0.01)
 
