--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,5 +1,5 @@
-"""One heartbeat of another writer, with fields missing and of another type,
-reaches the agent of a sound worker."""
+"""The operator sends configurations that cannot be read in full: a field is
+missing, or of another type."""
 import os
 import sys
 import time
@@ -8,56 +8,93 @@
 sys.path.insert(0, os.path.join(HERE, "..", "standin-3"))
 sys.dont_write_bytecode = True
 
-from case import TROUBLE, of_job, run, state, step, submit, wait_for  # noqa: E402
-from deploy import CONTROL, SERVICE, ZONE  # noqa: E402
+from case import TROUBLE, run, step, submit  # noqa: E402
+from deploy import CONTROL, SERVICE  # noqa: E402
 
-FINISH_S = 14        # jobs are asked for so long after the traffic
-STILL_S = 3          # nothing runs for so long, though there is room
-LABEL = "b"
+CONFIG_APPLY_S = 2.0
 
 
-def foreign_heartbeat(d, ip):
-    """It lacks Address, Version and ClockMs, and Slots is a text."""
-    name = d.workers[ip][0]
-    up = next(e for e in d.events() if e["what"] == "up" and e["worker"] == name)
-    beat = {"Service": SERVICE, "Zone": ZONE, "Slots": "eight",
-            "State": "draining", "Capacity": {"Cpu": d.cpu, "MemMb": 64000,
-                                              "Gpu": 0},
-            "Labels": [LABEL, "r1-1"], "born": up["born"],
-            "Sequence": int(time.time() * 1000)}
-    got = d.call("PUT", ip, CONTROL, "/v1/instances/" + name, beat)
-    d.note("heartbeat of another writer", to=ip, body=beat, answer=got)
+def configuration(d, version, routes):
+    return {"Version": version, "Routes": routes,
+            "Services": [{"Name": SERVICE, "HealthPath": "/healthz",
+                          "MaxConnections": 64, "Protocol": "h1", "Tls": False,
+                          "AdmissionCheck": False, "Standby": False}],
+            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144,
+                       "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}}
+
+
+def put(d, body):
+    """As the operator: follows a redirection, and sends the same again to any
+    daemon until there is a final answer."""
+    until = time.monotonic() + 20
+    while time.monotonic() < until:
+        for ip in d.edges:
+            got = d.call("PUT", ip, CONTROL, "/v1/config", body)
+            if got and got[0] in (200, 400, 409, 412, 413, 422):
+                d.note("PUT", version=body.get("Version"), answer=got)
+                return got[0]
+        time.sleep(0.2)
+    raise RuntimeError("no final answer")
+
+
+def read(d):
+    """Returns the configuration; only the leader answers with it here, the
+    others name it."""
+    until = time.monotonic() + 20
+    while time.monotonic() < until:
+        for ip in d.edges:
+            got = d.call("GET", ip, CONTROL, "/v1/config")
+            if got and got[0] == 200:
+                d.note("GET", version=got[1].get("Version"),
+                       limits=got[1].get("Limits"),
+                       routes=[r["Name"] for r in got[1]["Routes"]])
+                return got[1]
+        time.sleep(0.2)
+    raise RuntimeError("the configuration cannot be read")
 
 
 def body(d):
-    d.put_config(1, [d.route("batch", "/lohu930/")])
+    both = [d.route("batch", "/lohu930/"), d.route("watch", "/pule252/")]
+    broken = []
+    if put(d, configuration(d, 1, both)) != 200:
+        raise RuntimeError("the first configuration was refused")
     d.wait_ready()
-    time.sleep(2)
-    ip = d.sides[0]
-    steps = [step(2, 500, Requires=LABEL)]
-    first = submit(d, "/lohu930/", "ms=500", steps)
-    if not first or not wait_for(
-            lambda: state(d, "/lohu930/", first) == "completed", 10, 0.3):
-        raise RuntimeError("the deployment does not serve")
-    if TROUBLE:
-        foreign_heartbeat(d, ip)
-    # The worker goes on sending its own heartbeats, as `ready`, every 1.1 s.
-    time.sleep(3)
-    job = submit(d, "/lohu930/", "ms=500", steps)
-    if not job:
-        raise RuntimeError("the job was not accepted")
-    time.sleep(FINISH_S)
-    began = [e for e in of_job(d, job) if e["what"] == "start"]
-    if began:
-        return []
-    time.sleep(STILL_S)
-    shown = state(d, "/lohu930/", job)
-    began = [e for e in of_job(d, job) if e["what"] == "start"]
-    if began:
-        return []
-    return [f"LOST: {FINISH_S + STILL_S} s after its acceptance job {job} is "
-            f"shown as {shown} and has run nowhere, though the only worker "
-            "with its label is up, ready and empty"]
-
-
-run(HERE, body, workers=3, first_label=LABEL)
+    time.sleep(CONFIG_APPLY_S)
+    valid = 1
+
+    # Each of them drops a route besides, so that it can be told where it is in
+    # force. The next valid version repairs that.
+    def word_for_number(worse):
+        worse["Limits"]["MaxBodyBytes"] = "lots"
+
+    def field_missing(worse):
+        del worse["Limits"]
+
+    def no_timeout(worse):
+        # Fields whose value is 0 are omitted.
+        del worse["Routes"][0]["TimeoutMs"]
+
+    for text, spoil in (("a word for MaxBodyBytes", word_for_number),
+                        ("no Limits", field_missing),
+                        ("a route without TimeoutMs", no_timeout)):
+        if TROUBLE:
+            worse = configuration(d, valid + 1, both[:1])
+            spoil(worse)
+            if put(d, worse) == 200:
+                broken.append(f"CONFIG: a configuration with {text} is "
+                              "acknowledged")
+            time.sleep(CONFIG_APPLY_S)
+        if read(d)["Version"] != valid:
+            broken.append(f"CONFIG: the configuration with {text} is read back")
+        if not submit(d, "/pule252/", "ms=200", [step(1, 200)]):
+            broken.append(f"CONFIG: the configuration with {text} is in force: "
+                          "a request at a route of each valid configuration "
+                          "is refused with 404")
+        valid += 2
+        if put(d, configuration(d, valid, both)) != 200:
+            raise RuntimeError("a valid configuration was refused")
+        time.sleep(CONFIG_APPLY_S)
+    return broken
+
+
+run(HERE, body, workers=2)
