Report why a body was refused in the answer, the log and a metric

An operator whose configuration gets a 400 was told `wrong-type: Limits` at best, without the row; if the answer was lost, on-call had one log line without version or size, and nothing counted refusals.

Cause: fields were read by free functions that know the name of the field and not the way to it, and each server logged refusals by itself, without bound.

Change: FieldReader reads an object's fields by their rules and names the path in the fault, such as `missing-field: Routes[0].Host`. BodyRejections counts refused bodies by kind and fault (`bodies_rejected_total`) and logs them with subject, version, bytes and status, 20 lines a second for each server.

The new case of OperatorServerTest needs the new constructor, so it was not run on the code before.

--- a/daemons/dragonfly-platform.cpp
+++ b/daemons/dragonfly-platform.cpp
@@ -133,7 +133,7 @@
   const auto Counts = std::make_shared<Metrics>();
   MetricsServer Numbers(Loop, Site, EntryMetricsPort, Counts);
   entry::JobGateway Jobs(Leader, *Counts, {});
-  platform::CallerServer Server(Loop, Jobs, Site);
+  platform::CallerServer Server(Loop, Jobs, Site, Counts);
   net::GracefulStop Stop(
       Loop, {.ServeTime_ = EntryServeTime, .Bound_ = Site.stopBound()});
   for (net::StopPart &Part : Server.stopParts())
@@ -148,11 +148,10 @@
 public:
   Replica(net::EventLoop &Loop, const platform::SiteSettings &Site,
           const std::vector<wire::GroupRow> &FirstMembers,
-          std::shared_ptr<Metrics> Counts)
-      : Control_(Loop, platform::toControlSettings(Site, FirstMembers),
-                 std::move(Counts)),
+          const std::shared_ptr<Metrics> &Counts)
+      : Control_(Loop, platform::toControlSettings(Site, FirstMembers), Counts),
         Watch_(Loop, *Control_.leader(), Site),
-        Server_(Loop, *Control_.leader(), Site) {}
+        Server_(Loop, *Control_.leader(), Site, Counts) {}
 
   void stop(net::StopPart Numbers, std::function<void()> OnStopped) {
     Control_.stop([OnStopped = std::move(OnStopped)](bool) { OnStopped(); },
@@ -169,9 +168,10 @@
 class Relay {
 public:
   Relay(net::EventLoop &Loop, const platform::SiteSettings &Site,
-        const std::vector<wire::GroupRow> &FirstMembers)
+        const std::vector<wire::GroupRow> &FirstMembers,
+        const std::shared_ptr<Metrics> &Counts)
       : Directory_(Loop, Site.controlAddress()), Leader_(Loop, options(Site)),
-        Watch_(Loop, Leader_, Site), Server_(Loop, Leader_, Site) {
+        Watch_(Loop, Leader_, Site), Server_(Loop, Leader_, Site, Counts) {
     Directory_.learn({.Rows_ = FirstMembers});
   }
 
@@ -208,7 +208,7 @@
       return;
     Founding.reset();
     if (!Site.hasDisk()) {
-      Other.emplace(Loop, Site, FirstMembers);
+      Other.emplace(Loop, Site, FirstMembers, Counts);
       return;
     }
     try {
@@ -258,7 +258,7 @@
   agent::WorkerAgent Agent(
       Loop, Leader,
       {.Calls_ = Worker.calls(), .Vm_ = Site.Vm_, .Metrics_ = Counts});
-  platform::WorkerServer Server(Loop, Agent, Site);
+  platform::WorkerServer Server(Loop, Agent, Site, Counts);
   net::GracefulStop Stop(Loop, {.Bound_ = Site.stopBound()});
   Stop.add(Server.stopPart());
   Stop.add(Numbers.stopPart());
--- a/src/base/Event.cpp
+++ b/src/base/Event.cpp
@@ -211,7 +211,8 @@
     {Event::LeaderFollowed, Severity::Info, "leader-followed",
      "Calls go to another replica, which leads or knows who does."},
     {Event::MessageRejected, Severity::Warning, "message-rejected",
-     "A body of another system could not be read; it had no effect."},
+     "A body of another system could not be read or broke a rule; it had no "
+     "effect."},
     {Event::ConnectionSilent, Severity::Warning, "connection-silent",
      "Nothing passes on a connection although the peer answers on a new one, "
      "which takes its place; calls that were open on it have ended."},
--- a/tests/platform/HostileBodiesTest.cpp
+++ b/tests/platform/HostileBodiesTest.cpp
@@ -5,7 +5,7 @@
 #include "dragonfly/jobs/Configuration.h"
 #include "platform/CallerMessages.h"
 #include "platform/ConfigurationMessages.h"
-#include "platform/Json.h"
+#include "platform/FieldReader.h"
 #include "platform/Settings.h"
 #include "platform/WorkerMessages.h"
 
--- a/tests/platform/MessagesTest.cpp
+++ b/tests/platform/MessagesTest.cpp
@@ -1,7 +1,7 @@
 /// The platform's bodies in tables: good, malformed, hostile.
 #include "platform/CallerMessages.h"
 #include "platform/ConfigurationMessages.h"
-#include "platform/Json.h"
+#include "platform/FieldReader.h"
 #include "platform/Settings.h"
 #include "platform/WorkerMessages.h"
 
--- a/tests/platform/OperatorServerTest.cpp
+++ b/tests/platform/OperatorServerTest.cpp
@@ -79,8 +79,15 @@
     }
   }
 
+  /// Calls the process itself, without following redirects.
+  net::HttpResponse callOther(const std::string &Method,
+                              const std::string &Body) {
+    return callOnce({.Address_ = OtherIp, .Port_ = OperatorPort}, Method, Body);
+  }
+
   net::EventLoop &loop() { return Loop_; }
   int forwarded() const { return Forwarded_; }
+  std::string metrics() const { return Counts_->text(); }
 
 private:
   net::HttpResponse callOnce(const net::Endpoint &At, const std::string &Method,
@@ -140,7 +147,8 @@
        }}};
   link::LeaderClient Leader_{
       Loop_, {.Self_ = {2}, .Seeds_ = otherSite().seedAddresses()}};
-  OperatorServer Server_{Loop_, Leader_, otherSite()};
+  std::shared_ptr<Metrics> Counts_ = std::make_shared<Metrics>();
+  OperatorServer Server_{Loop_, Leader_, otherSite(), Counts_};
 };
 
 } // namespace
@@ -180,6 +188,29 @@
   CHECK(Process.forwarded() == 1);
 }
 
+// Guards against a refused change whose reason nobody can look up: the answer
+// may be lost on its way.
+TEST_CASE("a refused change names its field in the answer, the log and a "
+          "counter",
+          "[platform][operator]") {
+  NarrowProcess Process;
+  std::string Lines;
+  configureLog({.Sink_ = [&Lines](std::string_view Line) { Lines += Line; }});
+  const auto Response = Process.callOther(
+      "PUT", R"({"Version":9,"Routes":[{"Name":"r"}],"Services":[]})");
+  configureLog({.Sink_ = [](std::string_view) {}});
+  CHECK(Response.Status_ == BadRequest);
+  CHECK(Response.Body_ == R"({"Error":"missing-field: Routes[0].Host"})");
+  CHECK(Lines.find("message-rejected") != std::string::npos);
+  CHECK(Lines.find(R"("version":"9")") != std::string::npos);
+  CHECK(Lines.find("missing-field: Routes[0].Host") != std::string::npos);
+  CHECK(
+      Process.metrics().find(
+          R"(bodies_rejected_total{label="configuration/missing-field"} 1)") !=
+      std::string::npos);
+  CHECK(Process.forwarded() == 0);
+}
+
 TEST_CASE("without a leader an operator is told to ask elsewhere",
           "[platform][operator]") {
   NarrowProcess Process(false);
