--- a/tests/platform/HostileBodiesTest.cpp
+++ b/tests/platform/HostileBodiesTest.cpp
@@ -42,8 +42,9 @@
          parseHeartbeat("i-1", Body, "127.0.0.1:80");
        },
        R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Version":"v1",)"
-       R"("Slots":8,"State":"ready","Capacity":{"Cpu":16000,"MemMb":32768},)"
-       R"("Labels":["a"],"ClockMs":482113,"Sequence":4,"born":17})"},
+       R"("Slots":8,"State":"ready","Capacity":{"Cpu":16000,"MemMb":32768,)"
+       R"("Gpu":0},"Labels":["a"],"ClockMs":482113,"Sequence":4,"born":17,)"
+       R"("ColdRemainingMs":0})"},
       {"lists", [](const std::string &Body) { parseHoldAnswer(Body); },
        R"({"ClockMs":4,"born":17,"Running":[["5c0e7a21d94b36f8.0.1.17",2,)"
        R"("00ab",41,120]],"Finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,)"
@@ -274,7 +275,9 @@
 
 TEST_CASE("a time of any length stays in range", "[platform][hostile]") {
   const std::string Beat =
-      R"({"Service":"s","State":"draining","Capacity":{"Cpu":16000},)"
+      R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Version":"v1",)"
+      R"("Slots":8,"State":"draining","ColdRemainingMs":0,"Labels":[],)"
+      R"("Sequence":4,"Capacity":{"Cpu":16000,"MemMb":1,"Gpu":0},)"
       R"("DrainRemainingMs":9007199254740992})";
   const Duration Left = parseHeartbeat("i-1", Beat, "").DrainTimeLeft_;
   CHECK(Left == Duration(MaxSpan));
--- a/tests/platform/MessagesTest.cpp
+++ b/tests/platform/MessagesTest.cpp
@@ -29,7 +29,8 @@
 }
 
 const std::string GoodBeat =
-    R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","State":"ready",)"
+    R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Version":"v1",)"
+    R"("Slots":8,"State":"ready","ColdRemainingMs":0,)"
     R"("Capacity":{"Cpu":16000,"MemMb":32768,"Gpu":0},"Labels":["a","r1-3"],)"
     R"("Sequence":4,"born":1780554763125})";
 
--- a/tests/platform/OddBodies.h
+++ b/tests/platform/OddBodies.h
@@ -34,12 +34,28 @@
   return Found;
 }
 
-/// Returns \p Whole with \p Value at \p Pointer.
+/// Returns the name of the field at \p Pointer.
+inline std::string nameOf(const std::string &Pointer) {
+  return Pointer.substr(Pointer.rfind('/') + 1);
+}
+
+/// Returns what the field at \p Pointer stands in.
+inline boost::json::value &parentOf(boost::json::value &Value,
+                                    const std::string &Pointer) {
+  const std::size_t Step = Pointer.rfind('/');
+  return Step == 0 ? Value : Value.at_pointer(Pointer.substr(0, Step));
+}
+
+/// Returns \p Whole with \p Value at \p Pointer, where a field may be new.
 inline std::string replaceField(const std::string &Whole,
                                 const std::string &Pointer,
                                 const boost::json::value &Value) {
   boost::json::value Copy = boost::json::parse(Whole);
-  Copy.at_pointer(Pointer) = Value;
+  auto &Parent = parentOf(Copy, Pointer);
+  if (auto *Object = Parent.if_object())
+    (*Object)[nameOf(Pointer)] = Value;
+  else
+    Copy.at_pointer(Pointer) = Value;
   return boost::json::serialize(Copy);
 }
 
@@ -47,9 +63,7 @@
 inline std::string removeField(const std::string &Whole,
                                const std::string &Pointer) {
   boost::json::value Copy = boost::json::parse(Whole);
-  const std::size_t Step = Pointer.rfind('/');
-  auto &Parent = Step == 0 ? Copy : Copy.at_pointer(Pointer.substr(0, Step));
-  Parent.as_object().erase(Pointer.substr(Step + 1));
+  parentOf(Copy, Pointer).as_object().erase(nameOf(Pointer));
   return boost::json::serialize(Copy);
 }
 
@@ -70,11 +84,6 @@
   return Values;
 }
 
-/// Returns the name of the field at \p Pointer.
-inline std::string nameOf(const std::string &Pointer) {
-  return Pointer.substr(Pointer.rfind('/') + 1);
-}
-
 /// Returns the pointers of the fields in \p Whole, without elements of lists,
 /// for which \p Accepts takes a body that lacks the field.
 template <typename Accepts>
