--- a/tests/platform/HostileBodiesTest.cpp
+++ b/tests/platform/HostileBodiesTest.cpp
@@ -177,7 +177,7 @@
 /// A run of which all that describes it is \p Odd.
 std::string describedRun(const std::string &Odd) {
   return R"({"ClockMs":1,"Running":[["5c0e7a21d94b36f8.0.1.17",2,)" + Odd +
-         "," + Odd + "," + Odd + "]]}";
+         "," + Odd + "," + Odd + "]],\"Finished\":[]}";
 }
 
 std::string settingsWithSeeds(const std::vector<std::string> &Seeds) {
