Serve queues whose path prefix does not end in a slash

A route with the prefix "/lohu930" was accepted and in force, and each job that was submitted to it got 404.

Cause: an entry took the last segment of the path for the job's id, so that "/lohu9305c0e7a21d94b36f8" named none. Evidence: the 404 says `no id of a job in the path` and comes from the entry; control finds the queue for the same path.

Change: the last 16 characters are the id where they are hexadecimal; control compares the rest with the queue's prefix, as before. A cancel of an unknown job is recorded only where the id is a whole segment, so that a longer id cancels no other job.

Measured: the new rows of MessagesTest failed before.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -205,7 +205,8 @@
     // A job outlives its queue, and its caller may still cancel it. A job that
     // is not known yet may reach its queue once that is back.
     const bool MayCancel =
-        IsCancel && (Job == nullptr || wasSubmittedAt(*Job, Request));
+        IsCancel && (Job != nullptr ? wasSubmittedAt(*Job, Request)
+                                    : isWholeSegment(Request));
     if (!HasQueue && !MayCancel) {
       Answer(wire::JobReply{.Status_ = missingQueueStatus(),
                             .RetryAfter_ = Options_.RetryAfter_});
@@ -219,6 +220,12 @@
     }
   }
 
+  /// Returns whether the job's id is the last segment of the path. Where it is
+  /// the end of a longer one, the path of another job may be meant.
+  static bool isWholeSegment(const wire::JobRequest &Request) {
+    return Request.Path_.ends_with('/' + Request.Job_);
+  }
+
   static bool wasSubmittedAt(const jobs::JobRow &Job,
                              const wire::JobRequest &Request) {
     return Job.Queue_.Host_ == Request.Host_ &&
--- a/tests/platform/MessagesTest.cpp
+++ b/tests/platform/MessagesTest.cpp
@@ -97,6 +97,8 @@
   }
 }
 
+// Guards against a queue that is in force and takes no jobs: where its prefix
+// does not end in a slash, each job was refused with 404.
 TEST_CASE("a caller's path names the queue and the job", "[platform]") {
   struct Case {
     std::string Target_;
@@ -106,7 +108,11 @@
   const std::vector<Case> Cases{
       {"/p/5c0e7a21d94b36f8", "/p/5c0e7a21d94b36f8", "5c0e7a21d94b36f8"},
       {"/p/5c0e7a21d94b36f8?x=1", "/p/5c0e7a21d94b36f8", "5c0e7a21d94b36f8"},
+      {"/p5c0e7a21d94b36f8", "/p5c0e7a21d94b36f8", "5c0e7a21d94b36f8"},
+      {"/p/a5c0e7a21d94b36f8", "/p/a5c0e7a21d94b36f8", "5c0e7a21d94b36f8"},
       {"/p/", "/p/", ""},
+      {"/p", "/p", ""},
+      {"", "", ""},
       {"/p/5c0e7a21d94b36f", "/p/5c0e7a21d94b36f", ""},
       {"/p/5c0e7a21d94b36fz", "/p/5c0e7a21d94b36fz", ""},
   };
