Refuse new members without a usable address or id

`POST /operator/v1/members` with the address "nonsense", one without a port, or the id 0 was answered with 200 and recorded: a learner that nobody can reach.

Cause: the address had to be a text of 1 to 64 bytes, the id any whole number. Evidence: four such addresses were taken by the interface alone; PeerLinks logs `replica-address-rejected` for them and goes on.

Change: the address has to be an IP number and a port, the id above 0; both get 400 and the fault names the field.

--- a/include/dragonfly/net/Endpoint.h
+++ b/include/dragonfly/net/Endpoint.h
@@ -17,6 +17,8 @@
 
   /// Parses "address:port". Throws NetError(BadEndpoint).
   static Endpoint make(std::string_view Text);
+  /// Returns whether `make` takes \p Text.
+  static bool isValid(std::string_view Text);
 
   /// Returns "address:port".
   std::string text() const;
--- a/src/control/OperatorInterface.cpp
+++ b/src/control/OperatorInterface.cpp
@@ -2,6 +2,7 @@
 
 #include "control/OperatorViews.h"
 #include "dragonfly/control/ControlService.h"
+#include "dragonfly/net/Endpoint.h"
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -260,8 +261,13 @@
   Target.Id_ = {Body.readNumber("id")};
   Target.Store_ = {Body.readNumber("store", false)};
   Target.Voter_ = Action == MemberAction::Promote;
-  if (Action == MemberAction::Add)
+  if (!Target.Id_)
+    Body.addFault("id", "a whole number above 0", "0");
+  if (Action == MemberAction::Add) {
     Target.Address_ = Body.readText("address", MaxFieldBytes);
+    if (!net::Endpoint::isValid(Target.Address_))
+      Body.addFault("address", "an IP number and port", Target.Address_);
+  }
   if (!Body.faults().empty()) {
     Answer(problemResponse(BadRequest, "bad-request", Body.faults()));
     return;
--- a/src/net/Endpoint.cpp
+++ b/src/net/Endpoint.cpp
@@ -23,6 +23,15 @@
   return Value;
 }
 
+bool Endpoint::isValid(std::string_view Text) {
+  try {
+    make(Text);
+    return true;
+  } catch (const NetError &) {
+    return false;
+  }
+}
+
 std::string Endpoint::text() const {
   return Address_ + ":" + std::to_string(Port_);
 }
--- a/tests/platform/OddBodies.h
+++ b/tests/base/FieldMutations.h
@@ -1,6 +1,6 @@
 /// Bodies that differ from a whole one in a single field.
-#ifndef DRAGONFLY_TESTS_PLATFORM_ODDBODIES_H
-#define DRAGONFLY_TESTS_PLATFORM_ODDBODIES_H
+#ifndef DRAGONFLY_TESTS_BASE_FIELDMUTATIONS_H
+#define DRAGONFLY_TESTS_BASE_FIELDMUTATIONS_H
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -11,7 +11,7 @@
 #include <string_view>
 #include <vector>
 
-namespace dragonfly::platform {
+namespace dragonfly {
 
 /// Returns the JSON pointer of each field of each object in \p Value, and of
 /// each element of a list.
@@ -117,6 +117,6 @@
   return Found;
 }
 
-} // namespace dragonfly::platform
+} // namespace dragonfly
 
-#endif // DRAGONFLY_TESTS_PLATFORM_ODDBODIES_H
+#endif // DRAGONFLY_TESTS_BASE_FIELDMUTATIONS_H
--- a/tests/platform/ConfigurationFieldsTest.cpp
+++ b/tests/platform/ConfigurationFieldsTest.cpp
@@ -1,6 +1,6 @@
 /// Each field of a configuration: missing, of another type, out of range.
+#include "base/FieldMutations.h"
 #include "platform/ConfigurationMessages.h"
-#include "platform/OddBodies.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/platform/HeartbeatFieldsTest.cpp
+++ b/tests/platform/HeartbeatFieldsTest.cpp
@@ -1,5 +1,5 @@
 /// Each field of a worker's heartbeat: missing, of another type, out of range.
-#include "platform/OddBodies.h"
+#include "base/FieldMutations.h"
 #include "platform/WorkerMessages.h"
 
 #include <catch2/catch.hpp>
--- a/tests/platform/ListFieldsTest.cpp
+++ b/tests/platform/ListFieldsTest.cpp
@@ -1,7 +1,7 @@
 /// Each field of a worker's lists, and of its answers to orders: missing, of
 /// another type, out of range.
+#include "base/FieldMutations.h"
 #include "dragonfly/base/Log.h"
-#include "platform/OddBodies.h"
 #include "platform/WorkerMessages.h"
 
 #include <catch2/catch.hpp>
