Take a heartbeat far behind for the worker's own again

Cause: any lower number counted as late. An announcement whose capacity is that of the one before is trusted at once, so that a single one sets the mark. Evidence: WorkerAgent alone, without network: one, two and five leaps each close the worker for good.

Change: a number more than 100 behind starts the numbering anew. It works since late heartbeats of one life are those of a frozen agent's queue, never so many; and a late `ready` ends no drain, since it is out of order.

Measured: the new case of WorkerAgentTest failed before in its three variants; agent_tests pass.

--- a/src/agent/WorkerAgentIdentity.cpp
+++ b/src/agent/WorkerAgentIdentity.cpp
@@ -11,6 +11,10 @@
 /// seconds apart.
 constexpr std::uint64_t MaxLateHeartbeats = 3;
 
+/// Heartbeats of one life that may arrive in another order than they were sent,
+/// such as those that wait while the agent is frozen.
+constexpr std::uint64_t MaxReorderedHeartbeats = 100;
+
 bool isSameLife(const WorkerAnnouncement &A, const WorkerAnnouncement &B) {
   return A.Worker_ == B.Worker_ && A.Born_ == B.Born_;
 }
@@ -70,7 +74,10 @@
     updateDescription(Value);
     return;
   }
-  if (Value.Sequence_ < Worker_.Sequence_)
+  if (Value.Sequence_ + MaxReorderedHeartbeats < Worker_.Sequence_)
+    // Too far behind to be late: the number ahead was another writer's.
+    Worker_.Sequence_ = 0;
+  else if (Value.Sequence_ < Worker_.Sequence_)
     return;
   Disputed_.reset();
   const bool IsInOrder = Value.Sequence_ >= AnnouncedSequence_;
--- a/tests/agent/WorkerAgentTest.cpp
+++ b/tests/agent/WorkerAgentTest.cpp
@@ -199,6 +199,31 @@
   CHECK(On.Worker_->running() == 1);
 }
 
+// Guards against LOST: after announcements with a number far ahead, all later
+// ones of the worker counted as late, and it stayed closed for good.
+TEST_CASE("a sequence number far ahead does not silence the worker",
+          "[agent][worker]") {
+  const int Leaps = GENERATE(1, 2, 5);
+  CAPTURE(Leaps);
+  AgentFixture On;
+  On.startRuns(1);
+  for (int I = 0; I < Leaps; ++I) {
+    WorkerAnnouncement Leap = On.Worker_->announce();
+    Leap.Sequence_ = 1'000'000'000 + static_cast<std::uint64_t>(I);
+    Leap.Draining_ = true;
+    On.announce(Leap);
+    On.run(milliseconds(50));
+  }
+  for (int I = 0; I < 3; ++I) {
+    On.announce(On.Worker_->announce());
+    On.run(milliseconds(1100));
+  }
+  CHECK_FALSE(On.Leader_->Reports_.back().Draining_);
+  On.Leader_->order({.Starts_ = {{.Run_ = makeRun(7)}}});
+  On.run(seconds(1));
+  CHECK(On.Worker_->isRunning(makeRun(7)));
+}
+
 // Guards against LOST: after a notice of departure that another writer sent, a
 // worker that went on was never given work again.
 TEST_CASE("a worker that announces itself ready has not departed",
