Keep a worker's description while the worker announces it

Cause: a description that was seen twice counted as the worker's, but two heartbeats of one writer fit between two of another. Evidence: WorkerAgent alone: a hello with the other service follows the second one.

Change: another description counts once it is repeated and the current one has not been announced for three periods of heartbeats (`HeartbeatMs`). It works since a worker announces one description: where its own still comes, the other one is not its own.

--- a/daemons/dragonfly-platform.cpp
+++ b/daemons/dragonfly-platform.cpp
@@ -255,9 +255,11 @@
   platform::WorkerClient Worker(Loop, Site.WorkerAddress_);
   const auto Counts = std::make_shared<Metrics>();
   MetricsServer Numbers(Loop, Site, AgentMetricsPort, Counts);
-  agent::WorkerAgent Agent(
-      Loop, Leader,
-      {.Calls_ = Worker.calls(), .Vm_ = Site.Vm_, .Metrics_ = Counts});
+  agent::WorkerAgent Agent(Loop, Leader,
+                           {.Calls_ = Worker.calls(),
+                            .Vm_ = Site.Vm_,
+                            .Metrics_ = Counts,
+                            .HeartbeatPeriod_ = Site.HeartbeatPeriod_});
   platform::WorkerServer Server(Loop, Agent, Site, Counts);
   net::GracefulStop Stop(Loop, {.Bound_ = Site.stopBound()});
   Stop.add(Server.stopPart());
--- a/include/dragonfly/agent/WorkerAgent.h
+++ b/include/dragonfly/agent/WorkerAgent.h
@@ -30,6 +30,8 @@
   /// Name of the VM that agent and worker share.
   std::string Vm_;
   std::shared_ptr<Metrics> Metrics_ = std::make_shared<Metrics>();
+  /// Between two announcements of the worker.
+  Duration HeartbeatPeriod_ = std::chrono::milliseconds(1100);
   /// Between reports where nothing has ended; a tenth of the lease.
   Duration ReportPeriod_ = std::chrono::milliseconds(400);
   Duration ReportTimeout_ = std::chrono::milliseconds(1200);
--- a/src/agent/WorkerAgentIdentity.cpp
+++ b/src/agent/WorkerAgentIdentity.cpp
@@ -11,6 +11,10 @@
 /// seconds apart.
 constexpr std::uint64_t MaxLateHeartbeats = 3;
 
+/// Heartbeats with the current description that have to be missing before
+/// another one counts.
+constexpr int MissedHeartbeats = 3;
+
 /// Heartbeats of one life that may arrive in another order than they were sent,
 /// such as those that wait while the agent is frozen.
 constexpr std::uint64_t MaxReorderedHeartbeats = 100;
@@ -74,6 +78,7 @@
     updateDescription(Value);
     return;
   }
+  DescribedAt_ = Clock::now();
   if (Value.Sequence_ + MaxReorderedHeartbeats < Worker_.Sequence_)
     // Too far behind to be late: the number ahead was another writer's.
     Worker_.Sequence_ = 0;
@@ -112,11 +117,14 @@
 void WorkerAgent::Impl::updateDescription(const WorkerAnnouncement &Value) {
   const bool IsRepeated = Disputed_ && isSameDescription(Value, *Disputed_) &&
                           Value.Sequence_ != Disputed_->Sequence_;
-  if (!IsRepeated) {
+  const bool IsOnlyOne = Clock::now() - DescribedAt_ >=
+                         MissedHeartbeats * Options_.HeartbeatPeriod_;
+  if (!IsRepeated || !IsOnlyOne) {
     logRejected(Value, Worker_, "other-description");
     Disputed_ = Value;
     return;
   }
+  DescribedAt_ = Clock::now();
   AnnouncedCapacity_ = Value.Capacity_;
   AnnouncedSequence_ = Value.Sequence_;
   Worker_ = Value;
@@ -225,6 +233,7 @@
   Complete_ = false;
   Departed_ = false;
   Disputed_.reset();
+  DescribedAt_ = Clock::now();
   AnnouncedCapacity_ = Worker_.Capacity_;
   AnnouncedSequence_ = std::exchange(Worker_.Sequence_, 0);
   // Another worker answers on this VM: the one before it is gone, if it was
--- a/src/agent/WorkerAgentImpl.h
+++ b/src/agent/WorkerAgentImpl.h
@@ -149,6 +149,8 @@
   TimePoint NextProbeAt_;
   /// The newest announcement of the current life with another description.
   std::optional<WorkerAnnouncement> Disputed_;
+  /// When the current description was last announced.
+  TimePoint DescribedAt_;
   /// Counts lives, so that answers of earlier ones are told apart.
   std::uint64_t Life_ = 0;
   RunBook Book_;
