Let the soak send configurations with one field of another type

The soak sent odd configurations without looking at the answers, so that a control process that acknowledged them broke no promise.

Change: beside each change of the configuration eight with one field of another type go to operators' ports, a different field each time; none may get a 200.

--- a/tests/base/FieldMutations.h
+++ b/tests/base/FieldMutations.h
@@ -84,6 +84,17 @@
   return Values;
 }
 
+/// Returns \p Whole once for each field and each type that the field does not
+/// have, with such a value in its place.
+inline std::vector<std::string> spoilEachField(const std::string &Whole) {
+  std::vector<std::string> Bodies;
+  const boost::json::value Value = boost::json::parse(Whole);
+  for (const std::string &Pointer : findFields(Value))
+    for (const boost::json::value &Odd : otherTypes(Value.at_pointer(Pointer)))
+      Bodies.push_back(replaceField(Whole, Pointer, Odd));
+  return Bodies;
+}
+
 /// Returns the pointers of the fields in \p Whole, without elements of lists,
 /// for which \p Accepts takes a body that lacks the field.
 template <typename Accepts>
--- a/tests/soak/Promises.cpp
+++ b/tests/soak/Promises.cpp
@@ -236,6 +236,10 @@
           std::to_string(Version) + " after " + std::to_string(NewestAcked_));
 }
 
+void Promises::invalidAnswered(const std::string &Body, std::uint16_t Status) {
+  require(Status != 200, "an invalid configuration is not acknowledged", Body);
+}
+
 std::vector<std::string> Promises::pending() const {
   std::vector<std::string> Left;
   std::ranges::set_difference(Accepted_, Ended_, std::back_inserter(Left));
--- a/tests/soak/Promises.h
+++ b/tests/soak/Promises.h
@@ -104,6 +104,8 @@
 
   void configurationAcked(std::uint64_t Version);
   void configurationRead(std::uint64_t Version);
+  /// An operator that sent the invalid configuration \p Body has an answer.
+  void invalidAnswered(const std::string &Body, std::uint16_t Status);
   /// A change of this version or a higher one has to be accepted.
   void expectChange(std::uint64_t Version) { ExpectedChange_ = Version; }
   bool isChangeAccepted() const { return NewestAcked_ >= ExpectedChange_; }
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -467,6 +467,7 @@
   NextVersion_ += 1 + pick(3);
   const bool HasOther = !Faulting_ || pick(2) == 0;
   putConfiguration(Version, configuration(Version, HasOther), 0);
+  sendInvalidConfigurations();
 }
 
 void Soak::putConfiguration(std::uint64_t Version, const std::string &Body,
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -147,6 +147,10 @@
   void writeToAgent(std::size_t I);
   /// Sends bodies that are to be refused whichever value is replaced in them.
   void sendOddBodies();
+  /// Sends some configurations with one field of another type each. Which ones
+  /// draws no random number, so that seeds play the days that they played
+  /// before.
+  void sendInvalidConfigurations();
   /// Adds odd rows to the lists of worker \p I for a while.
   void listOddRows(std::size_t I);
   /// Writes odd seeds into the settings of process \p I for a while.
@@ -199,6 +203,7 @@
   std::vector<net::Timer> Later_;
   TimePoint Began_ = Clock::now();
   std::uint64_t NextVersion_ = 1;
+  std::size_t InvalidSent_ = 0;
   std::size_t OpenSubmits_ = 0;
   std::size_t FaultCount_ = 0;
   std::uint32_t SilenceCount_ = 0;
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -1,3 +1,4 @@
+#include "base/FieldMutations.h"
 #include "soak/OddBodies.h"
 #include "soak/Soak.h"
 
@@ -207,6 +208,23 @@
       CallTimeout, [](const net::HttpResult &) {});
 }
 
+void Soak::sendInvalidConfigurations() {
+  constexpr std::size_t Count = 8;
+  // Bodies beside each other differ in the same field.
+  constexpr std::size_t Stride = 101;
+  const std::vector<std::string> Bodies =
+      spoilEachField(configuration(NextVersion_, true));
+  for (std::size_t I = 0; I < Count; ++I, ++InvalidSent_) {
+    const std::string &Body = Bodies[Stride * InvalidSent_ % Bodies.size()];
+    Operators_[InvalidSent_ % Operators_.size()]->request(
+        request("PUT", "/v1/config", Body), CallTimeout,
+        [this, Body](const net::HttpResult &Result) {
+          if (Result.Status_ == net::CallStatus::Answered)
+            Seen_.invalidAnswered(Body, Result.Response_.Status_);
+        });
+  }
+}
+
 void Soak::listOddRows(std::size_t I) {
   log("odd rows in the lists of worker " + std::to_string(I + 1));
   Workers_[I]->setOddRows(true);
