--- a/src/agent/WorkerAgentIdentity.cpp
+++ b/src/agent/WorkerAgentIdentity.cpp
@@ -117,9 +117,9 @@
 void WorkerAgent::Impl::updateDescription(const WorkerAnnouncement &Value) {
   const bool IsRepeated = Disputed_ && isSameDescription(Value, *Disputed_) &&
                           Value.Sequence_ != Disputed_->Sequence_;
-  const bool IsOnlyOne = Clock::now() - DescribedAt_ >=
-                         MissedHeartbeats * Options_.HeartbeatPeriod_;
-  if (!IsRepeated || !IsOnlyOne) {
+  const bool IsUncontested = Clock::now() - DescribedAt_ >=
+                             MissedHeartbeats * Options_.HeartbeatPeriod_;
+  if (!IsRepeated || !IsUncontested) {
     logRejected(Value, Worker_, "other-description");
     Disputed_ = Value;
     return;
--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -3,6 +3,7 @@
 #include "control/JobBatch.h"
 #include "control/JobDispatcher.h"
 #include "control/JobMemory.h"
+#include "control/JobPaths.h"
 #include "control/RecentNames.h"
 #include "control/RunTimeEstimator.h"
 #include "control/WorkerInterference.h"
@@ -220,18 +221,6 @@
     }
   }
 
-  /// Returns whether the job's id is the last segment of the path. Where it is
-  /// the end of a longer one, the path of another job may be meant.
-  static bool isWholeSegment(const wire::JobRequest &Request) {
-    return Request.Path_.ends_with('/' + Request.Job_);
-  }
-
-  static bool wasSubmittedAt(const jobs::JobRow &Job,
-                             const wire::JobRequest &Request) {
-    return Job.Queue_.Host_ == Request.Host_ &&
-           Job.Queue_.PathPrefix_ + Job.Id_ == Request.Path_;
-  }
-
   /// Recorded even if the job is unknown: a submission in flight must not start
   /// after its cancel was acknowledged.
   void cancelJob(const std::string &Id, bool HasQueue, Reply Answer) {
--- a/tests/base/FieldMutations.h
+++ b/tests/base/FieldMutations.h
@@ -95,25 +95,26 @@
   return Bodies;
 }
 
-/// Returns the pointers of the fields in \p Whole, without elements of lists,
-/// for which \p Accepts takes a body that lacks the field.
-template <typename Accepts>
-std::set<std::string> findOptional(const std::string &Whole, Accepts Take) {
+/// Returns the names of the fields without which \p IsTaken still takes \p
+/// Whole.
+template <typename Reader>
+std::set<std::string> findOptional(const std::string &Whole, Reader IsTaken) {
   std::set<std::string> Names;
   const boost::json::value Value = boost::json::parse(Whole);
   for (const std::string &Pointer : findFields(Value)) {
     const bool IsElement =
         nameOf(Pointer).find_first_not_of("0123456789") == std::string::npos;
-    if (!IsElement && Take(removeField(Whole, Pointer)))
+    if (!IsElement && IsTaken(removeField(Whole, Pointer)))
       Names.insert(nameOf(Pointer));
   }
   return Names;
 }
 
-/// Returns a text for each field of \p Whole that \p Accepts takes with a value
-/// of another type or a negative number.
-template <typename Accepts>
-std::vector<std::string> findUnchecked(const std::string &Whole, Accepts Take) {
+/// Returns each field of \p Whole with each value of another type, or negative
+/// number, that \p IsTaken takes in its place.
+template <typename Reader>
+std::vector<std::string> findUnchecked(const std::string &Whole,
+                                       Reader IsTaken) {
   std::vector<std::string> Found;
   const boost::json::value Value = boost::json::parse(Whole);
   for (const std::string &Pointer : findFields(Value)) {
@@ -122,7 +123,7 @@
     if (Field.is_number())
       Odd.insert(Odd.end(), {-1, -0.5});
     for (const boost::json::value &Each : Odd)
-      if (Take(replaceField(Whole, Pointer, Each)))
+      if (IsTaken(replaceField(Whole, Pointer, Each)))
         Found.push_back(Pointer + " = " + boost::json::serialize(Each));
   }
   return Found;
--- a/tests/control/ServiceCluster.h
+++ b/tests/control/ServiceCluster.h
@@ -171,7 +171,9 @@
     Options.Log_.Self_ = {I + 1};
     Options.Log_.Seed_ = I + 1;
     Options.Log_.Send_ = [this, I](ReplicaId To, std::string Bytes) {
-      UnderWay_.push_back({I, To.Value_ - 1, std::move(Bytes)});
+      // A member may have been added that is no replica of this cluster.
+      if (To.Value_ - 1 < Nodes_.size())
+        UnderWay_.push_back({I, To.Value_ - 1, std::move(Bytes)});
     };
     for (std::size_t Each = 0; Each < Nodes_.size(); ++Each) {
       const std::string Address = "127.0.2." + std::to_string(Each + 1);
