Resume the choice of the first members after a kill

Cause: only the process at the lowest seed chooses the first members. It kept in memory that it does, and the settings tell it of a first start only once. Its next life served as a replica without members, and the others asked it for ever.

Evidence: two events are new, founding-begun and founders-known.

The process that chooses now saves that before it listens, and the members before it tells them, and goes on from there while its log has no record.

--- a/daemons/dragonfly-platform.cpp
+++ b/daemons/dragonfly-platform.cpp
@@ -222,16 +222,21 @@
                          [&Serve, FirstMembers] { Serve(FirstMembers); });
     }
   };
-  if (Site.FirstStart_)
+  const auto Unfinished = Site.hasDisk()
+                              ? control::unfinishedChoice(Site.DataFolder_)
+                              : std::nullopt;
+  const bool HasChosen = Unfinished && !Unfinished->empty();
+  if (!HasChosen && (Site.FirstStart_ || Unfinished))
     Founding.emplace(Loop,
                      control::GroupFoundingOptions{
                          .Self_ = platform::toGroupRow(Site),
-                         .IsCandidate_ = Site.hasDisk(),
+                         .DataFolder_ = Site.DataFolder_,
                          .Seeds_ = Site.seedAddresses(),
+                         .ResumesChoice_ = Unfinished.has_value(),
                          .Choice_ = {.Wanted_ = 2 * Site.LossesToBear_ + 1},
                          .OnFounded_ = Serve});
   else
-    Serve({});
+    Serve(Unfinished.value_or(std::vector<wire::GroupRow>()));
   Loop.onTerminate([&] {
     if (Member) {
       Member->stop(Numbers.stopPart(), [&] { Loop.stop(); });
--- a/include/dragonfly/base/Event.h
+++ b/include/dragonfly/base/Event.h
@@ -70,6 +70,8 @@
   ZoneEvacuated = 3035,
   ConfigurationRead = 3036,
   OperatorAnswered = 3037,
+  FoundingBegun = 3038,
+  FoundersKnown = 3039,
   // consensus
   LeaderElected = 4001,
   LeaderLost = 4002,
--- a/include/dragonfly/control/GroupFounding.h
+++ b/include/dragonfly/control/GroupFounding.h
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -47,21 +48,30 @@
 struct GroupFoundingOptions {
   /// This process and the address where its frame server listens.
   wire::GroupRow Self_;
-  /// Whether this process has a disk and can be a member.
-  bool IsCandidate_ = true;
+  /// Empty where this process has no disk and cannot be a member.
+  std::string DataFolder_;
   /// Frame addresses, the same list in every process. The process at the lowest
   /// one chooses the members.
   std::vector<std::string> Seeds_;
+  /// Whether this process was choosing the members when it ended, so that no
+  /// other process does, whatever the seeds are now.
+  bool ResumesChoice_ = false;
   FounderChoice::Options Choice_;
   /// Called once with the first members.
   std::function<void(std::vector<wire::GroupRow>)> OnFounded_;
 };
 
+/// Returns the first members that a process with \p DataFolder has chosen and
+/// may not have told, none of them if it ended before the choice, or nothing if
+/// it has no choice to make. Throws StorageError.
+std::optional<std::vector<wire::GroupRow>>
+unfinishedChoice(const std::string &DataFolder);
+
 /// Bootstrap phase of a control process: announces itself to the seeds and
 /// answers other processes until the first members are known.
 class GroupFounding {
 public:
-  /// Throws NetError(CannotListen).
+  /// Throws NetError(CannotListen) or StorageError.
   GroupFounding(net::EventLoop &Loop, GroupFoundingOptions Options);
   ~GroupFounding();
 
--- a/src/base/Event.cpp
+++ b/src/base/Event.cpp
@@ -144,6 +144,12 @@
     {Event::OperatorAnswered, Severity::Info, "operator-answered",
      "An operator's call about the configuration was answered, so long after "
      "it had been read whole. At most some lines a second."},
+    {Event::FoundingBegun, Severity::Info, "founding-begun",
+     "This process waits for the first members of a new group, or chooses "
+     "them. "
+     "One that is resumed was ended before its choice was told."},
+    {Event::FoundersKnown, Severity::Info, "founders-known",
+     "The first members of the group are known here."},
     {Event::LeaderElected, Severity::Info, "leader-elected",
      "This replica leads the replicated log in a new term."},
     {Event::LeaderLost, Severity::Warning, "leader-lost",
--- a/src/control/GroupFounding.cpp
+++ b/src/control/GroupFounding.cpp
@@ -1,11 +1,14 @@
 #include "dragonfly/control/GroupFounding.h"
 
+#include "dragonfly/base/Log.h"
 #include "dragonfly/base/Random.h"
+#include "dragonfly/consensus/FoundingRecord.h"
 #include "dragonfly/net/EventLoop.h"
 #include "dragonfly/net/FrameClient.h"
 #include "dragonfly/net/FrameServer.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <utility>
 
@@ -39,32 +42,67 @@
   return Chosen_;
 }
 
+std::optional<std::vector<wire::GroupRow>>
+unfinishedChoice(const std::string &DataFolder) {
+  const auto Chosen = consensus::FoundingRecord(DataFolder).load();
+  if (!Chosen)
+    return std::nullopt;
+  std::vector<wire::GroupRow> Rows;
+  std::ranges::transform(
+      *Chosen, std::back_inserter(Rows), [](const consensus::Member &Each) {
+        return wire::GroupRow{.Id_ = Each.Id_, .Address_ = Each.Address_};
+      });
+  return Rows;
+}
+
 struct GroupFounding::Impl : std::enable_shared_from_this<GroupFounding::Impl> {
   Impl(net::EventLoop &Loop, GroupFoundingOptions Options)
       : Loop_(Loop), Options_(std::move(Options)),
+        MakesChoice_(Options_.ResumesChoice_ || isLowestSeed()),
         Self_(makeFreshId<Incarnation>()), Choice_(Options_.Choice_),
         Server_(Loop, {.Listen_ = net::Endpoint::make(Options_.Self_.Address_),
                        .Self_ = Self_,
                        .OnMessage_ = [this](const wire::Message &Value,
                                             const net::FrameReplier &To) {
                          answer(Value, To);
-                       }}) {
-    std::ranges::sort(Options_.Seeds_);
-  }
+                       }}) {}
 
   void start() {
+    if (MakesChoice_ && !Options_.ResumesChoice_)
+      save({});
+    logEvent(Event::FoundingBegun,
+             {{"replica", Options_.Self_.Id_.Value_},
+              {"chooses", MakesChoice_ ? "yes" : "no"},
+              {"resumed", Options_.ResumesChoice_ ? "yes" : "no"}});
     QueryTimer_ = Loop_.every(QueryPeriod, [this] { querySeeds(); });
     querySeeds();
   }
 
-  bool makesChoice() const {
-    return !Options_.Seeds_.empty() &&
-           Options_.Seeds_.front() == Options_.Self_.Address_;
+  bool isLowestSeed() const {
+    const auto Lowest = std::ranges::min_element(Options_.Seeds_);
+    return Lowest != Options_.Seeds_.end() &&
+           *Lowest == Options_.Self_.Address_;
+  }
+
+  bool isCandidate() const { return !Options_.DataFolder_.empty(); }
+
+  /// If this process ends while it chooses, nobody else may choose: its next
+  /// life has to go on. A process without a disk cannot.
+  void save(const std::vector<wire::GroupRow> &Chosen) {
+    if (!isCandidate())
+      return;
+    std::vector<consensus::Member> Members;
+    std::ranges::transform(
+        Chosen, std::back_inserter(Members), [](const wire::GroupRow &Row) {
+          return consensus::Member{
+              .Id_ = Row.Id_, .Store_ = {}, .Address_ = Row.Address_};
+        });
+    consensus::FoundingRecord(Options_.DataFolder_).save(Members);
   }
 
   void answer(const wire::Message &Value, const net::FrameReplier &To) {
     if (const auto *Join = std::get_if<wire::JoinGroup>(&Value)) {
-      if (makesChoice())
+      if (MakesChoice_)
         Choice_.addCandidate(Clock::now(),
                              {.Id_ = Join->Id_, .Address_ = Join->Address_});
       To.answer(wire::Group{.Rows_ = Members_});
@@ -78,10 +116,8 @@
   void querySeeds() {
     if (!Members_.empty())
       return;
-    if (makesChoice()) {
-      if (Options_.IsCandidate_)
-        Choice_.addCandidate(Clock::now(), Options_.Self_);
-      finish(Choice_.decide(Clock::now()));
+    if (MakesChoice_) {
+      choose();
       return;
     }
     SendFetch_ = !SendFetch_;
@@ -90,6 +126,16 @@
         querySeed(Seed);
   }
 
+  void choose() {
+    if (isCandidate())
+      Choice_.addCandidate(Clock::now(), Options_.Self_);
+    const std::vector<wire::GroupRow> &Chosen = Choice_.decide(Clock::now());
+    // Before anyone is told.
+    if (!Chosen.empty())
+      save(Chosen);
+    finish(Chosen);
+  }
+
   void querySeed(const std::string &Seed) {
     std::unique_ptr<net::FrameClient> &Client = Clients_[Seed];
     if (!Client)
@@ -100,7 +146,7 @@
       return;
     // A seed that has already become a replica answers only FetchGroup.
     wire::Message Request = wire::FetchGroup{};
-    if (Options_.IsCandidate_ && !SendFetch_)
+    if (isCandidate() && !SendFetch_)
       Request = wire::JoinGroup{.Id_ = Options_.Self_.Id_,
                                 .Store_ = {},
                                 .Address_ = Options_.Self_.Address_};
@@ -118,6 +164,9 @@
     if (Members.empty() || !Members_.empty())
       return;
     Members_ = Members;
+    logEvent(Event::FoundersKnown, {{"replica", Options_.Self_.Id_.Value_},
+                                    {"members", Members_.size()},
+                                    {"chooses", MakesChoice_ ? "yes" : "no"}});
     QueryTimer_.cancel();
     // Posted because the owner destroys this object in the handler.
     Loop_.post([Self = shared_from_this()] {
@@ -127,6 +176,7 @@
 
   net::EventLoop &Loop_;
   GroupFoundingOptions Options_;
+  bool MakesChoice_;
   Incarnation Self_;
   FounderChoice Choice_;
   std::vector<wire::GroupRow> Members_;
--- a/tests/consensus/FileStorageTest.cpp
+++ b/tests/consensus/FileStorageTest.cpp
@@ -1,5 +1,6 @@
 #include "consensus/FileStorage.h"
 
+#include "consensus/DataFolder.h"
 #include "consensus/Segment.h"
 
 #include <catch2/catch.hpp>
@@ -15,31 +16,6 @@
 
 namespace {
 
-/// A data folder that is removed at the end of the test.
-class DataFolder {
-public:
-  DataFolder() {
-    std::string Pattern = fs::temp_directory_path() / "dragonfly-XXXXXX";
-    Path_ = mkdtemp(Pattern.data());
-  }
-  DataFolder(const DataFolder &) = delete;
-  DataFolder &operator=(const DataFolder &) = delete;
-  ~DataFolder() { fs::remove_all(Path_); }
-
-  const std::string &path() const { return Path_; }
-
-  std::string lastSegment() const {
-    std::string Last;
-    for (const auto &Entry : fs::directory_iterator(Path_))
-      if (Entry.path().extension() == ".segment")
-        Last = std::max(Last, Entry.path().string());
-    return Last;
-  }
-
-private:
-  std::string Path_;
-};
-
 Record makeRecord(std::uint64_t Index, std::uint64_t InTerm = 1) {
   return {{Index}, {InTerm}, RecordKind::Command, std::to_string(Index)};
 }
