Give up a task for unanswered starts after five crashes only

Cause: the crash table got the names of suspects only, so that a start without an answer weighed as much as one that the worker had confirmed, and two crashes were proof. An agent can't tell a start that took its worker down before the answer from one that was sent to a worker that had gone; heartbeats and lists come too seldom to show it.

The agent now tells which suspects are unconfirmed, in a message and a record of their own at the end of both lists, so that what the version before has written stays readable.

--- a/include/dragonfly/agent/RunBook.h
+++ b/include/dragonfly/agent/RunBook.h
@@ -127,8 +127,13 @@
   std::size_t unsettledStarts() const;
   /// Whether such a start is being stopped since \p Before or longer.
   bool hasUnsettledStop(TimePoint Before) const;
+  struct UnprovenRun {
+    jobs::RunName Run_;
+    /// The worker has confirmed the start.
+    bool HasBegun_ = false;
+  };
   /// Returns the runs that may have begun on the worker and are not proven.
-  std::vector<jobs::RunName> unprovenRuns() const;
+  std::vector<UnprovenRun> unprovenRuns() const;
   void setSpeed(const jobs::RunName &Run, std::uint32_t SpeedPercent);
   std::vector<wire::RunReport> runReports() const;
 
--- a/include/dragonfly/control/Command.h
+++ b/include/dragonfly/control/Command.h
@@ -242,6 +242,15 @@
   template <typename Archive> void serialize(Archive &Ar) { Ar(Crash_); }
 };
 
+/// Records that a worker crashed under runs of which some may not have begun.
+struct RecordUnconfirmedCrash {
+  jobs::WorkerCrash Crash_;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(Crash_, Crash_.Unconfirmed_);
+  }
+};
+
 /// Evacuates an availability zone or takes it back, unless the zone has changed
 /// since `ExpectedRevision_`.
 struct SetEvacuation {
@@ -258,7 +267,8 @@
 using CommandBody =
     std::variant<PutList, ClaimRequests, MergeReceipts, AcceptTasks, PlaceTasks,
                  ReportTasks, LoseTasks, CancelTasks, ParkTasks, PutQueues,
-                 UpdateJobs, RecordImageLosses, RecordCrash, SetEvacuation>;
+                 UpdateJobs, RecordImageLosses, RecordCrash, SetEvacuation,
+                 RecordUnconfirmedCrash>;
 
 /// One record of the log.
 struct Command {
--- a/include/dragonfly/control/JobService.h
+++ b/include/dragonfly/control/JobService.h
@@ -108,7 +108,7 @@
   void handleWorkerGone(TimePoint Now, const wire::WorkerGone &Notice,
                         Reply Answer);
   /// Answers once the crash is recorded.
-  void handleWorkerCrashed(const wire::WorkerCrashed &Notice, Reply Answer);
+  void handleWorkerCrashed(const jobs::WorkerCrash &Crash, Reply Answer);
 
 private:
   struct Impl;
--- a/include/dragonfly/control/StateMachine.h
+++ b/include/dragonfly/control/StateMachine.h
@@ -91,6 +91,7 @@
   CommandOutput applyBody(const UpdateJobs &Body);
   CommandOutput applyBody(const RecordImageLosses &Body);
   CommandOutput applyBody(const RecordCrash &Body);
+  CommandOutput applyBody(const RecordUnconfirmedCrash &Body);
   CommandOutput applyBody(const SetEvacuation &Body);
   void countEndedTask(const TaskRecord &Task);
 
--- a/include/dragonfly/jobs/CrashTable.h
+++ b/include/dragonfly/jobs/CrashTable.h
@@ -21,8 +21,11 @@
 struct WorkerCrash {
   std::string Worker_;
   std::uint64_t Born_ = 0;
-  /// Runs that had begun there a moment before.
+  /// Runs that had begun there a moment before, or may have.
   std::vector<RunName> Suspects_;
+  /// Those of them whose start nobody has confirmed. It has a type of its own
+  /// on the wire and in the log, which the version before does not know.
+  std::vector<RunName> Unconfirmed_;
 
   template <typename Archive> void serialize(Archive &Ar) {
     Ar(Worker_, Born_, Suspects_);
@@ -48,7 +51,8 @@
   static constexpr std::size_t MaxAlone = 2;
   /// The same, if it was the only suspect among several runs.
   static constexpr std::size_t MaxOnlySuspect = 3;
-  /// The same, if it was one of several suspects.
+  /// The same, if it was one of several suspects, or its start there is not
+  /// confirmed: a worker that has crashed answers no start, and is no proof.
   static constexpr std::size_t MaxShared = 5;
   /// Crashes under a task, whoever took the blame, from which on it counts as
   /// suspect of all of them until it is cleared. Such a task is started alone,
@@ -108,8 +112,10 @@
   static constexpr std::size_t MaxRecorded = 1024;
 
   bool isRecorded(const Life &Crashed);
-  /// Returns the crashes after which a suspect of \p Crash is given up.
+  /// Returns the crashes after which a suspect of \p Crash is given up, if its
+  /// start there is confirmed.
   static std::size_t limitOf(const WorkerCrash &Crash, std::size_t Blamed);
+  static bool isConfirmed(const WorkerCrash &Crash, const TaskName &Task);
   void expose(Duration At, const std::set<TaskName> &Tasks);
   /// The task has caused all the crashes that it is suspected of.
   void explain(const TaskName &Culprit);
--- a/include/dragonfly/wire/JobMessages.h
+++ b/include/dragonfly/wire/JobMessages.h
@@ -231,6 +231,11 @@
   jobs::WorkerCrash Crash_;
 };
 
+/// A `WorkerCrashed` some of whose suspects are unconfirmed.
+struct UnconfirmedCrash {
+  jobs::WorkerCrash Crash_;
+};
+
 // Group of control, over TCP.
 
 /// A replica makes itself known to the leader, to become or stay a member.
--- a/include/dragonfly/wire/Messages.h
+++ b/include/dragonfly/wire/Messages.h
@@ -372,7 +372,7 @@
                  CurrentConfiguration, WorkerHello, WorkerOrders, WorkerReport,
                  WorkerReportAck, WorkerGone, JoinGroup, FetchGroup, Group,
                  WorkerCrashed, ReplicaUnheard, FetchEvacuation, Evacuation,
-                 SetEvacuation, EvacuationReply, ReplicaPart>;
+                 SetEvacuation, EvacuationReply, ReplicaPart, UnconfirmedCrash>;
 
 } // namespace dragonfly::wire
 
--- a/src/agent/RunBook.cpp
+++ b/src/agent/RunBook.cpp
@@ -343,11 +343,11 @@
   });
 }
 
-std::vector<RunName> RunBook::unprovenRuns() const {
-  std::vector<RunName> Result;
+std::vector<RunBook::UnprovenRun> RunBook::unprovenRuns() const {
+  std::vector<UnprovenRun> Result;
   for (const auto &[Run, Each] : Rows_)
     if (mayHaveBegun(Each) && !Each.Proven_ && !Each.Lapsed_)
-      Result.push_back(Run);
+      Result.push_back({.Run_ = Run, .HasBegun_ = Each.StartedAt_.has_value()});
   return Result;
 }
 
--- a/src/agent/WorkerAgentCalls.cpp
+++ b/src/agent/WorkerAgentCalls.cpp
@@ -134,7 +134,8 @@
   Lease_.setSilent(Silent);
   if (std::exchange(Silent_, Silent) == Silent)
     return;
-  Suspects_ = Silent ? Book_.unprovenRuns() : std::vector<jobs::RunName>();
+  Suspects_ =
+      Silent ? Book_.unprovenRuns() : std::vector<RunBook::UnprovenRun>();
   SettleBy_ = Clock::now() + Options_.SettleTime_;
   logEvent(Silent ? Event::WorkerSilent : Event::WorkerAnswers,
            {{"worker", Worker_.Worker_}, {"runs", Book_.rows().size()}});
@@ -179,12 +180,27 @@
                    {{"run", printRun(Run)},
                     {"worker", Agent->Worker_.Worker_},
                     {"reason", enumName(Status)}});
-        if (Agent->Book_.startAnswered(Clock::now(), Run, Status))
-          std::erase(Agent->Suspects_, Run);
+        const bool HasNotBegun =
+            Agent->Book_.startAnswered(Clock::now(), Run, Status);
+        Agent->updateSuspect(Run, Status, HasNotBegun);
         Agent->afterAnswer();
       });
 }
 
+void WorkerAgent::Impl::updateSuspect(const jobs::RunName &Run,
+                                      StartStatus Status, bool HasNotBegun) {
+  if (HasNotBegun)
+    std::erase_if(Suspects_, [&Run](const RunBook::UnprovenRun &Each) {
+      return Each.Run_ == Run;
+    });
+  if (Status != StartStatus::Started && Status != StartStatus::Ended)
+    return;
+  const auto Found =
+      std::ranges::find(Suspects_, Run, &RunBook::UnprovenRun::Run_);
+  if (Found != Suspects_.end())
+    Found->HasBegun_ = true;
+}
+
 void WorkerAgent::Impl::callStop(const jobs::RunName &Run) {
   Options_.Calls_.Stop_(
       Worker_.Worker_, {.Run_ = Run, .Fence_ = Fence_},
--- a/src/agent/WorkerAgentIdentity.cpp
+++ b/src/agent/WorkerAgentIdentity.cpp
@@ -259,17 +259,25 @@
     Suspects_ = Book_.unprovenRuns();
   if (Suspects_.empty())
     return;
-  Crashes_.push_back({{.Worker_ = Crashed.Worker_,
-                       .Born_ = Crashed.Born_,
-                       .Suspects_ = std::move(Suspects_)}});
+  jobs::WorkerCrash Crash{.Worker_ = Crashed.Worker_, .Born_ = Crashed.Born_};
+  for (RunBook::UnprovenRun &Each : Suspects_) {
+    if (!Each.HasBegun_)
+      Crash.Unconfirmed_.push_back(Each.Run_);
+    Crash.Suspects_.push_back(std::move(Each.Run_));
+  }
+  Suspects_.clear();
+  Crashes_.push_back(std::move(Crash));
   reportCrash();
 }
 
 void WorkerAgent::Impl::reportCrash() {
   if (Crashes_.empty() || std::exchange(CrashReportOpen_, true))
     return;
+  wire::Message Notice = wire::WorkerCrashed{Crashes_.front()};
+  if (!Crashes_.front().Unconfirmed_.empty())
+    Notice = wire::UnconfirmedCrash{Crashes_.front()};
   Leader_.call(
-      Crashes_.front(), Options_.ReportTimeout_,
+      std::move(Notice), Options_.ReportTimeout_,
       [Self = weak_from_this()](const link::LeaderResult &Result) {
         const auto Agent = Self.lock();
         if (!Agent)
--- a/src/agent/WorkerAgentImpl.h
+++ b/src/agent/WorkerAgentImpl.h
@@ -122,6 +122,8 @@
   void pump();
   void callStart(const jobs::RunName &Run);
   void callStop(const jobs::RunName &Run);
+  void updateSuspect(const jobs::RunName &Run, StartStatus Status,
+                     bool HasNotBegun);
   void afterAnswer();
   /// Keeps runs that serve under their targets, at the cost of the runs on
   /// spare processors that disturb them.
@@ -185,9 +187,9 @@
   /// Unproven runs when the worker fell silent, without those of which it has
   /// turned out that they had not begun. If it has crashed, one of them may be
   /// the cause.
-  std::vector<jobs::RunName> Suspects_;
+  std::vector<RunBook::UnprovenRun> Suspects_;
   /// Crashes that control has not recorded yet, oldest first.
-  std::deque<wire::WorkerCrashed> Crashes_;
+  std::deque<jobs::WorkerCrash> Crashes_;
   bool CrashReportOpen_ = false;
   WorkerLease Lease_;
 
--- a/src/control/ControlService.cpp
+++ b/src/control/ControlService.cpp
@@ -398,7 +398,10 @@
     Jobs_.handleWorkerGone(Now_, Request, std::move(Answer));
   }
   void serveRequest(const wire::WorkerCrashed &Request, Reply Answer) {
-    Jobs_.handleWorkerCrashed(Request, std::move(Answer));
+    Jobs_.handleWorkerCrashed(Request.Crash_, std::move(Answer));
+  }
+  void serveRequest(const wire::UnconfirmedCrash &Request, Reply Answer) {
+    Jobs_.handleWorkerCrashed(Request.Crash_, std::move(Answer));
   }
   void serveRequest(const wire::JoinGroup &Request, Reply Answer) {
     Group_.sighted(Now_, Request);
--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -313,15 +313,18 @@
         });
   }
 
-  void recordCrash(const wire::WorkerCrashed &Notice, Reply Answer) {
-    Options_.Propose_(RecordCrash{Notice.Crash_},
-                      [this, Notice, Answer = std::move(Answer)](
+  void recordCrash(const jobs::WorkerCrash &Crash, Reply Answer) {
+    CommandBody Record = RecordCrash{Crash};
+    if (!Crash.Unconfirmed_.empty())
+      Record = RecordUnconfirmedCrash{Crash};
+    Options_.Propose_(std::move(Record),
+                      [this, Crash, Answer = std::move(Answer)](
                           ProposeStatus Status, const CommandOutput &) {
                         if (Status != ProposeStatus::Committed) {
                           refuseIfNotLeader(Status, Answer);
                           return;
                         }
-                        noteCrash(Notice.Crash_);
+                        noteCrash(Crash);
                         Answer(wire::WorkerReportAck{});
                       });
   }
@@ -336,13 +339,17 @@
   void noteCrash(const jobs::WorkerCrash &Crash) {
     Options_.Metrics_->count("workers", "crashed");
     for (const jobs::RunName &Run : Crash.Suspects_) {
-      logEvent(Event::CrashSuspected, {{"job", Run.Task_.Job_},
-                                       {"step", Run.Task_.Step_},
-                                       {"index", Run.Task_.Index_},
-                                       {"run", Run.Run_},
-                                       {"worker", Crash.Worker_},
-                                       {"suspects", Crash.Suspects_.size()},
-                                       {"outcome", crashOutcome(Run.Task_)}});
+      const bool IsConfirmed = std::ranges::find(Crash.Unconfirmed_, Run) ==
+                               Crash.Unconfirmed_.end();
+      logEvent(Event::CrashSuspected,
+               {{"job", Run.Task_.Job_},
+                {"step", Run.Task_.Step_},
+                {"index", Run.Task_.Index_},
+                {"run", Run.Run_},
+                {"worker", Crash.Worker_},
+                {"begun", IsConfirmed ? "yes" : "unknown"},
+                {"suspects", Crash.Suspects_.size()},
+                {"outcome", crashOutcome(Run.Task_)}});
       noteEnded(Run.Task_.Job_);
     }
     Dispatcher_.notifyJobsChanged();
@@ -486,9 +493,9 @@
   Impl_->Sessions_.handleWorkerGone(Notice, std::move(Answer));
 }
 
-void JobService::handleWorkerCrashed(const wire::WorkerCrashed &Notice,
+void JobService::handleWorkerCrashed(const jobs::WorkerCrash &Crash,
                                      Reply Answer) {
-  Impl_->recordCrash(Notice, std::move(Answer));
+  Impl_->recordCrash(Crash, std::move(Answer));
 }
 
 } // namespace dragonfly::control
--- a/src/control/StateMachine.cpp
+++ b/src/control/StateMachine.cpp
@@ -130,6 +130,11 @@
   return RowsApplied{.Count_ = 1};
 }
 
+CommandOutput StateMachine::applyBody(const RecordUnconfirmedCrash &Body) {
+  Jobs_.recordCrash(LogTime_, Body.Crash_);
+  return RowsApplied{.Count_ = 1};
+}
+
 CommandOutput StateMachine::applyBody(const SetEvacuation &Body) {
   return EvacuationOutcome{Evacuations_.set(
       LogTime_, Body.Zone_, Body.Evacuated_, Body.ExpectedRevision_)};
--- a/src/jobs/CrashTable.cpp
+++ b/src/jobs/CrashTable.cpp
@@ -32,7 +32,7 @@
     Row &Each = Rows_[Task];
     Each.At_ = At;
     Each.Crashes_.push_back(LastCrash_);
-    if (Each.Crashes_.size() >= Limit)
+    if (Each.Crashes_.size() >= (isConfirmed(Crash, Task) ? Limit : MaxShared))
       GivenUp.push_back(Task);
   }
   for (const TaskName &Task : GivenUp)
@@ -58,6 +58,13 @@
   return Blamed == 1 ? MaxOnlySuspect : MaxShared;
 }
 
+bool CrashTable::isConfirmed(const WorkerCrash &Crash, const TaskName &Task) {
+  return std::ranges::any_of(Crash.Suspects_, [&](const RunName &Run) {
+    return Run.Task_ == Task && std::ranges::find(Crash.Unconfirmed_, Run) ==
+                                    Crash.Unconfirmed_.end();
+  });
+}
+
 void CrashTable::explain(const TaskName &Culprit) {
   Exposures_.erase(Culprit);
   const auto Found = Rows_.extract(Culprit);
--- a/src/wire/Serialize.h
+++ b/src/wire/Serialize.h
@@ -264,6 +264,10 @@
   Ar(Row.Crash_);
 }
 
+template <typename Archive> void serialize(Archive &Ar, UnconfirmedCrash &Row) {
+  Ar(Row.Crash_, Row.Crash_.Unconfirmed_);
+}
+
 template <typename Archive> void serialize(Archive &Ar, WorkerGone &Row) {
   Ar(Row.Worker_, Row.Born_, Row.Agent_);
 }
--- a/tests/control/WorkerCrashTest.cpp
+++ b/tests/control/WorkerCrashTest.cpp
@@ -57,6 +57,40 @@
   CHECK(Third.consumeStarts().empty());
 }
 
+// Guards against LOST: a job was given up after two crashes of workers that had
+// gone before its task was sent to them. The bound of BUDGET stays.
+TEST_CASE("a task that may never have begun is given up after five crashes",
+          "[control][jobs][crash]") {
+  JobCluster Cluster;
+  const bool LeaderChanges = GENERATE(false, true);
+  INFO("leader changes " << LeaderChanges);
+  TestAgent First = attachOn(Cluster, "w1", "vm-1", 10);
+  Cluster.submit({makeStep()});
+  REQUIRE(First.consumeStarts() == std::vector{makeRun()});
+  std::uint64_t Born = 10;
+  for (std::uint32_t Run = 1; Run <= jobs::CrashTable::MaxShared; ++Run) {
+    CHECK(Cluster.jobState() == JobState::Running);
+    Cluster.askLeader<wire::WorkerReportAck>(
+        wire::UnconfirmedCrash{{.Worker_ = "w1",
+                                .Born_ = Born,
+                                .Suspects_ = {makeRun(Run)},
+                                .Unconfirmed_ = {makeRun(Run)}}});
+    if (LeaderChanges) {
+      const std::size_t Leader = Cluster.leader();
+      Cluster.kill(Leader);
+      Cluster.leader();
+      Cluster.start(Leader);
+    }
+    Born += 10;
+    TestAgent Next = attachOn(Cluster, "w1", "vm-1", Born);
+    Cluster.run(seconds(1));
+    const bool IsStarted =
+        Next.consumeStarts() == std::vector{makeRun(Run + 1)};
+    CHECK(IsStarted == (Run < jobs::CrashTable::MaxShared));
+  }
+  CHECK(Cluster.jobState() == JobState::Failed);
+}
+
 // Guards against a job that fails without cause.
 TEST_CASE("a run that its worker outlives clears its task",
           "[control][jobs][crash]") {
--- a/tests/jobs/CrashTableTest.cpp
+++ b/tests/jobs/CrashTableTest.cpp
@@ -332,4 +332,44 @@
   CHECK(On.Table_.isSuspect(Other));
 }
 
+// Guards against LOST: what has not begun on two workers that crash is no cause
+// of either crash.
+TEST_CASE("a confirmed start counts for more than one that is not",
+          "[jobs][crash]") {
+  CrashTable Table;
+  std::uint64_t Born = 0;
+  const auto Crash = [&](bool IsConfirmed) {
+    WorkerCrash Value{.Worker_ = "w1", .Born_ = ++Born};
+    Value.Suspects_ = {
+        {.Task_ = task(1), .Run_ = static_cast<std::uint32_t>(Born)}};
+    if (!IsConfirmed)
+      Value.Unconfirmed_ = Value.Suspects_;
+    return Table.record(seconds(100), Value, {task(1)});
+  };
+  CHECK(Crash(false).empty());
+  CHECK(Crash(false).empty());
+  SECTION("a confirmed one is proof") {
+    CHECK(Crash(true) == std::vector{task(1)});
+  }
+  SECTION("unconfirmed ones are in the end") {
+    CHECK(Crash(false).empty());
+    CHECK(Crash(false).empty());
+    CHECK(Crash(false) == std::vector{task(1)});
+  }
+}
+
+TEST_CASE("of two runs of a task one that is confirmed counts",
+          "[jobs][crash]") {
+  CrashTable Table;
+  for (std::uint64_t Born = 1; Born <= 2; ++Born) {
+    const WorkerCrash Crash{.Worker_ = "w1",
+                            .Born_ = Born,
+                            .Suspects_ = {{.Task_ = task(1), .Run_ = 1},
+                                          {.Task_ = task(1), .Run_ = 2}},
+                            .Unconfirmed_ = {{.Task_ = task(1), .Run_ = 2}}};
+    CHECK(Table.record(seconds(100), Crash, {task(1), task(1)}).empty() ==
+          (Born == 1));
+  }
+}
+
 } // namespace dragonfly::jobs
