--- a/include/dragonfly/jobs/CrashTable.h
+++ b/include/dragonfly/jobs/CrashTable.h
@@ -6,6 +6,7 @@
 #include "dragonfly/base/Clock.h"
 #include "dragonfly/jobs/Job.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -27,6 +28,11 @@
   /// on the wire and in the log, which the version before does not know.
   std::vector<RunName> Unconfirmed_;
 
+  /// Returns whether the start of \p Run, one of the suspects, is confirmed.
+  bool isConfirmed(const RunName &Run) const {
+    return std::ranges::find(Unconfirmed_, Run) == Unconfirmed_.end();
+  }
+
   template <typename Archive> void serialize(Archive &Ar) {
     Ar(Worker_, Born_, Suspects_);
   }
--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -339,15 +339,13 @@
   void noteCrash(const jobs::WorkerCrash &Crash) {
     Options_.Metrics_->count("workers", "crashed");
     for (const jobs::RunName &Run : Crash.Suspects_) {
-      const bool IsConfirmed = std::ranges::find(Crash.Unconfirmed_, Run) ==
-                               Crash.Unconfirmed_.end();
       logEvent(Event::CrashSuspected,
                {{"job", Run.Task_.Job_},
                 {"step", Run.Task_.Step_},
                 {"index", Run.Task_.Index_},
                 {"run", Run.Run_},
                 {"worker", Crash.Worker_},
-                {"begun", IsConfirmed ? "yes" : "unknown"},
+                {"begun", Crash.isConfirmed(Run) ? "yes" : "unknown"},
                 {"suspects", Crash.Suspects_.size()},
                 {"outcome", crashOutcome(Run.Task_)}});
       noteEnded(Run.Task_.Job_);
--- a/src/jobs/CrashTable.cpp
+++ b/src/jobs/CrashTable.cpp
@@ -60,8 +60,7 @@
 
 bool CrashTable::isConfirmed(const WorkerCrash &Crash, const TaskName &Task) {
   return std::ranges::any_of(Crash.Suspects_, [&](const RunName &Run) {
-    return Run.Task_ == Task && std::ranges::find(Crash.Unconfirmed_, Run) ==
-                                    Crash.Unconfirmed_.end();
+    return Run.Task_ == Task && Crash.isConfirmed(Run);
   });
 }
 
