--- a/daemons/dragonfly-platform.cpp
+++ b/daemons/dragonfly-platform.cpp
@@ -222,6 +222,8 @@
                          [&Serve, FirstMembers] { Serve(FirstMembers); });
     }
   };
+  // The choice of the first members is this process's own, also after a
+  // restart.
   const auto Unfinished = Site.hasDisk()
                               ? control::unfinishedChoice(Site.DataFolder_)
                               : std::nullopt;
--- a/include/dragonfly/jobs/CrashTable.h
+++ b/include/dragonfly/jobs/CrashTable.h
@@ -57,8 +57,9 @@
   static constexpr std::size_t MaxAlone = 2;
   /// The same, if it was the only suspect among several runs.
   static constexpr std::size_t MaxOnlySuspect = 3;
-  /// The same, if it was one of several suspects, or its start there is not
-  /// confirmed: a worker that has crashed answers no start, and is no proof.
+  /// The same, if it was one of several suspects, or if its start there is not
+  /// confirmed: a worker that had crashed before the start confirms none
+  /// either.
   static constexpr std::size_t MaxShared = 5;
   /// Crashes under a task, whoever took the blame, from which on it counts as
   /// suspect of all of them until it is cleared. Such a task is started alone,
--- a/src/base/Event.cpp
+++ b/src/base/Event.cpp
@@ -112,8 +112,7 @@
      "reason is given."},
     {Event::CrashSuspected, Severity::Warning, "crash-suspected",
      "A worker crashed soon after this run had begun there, or may have. A "
-     "task "
-     "that remains suspect is given up, and its job fails."},
+     "task that remains suspect is given up, and its job fails."},
     {Event::ReplicaAddressRejected, Severity::Warning,
      "replica-address-rejected",
      "The address of a control replica is malformed. It is reached at the last "
