Wait in a test until reset connections have been accepted

Cause: a fault of the test. Crowd::awaitClosed ended as soon as the process had few enough descriptors, also where connections that were already reset still waited in the system's queue. check() then counted descriptors while the process accepted these, up to 256 in a turn.

So nothing is kept, and a leak is ruled out.

Change: the wait ends only after an answer on a connection that was made after the others. Connections are accepted in order, so that the count can only fall from then on. The bounds are the same. The test is stricter: once more, 100 connections are reset while the process is stopped, so that it accepts all of them after their end.

--- a/tests/untrusted/Crowd.cpp
+++ b/tests/untrusted/Crowd.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <csignal>
 #include <utility>
 
 namespace dragonfly::untrusted {
@@ -177,12 +178,19 @@
   CHECK(platform::waitUntilRead(Ip_, Server_.Port_));
 }
 
+void Crowd::setHalted(bool IsHalted) const {
+  Program_.signal(IsHalted ? SIGSTOP : SIGCONT);
+}
+
 void Crowd::awaitClosed() const {
   constexpr int MaxTries = 1000;
-  for (int Try = 0; Try < MaxTries && Program_.isRunning() &&
-                    Program_.openDescriptors() > Open_.size() + OwnDescriptors;
-       ++Try)
+  int Try = 0;
+  // Connections are accepted in the order they were made: before the first
+  // answer, those that are gone may still wait in the system's queue.
+  do
     Ordinary_(Peer(Ip_, Server_.Port_));
+  while (++Try < MaxTries && Program_.isRunning() &&
+         Program_.openDescriptors() > Open_.size() + OwnDescriptors);
 }
 
 void Crowd::check() const {
--- a/tests/untrusted/Crowd.h
+++ b/tests/untrusted/Crowd.h
@@ -73,8 +73,10 @@
   const std::string &ip() const { return Ip_; }
   /// Waits until all that was sent has been read.
   void awaitRead() const;
-  /// Repeats the ordinary request until the process has closed connections that
-  /// are gone, but not for ever.
+  /// Stops the process where it stands, or lets it go on.
+  void setHalted(bool IsHalted) const;
+  /// Repeats the ordinary request until the process has accepted and closed
+  /// connections that are gone, but not for ever.
   void awaitClosed() const;
   /// Checks that the process lives within its limits, and that it answers an
   /// ordinary request as it did in calm.
--- a/tests/untrusted/FloodTest.cpp
+++ b/tests/untrusted/FloodTest.cpp
@@ -20,17 +20,30 @@
 
 namespace {
 
-/// Connects and resets as often as the process may have descriptors, and half
-/// as often again.
-void resetAll(const Crowd &On, const Machine &Limits,
-              const std::string &Start) {
-  for (std::size_t I = 0; I < Limits.MaxFds_ + Limits.MaxFds_ / 2; ++I) {
+/// Connections that fit the system's queue of those to be accepted.
+constexpr std::size_t MaxQueued = 100;
+
+void connectAndReset(const Crowd &On, const std::string &Start,
+                     std::size_t Count) {
+  for (std::size_t I = 0; I < Count; ++I) {
     const dragonfly::platform::Peer Caller(On.ip(), On.server().Port_);
     Caller.send(Start);
     Caller.resetOnClose();
   }
 }
 
+/// Connects and resets as often as the process may have descriptors, and half
+/// as often again; at the end the process has accepted none of the last ones.
+void resetAll(const Crowd &On, const Machine &Limits,
+              const std::string &Start) {
+  connectAndReset(On, Start, Limits.MaxFds_ + Limits.MaxFds_ / 2);
+  On.awaitClosed();
+  On.setHalted(true);
+  connectAndReset(On, Start, MaxQueued);
+  On.setHalted(false);
+  On.awaitClosed();
+}
+
 /// Sends \p Count datagrams, which the system may drop.
 void sendDatagrams(const Crowd &On, const std::string &Bytes,
                    std::size_t Count) {
@@ -56,7 +69,6 @@
     for (const Target &Server : httpServers()) {
       Crowd On(Server, Limits);
       resetAll(On, Limits, Start);
-      On.awaitClosed();
       On.check();
     }
   }
@@ -65,7 +77,6 @@
     for (const Target &Server : frameServers()) {
       Crowd On(Server, Limits, probe);
       resetAll(On, Limits, Start);
-      On.awaitClosed();
       On.check();
     }
   }
