Share the crash during a start between two tests

Two cases of WorkerCrashTest repeated the same set-up and sequence. They now give crashWhileStarting the ends of the calls; the checks are the same, and a call beyond the listed ones fails the test.

--- a/tests/agent/WorkerCrashTest.cpp
+++ b/tests/agent/WorkerCrashTest.cpp
@@ -37,6 +37,44 @@
   comeBack(On, std::move(Name), Born);
 }
 
+/// How a call for a start ends.
+struct CallEnd {
+  Duration After_{};
+  StartStatus Status_ = StartStatus::NoAnswer;
+};
+
+/// The worker crashes \p Delay after the order to start run 8, whose calls end
+/// as \p Ends says, one after another. Returns what control is told.
+jobs::WorkerCrash crashWhileStarting(AgentFixture &On, Duration Delay,
+                                     const std::vector<CallEnd> &Ends) {
+  std::vector<net::Timer> Calls;
+  WorkerCalls Worker = On.Worker_->calls();
+  Worker.Start_ = [&](const std::string &, const StartCall &,
+                      const std::function<void(StartStatus)> &OnEnd) {
+    REQUIRE(Calls.size() < Ends.size());
+    const CallEnd &End = Ends[Calls.size()];
+    Calls.push_back(On.Loop_->after(
+        End.After_, [OnEnd, Status = End.Status_] { OnEnd(Status); }));
+  };
+  On.Agent_ = std::make_unique<WorkerAgent>(
+      *On.Loop_, *On.Link_,
+      WorkerAgentOptions{.Calls_ = std::move(Worker), .Vm_ = "vm-1"});
+  On.startRuns(0);
+  On.Leader_->order({.Starts_ = {{.Run_ = makeRun(8)}}});
+  On.run(Delay);
+  REQUIRE(Calls.size() == Ends.size());
+  On.Worker_->setSilent(true);
+  On.run(seconds(3));
+  On.Worker_->restart("w2", 20);
+  On.Worker_->setSilent(false);
+  On.announce(On.Worker_->announce());
+  On.run(milliseconds(300));
+  // Its calls refer to the variables above.
+  On.Agent_.reset();
+  REQUIRE(On.Leader_->Crashes_.size() == 1);
+  return On.Leader_->Crashes_.front().Crash_;
+}
+
 } // namespace
 
 // Guards against BUDGET: a run that takes its worker down counted nowhere.
@@ -186,34 +224,12 @@
 TEST_CASE("a start with an earlier call without an answer remains a suspect",
           "[agent][worker][crash]") {
   AgentFixture On;
-  std::vector<net::Timer> Answers;
-  WorkerCalls Calls = On.Worker_->calls();
-  Calls.Start_ = [&](const std::string &, const StartCall &,
-                     const std::function<void(StartStatus)> &OnEnd) {
-    const bool IsFirst = Answers.empty();
-    Answers.push_back(On.Loop_->after(
-        IsFirst ? milliseconds(50) : milliseconds(700), [OnEnd, IsFirst] {
-          OnEnd(IsFirst ? StartStatus::NoAnswer : StartStatus::Unhealthy);
-        }));
-  };
-  On.Agent_ = std::make_unique<WorkerAgent>(
-      *On.Loop_, *On.Link_,
-      WorkerAgentOptions{.Calls_ = std::move(Calls), .Vm_ = "vm-1"});
-  On.startRuns(0);
-  On.Leader_->order({.Starts_ = {{.Run_ = makeRun(8)}}});
-  On.run(milliseconds(300));
-  REQUIRE(Answers.size() == 2);
-  On.Worker_->setSilent(true);
-  On.run(seconds(3));
-  On.Worker_->restart("w2", 20);
-  On.Worker_->setSilent(false);
-  On.announce(On.Worker_->announce());
-  On.run(milliseconds(300));
-  REQUIRE(On.Leader_->Crashes_.size() == 1);
-  CHECK(On.Leader_->Crashes_.front().Crash_.Suspects_ ==
-        std::vector{makeRun(8)});
-  CHECK(On.Leader_->Crashes_.front().Crash_.Unconfirmed_ ==
-        std::vector{makeRun(8)});
+  const jobs::WorkerCrash Told = crashWhileStarting(
+      On, milliseconds(300),
+      {{.After_ = milliseconds(50), .Status_ = StartStatus::NoAnswer},
+       {.After_ = milliseconds(700), .Status_ = StartStatus::Unhealthy}});
+  CHECK(Told.Suspects_ == std::vector{makeRun(8)});
+  CHECK(Told.Unconfirmed_ == std::vector{makeRun(8)});
 }
 
 // Guards against BUDGET: a start whose confirmation is read after the worker
@@ -221,29 +237,11 @@
 TEST_CASE("a start that is confirmed late is confirmed",
           "[agent][worker][crash]") {
   AgentFixture On;
-  std::vector<net::Timer> Answers;
-  WorkerCalls Calls = On.Worker_->calls();
-  Calls.Start_ = [&](const std::string &, const StartCall &,
-                     const std::function<void(StartStatus)> &OnEnd) {
-    Answers.push_back(On.Loop_->after(
-        milliseconds(700), [OnEnd] { OnEnd(StartStatus::Started); }));
-  };
-  On.Agent_ = std::make_unique<WorkerAgent>(
-      *On.Loop_, *On.Link_,
-      WorkerAgentOptions{.Calls_ = std::move(Calls), .Vm_ = "vm-1"});
-  On.startRuns(0);
-  On.Leader_->order({.Starts_ = {{.Run_ = makeRun(8)}}});
-  On.run(milliseconds(30));
-  On.Worker_->setSilent(true);
-  On.run(seconds(3));
-  On.Worker_->restart("w2", 20);
-  On.Worker_->setSilent(false);
-  On.announce(On.Worker_->announce());
-  On.run(milliseconds(300));
-  REQUIRE(On.Leader_->Crashes_.size() == 1);
-  CHECK(On.Leader_->Crashes_.front().Crash_.Suspects_ ==
-        std::vector{makeRun(8)});
-  CHECK(On.Leader_->Crashes_.front().Crash_.Unconfirmed_.empty());
+  const jobs::WorkerCrash Told = crashWhileStarting(
+      On, milliseconds(30),
+      {{.After_ = milliseconds(700), .Status_ = StartStatus::Started}});
+  CHECK(Told.Suspects_ == std::vector{makeRun(8)});
+  CHECK(Told.Unconfirmed_.empty());
 }
 
 } // namespace dragonfly::agent
