Count and log heartbeats that are passed over

A worker whose own heartbeats were answered with 200 and ignored left nothing behind: the agent returned without a line, and a rejected announcement was logged without the number, the state and the capacity that it was judged by.

Cause: `update` dropped an announcement behind the newest number in silence, so that the hypotheses "the number is behind", "the state is not taken back" and "another description is disputed" could not be told apart from outside.

Change: each announcement without its full effect is counted as heartbeats_rejected_total with its reason.

--- a/src/agent/WorkerAgentIdentity.cpp
+++ b/src/agent/WorkerAgentIdentity.cpp
@@ -40,18 +40,26 @@
           .Accelerators_ = std::min(A.Accelerators_, B.Accelerators_)};
 }
 
-void logRejected(const WorkerAnnouncement &Value,
-                 const WorkerAnnouncement &Current, const char *Reason) {
-  logEvent(Event::AnnouncementRejected, {{"worker", Value.Worker_},
-                                         {"born", Value.Born_},
-                                         {"service", Value.Service_},
-                                         {"reason", Reason},
-                                         {"current", Current.Worker_},
-                                         {"current_born", Current.Born_}});
-}
-
 } // namespace
 
+void WorkerAgent::Impl::noteRejected(const WorkerAnnouncement &Value,
+                                     std::string_view Reason) {
+  Options_.Metrics_->count("heartbeats_rejected", Reason);
+  logEvent(Event::AnnouncementRejected,
+           {{"worker", Value.Worker_},
+            {"born", Value.Born_},
+            {"service", Value.Service_},
+            {"sequence", Value.Sequence_},
+            {"state", Value.Draining_ ? "draining" : "ready"},
+            {"milli_processors",
+             static_cast<std::uint64_t>(Value.Capacity_.MilliProcessors_)},
+            {"reason", Reason},
+            {"current", Worker_.Worker_},
+            {"current_born", Worker_.Born_},
+            {"current_sequence", AnnouncedSequence_},
+            {"current_state", Worker_.Draining_ ? "draining" : "ready"}});
+}
+
 void WorkerAgent::Impl::announced(const WorkerAnnouncement &Value) {
   if (Worker_.Worker_.empty()) {
     adopt(Value);
@@ -82,8 +90,10 @@
   if (Value.Sequence_ + MaxReorderedHeartbeats < Worker_.Sequence_)
     // Too far behind to be late: the number ahead was another writer's.
     Worker_.Sequence_ = 0;
-  else if (Value.Sequence_ < Worker_.Sequence_)
+  else if (Value.Sequence_ < Worker_.Sequence_) {
+    noteRejected(Value, "late");
     return;
+  }
   Disputed_.reset();
   const bool IsInOrder = Value.Sequence_ >= AnnouncedSequence_;
   // An announcement with a number far ahead may be another writer's, and those
@@ -120,7 +130,7 @@
   const bool IsUncontested = Clock::now() - DescribedAt_ >=
                              MissedHeartbeats * Options_.HeartbeatPeriod_;
   if (!IsRepeated || !IsUncontested) {
-    logRejected(Value, Worker_, "other-description");
+    noteRejected(Value, "other-description");
     Disputed_ = Value;
     return;
   }
@@ -152,7 +162,7 @@
 }
 
 void WorkerAgent::Impl::retractDeparture(const WorkerAnnouncement &Value) {
-  logRejected(Value, Worker_, "departure-contradicted");
+  noteRejected(Value, "departure-contradicted");
   Departed_ = false;
   // A notice that the worker has left may still be on its way.
   Self_ = makeFreshId<Incarnation>();
@@ -191,9 +201,9 @@
     adopt(IsNewest ? *Candidate_ : Probed);
     Confirmed_ = true;
   } else {
-    logRejected(Probed, Worker_,
-                Answer.Status_ == HoldStatus::Fenced ? "fenced"
-                                                     : "other-worker-answers");
+    noteRejected(Probed, Answer.Status_ == HoldStatus::Fenced
+                             ? "fenced"
+                             : "other-worker-answers");
   }
   if (IsNewest)
     Candidate_.reset();
--- a/src/agent/WorkerAgentImpl.h
+++ b/src/agent/WorkerAgentImpl.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace dragonfly::agent {
@@ -67,6 +68,8 @@
   /// as far as the announcement before had it too, since a single one may be
   /// another writer's. A change begins a session, which tells control.
   void updateCapacity(const Resources &Announced, bool IsNewest);
+  /// Counts and logs an announcement that has no effect, or only a part of it.
+  void noteRejected(const WorkerAnnouncement &Value, std::string_view Reason);
   /// Takes a departure back: a worker that has left does not announce itself as
   /// ready, so that the notice was another writer's.
   void retractDeparture(const WorkerAnnouncement &Value);
--- a/tests/agent/AgentFixture.h
+++ b/tests/agent/AgentFixture.h
@@ -5,6 +5,7 @@
 
 #include "dragonfly/agent/WorkerAgent.h"
 #include "dragonfly/base/Log.h"
+#include "dragonfly/base/Metrics.h"
 #include "dragonfly/link/LeaderClient.h"
 #include "dragonfly/net/EventLoop.h"
 #include "dragonfly/net/FrameServer.h"
@@ -497,7 +498,8 @@
                                           .Seeds_ = {Leader_->address()}});
     Agent_ = std::make_unique<WorkerAgent>(
         *Loop_, *Link_,
-        WorkerAgentOptions{.Calls_ = Worker_->calls(), .Vm_ = "vm-1"});
+        WorkerAgentOptions{
+            .Calls_ = Worker_->calls(), .Vm_ = "vm-1", .Metrics_ = Metrics_});
   }
   /// Kills the agent's process and starts another one.
   void restartAgent() {
@@ -578,6 +580,7 @@
     return Leader_->Hellos_.back().Capacity_.MilliProcessors_;
   }
 
+  std::shared_ptr<Metrics> Metrics_ = std::make_shared<Metrics>();
   std::unique_ptr<net::EventLoop> Loop_;
   std::unique_ptr<FakeWorker> Worker_;
   std::unique_ptr<FakeLeader> Leader_;
--- a/tests/agent/WorkerAgentTest.cpp
+++ b/tests/agent/WorkerAgentTest.cpp
@@ -224,6 +224,27 @@
   CHECK(On.Worker_->isRunning(makeRun(7)));
 }
 
+// Guards against faults without a trace: an announcement that was passed over
+// as late left no line in the log and no count.
+TEST_CASE("an announcement that is passed over is counted and logged",
+          "[agent][worker]") {
+  AgentFixture On;
+  On.startRuns(1);
+  const WorkerAnnouncement Late = On.Worker_->announce();
+  for (int I = 0; I < 2; ++I)
+    On.announce(On.Worker_->announce());
+  std::string Lines;
+  configureLog({.Sink_ = [&Lines](std::string_view Line) { Lines += Line; }});
+  On.announce(Late);
+  CHECK(
+      On.Metrics_->text().find("heartbeats_rejected_total{label=\"late\"} 1") !=
+      std::string::npos);
+  for (const char *Field :
+       {"announcement-rejected", "\"reason\":\"late\"", "\"sequence\":\"2\"",
+        "\"state\":\"ready\"", "\"current_sequence\":\"4\""})
+    CHECK(Lines.find(Field) != std::string::npos);
+}
+
 // Guards against ROUTE: two announcements in a row, between two of the worker's
 // own, gave it another service.
 TEST_CASE("a description counts only while the worker's own is not announced",
