Judge a heartbeat's number by what follows it

Cause: one message moved the newest number, which only higher ones could move, and what lay behind it was judged by how far: up to 100 counted as late, more as proof that the mark was wrong. A distance cannot tell late heartbeats, which may be many, from the worker's own, which another writer may be near.

Change: decide::HeartbeatOrder judges by what comes after. Late heartbeats arrive at once or between newer ones; a worker goes on, one each period. Lower numbers that go on like that overrule the mark: two of them, three where the mark had been gone on from. Until then a drain and a smaller capacity count, nothing else. A drain counts with the first heartbeat that says so, whatever its number, and ends with two that say `ready` at a worker's pace. Both constants of distance are gone.

Why it works: no single message moves anything that the worker's next two heartbeats do not move back, and an acknowledged notice cannot be passed over.

--- a/src/agent/WorkerAgentIdentity.cpp
+++ b/src/agent/WorkerAgentIdentity.cpp
@@ -5,20 +5,15 @@
 #include <utility>
 
 namespace dragonfly::agent {
-namespace {
 
-/// Heartbeats of a worker that may be overtaken by its next one; they are
-/// seconds apart.
-constexpr std::uint64_t MaxLateHeartbeats = 3;
+using decide::HeartbeatPlace;
+
+namespace {
 
 /// Heartbeats with the current description that have to be missing before
 /// another one counts.
 constexpr int MissedHeartbeats = 3;
 
-/// Heartbeats of one life that may arrive in another order than they were sent,
-/// such as those that wait while the agent is frozen.
-constexpr std::uint64_t MaxReorderedHeartbeats = 100;
-
 bool isSameLife(const WorkerAnnouncement &A, const WorkerAnnouncement &B) {
   return A.Worker_ == B.Worker_ && A.Born_ == B.Born_;
 }
@@ -43,7 +38,8 @@
 } // namespace
 
 void WorkerAgent::Impl::noteRejected(const WorkerAnnouncement &Value,
-                                     std::string_view Reason) {
+                                     std::string_view Reason,
+                                     std::uint64_t Newest) {
   Options_.Metrics_->count("heartbeats_rejected", Reason);
   logEvent(Event::AnnouncementRejected,
            {{"worker", Value.Worker_},
@@ -56,7 +52,7 @@
             {"reason", Reason},
             {"current", Worker_.Worker_},
             {"current_born", Worker_.Born_},
-            {"current_sequence", AnnouncedSequence_},
+            {"current_sequence", Newest},
             {"current_state", Worker_.Draining_ ? "draining" : "ready"}});
 }
 
@@ -87,35 +83,31 @@
     return;
   }
   DescribedAt_ = Clock::now();
-  if (Value.Sequence_ + MaxReorderedHeartbeats < Worker_.Sequence_)
-    // Too far behind to be late: the number ahead was another writer's.
-    Worker_.Sequence_ = 0;
-  else if (Value.Sequence_ < Worker_.Sequence_) {
-    noteRejected(Value, "late");
-    return;
-  }
   Disputed_.reset();
-  const bool IsInOrder = Value.Sequence_ >= AnnouncedSequence_;
-  // An announcement with a number far ahead may be another writer's, and those
-  // with lower numbers the worker's.
-  const bool IsLate =
-      !IsInOrder && AnnouncedSequence_ - Worker_.Sequence_ <= MaxLateHeartbeats;
-  const bool IsNewest = !IsLate && Value.Sequence_ != AnnouncedSequence_;
-  const bool IsRepeated = IsNewest && Value.Capacity_ == AnnouncedCapacity_;
-  if (Departed_ && !Value.Draining_ && IsNewest && IsInOrder)
+  const std::uint64_t NewestBefore = Order_.newestNumber();
+  const HeartbeatPlace Place =
+      Order_.add(DescribedAt_, Value.Sequence_, Value.Draining_);
+  const bool IsLate = Place == HeartbeatPlace::Late;
+  if (IsLate)
+    noteRejected(Value, "late", NewestBefore);
+  if (Place == HeartbeatPlace::Restarted)
+    noteRejected(Value, "newest-contradicted", NewestBefore);
+  if (Departed_ && !Value.Draining_ && !IsLate)
     retractDeparture(Value);
-  const WorkerAnnouncement Before = std::exchange(Worker_, Value);
-  if (!IsRepeated)
-    Worker_.Sequence_ = Before.Sequence_;
-  Worker_.Capacity_ = Before.Capacity_;
-  if (!Value.Draining_ && !IsInOrder) {
-    Worker_.Draining_ = Before.Draining_;
-    Worker_.DrainTimeLeft_ = Before.DrainTimeLeft_;
+  const WorkerAnnouncement Before = Worker_;
+  if (!IsLate) {
+    Worker_ = Value;
+    Worker_.Capacity_ = Before.Capacity_;
   }
-  Worker_.Draining_ = Worker_.Draining_ || Departed_;
-  updateCapacity(Value.Capacity_, IsNewest);
-  if (IsNewest)
-    AnnouncedSequence_ = Value.Sequence_;
+  updateCapacity(Value.Capacity_, Place);
+  Worker_.Draining_ = Order_.isDraining() || Departed_;
+  if (!Value.Draining_)
+    Worker_.DrainTimeLeft_ =
+        Worker_.Draining_ ? Before.DrainTimeLeft_ : Duration::zero();
+  else if (IsLate)
+    Worker_.DrainTimeLeft_ =
+        Before.Draining_ ? std::min(Value.DrainTimeLeft_, Before.DrainTimeLeft_)
+                         : Value.DrainTimeLeft_;
   if (Value.Draining_ && !Before.Draining_) {
     logEvent(Event::WorkerDraining, {{"worker", Worker_.Worker_}});
     Book_.giveUpStarts(Clock::now());
@@ -136,8 +128,9 @@
   }
   DescribedAt_ = Clock::now();
   AnnouncedCapacity_ = Value.Capacity_;
-  AnnouncedSequence_ = Value.Sequence_;
+  Order_.begin(Value.Draining_);
   Worker_ = Value;
+  Worker_.Draining_ = Worker_.Draining_ || Departed_;
   Worker_.Capacity_ = smallerOf(Value.Capacity_, Disputed_->Capacity_);
   Disputed_.reset();
   Book_.giveUpStarts(Clock::now());
@@ -145,12 +138,19 @@
 }
 
 void WorkerAgent::Impl::updateCapacity(const Resources &Announced,
-                                       bool IsNewest) {
+                                       HeartbeatPlace Place) {
   const Resources Before = Worker_.Capacity_;
-  Worker_.Capacity_ =
-      smallerOf(Announced, IsNewest ? AnnouncedCapacity_ : Before);
-  AnnouncedCapacity_ =
-      IsNewest ? Announced : smallerOf(Announced, AnnouncedCapacity_);
+  if (Place == HeartbeatPlace::Late) {
+    Worker_.Capacity_ = smallerOf(Announced, Before);
+    AnnouncedCapacity_ = smallerOf(Announced, AnnouncedCapacity_);
+    LateCapacity_ = Announced;
+  } else {
+    // What was late before a restart was the worker's own.
+    const Resources &Last =
+        Place == HeartbeatPlace::Restarted ? LateCapacity_ : AnnouncedCapacity_;
+    Worker_.Capacity_ = smallerOf(Announced, Last);
+    AnnouncedCapacity_ = Announced;
+  }
   if (Worker_.Capacity_ == Before)
     return;
   // Unconfirmed starts were sized for the old capacity; control places them
@@ -245,7 +245,7 @@
   Disputed_.reset();
   DescribedAt_ = Clock::now();
   AnnouncedCapacity_ = Worker_.Capacity_;
-  AnnouncedSequence_ = std::exchange(Worker_.Sequence_, 0);
+  Order_.begin(Worker_.Draining_);
   // Another worker answers on this VM: the one before it is gone, if it was
   // here.
   if (WasHere && Before.Worker_ != Worker_.Worker_)
--- a/src/agent/WorkerAgentImpl.h
+++ b/src/agent/WorkerAgentImpl.h
@@ -5,6 +5,7 @@
 #include "dragonfly/agent/WorkerAgent.h"
 #include "dragonfly/base/Log.h"
 #include "dragonfly/base/Random.h"
+#include "dragonfly/decide/HeartbeatOrder.h"
 #include "dragonfly/decide/SpeedControl.h"
 #include "dragonfly/link/LeaderClient.h"
 #include "dragonfly/net/EventLoop.h"
@@ -24,7 +25,8 @@
   Impl(net::EventLoop &Loop, link::LeaderClient &Leader,
        WorkerAgentOptions Options)
       : Loop_(Loop), Leader_(Leader), Options_(std::move(Options)),
-        Self_(makeFreshId<Incarnation>()), Book_(Options_.Runs_),
+        Self_(makeFreshId<Incarnation>()),
+        Order_({.Period_ = Options_.HeartbeatPeriod_}), Book_(Options_.Runs_),
         Lease_(Options_.Lease_) {}
 
   /// What is kept of a report until its answer.
@@ -57,9 +59,9 @@
   /// nothing is reported before that worker has listed its runs; later, only
   /// the answer of a worker replaces the current one.
   void announced(const WorkerAnnouncement &Value);
-  /// Takes an announcement of the current life. One with another capacity than
-  /// the newest may be another writer's: the worker's own with lower numbers
-  /// still count after it.
+  /// Takes an announcement of the current life. Of one that may be late or
+  /// another writer's, only a drain and a smaller capacity count: the worker
+  /// takes too little work for a moment, rather than what it cannot run.
   void update(const WorkerAnnouncement &Value);
   /// Takes another description of the current life once it is repeated before
   /// the known one is: a single one may be another writer's.
@@ -67,9 +69,14 @@
   /// Takes the capacity of an announcement: a smaller one at once, a larger one
   /// as far as the announcement before had it too, since a single one may be
   /// another writer's. A change begins a session, which tells control.
-  void updateCapacity(const Resources &Announced, bool IsNewest);
+  void updateCapacity(const Resources &Announced, decide::HeartbeatPlace Place);
   /// Counts and logs an announcement that has no effect, or only a part of it.
-  void noteRejected(const WorkerAnnouncement &Value, std::string_view Reason);
+  /// \p Newest is the number that it was compared with.
+  void noteRejected(const WorkerAnnouncement &Value, std::string_view Reason,
+                    std::uint64_t Newest);
+  void noteRejected(const WorkerAnnouncement &Value, std::string_view Reason) {
+    noteRejected(Value, Reason, Order_.newestNumber());
+  }
   /// Takes a departure back: a worker that has left does not announce itself as
   /// ready, so that the notice was another writer's.
   void retractDeparture(const WorkerAnnouncement &Value);
@@ -140,12 +147,13 @@
   Incarnation Self_;
   /// Leases that an earlier process granted were granted before.
   TimePoint ProcessStart_ = Clock::now();
-  /// Its capacity is the one that counts. Its sequence is that of the newest
-  /// announcement that repeated the capacity of the one before it, or 0.
+  /// Its capacity and its drain are those that count.
   WorkerAnnouncement Worker_;
-  /// The newest announcement of the current life.
+  /// The order of the announcements of the current life.
+  decide::HeartbeatOrder Order_;
+  /// Those of the newest announcement and of the newest late one.
   Resources AnnouncedCapacity_;
-  std::uint64_t AnnouncedSequence_ = 0;
+  Resources LateCapacity_;
   /// The worker has answered as the life that `Worker_` announces.
   bool Confirmed_ = false;
   /// The newest announcement of another life, until the worker has answered.
