--- a/tests/agent/RunBookTest.cpp
+++ b/tests/agent/RunBookTest.cpp
@@ -308,6 +308,19 @@
   CHECK(Book.pendingEnds() == 1);
 }
 
+// Guards against LOST: after an end with a number far ahead, all later ends of
+// the life were passed over as known.
+TEST_CASE("a number far ahead in a list hides no later ends", "[agent][runs]") {
+  RunBook Book = ordered(run(1));
+  const ListedEnd Odd{.Number_ = 1ULL << 53U, .Run_ = run(9)};
+  Book.listed(Start, Start, lists({}, {Odd}));
+  Book.endsDurable(1);
+  Book.listed(Start, Start, lists({}, {{.Number_ = 1, .Run_ = run(1)}, Odd}));
+  CHECK(Book.pendingEnds() == 1);
+  // Else the worker would forget ends that nobody has read.
+  CHECK(Book.endsToForget() == 0);
+}
+
 // An order of the life before can reach the next one under the same id.
 TEST_CASE("an end that the next life's list disproves is taken back",
           "[agent][runs]") {
--- a/tests/agent/WorkerLeaseTest.cpp
+++ b/tests/agent/WorkerLeaseTest.cpp
@@ -33,6 +33,21 @@
   CHECK(Granted > WorkerTime(7000 + 3800));
 }
 
+// Guards against TWICE and LOST: a single reading of the worker's clock that is
+// far off would decide on all later leases.
+TEST_CASE("a reading of the worker's clock counts until the next one",
+          "[agent][lease]") {
+  const std::int64_t Off = GENERATE(0, 1'000'000'000'000);
+  WorkerLease Lease;
+  Lease.renewed(Start, seconds(4));
+  Lease.clockRead(Start, WorkerTime(7000));
+  Lease.clockRead(Start, WorkerTime(Off));
+  Lease.clockRead(Start, WorkerTime(7100));
+  const WorkerTime Granted = Lease.grant(Start);
+  CHECK(Granted > WorkerTime(7100 + 3800));
+  CHECK(Granted <= WorkerTime(7100 + 4000));
+}
+
 // Guards against two runs of one task: a lease that is granted on an old
 // reading of the worker's clock outlasts the time that control allows.
 TEST_CASE("a lease ends in time however old the reading of the clock is",
