--- a/tests/agent/ForeignHeartbeatTest.cpp
+++ b/tests/agent/ForeignHeartbeatTest.cpp
@@ -160,6 +160,7 @@
   On.startRuns(1);
   ownAfter(On, 3);
   std::vector<WorkerAnnouncement> Queue;
+  Queue.reserve(static_cast<std::size_t>(Queued) + 1);
   for (int I = 0; I < Queued; ++I)
     Queue.push_back(On.Worker_->announce());
   WorkerAnnouncement Notice = On.Worker_->announce();
