Let the soak send heartbeats with a number ahead

Change: one in six has a number up to 199 ahead of the worker's, and drains, has no room, or says nothing new.

--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -171,7 +171,7 @@
   std::string Method = "PUT";
   std::string Target = pick(2) == 0 ? Own : Other;
   std::string Text;
-  switch (pick(5)) {
+  switch (pick(6)) {
   case 0:
     // A worker that is not there, or a life that has not begun.
     Body["born"] = Born + 1 + pick(100000);
@@ -184,6 +184,19 @@
   case 2:
     Method = "DELETE";
     break;
+  case 3: {
+    // Well formed and in the worker's name, with a number ahead of its own.
+    constexpr std::size_t MaxLead = 200;
+    Target = Own;
+    Body["Sequence"] =
+        Body["Sequence"].to_number<std::uint64_t>() + pick(MaxLead);
+    if (const std::size_t What = pick(3); What == 0)
+      Body["State"] = "draining";
+    else if (What == 1)
+      Body["Capacity"] =
+          boost::json::object{{"Cpu", 0}, {"MemMb", 0}, {"Gpu", 0}};
+    break;
+  }
   default:
     Text = makeOdd(boost::json::serialize(Body), Random_);
   }
