--- a/include/dragonfly/decide/HeartbeatOrder.h
+++ b/include/dragonfly/decide/HeartbeatOrder.h
@@ -19,61 +19,62 @@
 };
 
 enum class HeartbeatPlace : std::uint8_t {
-  Newest,   ///< Its number is higher than that of the newest one.
-  Late,     ///< Its number is not higher: it is late, or the newest one was not
-            ///< the worker's.
-  Restarted ///< As late ones, but they have gone on at a worker's pace. It is
-            ///< the newest one from now on.
+  Newest,   ///< Its sequence number is the highest of the life.
+  Late,     ///< Its number is not the highest. Either it arrived late, or the
+            ///< highest number is not the worker's.
+  Restarted ///< Its number is not the highest, but heartbeats with lower
+            ///< numbers have arrived like a worker's own: it is the newest from
+            ///< now on.
 };
 
-/// Judges the heartbeats of one life of a worker, in the order of their
-/// arrival.
+/// Orders the heartbeats of one life of a worker as they arrive.
 ///
-/// A number far ahead does not prove who sent it. What follows does: late
-/// heartbeats arrive at once, as from the queue of a process that was frozen,
-/// or between newer ones, whereas a worker goes on with one each period and
-/// with rising numbers. So the highest number is given up once lower ones have
-/// gone on like that.
+/// Anybody can send a heartbeat in a worker's name, with any number, so that a
+/// number alone proves nothing. The arrival pattern does: late heartbeats
+/// arrive in a burst, as from the queue of a frozen process, or between newer
+/// ones, whereas a worker sends one in each period, with rising numbers. The
+/// highest number is therefore dropped once lower ones have arrived like that.
 class HeartbeatOrder {
 public:
   explicit HeartbeatOrder(HeartbeatOrderOptions Options = {})
       : Options_(Options) {}
 
-  /// Begins a life with its first heartbeat. The number of that one does not
-  /// count, since there is nothing to compare it with.
+  /// Begins a life with its first heartbeat, whose number is ignored: there is
+  /// nothing to compare it with.
   void begin(bool IsDraining);
-  /// Takes the next heartbeat.
+  /// Adds the next heartbeat to arrive.
   HeartbeatPlace add(TimePoint Now, std::uint64_t Number, bool IsDraining);
 
-  /// Whether the worker drains. It does from the first heartbeat on that says
-  /// so, whatever its number, since the worker may end once that one has been
-  /// acknowledged. A single one that says otherwise changes nothing: it may be
-  /// late, or another writer's.
+  /// Whether the worker drains. Any heartbeat that says so begins a drain,
+  /// whatever its number: the worker may end once it has been acknowledged. A
+  /// single one that says otherwise does not end it, since that one may be late
+  /// or another writer's.
   bool isDraining() const { return IsDraining_; }
   /// The number of the newest heartbeat, or 0 before the first one.
   std::uint64_t newestNumber() const { return Newest_.value_or(0); }
 
 private:
-  /// Heartbeats that arrive one after another at a worker's pace.
+  /// Heartbeats that arrive one after another in a worker's period.
   struct Series {
     std::uint32_t Length_ = 0;
-    TimePoint At_;
-    std::uint64_t Number_ = 0;
+    TimePoint LastAt_;
+    std::uint64_t LastNumber_ = 0;
   };
 
-  /// Adds a heartbeat to the series, or begins it anew where it has paused.
-  /// One that arrives together with the one before it does not lengthen it.
+  /// Counts a heartbeat in \p Each, which starts anew after a pause. Those that
+  /// arrive together count as one.
   void extend(Series &Each, TimePoint Now) const;
   HeartbeatPlace place(TimePoint Now, std::uint64_t Number);
 
   HeartbeatOrderOptions Options_;
   std::optional<std::uint64_t> Newest_;
-  /// The newest heartbeat has gone on from this number.
-  std::optional<std::uint64_t> Confirmed_;
-  /// Those with rising numbers that are not higher than the newest one.
-  Series Behind_;
+  /// The newest number before `Newest_`, which a further heartbeat has
+  /// exceeded.
+  std::optional<std::uint64_t> Exceeded_;
+  /// Late heartbeats with rising numbers.
+  Series Late_;
   bool IsDraining_ = false;
-  /// Those that do not drain, since the last one that did.
+  /// Heartbeats that do not announce a drain, since the last one that did.
   Series Ready_;
 };
 
--- a/src/agent/WorkerAgentIdentity.cpp
+++ b/src/agent/WorkerAgentIdentity.cpp
@@ -145,7 +145,7 @@
     AnnouncedCapacity_ = smallerOf(Announced, AnnouncedCapacity_);
     LateCapacity_ = Announced;
   } else {
-    // What was late before a restart was the worker's own.
+    // After a restart, the last late announcement was the worker's own.
     const Resources &Last =
         Place == HeartbeatPlace::Restarted ? LateCapacity_ : AnnouncedCapacity_;
     Worker_.Capacity_ = smallerOf(Announced, Last);
--- a/src/agent/WorkerAgentImpl.h
+++ b/src/agent/WorkerAgentImpl.h
@@ -59,9 +59,9 @@
   /// nothing is reported before that worker has listed its runs; later, only
   /// the answer of a worker replaces the current one.
   void announced(const WorkerAnnouncement &Value);
-  /// Takes an announcement of the current life. Of one that may be late or
-  /// another writer's, only a drain and a smaller capacity count: the worker
-  /// takes too little work for a moment, rather than what it cannot run.
+  /// Takes an announcement of the current life. Of a late one, which may be
+  /// another writer's, only a drain and a smaller capacity are applied: for a
+  /// moment the worker gets too little work rather than too much.
   void update(const WorkerAnnouncement &Value);
   /// Takes another description of the current life once it is repeated before
   /// the known one is: a single one may be another writer's.
@@ -70,8 +70,8 @@
   /// as far as the announcement before had it too, since a single one may be
   /// another writer's. A change begins a session, which tells control.
   void updateCapacity(const Resources &Announced, decide::HeartbeatPlace Place);
-  /// Counts and logs an announcement that has no effect, or only a part of it.
-  /// \p Newest is the number that it was compared with.
+  /// Counts and logs an announcement that was not applied in full. \p Newest is
+  /// the sequence number that it was compared with.
   void noteRejected(const WorkerAnnouncement &Value, std::string_view Reason,
                     std::uint64_t Newest);
   void noteRejected(const WorkerAnnouncement &Value, std::string_view Reason) {
@@ -149,9 +149,8 @@
   TimePoint ProcessStart_ = Clock::now();
   /// Its capacity and its drain are those that count.
   WorkerAnnouncement Worker_;
-  /// The order of the announcements of the current life.
   decide::HeartbeatOrder Order_;
-  /// Those of the newest announcement and of the newest late one.
+  /// Capacities of the newest announcement and of the last late one.
   Resources AnnouncedCapacity_;
   Resources LateCapacity_;
   /// The worker has answered as the life that `Worker_` announces.
--- a/src/decide/HeartbeatOrder.cpp
+++ b/src/decide/HeartbeatOrder.cpp
@@ -3,16 +3,17 @@
 namespace dragonfly::decide {
 namespace {
 
-/// Periods after which a series has paused: two heartbeats in a row are lost.
+/// A series starts anew after this pause: two heartbeats in a row were lost.
 constexpr int MaxPeriodsBetween = 3;
 
-/// Heartbeats in a row after which lower numbers count: one more where the
-/// higher number has been gone on from, which one message cannot do.
-constexpr std::uint32_t OverrulingHeartbeats = 2;
-constexpr std::uint32_t OverrulingHeartbeatsIfConfirmed = 3;
+/// Late heartbeats in a series after which the last one counts as the newest.
+/// A number that was exceeded takes one more: it has more than one message
+/// behind it.
+constexpr std::uint32_t RestartLength = 2;
+constexpr std::uint32_t RestartLengthIfExceeded = 3;
 
-/// Heartbeats in a row, the last one not late, that end a drain.
-constexpr std::uint32_t ReadyHeartbeats = 2;
+/// Length of a series, whose last heartbeat is not late, that ends a drain.
+constexpr std::uint32_t ReadyLength = 2;
 
 } // namespace
 
@@ -30,42 +31,41 @@
     return Place;
   }
   extend(Ready_, Now);
-  if (Place != HeartbeatPlace::Late && Ready_.Length_ >= ReadyHeartbeats)
+  if (Place != HeartbeatPlace::Late && Ready_.Length_ >= ReadyLength)
     IsDraining_ = false;
   return Place;
 }
 
 HeartbeatPlace HeartbeatOrder::place(TimePoint Now, std::uint64_t Number) {
   if (!Newest_ || Number > *Newest_) {
-    Confirmed_ = Newest_;
+    Exceeded_ = Newest_;
     Newest_ = Number;
     return HeartbeatPlace::Newest;
   }
-  const bool IsCopy = Behind_.Length_ > 0 && Number == Behind_.Number_;
+  const bool IsCopy = Late_.Length_ > 0 && Number == Late_.LastNumber_;
   if (IsCopy)
     return HeartbeatPlace::Late;
-  if (Number < Behind_.Number_)
-    Behind_ = {};
-  extend(Behind_, Now);
-  Behind_.Number_ = Number;
-  const bool IsConfirmed = Confirmed_ && Number <= *Confirmed_;
-  if (Behind_.Length_ <
-      (IsConfirmed ? OverrulingHeartbeatsIfConfirmed : OverrulingHeartbeats))
+  if (Number < Late_.LastNumber_)
+    Late_ = {};
+  extend(Late_, Now);
+  Late_.LastNumber_ = Number;
+  const bool IsExceeded = Exceeded_ && Number <= *Exceeded_;
+  if (Late_.Length_ < (IsExceeded ? RestartLengthIfExceeded : RestartLength))
     return HeartbeatPlace::Late;
   Newest_ = Number;
-  Confirmed_.reset();
-  Behind_ = {};
+  Exceeded_.reset();
+  Late_ = {};
   return HeartbeatPlace::Restarted;
 }
 
 void HeartbeatOrder::extend(Series &Each, TimePoint Now) const {
-  const Duration Since = Now - Each.At_;
+  const Duration Since = Now - Each.LastAt_;
   if (Each.Length_ > 0 && Since < Options_.Period_ / 2)
     return;
   if (Since > MaxPeriodsBetween * Options_.Period_)
     Each.Length_ = 0;
   ++Each.Length_;
-  Each.At_ = Now;
+  Each.LastAt_ = Now;
 }
 
 } // namespace dragonfly::decide
