--- a/src/decide/HeartbeatOrder.cpp
+++ b/src/decide/HeartbeatOrder.cpp
@@ -3,7 +3,7 @@
 namespace dragonfly::decide {
 namespace {
 
-/// A series starts anew after this pause: two heartbeats in a row were lost.
+/// A series starts anew after this pause, in which two heartbeats are missing.
 constexpr int MaxPeriodsBetween = 3;
 
 /// Late heartbeats in a series after which the last one counts as the newest.
