--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -24,6 +24,9 @@
 
 /// How long a call of the soak's own clients may take.
 inline constexpr Duration CallTimeout = std::chrono::milliseconds(2500);
+/// Pause before one of them is made again, and how often that happens.
+inline constexpr Duration RetryDelay = std::chrono::milliseconds(300);
+inline constexpr int MaxAttempts = 5;
 
 struct SoakSchedule {
   /// Time with load and faults.
--- a/tests/soak/SoakCancels.cpp
+++ b/tests/soak/SoakCancels.cpp
@@ -8,7 +8,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr Duration RetryDelay = milliseconds(300);
 /// From one job that is cancelled to the next.
 constexpr Duration Period = milliseconds(150);
 /// Once faults are over, such jobs are handed in for so long.
