Say in the event what a late heartbeat's line means

Cause: the text of announcement-rejected knew contradictions only, and a member named Order_ stood beside the orders of control. Change: the text, and the name Heartbeats_.

--- a/src/agent/WorkerAgentIdentity.cpp
+++ b/src/agent/WorkerAgentIdentity.cpp
@@ -84,9 +84,9 @@
   }
   DescribedAt_ = Clock::now();
   Disputed_.reset();
-  const std::uint64_t NewestBefore = Order_.newestNumber();
+  const std::uint64_t NewestBefore = Heartbeats_.newestNumber();
   const HeartbeatPlace Place =
-      Order_.add(DescribedAt_, Value.Sequence_, Value.Draining_);
+      Heartbeats_.add(DescribedAt_, Value.Sequence_, Value.Draining_);
   const bool IsLate = Place == HeartbeatPlace::Late;
   if (IsLate)
     noteRejected(Value, "late", NewestBefore);
@@ -100,7 +100,7 @@
     Worker_.Capacity_ = Before.Capacity_;
   }
   updateCapacity(Value.Capacity_, Place);
-  Worker_.Draining_ = Order_.isDraining() || Departed_;
+  Worker_.Draining_ = Heartbeats_.isDraining() || Departed_;
   if (!Value.Draining_)
     Worker_.DrainTimeLeft_ =
         Worker_.Draining_ ? Before.DrainTimeLeft_ : Duration::zero();
@@ -128,7 +128,7 @@
   }
   DescribedAt_ = Clock::now();
   AnnouncedCapacity_ = Value.Capacity_;
-  Order_.begin(Value.Draining_);
+  Heartbeats_.begin(Value.Draining_);
   Worker_ = Value;
   Worker_.Draining_ = Worker_.Draining_ || Departed_;
   Worker_.Capacity_ = smallerOf(Value.Capacity_, Disputed_->Capacity_);
@@ -245,7 +245,7 @@
   Disputed_.reset();
   DescribedAt_ = Clock::now();
   AnnouncedCapacity_ = Worker_.Capacity_;
-  Order_.begin(Worker_.Draining_);
+  Heartbeats_.begin(Worker_.Draining_);
   // Another worker answers on this VM: the one before it is gone, if it was
   // here.
   if (WasHere && Before.Worker_ != Worker_.Worker_)
--- a/src/agent/WorkerAgentImpl.h
+++ b/src/agent/WorkerAgentImpl.h
@@ -26,8 +26,8 @@
        WorkerAgentOptions Options)
       : Loop_(Loop), Leader_(Leader), Options_(std::move(Options)),
         Self_(makeFreshId<Incarnation>()),
-        Order_({.Period_ = Options_.HeartbeatPeriod_}), Book_(Options_.Runs_),
-        Lease_(Options_.Lease_) {}
+        Heartbeats_({.Period_ = Options_.HeartbeatPeriod_}),
+        Book_(Options_.Runs_), Lease_(Options_.Lease_) {}
 
   /// What is kept of a report until its answer.
   struct SentReport {
@@ -75,7 +75,7 @@
   void noteRejected(const WorkerAnnouncement &Value, std::string_view Reason,
                     std::uint64_t Newest);
   void noteRejected(const WorkerAnnouncement &Value, std::string_view Reason) {
-    noteRejected(Value, Reason, Order_.newestNumber());
+    noteRejected(Value, Reason, Heartbeats_.newestNumber());
   }
   /// Takes a departure back: a worker that has left does not announce itself as
   /// ready, so that the notice was another writer's.
@@ -149,7 +149,7 @@
   TimePoint ProcessStart_ = Clock::now();
   /// Its capacity and its drain are those that count.
   WorkerAnnouncement Worker_;
-  decide::HeartbeatOrder Order_;
+  decide::HeartbeatOrder Heartbeats_;
   /// Capacities of the newest announcement and of the last late one.
   Resources AnnouncedCapacity_;
   Resources LateCapacity_;
--- a/src/base/Event.cpp
+++ b/src/base/Event.cpp
@@ -203,8 +203,8 @@
     {Event::WorkerDraining, Severity::Info, "worker-draining",
      "The worker announced that it leaves."},
     {Event::AnnouncementRejected, Severity::Warning, "announcement-rejected",
-     "An announcement contradicts what the worker on the VM answers or has "
-     "announced."},
+     "An announcement has no effect, or only a part of it: it is late, or "
+     "contradicts what the worker on the VM answers or has announced."},
     {Event::RunUnexpected, Severity::Warning, "run-unexpected",
      "The worker lists a run that its agent did not order in this session or "
      "takes for ended; `end` tells which end the agent knows."},
